--- /dev/null
+++ b/fakes/modelengine.ts
@@ -0,0 +1,152 @@
+/** Stand-in for a model engine: streams made-up tokens at a set rate. */
+import Fastify from 'fastify';
+
+import type { ServerResponse } from 'node:http';
+import type { FastifyInstance } from 'fastify';
+
+/** What an engine stand-in is started with. */
+export interface EngineOptions {
+  readonly host: string;
+  readonly port: number;
+  /** Time to the first token, in milliseconds. */
+  readonly firstTokenMs: number;
+  /** Time between tokens, in milliseconds. */
+  readonly tokenMs: number;
+}
+
+/** Faults that a test may switch on. */
+export interface EngineFaults {
+  /** Open answers stop without an end; new requests get no answer. */
+  readonly silent: boolean;
+  /** Answers break off after this many tokens; 0 for never. */
+  readonly cutAfter: number;
+  /** New requests are refused with 503. */
+  readonly refuse: boolean;
+}
+
+/** What the engine has done, counted by itself. */
+export interface EngineCounts {
+  readonly requests: number;
+  readonly finished: number;
+  readonly cancelled: number;
+  readonly tokens: number;
+}
+
+interface ChatBody {
+  readonly model: string;
+  readonly messages: readonly { readonly role: string; readonly content: string }[];
+  readonly max_tokens: number;
+}
+
+/** Bytes of prompt that count as one token. */
+const BYTES_PER_TOKEN = 4;
+
+const NO_FAULTS: EngineFaults = { silent: false, cutAfter: 0, refuse: false };
+
+function promptTokens(body: ChatBody): number {
+  const bytes = body.messages.reduce((sum, { content }) => sum + Buffer.byteLength(content), 0);
+  return Math.ceil(bytes / BYTES_PER_TOKEN);
+}
+
+/**
+ * Gives the token at a position of the answer to a request.
+ * @param prompt - last message of the request
+ * @param index - position of the token
+ * @returns the text of the token
+ */
+export function tokenText(prompt: string, index: number): string {
+  const words = prompt.split(/\s+/).filter(Boolean);
+  return `${words[index % Math.max(1, words.length)] ?? 'ok'}-${index} `;
+}
+
+/** Streams answers over HTTP. */
+export class FakeModelEngine {
+  #faults: EngineFaults = NO_FAULTS;
+
+  #counts: EngineCounts = { requests: 0, finished: 0, cancelled: 0, tokens: 0 };
+
+  readonly #app: FastifyInstance = Fastify({ forceCloseConnections: true, bodyLimit: 16e6 });
+
+  private constructor(private readonly options: EngineOptions) {
+    this.#app.post<{ Body: ChatBody }>('/v1/chat/completions', async (req, reply) => {
+      this.#count('requests');
+      if (this.#faults.refuse) return reply.status(503).send({ error: 'overloaded' });
+      reply.hijack();
+      this.#stream(String(req.headers['x-request-id']), req.body, reply.raw);
+      return undefined;
+    });
+    this.#app.put<{ Body: Partial<EngineFaults> }>('/admin/faults', async (req) => {
+      this.setFaults(req.body);
+      return this.#faults;
+    });
+    this.#app.get('/admin/counts', async () => this.#counts);
+  }
+
+  /**
+   * Starts a stand-in.
+   * @param options - address and speed
+   * @returns the stand-in, once it listens
+   */
+  static async start(options: EngineOptions): Promise<FakeModelEngine> {
+    const engine = new FakeModelEngine(options);
+    await engine.#app.listen({ host: options.host, port: options.port });
+    return engine;
+  }
+
+  /** Work so far. */
+  get counts(): EngineCounts {
+    return this.#counts;
+  }
+
+  /**
+   * Switches faults.
+   * @param faults - faults to change; the others stay
+   */
+  setFaults(faults: Partial<EngineFaults>): void {
+    this.#faults = { ...this.#faults, ...faults };
+  }
+
+  /** Stops the stand-in. */
+  async stop(): Promise<void> {
+    await this.#app.close();
+  }
+
+  #count(name: keyof EngineCounts): void {
+    this.#counts = { ...this.#counts, [name]: this.#counts[name] + 1 };
+  }
+
+  #stream(id: string, body: ChatBody, res: ServerResponse): void {
+    const { firstTokenMs, tokenMs } = this.options;
+    const prompt = body.messages.at(-1)?.content ?? '';
+    let index = 0;
+    let timer: NodeJS.Timeout | undefined;
+    const send = (fields: object): void => {
+      res.write(`data: ${JSON.stringify({ id, model: body.model, ...fields })}\n\n`);
+    };
+    const next = (): void => {
+      if (this.#faults.silent) return;
+      if (this.#faults.cutAfter > 0 && index >= this.#faults.cutAfter) {
+        res.destroy();
+        return;
+      }
+      if (index < body.max_tokens) {
+        this.#count('tokens');
+        send({ choices: [{ index: 0, delta: { content: tokenText(prompt, index) } }] });
+        index += 1;
+        timer = setTimeout(next, tokenMs);
+        return;
+      }
+      this.#count('finished');
+      send({ choices: [{ index: 0, delta: {}, finish_reason: 'length' }] });
+      const usage = { prompt_tokens: promptTokens(body), completion_tokens: index };
+      send({ choices: [], usage });
+      res.end('data: [DONE]\n\n');
+    };
+    res.writeHead(200, { 'content-type': 'text/event-stream' });
+    res.on('close', () => {
+      clearTimeout(timer);
+      if (!res.writableEnded) this.#count('cancelled');
+    });
+    timer = setTimeout(next, firstTokenMs);
+  }
+}
--- /dev/null
+++ b/fakes/plainservice.ts
@@ -0,0 +1,83 @@
+/** Stand-in for a plain service: counts each call by its idempotency key. */
+import Fastify from 'fastify';
+
+import type { FastifyInstance } from 'fastify';
+
+/** What a service stand-in is started with. */
+export interface ServiceOptions {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Faults that a test may switch on. */
+export interface ServiceFaults {
+  /** Calls run, but their answers never come. */
+  readonly loseAnswers: boolean;
+  /** Delay of each answer, in milliseconds. */
+  readonly delayMs: number;
+}
+
+/** Runs of one idempotency key. */
+export interface KeyRuns {
+  readonly key: string;
+  readonly runs: number;
+}
+
+/** Runs calls and counts them. */
+export class FakePlainService {
+  readonly #runs = new Map<string, number>();
+
+  #faults: ServiceFaults = { loseAnswers: false, delayMs: 0 };
+
+  readonly #app: FastifyInstance = Fastify({ forceCloseConnections: true });
+
+  private constructor() {
+    this.#app.put<{ Body: Partial<ServiceFaults> }>('/admin/faults', async (req) => {
+      this.setFaults(req.body);
+      return this.#faults;
+    });
+    this.#app.get('/admin/runs', async () => this.runs);
+    this.#app.all('/*', async (req, reply) => {
+      const key = String(req.headers['idempotency-key']);
+      this.#runs.set(key, (this.#runs.get(key) ?? 0) + 1);
+      await new Promise((resolve) => {
+        setTimeout(resolve, this.#faults.delayMs);
+      });
+      if (this.#faults.loseAnswers) {
+        reply.hijack();
+        reply.raw.destroy();
+        return undefined;
+      }
+      return { confirmed: true, key, path: req.url };
+    });
+  }
+
+  /**
+   * Starts a stand-in.
+   * @param options - address
+   * @returns the stand-in, once it listens
+   */
+  static async start(options: ServiceOptions): Promise<FakePlainService> {
+    const service = new FakePlainService();
+    await service.#app.listen({ host: options.host, port: options.port });
+    return service;
+  }
+
+  /** Runs of every key so far. */
+  get runs(): readonly KeyRuns[] {
+    return [...this.#runs].map(([key, runs]) => ({ key, runs }));
+  }
+
+  /**
+   * Switches faults.
+   * @param faults - faults to change; the others stay
+   */
+  setFaults(faults: Partial<ServiceFaults>): void {
+    this.#faults = { ...this.#faults, ...faults };
+  }
+
+  /** Stops the stand-in. */
+  async stop(): Promise<void> {
+    await this.#app.close();
+  }
+}
--- /dev/null
+++ b/proof/catalogue.ts
@@ -0,0 +1,7 @@
+/** Every proof, in the order in which they run. */
+import { OwnAnswerProof } from './ownanswer.js';
+
+import type { Proof } from './proof.js';
+
+/** The proofs. */
+export const PROOFS: readonly Proof[] = [new OwnAnswerProof()];
--- /dev/null
+++ b/src/budget/ledger.ts
@@ -0,0 +1,172 @@
+/** Rules of a budget shard: every version of it keeps rule S1. */
+import type { Change } from '../platform/index.js';
+import type { ChargeLine } from './charge.js';
+import type { BudgetRecord, BudgetShard, HolderEntry, HolderRow } from './shard.js';
+
+/** What a holder asks of a budget. */
+export interface GrantRequest {
+  readonly holder: string;
+  readonly backup: string | null;
+  readonly budget: string;
+  /** What the holder believes its row grants: a higher stored value is an earlier lost answer. */
+  readonly granted: number;
+  /** Least units that are of use. */
+  readonly needed: number;
+  /** Units asked for. */
+  readonly wanted: number;
+}
+
+/** What the shard grants after a request. */
+export interface GrantAnswer {
+  /** Units granted to the row in all. */
+  readonly granted: number;
+  /** Units of the budget that no row holds. */
+  readonly left: number;
+  readonly known: boolean;
+}
+
+/**
+ * Gives the units of a budget that no holder has.
+ * @param budget - the budget
+ * @returns units that can be granted
+ */
+export function unallocated(budget: BudgetRecord): number {
+  return budget.rows.reduce(
+    (left, row) => left - (row.granted - row.returned),
+    budget.paid - budget.retired,
+  );
+}
+
+/**
+ * Gives what a budget has spent, as far as charges are settled.
+ * @param budget - the budget
+ * @returns units
+ */
+export function spentOf(budget: BudgetRecord): number {
+  return budget.rows.reduce((spent, row) => spent + row.spent, budget.retired);
+}
+
+function replaceBudget(shard: BudgetShard, next: BudgetRecord): BudgetShard {
+  const budgets = shard.budgets.map((budget) => (budget.name === next.name ? next : budget));
+  return { ...shard, budgets };
+}
+
+function withHolder(shard: BudgetShard, holder: string, backup: string | null): BudgetShard {
+  const found = shard.holders.find((entry) => entry.holder === holder);
+  if (found) return shard;
+  const entry: HolderEntry = { holder, backup, settled: 0 };
+  return { ...shard, holders: [...shard.holders, entry] };
+}
+
+function withRow(budget: BudgetRecord, next: HolderRow): BudgetRecord {
+  const others = budget.rows.filter((row) => row.holder !== next.holder);
+  return { ...budget, rows: [...others, next] };
+}
+
+function rowOf(budget: BudgetRecord, holder: string): HolderRow {
+  const found = budget.rows.find((row) => row.holder === holder);
+  return found ?? { holder, granted: 0, spent: 0, returned: 0 };
+}
+
+/**
+ * Grants units of a budget to a holder.
+ * @param shard - shard in force
+ * @param ask - the request
+ * @returns the change of the shard and what the holder then has
+ */
+export function grant(shard: BudgetShard, ask: GrantRequest): Change<BudgetShard, GrantAnswer> {
+  const budget = shard.budgets.find(({ name }) => name === ask.budget);
+  if (!budget) return { kind: 'keep', outcome: { granted: 0, left: 0, known: false } };
+  const row = rowOf(budget, ask.holder);
+  const left = unallocated(budget);
+  const short = left < ask.needed;
+  if (row.granted > ask.granted || short) {
+    return { kind: 'keep', outcome: { granted: row.granted, left, known: true } };
+  }
+  const units = Math.min(left, ask.wanted);
+  const next = withRow(budget, { ...row, granted: row.granted + units });
+  const value = withHolder(replaceBudget(shard, next), ask.holder, ask.backup);
+  const outcome = { granted: row.granted + units, left: left - units, known: true };
+  return { kind: 'write', value, outcome };
+}
+
+/** A payment, as an operator orders it. */
+export interface TopUpRequest {
+  readonly budget: string;
+  readonly workspace: string;
+  readonly operation: string;
+  readonly units: number;
+  readonly at: number;
+}
+
+/** What came of a payment. */
+export interface TopUpAnswer {
+  readonly paid: number;
+  /** The operation id was known: nothing was added this time. */
+  readonly repeated: boolean;
+}
+
+/**
+ * Adds a payment to a budget, once for each operation id.
+ * @param shard - shard in force
+ * @param ask - the payment
+ * @returns the change of the shard and the units paid in all
+ */
+export function topUp(shard: BudgetShard, ask: TopUpRequest): Change<BudgetShard, TopUpAnswer> {
+  const found = shard.budgets.find(({ name }) => name === ask.budget);
+  const base: BudgetRecord = found ?? {
+    name: ask.budget,
+    workspace: ask.workspace,
+    paid: 0,
+    topUps: [],
+    retired: 0,
+    rows: [],
+  };
+  if (base.topUps.some(({ operation }) => operation === ask.operation)) {
+    return { kind: 'keep', outcome: { paid: base.paid, repeated: true } };
+  }
+  const entry = { operation: ask.operation, units: ask.units, at: ask.at };
+  const next = { ...base, paid: base.paid + ask.units, topUps: [...base.topUps, entry] };
+  const value = found
+    ? replaceBudget(shard, next)
+    : { ...shard, budgets: [...shard.budgets, next] };
+  return { kind: 'write', value, outcome: { paid: next.paid, repeated: false } };
+}
+
+function settleBudget(
+  budget: BudgetRecord,
+  holder: string,
+  lines: readonly ChargeLine[],
+): BudgetRecord {
+  const units = lines
+    .filter((line) => line.budget === budget.name)
+    .reduce((sum, line) => sum + line.units, 0);
+  if (units === 0) return budget;
+  const row = rowOf(budget, holder);
+  return withRow(budget, { ...row, spent: row.spent + units });
+}
+
+/**
+ * Settles the lines of one holder: moves its mark and adds to what its rows spent.
+ * Lines at or below the mark are ignored, so any copy may be delivered again.
+ * @param shard - shard in force
+ * @param holder - incarnation that recorded the lines
+ * @param lines - lines in the order of their sequence
+ * @returns the change of the shard and the mark that is then in force
+ */
+export function settle(
+  shard: BudgetShard,
+  holder: string,
+  lines: readonly ChargeLine[],
+): Change<BudgetShard, number> {
+  const entry = shard.holders.find((candidate) => candidate.holder === holder);
+  const mark = entry?.settled ?? 0;
+  const fresh = lines.filter(({ sequence }) => sequence > mark);
+  const last = fresh.at(-1);
+  if (!entry || !last) return { kind: 'keep', outcome: mark };
+  const budgets = shard.budgets.map((budget) => settleBudget(budget, holder, fresh));
+  const holders = shard.holders.map((candidate) =>
+    candidate === entry ? { ...entry, settled: last.sequence } : candidate,
+  );
+  return { kind: 'write', value: { ...shard, budgets, holders }, outcome: last.sequence };
+}
--- /dev/null
+++ b/src/budget/shard.ts
@@ -0,0 +1,96 @@
+/** Budget shard: the stored root of many budgets, as plain data. */
+import { z } from 'zod';
+
+import { hash32 } from '../kernel/index.js';
+
+/** Schema of the counters of one holder in one budget; all of them only grow. */
+export const rowSchema = z
+  .object({
+    /** Incarnation that may spend what the row grants. */
+    holder: z.string(),
+    granted: z.number().int().nonnegative(),
+    spent: z.number().int().nonnegative(),
+    returned: z.number().int().nonnegative(),
+  })
+  .readonly();
+
+/** Counters of one holder in one budget. */
+export type HolderRow = z.infer<typeof rowSchema>;
+
+/** Schema of a top-up, known by its operation id. */
+export const topUpSchema = z
+  .object({ operation: z.string(), units: z.number().int(), at: z.number() })
+  .readonly();
+
+/** One payment into a budget. */
+export type TopUp = z.infer<typeof topUpSchema>;
+
+/** Schema of a budget in its shard. */
+export const budgetSchema = z
+  .object({
+    name: z.string(),
+    workspace: z.string(),
+    paid: z.number().int().nonnegative(),
+    topUps: z.array(topUpSchema).readonly(),
+    /** Units spent under rows that have been closed and dropped. */
+    retired: z.number().int().nonnegative(),
+    rows: z.array(rowSchema).readonly(),
+  })
+  .readonly();
+
+/** A prepaid budget as the store keeps it. */
+export type BudgetRecord = z.infer<typeof budgetSchema>;
+
+/** Schema of a holder's entry in a shard. */
+export const holderSchema = z
+  .object({
+    holder: z.string(),
+    /** Incarnation that keeps the copies of this holder; null before the first. */
+    backup: z.string().nullable(),
+    /** Highest sequence whose charge line counts. */
+    settled: z.number().int().nonnegative(),
+  })
+  .readonly();
+
+/** A holder's entry in a shard. */
+export type HolderEntry = z.infer<typeof holderSchema>;
+
+/** Schema of a shard object. */
+export const shardSchema = z
+  .object({
+    budgets: z.array(budgetSchema).readonly(),
+    holders: z.array(holderSchema).readonly(),
+  })
+  .readonly();
+
+/** A shard object: many budgets, under one megabyte. */
+export type BudgetShard = z.infer<typeof shardSchema>;
+
+/**
+ * Reads a stored shard.
+ * @param value - stored value; null where the object does not exist
+ * @returns the shard
+ * @throws ZodError if the value is not a shard
+ */
+export function parseShard(value: unknown): BudgetShard {
+  return value === null ? { budgets: [], holders: [] } : shardSchema.parse(value);
+}
+
+/**
+ * Gives the object key of a shard.
+ * @param shard - shard number
+ * @returns the object key
+ */
+export function shardKey(shard: number): string {
+  return `budgets/${shard}`;
+}
+
+/**
+ * Gives the shard that a budget lives in.
+ * @param budget - budget name
+ * @param shards - number of shards in force
+ * @returns the shard number
+ */
+export function shardOf(budget: string, shards: number): number {
+  return hash32(budget) % shards;
+}
--- /dev/null
+++ b/src/config/configuration.ts
@@ -0,0 +1,85 @@
+/** The configuration in force, indexed for requests. */
+import type { Documents, Route, UpstreamDocument, Workspace } from './documents.js';
+import type { Manifest } from './revision.js';
+
+/** Who a workspace key belongs to and what it is charged to. */
+export interface Tenant {
+  readonly workspace: Workspace;
+  readonly budget: string;
+}
+
+/** One revision, whole. */
+export class Configuration {
+  readonly #tenants = new Map<string, Tenant>();
+
+  readonly #routes = new Map<string, Route>();
+
+  readonly #upstreams = new Map<string, readonly UpstreamDocument[]>();
+
+  /**
+   * Indexes a revision.
+   * @param manifest - the manifest
+   * @param documents - the documents of all its pieces together
+   */
+  constructor(
+    readonly manifest: Manifest,
+    readonly documents: Documents,
+  ) {
+    documents.workspaces.forEach((workspace) => {
+      workspace.keys.forEach(({ sha256, budget }) => {
+        this.#tenants.set(sha256, { workspace, budget });
+      });
+    });
+    documents.routes.forEach((route) => {
+      this.#routes.set(route.name, route);
+      const upstreams = documents.upstreams.filter((upstream) => upstream.route === route.name);
+      this.#upstreams.set(route.name, upstreams);
+    });
+  }
+
+  /** Number of the revision. */
+  get revision(): number {
+    return this.manifest.revision;
+  }
+
+  /**
+   * Finds the owner of a key.
+   * @param digest - SHA-256 of the key
+   * @returns the workspace and budget; undefined for an unknown key
+   */
+  tenant(digest: string): Tenant | undefined {
+    return this.#tenants.get(digest);
+  }
+
+  /**
+   * Finds a route.
+   * @param name - route name
+   * @returns the route; undefined if none has that name
+   */
+  route(name: string): Route | undefined {
+    return this.#routes.get(name);
+  }
+
+  /**
+   * Lists the upstreams of a route, the leaving ones among them.
+   * @param route - route name
+   * @returns the upstreams
+   */
+  upstreams(route: string): readonly UpstreamDocument[] {
+    return this.#upstreams.get(route) ?? [];
+  }
+}
+
+/**
+ * Joins the documents of all pieces.
+ * @param parts - documents of the pieces
+ * @returns the documents of the whole revision
+ */
+export function joinDocuments(parts: readonly Documents[]): Documents {
+  return {
+    workspaces: parts.flatMap((part) => part.workspaces),
+    budgets: parts.flatMap((part) => part.budgets),
+    routes: parts.flatMap((part) => part.routes),
+    upstreams: parts.flatMap((part) => part.upstreams),
+  };
+}
--- /dev/null
+++ b/src/config/messages.ts
@@ -0,0 +1,4 @@
+/** Messages between daemons of the config aggregate. */
+
+/** Schemas of the messages. */
+export const configMessages = [] as const;
--- /dev/null
+++ b/src/daemon/app.module.ts
@@ -0,0 +1,26 @@
+/** Nest module of the daemon. */
+import { Module } from '@nestjs/common';
+
+import type { DynamicModule } from '@nestjs/common';
+import { CallersController } from './callers.controller.js';
+import { HealthController } from './health.controller.js';
+import { OperatorGuard } from './operator.guard.js';
+import { OperatorsController } from './operators.controller.js';
+import { Runtime } from './runtime.js';
+
+/** Binds the HTTP interfaces to the tasks of one daemon. */
+@Module({})
+export class AppModule {
+  /**
+   * Builds the module around a runtime.
+   * @param runtime - tasks of the daemon
+   * @returns the module
+   */
+  static around(runtime: Runtime): DynamicModule {
+    return {
+      module: AppModule,
+      controllers: [CallersController, HealthController, OperatorsController],
+      providers: [{ provide: Runtime, useValue: runtime }, OperatorGuard],
+    };
+  }
+}
--- /dev/null
+++ b/src/daemon/daemon.ts
@@ -0,0 +1,62 @@
+/** One daemon with its HTTP listener. */
+import 'reflect-metadata';
+
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { NestFactory } from '@nestjs/core';
+import { FastifyAdapter } from '@nestjs/platform-fastify';
+
+import type { NestFastifyApplication } from '@nestjs/platform-fastify';
+import { AppModule } from './app.module.js';
+import { FailureFilter } from './failure.filter.js';
+import { Runtime } from './runtime.js';
+import { splitAddress } from './settings.js';
+
+import type { Settings } from './settings.js';
+
+/** Interval at which a graceful stop looks for open requests, in milliseconds. */
+const DRAIN_POLL_MS = 50;
+
+/** Starts and stops a daemon. */
+export class Daemon {
+  private constructor(
+    readonly runtime: Runtime,
+    private readonly app: NestFastifyApplication,
+  ) {}
+
+  /**
+   * Starts a daemon.
+   * @param settings - checked settings
+   * @returns the daemon, once it listens
+   */
+  static async start(settings: Settings): Promise<Daemon> {
+    const runtime = new Runtime(settings);
+    const adapter = new FastifyAdapter({ bodyLimit: settings.limits.bodyBytes });
+    const module = AppModule.around(runtime);
+    const app = await NestFactory.create<NestFastifyApplication>(module, adapter, {
+      logger: false,
+      bodyParser: false,
+    });
+    const fastify = adapter.getInstance();
+    fastify.removeAllContentTypeParsers();
+    fastify.addContentTypeParser('*', { parseAs: 'buffer' }, (_req, body, done) => {
+      done(null, body);
+    });
+    app.useGlobalFilters(new FailureFilter());
+    await runtime.start();
+    const { host, port } = splitAddress(settings.listen.callers);
+    await app.listen(port, host);
+    return new Daemon(runtime, app);
+  }
+
+  /** Stops gracefully: no new work, open requests finish, then the links close. */
+  async stop(): Promise<void> {
+    this.runtime.beginStop();
+    while (this.runtime.serving.open.total > 0) {
+      // eslint-disable-next-line no-await-in-loop
+      await delay(DRAIN_POLL_MS);
+    }
+    await this.runtime.finishStop();
+    await this.app.close();
+  }
+}
--- /dev/null
+++ b/src/daemon/modelrun.ts
@@ -0,0 +1,75 @@
+/** One model request: streams the engine's answer to the caller. */
+import { failure } from '../kernel/index.js';
+import { outputLimit } from '../request/index.js';
+import { RequestRun } from './requestrun.js';
+
+import type { UpstreamDocument } from '../config/index.js';
+import type { Failure, Result } from '../kernel/index.js';
+import type { ChatRequest, ServeEvent } from '../request/index.js';
+import type { ModelCall, StreamItem } from '../upstream/index.js';
+import type { AnswerSink } from './answersink.js';
+import type { RunInput } from './requestrun.js';
+
+/** Priority numbers that engines understand; a lower one goes first. */
+const PRIORITIES = { urgent: 0, normal: 1, bulk: 2 } as const;
+
+/** Speaks to model engines. */
+export class ModelRun extends RequestRun {
+  #stream: AsyncIterable<StreamItem> | undefined;
+
+  /**
+   * Creates the run of one model request.
+   * @param input - who asks for what
+   * @param req - the request
+   * @param sink - where the answer goes
+   */
+  constructor(
+    input: RunInput,
+    private readonly req: ChatRequest,
+    private readonly sink: AnswerSink,
+  ) {
+    super(input);
+  }
+
+  protected override async send(
+    upstream: UpstreamDocument,
+    attempt: string,
+  ): Promise<Result<void, Failure>> {
+    const { serving, signal } = this.input;
+    const opened = await serving.engine.generate(upstream.url, this.#call(attempt), signal);
+    if (opened.err) return RequestRun.rejected(opened.val);
+    this.#stream = opened.val;
+    return RequestRun.accepted();
+  }
+
+  protected override async relayAnswer(): Promise<ServeEvent> {
+    for await (const item of this.#stream ?? []) {
+      if (item.kind === 'part') await this.sink.write(item.bytes);
+      else if (item.kind === 'cut') return this.#cut(item.reason);
+      else {
+        const units = item.usage.promptTokens + item.usage.completionTokens;
+        return { type: 'answered', units };
+      }
+    }
+    return this.#cut('the stream has no end');
+  }
+
+  #cut(reason: string): ServeEvent {
+    const outcome = this.sink.started ? 'interrupted' : 'unknown';
+    const fail = failure('upstream-lost', reason, outcome);
+    return { type: 'cut', fail, relayed: this.sink.started };
+  }
+
+  #call(id: string): ModelCall {
+    const { route } = this.input;
+    return {
+      id,
+      model: this.req.model,
+      messages: this.req.messages,
+      maxTokens: outputLimit(this.req, route),
+      priority: PRIORITIES[route.priority],
+      firstByteMs: route.firstByteMs,
+      silenceMs: route.silenceMs,
+    };
+  }
+}
--- /dev/null
+++ b/src/daemon/operators.controller.ts
@@ -0,0 +1,125 @@
+/** The operators' interface; the command-line tool is its client. */
+import { Body, Controller, Get, Inject, Param, Post, UseGuards } from '@nestjs/common';
+import { z } from 'zod';
+
+import { documentsSchema } from '../config/index.js';
+import { failure, FailureError } from '../kernel/index.js';
+import { OperatorGuard } from './operator.guard.js';
+import { Runtime } from './runtime.js';
+
+import type { ChargeLine } from '../budget/index.js';
+import type { PublishAnswer } from '../config/index.js';
+import type { Failure, Result } from '../kernel/index.js';
+import type { TimelineEvent } from '../telemetry/index.js';
+import type { BudgetView } from './operations.js';
+
+const publicationSchema = z.strictObject({
+  operation: z.string().min(1),
+  author: z.string().min(1),
+  base: z.number().int().nonnegative(),
+  documents: documentsSchema,
+});
+
+const paymentSchema = z.strictObject({
+  budget: z.string(),
+  operation: z.string().min(1),
+  units: z.number().int().positive(),
+});
+
+/** State of one daemon, as operators see it. */
+export interface StatusView {
+  readonly incarnation: string;
+  readonly ready: boolean;
+  readonly revision: number;
+  readonly openRequests: number;
+  readonly peers: number;
+}
+
+function parse<Schema extends z.ZodType>(schema: Schema, body: unknown): z.infer<Schema> {
+  const raw: unknown = JSON.parse((body as Buffer).toString());
+  const parsed = schema.safeParse(raw);
+  if (parsed.success) return parsed.data;
+  const [issue] = parsed.error.issues;
+  const place = issue?.path.map(String).join('.') ?? 'body';
+  throw new FailureError(failure('invalid', `${place}: ${issue?.message ?? ''}`));
+}
+
+function unwrap<Value>(result: Result<Value, Failure>): Value {
+  if (result.err) throw new FailureError(result.val);
+  return result.val;
+}
+
+/** Serves operators. */
+@Controller('operator')
+@UseGuards(OperatorGuard)
+export class OperatorsController {
+  /**
+   * Creates the controller.
+   * @param runtime - tasks of the daemon
+   */
+  constructor(@Inject(Runtime) private readonly runtime: Runtime) {}
+
+  /**
+   * Shows the state of this daemon.
+   * @returns its state
+   */
+  @Get('status')
+  status(): StatusView {
+    const { serving, network, ready } = this.runtime;
+    return {
+      incarnation: serving.self,
+      ready,
+      revision: serving.config.current?.revision ?? 0,
+      openRequests: serving.open.total,
+      peers: network.peers().length,
+    };
+  }
+
+  /**
+   * Puts documents in force.
+   * @param body - the publication
+   * @returns the manifest in force and the result
+   */
+  @Post('publish')
+  async publish(@Body() body: unknown): Promise<PublishAnswer> {
+    return unwrap(await this.runtime.operations.publish(parse(publicationSchema, body)));
+  }
+
+  /**
+   * Adds a payment to a budget.
+   * @param body - the payment
+   * @returns units paid in all
+   */
+  @Post('topups')
+  async topUp(@Body() body: unknown): Promise<{ paid: number; repeated: boolean }> {
+    return unwrap(await this.runtime.operations.topUp(parse(paymentSchema, body)));
+  }
+
+  /**
+   * Lists the budgets.
+   * @returns every budget with its counters
+   */
+  @Get('budgets')
+  async budgets(): Promise<readonly BudgetView[]> {
+    return unwrap(await this.runtime.operations.budgets());
+  }
+
+  /**
+   * Gives the statement of a workspace.
+   * @param workspace - workspace name
+   * @returns its settled charge lines
+   */
+  @Get('workspaces/:workspace/statement')
+  async statement(@Param('workspace') workspace: string): Promise<readonly ChargeLine[]> {
+    return unwrap(await this.runtime.operations.statement(workspace));
+  }
+
+  /**
+   * Gives the events that this daemon keeps.
+   * @returns the events, oldest first
+   */
+  @Get('timeline')
+  timeline(): readonly TimelineEvent[] {
+    return this.runtime.recorder.timeline.list();
+  }
+}
--- /dev/null
+++ b/src/daemon/requestrun.ts
@@ -0,0 +1,164 @@
+/** Performs the commands of one request. */
+import { Err, failure, Ok } from '../kernel/index.js';
+import { claimKey } from '../request/index.js';
+
+import type { Route, Tenant, UpstreamDocument } from '../config/index.js';
+import type { Failure, Result } from '../kernel/index.js';
+import type { Claim, ServeCommand, ServeEvent } from '../request/index.js';
+import type { Serving } from './serving.js';
+
+/** Who asks for what. */
+export interface RunInput {
+  readonly serving: Serving;
+  readonly tenant: Tenant;
+  readonly route: Route;
+  readonly key: string;
+  readonly worstCase: number;
+  /** Aborted when the caller leaves. */
+  readonly signal: AbortSignal;
+}
+
+/** One request in progress; subclasses know how to speak to its kind of upstream. */
+export abstract class RequestRun {
+  #reserved = 0;
+
+  #attempts = 0;
+
+  #upstream: UpstreamDocument | undefined;
+
+  /**
+   * Creates the run of one request.
+   * @param input - who asks for what
+   */
+  constructor(protected readonly input: RunInput) {}
+
+  /**
+   * Performs one command.
+   * @param command - what the decisions ask for
+   * @returns what came of it
+   */
+  async perform(command: ServeCommand): Promise<ServeEvent> {
+    switch (command.type) {
+      case 'reserve':
+        return this.#reserve(command.units);
+      case 'claim':
+        return this.#claim();
+      case 'choose':
+        return this.#choose(command.excluded);
+      case 'dispatch':
+        return this.#dispatch();
+      case 'relay':
+        return this.#relay();
+      case 'record':
+        return this.#record(command.units);
+      default:
+        return this.#release();
+    }
+  }
+
+  /**
+   * Sends the request to an upstream.
+   * @param upstream - the upstream
+   * @param attempt - unique id of the attempt
+   * @returns a failure if it was not accepted
+   */
+  protected abstract send(
+    upstream: UpstreamDocument,
+    attempt: string,
+  ): Promise<Result<void, Failure>>;
+
+  /**
+   * Relays the answer, without its last frame.
+   * @returns the units that were used, or how the answer was cut
+   */
+  protected abstract relayAnswer(): Promise<ServeEvent>;
+
+  async #reserve(units: number): Promise<ServeEvent> {
+    const { serving, tenant } = this.input;
+    const deadline = Date.now() + serving.settings.limits.admissionMs;
+    for (;;) {
+      const { budget } = tenant;
+      // Each round depends on the one before.
+      // eslint-disable-next-line no-await-in-loop
+      const { accepted } = await serving.budgets.ask({ type: 'reserve', budget, units });
+      if (accepted) {
+        this.#reserved = units;
+        serving.recorder.record('requestAdmitted', { request: this.input.key, budget });
+        return { type: 'done' };
+      }
+      // eslint-disable-next-line no-await-in-loop
+      const fail = await serving.grants.draw(budget, units);
+      if (fail) return { type: 'failed', fail };
+      if (Date.now() > deadline) {
+        return { type: 'failed', fail: failure('budget-unreachable', budget) };
+      }
+    }
+  }
+
+  async #claim(): Promise<ServeEvent> {
+    const { serving, tenant, key } = this.input;
+    const { name } = tenant.workspace;
+    const at = Date.now();
+    const claim: Claim = { workspace: name, key, owner: serving.self, attempt: `${at}`, at };
+    const made = await serving.store.write(claimKey(name, key), claim, 0);
+    if (made.ok) return { type: 'done' };
+    if (made.val.problem === 'conflict') {
+      return { type: 'failed', fail: failure('outcome-unknown', `key ${key}`, 'unknown') };
+    }
+    return { type: 'failed', fail: failure('store-unavailable', 'claim of the request') };
+  }
+
+  #choose(excluded: readonly string[]): ServeEvent {
+    const { serving, route } = this.input;
+    const upstreams = serving.config.current?.upstreams(route.name) ?? [];
+    const openAt = (name: string): number => serving.open.at(name);
+    this.#upstream = serving.policy.choose({ upstreams, excluded, openAt });
+    if (this.#upstream) return { type: 'chosen', upstream: this.#upstream.name };
+    return { type: 'failed', fail: failure('upstream-unavailable', `route ${route.name}`) };
+  }
+
+  async #dispatch(): Promise<ServeEvent> {
+    const { serving, key } = this.input;
+    const upstream = this.#upstream;
+    if (!upstream) return { type: 'failed', fail: failure('upstream-unavailable', 'route') };
+    this.#attempts += 1;
+    serving.open.add(upstream.name, 1);
+    serving.recorder.record('requestDispatched', { request: key, upstream: upstream.name });
+    const sent = await this.send(upstream, `${key}.${serving.self}.${this.#attempts}`);
+    if (sent.ok) return { type: 'done' };
+    serving.open.add(upstream.name, -1);
+    return { type: 'failed', fail: sent.val };
+  }
+
+  async #relay(): Promise<ServeEvent> {
+    const result = await this.relayAnswer();
+    if (this.#upstream) this.input.serving.open.add(this.#upstream.name, -1);
+    return result;
+  }
+
+  async #record(units: number): Promise<ServeEvent> {
+    const { serving, tenant, key } = this.input;
+    const { budget, workspace } = tenant;
+    await serving.budgets.ask({ type: 'settle', budget, reserved: this.#reserved, used: units });
+    const charge = { key, workspace: workspace.name, budget, units };
+    if (await serving.charges.record(charge)) return { type: 'done' };
+    return { type: 'failed', fail: failure('no-durability', `key ${key}`, 'interrupted') };
+  }
+
+  async #release(): Promise<ServeEvent> {
+    const { serving, tenant } = this.input;
+    const { budget } = tenant;
+    await serving.budgets.ask({ type: 'settle', budget, reserved: this.#reserved, used: 0 });
+    return { type: 'done' };
+  }
+
+  /** A result without a value. */
+  protected static accepted(): Result<void, Failure> {
+    return Ok(undefined);
+  }
+
+  /** A result that carries a failure. */
+  protected static rejected(fail: Failure): Result<void, Failure> {
+    return Err(fail);
+  }
+}
--- /dev/null
+++ b/src/daemon/runtime.ts
@@ -0,0 +1,127 @@
+/** Composes the tasks and clients of one daemon. */
+import { StatsD } from 'hot-shots';
+import { pino } from 'pino';
+
+import { newIncarnation, SystemClock } from '../kernel/index.js';
+import { Directory, WsPeerNetwork } from '../link/index.js';
+import { HttpInstanceList, HttpObjectStore } from '../platform/index.js';
+import { LeastOpenPolicy } from '../route/index.js';
+import { Recorder } from '../telemetry/index.js';
+import { HttpModelEngine, HttpPlainService } from '../upstream/index.js';
+import { Backups } from './backups.js';
+import { BudgetTask } from './budgettask.js';
+import { Charges } from './charges.js';
+import { ConfigTask } from './configtask.js';
+import { Grants } from './grants.js';
+import { Operations } from './operations.js';
+import { OpenWork } from './serving.js';
+import { splitAddress } from './settings.js';
+
+import type { Serving } from './serving.js';
+import type { Settings } from './settings.js';
+
+/** Whether a daemon takes new work. */
+export type Phase = 'starting' | 'serving' | 'stopping';
+
+/** Address of the metrics client that sends nothing. */
+const UNUSED_ADDRESS = '127.0.0.1:8125';
+
+function makeRecorder(settings: Settings): Recorder {
+  const { host, port } = splitAddress(settings.metrics ?? UNUSED_ADDRESS);
+  const metrics = new StatsD({
+    host,
+    port,
+    prefix: 'comfreyreel.',
+    mock: settings.metrics === undefined,
+    globalTags: { instance: settings.instance, data_centre: settings.dataCentre },
+    errorHandler: () => undefined,
+  });
+  const logger = pino({ level: settings.logLevel, base: { instance: settings.instance } });
+  const self = newIncarnation(settings.instance);
+  return new Recorder(self, new SystemClock(), { logger, metrics });
+}
+
+/** One daemon without its HTTP listener. */
+export class Runtime {
+  readonly recorder: Recorder;
+
+  readonly serving: Serving;
+
+  readonly operations: Operations;
+
+  readonly network: WsPeerNetwork;
+
+  readonly #directory: Directory;
+
+  #phase: Phase = 'starting';
+
+  /**
+   * Composes a daemon; nothing runs before "start".
+   * @param settings - checked settings
+   */
+  constructor(settings: Settings) {
+    this.recorder = makeRecorder(settings);
+    const { recorder } = this;
+    const self = recorder.source;
+    const store = new HttpObjectStore(settings.platform.objects);
+    this.#directory = new Directory(new HttpInstanceList(settings.platform.instances));
+    this.network = new WsPeerNetwork({
+      self,
+      fleetKey: settings.fleetKey,
+      ...splitAddress(settings.listen.peers),
+      directory: this.#directory,
+      recorder,
+    });
+    const config = new ConfigTask(store, recorder);
+    const budgets = new BudgetTask();
+    const backups = new Backups(self, settings.dataCentre, this.network);
+    const backup = (): string | null => backups.choice ?? null;
+    this.serving = {
+      self,
+      settings,
+      store,
+      config,
+      budgets,
+      grants: new Grants({ self, store, budgets, config, recorder, backup }),
+      charges: new Charges({ self, store, backups, config, recorder }),
+      policy: new LeastOpenPolicy(),
+      engine: new HttpModelEngine(),
+      service: new HttpPlainService(),
+      recorder,
+      open: new OpenWork(),
+    };
+    this.operations = new Operations(store, config);
+  }
+
+  /** Whether the daemon takes new work: it serves and has a configuration. */
+  get ready(): boolean {
+    return this.#phase === 'serving' && this.serving.config.current !== undefined;
+  }
+
+  /** Opens the links and begins to follow the configuration. */
+  async start(): Promise<void> {
+    await this.#directory.start();
+    this.network.start();
+    this.serving.charges.start();
+    void this.serving.config.run();
+    this.#phase = 'serving';
+    this.recorder.record('daemonStarted');
+  }
+
+  /** Stops taking new work. */
+  beginStop(): void {
+    this.#phase = 'stopping';
+    this.recorder.record('daemonStopping');
+  }
+
+  /** Delivers what is left and closes the links, once no request is open. */
+  async finishStop(): Promise<void> {
+    const { charges, config } = this.serving;
+    charges.stop();
+    await charges.flush();
+    config.stop();
+    this.#directory.stop();
+    await this.network.stop();
+    this.recorder.record('daemonStopped');
+  }
+}
--- /dev/null
+++ b/src/daemon/serving.ts
@@ -0,0 +1,58 @@
+/** What the runs of requests share. */
+import type { ConfigTask } from './configtask.js';
+import type { BudgetTask } from './budgettask.js';
+import type { Charges } from './charges.js';
+import type { Grants } from './grants.js';
+import type { Incarnation } from '../kernel/index.js';
+import type { ObjectStore } from '../platform/index.js';
+import type { ChoicePolicy } from '../route/index.js';
+import type { Recorder } from '../telemetry/index.js';
+import type { ModelEngine, PlainService } from '../upstream/index.js';
+import type { Settings } from './settings.js';
+
+/** Tasks and clients that every request uses. */
+export interface Serving {
+  readonly self: Incarnation;
+  readonly settings: Settings;
+  readonly store: ObjectStore;
+  readonly config: ConfigTask;
+  readonly budgets: BudgetTask;
+  readonly grants: Grants;
+  readonly charges: Charges;
+  readonly policy: ChoicePolicy;
+  readonly engine: ModelEngine;
+  readonly service: PlainService;
+  readonly recorder: Recorder;
+  readonly open: OpenWork;
+}
+
+/** Counts the open requests of this daemon at each upstream. */
+export class OpenWork {
+  readonly #counts = new Map<string, number>();
+
+  #total = 0;
+
+  /** Requests that are open at all upstreams. */
+  get total(): number {
+    return this.#total;
+  }
+
+  /**
+   * Gives the open requests at one upstream.
+   * @param upstream - upstream name
+   * @returns number of requests
+   */
+  at(upstream: string): number {
+    return this.#counts.get(upstream) ?? 0;
+  }
+
+  /**
+   * Counts a request that begins or ends.
+   * @param upstream - upstream name
+   * @param change - 1 when it begins, -1 when it ends
+   */
+  add(upstream: string, change: 1 | -1): void {
+    this.#counts.set(upstream, this.at(upstream) + change);
+    this.#total += change;
+  }
+}
--- /dev/null
+++ b/src/daemon/streamsink.ts
@@ -0,0 +1,64 @@
+/** Relays a model answer to the caller as server-sent events. */
+import { once } from 'node:events';
+
+import type { ServerResponse } from 'node:http';
+import { FAILURE_KINDS, formatFailure } from '../kernel/index.js';
+import { AnswerSink } from './answersink.js';
+
+import type { Failure } from '../kernel/index.js';
+
+/** The marker that ends a whole answer. */
+const END_MARKER = 'data: [DONE]\n\n';
+
+/** Writes to the caller's connection. */
+export class StreamSink extends AnswerSink {
+  #started = false;
+
+  /**
+   * Creates the sink of one answer.
+   * @param res - response of the caller's request
+   * @param key - idempotency key, returned to the caller
+   */
+  constructor(
+    private readonly res: ServerResponse,
+    private readonly key: string,
+  ) {
+    super();
+  }
+
+  override get started(): boolean {
+    return this.#started;
+  }
+
+  override async write(bytes: Buffer): Promise<void> {
+    if (!this.#started) this.#begin();
+    if (this.res.write(bytes) || this.res.destroyed) return;
+    await Promise.race([once(this.res, 'drain'), once(this.res, 'close')]);
+  }
+
+  override finish(): void {
+    this.res.end(END_MARKER);
+  }
+
+  override refuse(fail: Failure): void {
+    const body = JSON.stringify(formatFailure(fail));
+    if (this.#started) {
+      this.res.end(`data: ${body}\n\n`);
+      return;
+    }
+    this.res.writeHead(FAILURE_KINDS[fail.code].status, {
+      'content-type': 'application/json',
+      'idempotency-key': this.key,
+    });
+    this.res.end(body);
+  }
+
+  #begin(): void {
+    this.#started = true;
+    this.res.writeHead(200, {
+      'content-type': 'text/event-stream',
+      'cache-control': 'no-cache',
+      'idempotency-key': this.key,
+    });
+  }
+}
--- /dev/null
+++ b/src/fleet/index.ts
@@ -0,0 +1,2 @@
+/** Fleet aggregate: instances, backups and handover. */
+export * from './messages.js';
--- /dev/null
+++ b/src/kernel/index.ts
@@ -0,0 +1,12 @@
+/** Shared kernel: results, failures, identities, time and tasks. */
+export * from './clock.js';
+export * from './failure.js';
+export * from './hash.js';
+export * from './identity.js';
+export * from './procedure.js';
+export * from './result.js';
+export * from './stamp.js';
+export * from './systemclock.js';
+export * from './task.js';
+export * from './units.js';
+export * from './yamlsource.js';
--- /dev/null
+++ b/src/kernel/stamp.ts
@@ -0,0 +1,52 @@
+/** Hybrid logical time stamps: they order events of all processes by cause. */
+import type { Clock } from './clock.js';
+
+/** A hybrid logical time stamp: orders events of all processes by cause. */
+export interface Stamp {
+  /** Milliseconds since the epoch, never behind any stamp that was received. */
+  readonly wall: number;
+  /** Orders stamps of the same millisecond. */
+  readonly count: number;
+}
+
+/**
+ * Compares two stamps.
+ * @param a - one stamp
+ * @param b - another stamp
+ * @returns a negative number when a is earlier, a positive one when it is later
+ */
+export function compareStamps(a: Stamp, b: Stamp): number {
+  return a.wall - b.wall || a.count - b.count;
+}
+
+/** Issues stamps that grow, also past the stamps of received messages. */
+export class HybridClock {
+  #last: Stamp = { wall: 0, count: 0 };
+
+  /**
+   * Creates the clock of one process.
+   * @param clock - wall clock that it follows
+   */
+  constructor(private readonly clock: Clock) {}
+
+  /**
+   * Issues the next stamp.
+   * @returns a stamp later than every stamp issued or received before
+   */
+  next(): Stamp {
+    const wall = this.clock.now();
+    this.#last =
+      wall > this.#last.wall
+        ? { wall, count: 0 }
+        : { wall: this.#last.wall, count: this.#last.count + 1 };
+    return this.#last;
+  }
+
+  /**
+   * Takes note of a stamp that came with a message.
+   * @param stamp - stamp of the sender
+   */
+  observe(stamp: Stamp): void {
+    if (compareStamps(stamp, this.#last) > 0) this.#last = stamp;
+  }
+}
--- /dev/null
+++ b/src/kernel/task.ts
@@ -0,0 +1,53 @@
+/** Tasks: each owns its state and is reached only through messages. */
+
+/** One queued message with the promise of its reply. */
+interface Letter<Message, Reply> {
+  readonly message: Message;
+  readonly resolve: (reply: Reply) => void;
+  readonly reject: (err: unknown) => void;
+}
+
+/** Owns state and handles one message at a time, in order of arrival. */
+export abstract class Task<Message, Reply> {
+  readonly #queue: Letter<Message, Reply>[] = [];
+
+  #running = false;
+
+  /**
+   * Sends a message and waits for the reply.
+   * @param message - what the task is to do
+   * @returns the reply, once every earlier message has been handled
+   */
+  ask(message: Message): Promise<Reply> {
+    return new Promise<Reply>((resolve, reject) => {
+      this.#queue.push({ message, resolve, reject });
+      if (!this.#running) void this.#run();
+    });
+  }
+
+  /** Number of messages that wait. */
+  get backlog(): number {
+    return this.#queue.length;
+  }
+
+  /**
+   * Handles one message.
+   * @param message - the message
+   * @returns the reply
+   */
+  protected abstract handle(message: Message): Reply | Promise<Reply>;
+
+  async #run(): Promise<void> {
+    this.#running = true;
+    for (let letter = this.#queue.shift(); letter; letter = this.#queue.shift()) {
+      try {
+        // Messages of one task are handled strictly in order.
+        // eslint-disable-next-line no-await-in-loop
+        letter.resolve(await this.handle(letter.message));
+      } catch (err) {
+        letter.reject(err);
+      }
+    }
+    this.#running = false;
+  }
+}
--- /dev/null
+++ b/src/link/directory.ts
@@ -0,0 +1,65 @@
+/** Keeps the platform's instance list at hand. */
+import type { Instance, InstanceList } from '../platform/index.js';
+
+/** Interval between fetches, in milliseconds. */
+const REFRESH_MS = 5_000;
+
+/** Least time between fetches that an unknown instance causes, in milliseconds. */
+const RECHECK_MS = 500;
+
+/** Refreshes the instance list; during an outage the last list stays. */
+export class Directory {
+  #instances: readonly Instance[] = [];
+
+  #fetchedAt = 0;
+
+  #timer: NodeJS.Timeout | undefined;
+
+  /**
+   * Creates a directory.
+   * @param list - the platform's list
+   */
+  constructor(private readonly list: InstanceList) {}
+
+  /** Fetches the list now and then at intervals. */
+  async start(): Promise<void> {
+    await this.#refresh();
+    this.#timer = setInterval(() => {
+      void this.#refresh();
+    }, REFRESH_MS);
+  }
+
+  /** Ends the refreshes. */
+  stop(): void {
+    clearInterval(this.#timer);
+  }
+
+  /**
+   * Lists what is known.
+   * @returns the instances of the last list
+   */
+  instances(): readonly Instance[] {
+    return this.#instances;
+  }
+
+  /**
+   * Says whether the platform lists an instance, fetching again if it is not at hand.
+   * @param name - instance name
+   * @returns whether it is listed
+   */
+  async knows(name: string): Promise<boolean> {
+    if (this.#find(name)) return true;
+    if (Date.now() - this.#fetchedAt > RECHECK_MS) await this.#refresh();
+    return this.#find(name) !== undefined;
+  }
+
+  #find(name: string): Instance | undefined {
+    return this.#instances.find((instance) => instance.name === name);
+  }
+
+  async #refresh(): Promise<void> {
+    this.#fetchedAt = Date.now();
+    const fetched = await this.list.fetch();
+    if (fetched.ok) this.#instances = fetched.val;
+  }
+}
--- /dev/null
+++ b/src/link/peerlistener.ts
@@ -0,0 +1,40 @@
+/** Listener for peer links. */
+import { WebSocketServer } from 'ws';
+
+import { AcceptedLink } from './acceptedlink.js';
+
+import type { ListenerConfig } from './acceptedlink.js';
+
+/** Largest frame that a peer may send, in bytes. */
+const MAX_FRAME_BYTES = 4 * 1_048_576;
+
+/** Accepts the links of peers. */
+export class PeerListener {
+  readonly #server: WebSocketServer;
+
+  readonly #links = new WeakSet<AcceptedLink>();
+
+  /**
+   * Opens the listener.
+   * @param cfg - address, keys and the answering function
+   */
+  constructor(cfg: ListenerConfig) {
+    this.#server = new WebSocketServer({
+      host: cfg.host,
+      port: cfg.port,
+      maxPayload: MAX_FRAME_BYTES,
+      perMessageDeflate: false,
+    });
+    this.#server.on('connection', (socket) => {
+      this.#links.add(new AcceptedLink(socket, cfg));
+    });
+  }
+
+  /** Closes the listener and every accepted link. */
+  async close(): Promise<void> {
+    this.#server.clients.forEach((socket) => socket.terminate());
+    await new Promise<void>((resolve) => {
+      this.#server.close(() => resolve());
+    });
+  }
+}
--- /dev/null
+++ b/src/request/serve.ts
@@ -0,0 +1,113 @@
+/** Decides the course of one request: admission, attempts, charge, end of the answer. */
+import { failure } from '../kernel/index.js';
+
+import type { Failure, Procedure } from '../kernel/index.js';
+
+/** What is decided about, as far as the decisions need it. */
+export interface ServeRequest {
+  /** Most units that the request can cost. */
+  readonly worstCase: number;
+  readonly idempotent: boolean;
+  /** Attempts after the first. */
+  readonly retries: number;
+}
+
+/** What the procedure asks to be done. */
+export type ServeCommand =
+  | { readonly type: 'reserve'; readonly units: number }
+  | { readonly type: 'claim' }
+  | { readonly type: 'choose'; readonly excluded: readonly string[] }
+  | { readonly type: 'dispatch'; readonly upstream: string }
+  | { readonly type: 'relay'; readonly upstream: string }
+  | { readonly type: 'record'; readonly units: number }
+  | { readonly type: 'release' };
+
+/** What came of a command. */
+export type ServeEvent =
+  | { readonly type: 'done' }
+  | { readonly type: 'chosen'; readonly upstream: string }
+  | { readonly type: 'answered'; readonly units: number }
+  | { readonly type: 'cut'; readonly fail: Failure; readonly relayed: boolean }
+  | { readonly type: 'failed'; readonly fail: Failure };
+
+/** How a request ended. */
+export type ServeOutcome =
+  | { readonly type: 'whole'; readonly units: number }
+  | { readonly type: 'refused'; readonly fail: Failure };
+
+type Serving<Outcome> = Procedure<ServeCommand, ServeEvent, Outcome>;
+
+/** One attempt: an answer, or why there is none and whether another may follow. */
+type Attempt =
+  | { readonly type: 'answered'; readonly units: number }
+  | { readonly type: 'failed'; readonly fail: Failure; readonly again: boolean };
+
+function failed(event: ServeEvent, fallback: Failure): Failure {
+  return event.type === 'failed' || event.type === 'cut' ? event.fail : fallback;
+}
+
+function* attempt(req: ServeRequest, upstream: string): Serving<Attempt> {
+  const opened = yield { type: 'dispatch', upstream };
+  if (opened.type === 'failed') {
+    const again = opened.fail.outcome === 'not-run' || req.idempotent;
+    return { type: 'failed', fail: opened.fail, again };
+  }
+  const relayed = yield { type: 'relay', upstream };
+  if (relayed.type === 'answered') return relayed;
+  const fail = failed(relayed, failure('upstream-lost', upstream, 'interrupted'));
+  const again = req.idempotent && relayed.type === 'cut' && !relayed.relayed;
+  return { type: 'failed', fail, again };
+}
+
+/** What was learned from the attempts before. */
+interface Tried {
+  readonly excluded: readonly string[];
+  /** Failure of an attempt that may have run; it outweighs a later "not-run". */
+  readonly dispatched: Failure | undefined;
+}
+
+function* attempts(req: ServeRequest): Serving<Attempt> {
+  let tried: Tried = { excluded: [], dispatched: undefined };
+  for (let count = 0; ; count += 1) {
+    const choice = yield { type: 'choose', excluded: tried.excluded };
+    if (choice.type !== 'chosen') {
+      const fail = tried.dispatched ?? failed(choice, failure('upstream-unavailable', 'route'));
+      return { type: 'failed', fail, again: false };
+    }
+    const result = yield* attempt(req, choice.upstream);
+    if (result.type === 'answered' || !result.again) return result;
+    const ran = result.fail.outcome !== 'not-run';
+    tried = {
+      excluded: [...tried.excluded, choice.upstream],
+      dispatched: ran ? result.fail : tried.dispatched,
+    };
+    if (count >= req.retries) return { ...result, fail: tried.dispatched ?? result.fail };
+  }
+}
+
+/**
+ * Serves one request.
+ * The last frame of the answer may leave only after the outcome "whole": its charge is then durable.
+ * @param req - the request
+ * @returns the procedure, which ends with the outcome
+ */
+export function* serve(req: ServeRequest): Serving<ServeOutcome> {
+  const reserved = yield { type: 'reserve', units: req.worstCase };
+  if (reserved.type === 'failed') return { type: 'refused', fail: reserved.fail };
+  if (!req.idempotent) {
+    const claimed = yield { type: 'claim' };
+    if (claimed.type === 'failed') {
+      yield { type: 'release' };
+      return { type: 'refused', fail: claimed.fail };
+    }
+  }
+  const result = yield* attempts(req);
+  if (result.type === 'failed') {
+    yield { type: 'release' };
+    return { type: 'refused', fail: result.fail };
+  }
+  const units = Math.min(result.units, req.worstCase);
+  const recorded = yield { type: 'record', units };
+  if (recorded.type === 'failed') return { type: 'refused', fail: recorded.fail };
+  return { type: 'whole', units };
+}
--- /dev/null
+++ b/src/telemetry/events.ts
@@ -0,0 +1,38 @@
+/** Catalogue of numbered events; docs/EVENTS.md is checked against it. */
+
+/** Severity and meaning of an event. */
+interface EventKind {
+  readonly number: number;
+  readonly level: 'debug' | 'info' | 'warn' | 'error';
+  readonly text: string;
+}
+
+/** Every event that a daemon logs and keeps for the time line. */
+export const EVENTS = {
+  daemonStarted: { number: 1001, level: 'info', text: 'daemon started' },
+  daemonReady: { number: 1002, level: 'info', text: 'daemon is ready for callers' },
+  daemonStopping: { number: 1003, level: 'info', text: 'graceful stop began' },
+  daemonStopped: { number: 1004, level: 'info', text: 'daemon stopped' },
+  requestAdmitted: { number: 2001, level: 'debug', text: 'request admitted' },
+  requestDispatched: { number: 2002, level: 'debug', text: 'request dispatched to an upstream' },
+  requestAnswered: { number: 2003, level: 'debug', text: 'request answered whole' },
+  requestRefused: { number: 2004, level: 'info', text: 'request refused' },
+  requestCut: { number: 2005, level: 'warn', text: 'answer cut before its end' },
+  grantDrawn: { number: 3001, level: 'info', text: 'units drawn from the store' },
+  grantRefused: { number: 3002, level: 'info', text: 'the store had no units left to grant' },
+  chargeCopied: { number: 3003, level: 'debug', text: 'charge line copied to the backup' },
+  chargesDelivered: { number: 3004, level: 'info', text: 'charge lines delivered to the store' },
+  chargesDelayed: { number: 3005, level: 'warn', text: 'charge lines could not be delivered yet' },
+  configApplied: { number: 4001, level: 'info', text: 'configuration revision in force' },
+  configRejected: { number: 4002, level: 'error', text: 'configuration revision cannot be read' },
+  configUnconfirmed: { number: 4003, level: 'warn', text: 'configuration cannot be confirmed' },
+  linkOpened: { number: 5001, level: 'info', text: 'peer link opened' },
+  linkClosed: { number: 5002, level: 'info', text: 'peer link closed' },
+  linkRefused: { number: 5003, level: 'warn', text: 'peer refused: unknown instance or wrong key' },
+  linkSilent: { number: 5004, level: 'warn', text: 'peer link silent; it is replaced' },
+  messageRejected: { number: 5005, level: 'warn', text: 'peer message rejected by its schema' },
+  storeUnavailable: { number: 6001, level: 'warn', text: 'object API does not answer' },
+} as const satisfies Readonly<Record<string, EventKind>>;
+
+/** Names an event of the catalogue. */
+export type EventName = keyof typeof EVENTS;
--- /dev/null
+++ b/src/telemetry/index.ts
@@ -0,0 +1,4 @@
+/** Telemetry: event catalogue, recorder and time line. */
+export * from './events.js';
+export * from './recorder.js';
+export * from './timeline.js';
--- /dev/null
+++ b/src/upstream/index.ts
@@ -0,0 +1,6 @@
+/** Upstreams: model engines and plain services, and their HTTP clients. */
+export * from './httpmodelengine.js';
+export * from './httpplainservice.js';
+export * from './modelcall.js';
+export * from './modelengine.js';
+export * from './plainservice.js';
--- /dev/null
+++ b/testbed/fleet.ts
@@ -0,0 +1,180 @@
+/** A fleet for tests: stand-ins in this process, daemons as processes of their own. */
+import { mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import {
+  FakeInstanceList,
+  FakeModelEngine,
+  FakeObjectStore,
+  FakePlainService,
+} from '../fakes/index.js';
+import { DaemonProcess } from './daemonprocess.js';
+import { testDocuments } from './documents.js';
+import { freePort } from './ports.js';
+import { waitFor } from './wait.js';
+
+import type { Documents } from '../src/config/index.js';
+import type { BudgetView } from '../src/daemon/operations.js';
+import type { FleetUrls } from './documents.js';
+
+const HOST = '127.0.0.1';
+
+/** Size and speed of a test fleet. */
+export interface FleetOptions {
+  readonly daemons: number;
+  readonly dataCentres?: readonly string[];
+  readonly engines?: number;
+  readonly firstTokenMs?: number;
+  readonly tokenMs?: number;
+  /** Units paid into the budget "main". */
+  readonly units: number;
+  /** Random numbers for the faults of the stand-ins. */
+  readonly random?: () => number;
+  readonly logLevel?: string;
+  /** Base address of the object API for one daemon; default the stand-in itself. */
+  readonly objectsFor?: (daemon: string, objects: string) => string;
+}
+
+/** Stand-ins and daemons of one test. */
+export class Fleet {
+  readonly daemons: DaemonProcess[] = [];
+
+  private constructor(
+    readonly dir: string,
+    readonly store: FakeObjectStore,
+    readonly list: FakeInstanceList,
+    readonly engines: readonly FakeModelEngine[],
+    readonly service: FakePlainService,
+    readonly urls: FleetUrls,
+    private readonly options: FleetOptions,
+  ) {}
+
+  /**
+   * Starts a fleet with its configuration in force and its budget paid.
+   * @param options - size and speed
+   * @returns the fleet, once every daemon takes work
+   */
+  static async start(options: FleetOptions): Promise<Fleet> {
+    const dir = await mkdtemp(join(tmpdir(), 'comfreyreel-test-'));
+    const ports = { objects: await freePort(), instances: await freePort() };
+    const { random } = options;
+    const storeOptions = { host: HOST, port: ports.objects, writesPerSecond: 400 };
+    const store = await FakeObjectStore.start({
+      ...storeOptions,
+      readsPerSecond: 2_000,
+      ...(random ? { random } : {}),
+    });
+    const list = await FakeInstanceList.start({ host: HOST, port: ports.instances, lagMs: 300 });
+    const enginePorts = await Promise.all(
+      Array.from({ length: options.engines ?? 2 }, () => freePort()),
+    );
+    const { firstTokenMs = 20, tokenMs = 5 } = options;
+    const engines = await Promise.all(
+      enginePorts.map((port) => FakeModelEngine.start({ host: HOST, port, firstTokenMs, tokenMs })),
+    );
+    const servicePort = await freePort();
+    const service = await FakePlainService.start({ host: HOST, port: servicePort });
+    const urls: FleetUrls = {
+      objects: `http://${HOST}:${ports.objects}`,
+      instances: `http://${HOST}:${ports.instances}`,
+      engines: enginePorts.map((port) => `http://${HOST}:${port}`),
+      service: `http://${HOST}:${servicePort}`,
+    };
+    const fleet = new Fleet(dir, store, list, engines, service, urls, options);
+    await fleet.#begin();
+    return fleet;
+  }
+
+  /**
+   * Gives a daemon.
+   * @param index - position in the order of starting
+   * @returns the daemon
+   */
+  daemon(index: number): DaemonProcess {
+    const found = this.daemons[index];
+    if (!found) throw new Error(`the fleet has no daemon ${index}`);
+    return found;
+  }
+
+  /**
+   * Adds a daemon and lists it at the platform.
+   * @param name - instance name
+   * @param dataCentre - data centre
+   * @returns the daemon, at once
+   */
+  async addDaemon(name: string, dataCentre: string): Promise<DaemonProcess> {
+    const { objects, instances } = this.urls;
+    const objectsFor = this.options.objectsFor ?? ((_: string, url: string): string => url);
+    const daemon = await DaemonProcess.start({
+      name,
+      dataCentre,
+      objects: objectsFor(name, objects),
+      instances,
+      dir: this.dir,
+      logLevel: this.options.logLevel ?? 'info',
+    });
+    this.daemons.push(daemon);
+    this.list.set(this.daemons.filter(({ child }) => child.running).map(({ listed }) => listed));
+    return daemon;
+  }
+
+  /**
+   * Publishes documents through the first daemon.
+   * @param documents - what shall be in force
+   */
+  async publish(documents: Documents): Promise<void> {
+    const daemon = this.daemon(0);
+    const { revision } = await daemon.operator<{ readonly revision: number }>('status');
+    const operation = `publish-${revision + 1}`;
+    await daemon.order('publish', { operation, author: 'test', base: revision, documents });
+  }
+
+  /**
+   * Reads the budget "main" through a daemon.
+   * @param index - which daemon answers
+   * @returns the budget
+   */
+  async budget(index = 0): Promise<BudgetView> {
+    const found = await this.daemon(index).operator<readonly BudgetView[]>('budgets');
+    const budget = found.find(({ name }) => name === 'main');
+    if (!budget) throw new Error('the budget "main" is missing');
+    return budget;
+  }
+
+  /** The documents of a test fleet: one workspace, one budget, a model and two services. */
+  get documents(): Documents {
+    return testDocuments(this.urls);
+  }
+
+  /** Ends every process and stand-in and removes the files. */
+  async stop(): Promise<void> {
+    this.daemons.forEach(({ child }) => child.signal('SIGKILL'));
+    await Promise.all(this.daemons.map(({ child }) => child.ended()));
+    await Promise.all(this.engines.map((engine) => engine.stop()));
+    await Promise.all([this.store.stop(), this.list.stop(), this.service.stop()]);
+    await rm(this.dir, { recursive: true, force: true });
+  }
+
+  async #begin(): Promise<void> {
+    const centres = this.options.dataCentres ?? ['dc-1', 'dc-2', 'dc-3'];
+    for (let index = 0; index < this.options.daemons; index += 1) {
+      // Daemons join one after the other, so that their order is fixed.
+      // eslint-disable-next-line no-await-in-loop
+      await this.addDaemon(`entry-${index + 1}`, centres[index % centres.length] ?? 'dc-1');
+    }
+    await Promise.all(this.daemons.map((daemon) => daemon.waitHealthy()));
+    await this.publish(this.documents);
+    const { units } = this.options;
+    if (units > 0) {
+      await this.daemon(0).order('topups', { budget: 'main', operation: 'first', units });
+    }
+    await Promise.all(this.daemons.map((daemon) => daemon.waitReady()));
+    await waitFor('the first revision is in force everywhere', async () => {
+      const states = await Promise.all(
+        this.daemons.map((daemon) => daemon.operator<{ readonly revision: number }>('status')),
+      );
+      return states.every(({ revision }) => revision >= 1);
+    });
+  }
+}
