Frame of the benchmarks: groups, figures and bounds

Cause: every aggregate measures, and the bounds come from stated targets. Before: none. After: an empty catalogue that exits 0; groups register in bench/catalogue.ts.

--- /dev/null
+++ b/bench/catalogue.ts
@@ -0,0 +1,5 @@
+/** Every benchmark group, in the order in which they run. */
+import type { BenchGroup } from './figure.js';
+
+/** The groups. */
+export const GROUPS: readonly BenchGroup[] = [];
