Benchmark of the path; smaller heap of an idle daemon

Cause of the last: V8 sizes the young generation for throughput. Ruled out, each as a trial: semi-space limits set at run time (no effect: 126 to 142 MiB a daemon), one collection after the start (no effect), semi-space growth factor 1 (no effect beyond noise); the limit by NODE_OPTIONS works (95 to 112 MiB) but a daemon cannot give it to itself.

--- /dev/null
+++ b/bench/barenest.ts
@@ -0,0 +1,21 @@
+/** Baseline: an empty Nest-on-Fastify process. */
+import 'reflect-metadata';
+
+import { Module } from '@nestjs/common';
+import { NestFactory } from '@nestjs/core';
+import { FastifyAdapter } from '@nestjs/platform-fastify';
+
+import type { NestFastifyApplication } from '@nestjs/platform-fastify';
+
+/** A module without providers. */
+@Module({})
+class EmptyModule {}
+
+const app = await NestFactory.create<NestFastifyApplication>(EmptyModule, new FastifyAdapter(), {
+  logger: false,
+});
+app
+  .getHttpAdapter()
+  .getInstance()
+  .get('/healthz', async () => ({ status: 'ok' }));
+await app.listen(Number(process.argv[2]), '127.0.0.1');
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,4 +1,6 @@
 /** Entry point of comfreyreeld. */
+import './v8flags.js';
+
 import { readFile } from 'node:fs/promises';
 
 import yargs from 'yargs';
