--- /dev/null
+++ b/src/cli/workspaces.ts
@@ -0,0 +1,17 @@
+/** The command "workspaces". */
+import type { CommandModule } from 'yargs';
+import { OperatorClient } from './client.js';
+import { formatTable, report } from './output.js';
+
+import type { WorkspaceView } from '../config/index.js';
+import type { GlobalArgs } from './output.js';
+
+/** Lists the workspaces in force. */
+export const workspacesCommand: CommandModule<GlobalArgs, GlobalArgs> = {
+  command: 'workspaces',
+  describe: 'list the workspaces that are in force',
+  handler: async (argv) => {
+    const answer = await new OperatorClient(argv).get<readonly WorkspaceView[]>('workspaces');
+    report(argv, answer, (views) => formatTable(views.map((view) => ({ ...view }))));
+  },
+};
--- /dev/null
+++ b/src/config/difference.ts
@@ -0,0 +1,56 @@
+/** Differences between documents: what a publication would change. */
+import type { Documents } from './documents.js';
+
+/** Kinds of documents, in the order in which they are listed. */
+export const DOCUMENT_KINDS = ['workspaces', 'budgets', 'routes', 'upstreams'] as const;
+
+/** A kind of documents, as service files name it. */
+export type DocumentKind = (typeof DOCUMENT_KINDS)[number];
+
+/** One document that differs. */
+export interface Difference {
+  readonly change: 'added' | 'changed' | 'removed';
+  readonly kind: DocumentKind;
+  readonly name: string;
+  /** Fields that differ; empty unless the document is changed. */
+  readonly fields: readonly string[];
+}
+
+type Fields = Readonly<Record<string, unknown>>;
+
+function byName(documents: Documents, kind: DocumentKind): ReadonlyMap<string, Fields> {
+  return new Map(documents[kind].map((document) => [document.name, document]));
+}
+
+function changedFields(before: Fields, after: Fields): readonly string[] {
+  const fields = [...new Set([...Object.keys(before), ...Object.keys(after)])];
+  return fields.filter((field) => JSON.stringify(before[field]) !== JSON.stringify(after[field]));
+}
+
+function compareKind(
+  kind: DocumentKind,
+  before: ReadonlyMap<string, Fields>,
+  after: ReadonlyMap<string, Fields>,
+): readonly Difference[] {
+  const names = [...new Set([...before.keys(), ...after.keys()])].sort();
+  return names.flatMap((name): readonly Difference[] => {
+    const old = before.get(name);
+    const next = after.get(name);
+    if (!old) return [{ change: 'added', kind, name, fields: [] }];
+    if (!next) return [{ change: 'removed', kind, name, fields: [] }];
+    const fields = changedFields(old, next);
+    return fields.length > 0 ? [{ change: 'changed', kind, name, fields }] : [];
+  });
+}
+
+/**
+ * Compares what is in force with what shall be.
+ * @param before - documents in force
+ * @param after - documents to publish
+ * @returns every document that differs, by kind and name
+ */
+export function compareDocuments(before: Documents, after: Documents): readonly Difference[] {
+  return DOCUMENT_KINDS.flatMap((kind) =>
+    compareKind(kind, byName(before, kind), byName(after, kind)),
+  );
+}
--- a/src/config/documents.ts
+++ b/src/config/documents.ts
@@ -97,3 +97,11 @@
 export type UpstreamDocument = z.infer<typeof upstreamSchema>;
 /** Everything that is published together. */
 export type Documents = z.infer<typeof documentsSchema>;
+
+/** The documents of a fleet that has published nothing yet. */
+export const EMPTY_DOCUMENTS: Documents = {
+  workspaces: [],
+  budgets: [],
+  routes: [],
+  upstreams: [],
+};
--- /dev/null
+++ b/src/config/views.ts
@@ -0,0 +1,34 @@
+/** What operators are shown of a configuration. */
+import type { Documents } from './documents.js';
+
+/** A workspace as operators see it. */
+export interface WorkspaceView {
+  readonly name: string;
+  readonly state: string;
+  readonly keys: number;
+  readonly budgets: number;
+  /** Requests that may be open at once; 0 for no limit. */
+  readonly concurrency: number;
+  /** Requests a second; 0 for no limit. */
+  readonly requestsPerSecond: number;
+}
+
+/**
+ * Lists the workspaces of a configuration.
+ * @param documents - documents in force
+ * @returns a line for each workspace
+ */
+export function viewWorkspaces(documents: Documents): readonly WorkspaceView[] {
+  const counts = new Map<string, number>();
+  documents.budgets.forEach(({ workspace }) => {
+    counts.set(workspace, (counts.get(workspace) ?? 0) + 1);
+  });
+  return documents.workspaces.map((workspace) => ({
+    name: workspace.name,
+    state: workspace.state,
+    keys: workspace.keys.length,
+    budgets: counts.get(workspace.name) ?? 0,
+    concurrency: workspace.concurrency ?? 0,
+    requestsPerSecond: workspace.requestsPerSecond ?? 0,
+  }));
+}
--- a/src/daemon/operations.ts
+++ b/src/daemon/operations.ts
@@ -13,7 +13,7 @@
 import { Err, failure, Ok } from '../kernel/index.js';
 import { updateObject } from '../platform/index.js';
 
-import type { BudgetShard, ChargeLine } from '../budget/index.js';
+import type { BudgetShard, ChargeLine, TopUp } from '../budget/index.js';
 import type { Documents, Manifest, PublishAnswer } from '../config/index.js';
 import type { Failure, Result } from '../kernel/index.js';
 import type { ObjectStore } from '../platform/index.js';
@@ -46,6 +46,21 @@
   readonly units: number;
 }
 
+/** What came of a payment. */
+export interface PaymentAnswer {
+  /** Units paid into the budget in all. */
+  readonly paid: number;
+  /** The operation id was known: nothing was added this time. */
+  readonly repeated: boolean;
+  /** When the payment was made, in milliseconds since the epoch. */
+  readonly at: number;
+}
+
+function earlierPayment(shard: BudgetShard, ask: Payment): TopUp | undefined {
+  const budget = shard.budgets.find(({ name }) => name === ask.budget);
+  return budget?.topUps.find(({ operation }) => operation === ask.operation);
+}
+
 /** Reads and orders of operators. */
 export class Operations {
   /**
@@ -82,15 +97,22 @@
    * @param ask - the payment
    * @returns units paid in all, and whether the operation id was known before
    */
-  async topUp(ask: Payment): Promise<Result<{ paid: number; repeated: boolean }, Failure>> {
+  async topUp(ask: Payment): Promise<Result<PaymentAnswer, Failure>> {
     const { current } = this.config;
     const budget = current?.documents.budgets.find(({ name }) => name === ask.budget);
     if (!current || !budget) return Err(failure('not-found', `budget ${ask.budget}`));
     const shard = shardOf(ask.budget, current.manifest.budgetShards);
     const kind = { key: shardKey(shard), parse: parseShard };
     const payment = { ...ask, workspace: budget.workspace, at: Date.now() };
-    const done = await updateObject(this.store, kind, (value) => topUp(value, payment));
-    return done.mapErr(({ text }) => failure('store-unavailable', text, 'unknown'));
+    const done = await updateObject(this.store, kind, (value) => {
+      const change = topUp(value, payment);
+      const { units, at } = earlierPayment(value, ask) ?? payment;
+      return { ...change, outcome: { ...change.outcome, units, at } };
+    });
+    if (done.err) return Err(failure('store-unavailable', done.val.text, 'unknown'));
+    const { units, ...answer } = done.val;
+    if (units === ask.units) return Ok(answer);
+    return Err(failure('operation-reused', `${ask.operation} paid ${units} units`));
   }
 
   /**
--- a/src/daemon/operators.controller.ts
+++ b/src/daemon/operators.controller.ts
@@ -2,16 +2,16 @@
 import { Body, Controller, Get, Inject, Param, Post, UseGuards } from '@nestjs/common';
 import { z } from 'zod';
 
-import { documentsSchema } from '../config/index.js';
+import { documentsSchema, EMPTY_DOCUMENTS, viewWorkspaces } from '../config/index.js';
 import { failure, FailureError } from '../kernel/index.js';
 import { OperatorGuard } from './operator.guard.js';
 import { Runtime } from './runtime.js';
 
 import type { ChargeLine } from '../budget/index.js';
-import type { PublishAnswer } from '../config/index.js';
+import type { Documents, PublishAnswer, WorkspaceView } from '../config/index.js';
 import type { Failure, Result } from '../kernel/index.js';
 import type { TimelineEvent } from '../telemetry/index.js';
-import type { BudgetView } from './operations.js';
+import type { BudgetView, PaymentAnswer } from './operations.js';
 
 const publicationSchema = z.strictObject({
   operation: z.string().min(1),
@@ -35,6 +35,12 @@
   readonly peers: number;
 }
 
+/** The configuration that a daemon has in force. */
+export interface RevisionView {
+  readonly revision: number;
+  readonly documents: Documents;
+}
+
 function parse<Schema extends z.ZodType>(schema: Schema, body: unknown): z.infer<Schema> {
   const raw: unknown = JSON.parse((body as Buffer).toString());
   const parsed = schema.safeParse(raw);
@@ -75,6 +81,25 @@
     };
   }
 
+  /**
+   * Shows the configuration in force.
+   * @returns its revision and documents
+   */
+  @Get('revision')
+  revision(): RevisionView {
+    const { current } = this.runtime.serving.config;
+    return { revision: current?.revision ?? 0, documents: current?.documents ?? EMPTY_DOCUMENTS };
+  }
+
+  /**
+   * Lists the workspaces in force.
+   * @returns a line for each workspace
+   */
+  @Get('workspaces')
+  workspaces(): readonly WorkspaceView[] {
+    return viewWorkspaces(this.revision().documents);
+  }
+
   /**
    * Puts documents in force.
    * @param body - the publication
@@ -91,7 +116,7 @@
    * @returns units paid in all
    */
   @Post('topups')
-  async topUp(@Body() body: unknown): Promise<{ paid: number; repeated: boolean }> {
+  async topUp(@Body() body: unknown): Promise<PaymentAnswer> {
     return unwrap(await this.runtime.operations.topUp(parse(paymentSchema, body)));
   }
 
--- a/src/kernel/failure.ts
+++ b/src/kernel/failure.ts
@@ -122,6 +122,11 @@
     text: 'another operator changed this first',
     remedy: 'look at the difference, then publish again',
   },
+  'operation-reused': {
+    status: 409,
+    text: 'this operation id was used for another order',
+    remedy: 'use a new operation id for a new order',
+  },
   invalid: {
     status: 422,
     text: 'the input is not valid',
