Service files: every problem of a run, with place, nearest known name and both sides of a clash

Cause: validation stopped at zod's own messages, a wrong field showed no known name, two files could claim one name, references led anywhere, and the YAML reader threw on unresolved or multiplying aliases.

Documents that are right by themselves stay in the cross checks while others of the run are wrong; a file that cannot be read leaves references open instead of reporting false ones. Values of key fields are not shown, since a key in place of its digest would land in logs.

--- a/src/cli/check.ts
+++ b/src/cli/check.ts
@@ -3,7 +3,7 @@
 import { formatProblem } from '../kernel/index.js';
 import { EXIT } from './exits.js';
 import { print, say } from './output.js';
-import { readServiceFiles } from './servicefiles.js';
+import { collectServiceFiles } from './servicefiles.js';
 
 import type { Documents } from '../config/index.js';
 import type { GlobalArgs } from './output.js';
@@ -33,7 +33,7 @@
  * @returns the documents; undefined if there was a problem
  */
 export async function readOrExplain(argv: DirArgs): Promise<Documents | undefined> {
-  const found = await readServiceFiles(argv.dirs);
+  const found = await collectServiceFiles(argv.dirs);
   if (found.ok) return found.val;
   process.exitCode = EXIT.input;
   if (argv.json) print(argv, { problems: found.val }, String);
--- a/src/cli/servicefiles.ts
+++ b/src/cli/servicefiles.ts
@@ -1,35 +1,63 @@
 /** Collects service files from directories. */
-import { readdir, readFile } from 'node:fs/promises';
-import { join } from 'node:path';
+import { readdir, readFile, realpath, stat } from 'node:fs/promises';
+import { join, sep } from 'node:path';
 
-import { documentsSchema, joinDocuments } from '../config/index.js';
-import { Err, Ok, safeParseYaml } from '../kernel/index.js';
+import { readServiceFiles } from '../config/index.js';
+import { Err, Ok, sizeProblem, START } from '../kernel/index.js';
 
-import type { Documents } from '../config/index.js';
+import type { Documents, ServiceFile } from '../config/index.js';
 import type { Problem, Result } from '../kernel/index.js';
 
 /** Ending of the names of service files. */
 const SUFFIX = '.comfreyreel.yaml';
 
+/** Directories that hold other people's code. */
+const SKIPPED: readonly string[] = ['node_modules', '.git'];
+
+type Found<Value> = Result<Value, readonly Problem[]>;
+
+function unreadable(file: string, err: unknown, remedy: string): readonly Problem[] {
+  const { code } = err as NodeJS.ErrnoException;
+  return [{ file, ...START, text: `cannot be read: ${code ?? String(err)}`, remedy }];
+}
+
+async function findFiles(dir: string): Promise<Found<readonly string[]>> {
+  try {
+    const root = await realpath(dir);
+    const names = await readdir(root, { recursive: true });
+    const files = names.filter(
+      (name) => name.endsWith(SUFFIX) && !name.split(sep).some((part) => SKIPPED.includes(part)),
+    );
+    if (files.length > 0) return Ok(files.map((name) => join(root, name)));
+    const text = `there is no file that ends in ${SUFFIX}`;
+    return Err([{ file: dir, ...START, text, remedy: 'name a directory with service files' }]);
+  } catch (err) {
+    return Err(unreadable(dir, err, 'name a readable directory'));
+  }
+}
+
+async function load(file: string): Promise<Found<ServiceFile>> {
+  try {
+    const { size } = await stat(file);
+    const problem = sizeProblem(file, size);
+    return problem ? Err([problem]) : Ok({ file, content: await readFile(file) });
+  } catch (err) {
+    return Err(unreadable(file, err, 'make the file readable, or remove it'));
+  }
+}
+
 /**
  * Reads every service file below some directories.
  * @param dirs - directories
  * @returns all documents together, or every problem of the run
  */
-export async function readServiceFiles(
-  dirs: readonly string[],
-): Promise<Result<Documents, readonly Problem[]>> {
-  const listings = await Promise.all(
-    dirs.map(async (dir) => {
-      const names = await readdir(dir, { recursive: true });
-      return names.filter((name) => name.endsWith(SUFFIX)).map((name) => join(dir, name));
-    }),
-  );
-  const files = listings.flat().sort();
-  const parsed = await Promise.all(
-    files.map(async (file) => safeParseYaml(file, await readFile(file, 'utf8'), documentsSchema)),
-  );
-  const problems = parsed.flatMap((result) => (result.err ? result.val : []));
-  if (problems.length > 0) return Err(problems);
-  return Ok(joinDocuments(parsed.flatMap((result) => (result.ok ? [result.val] : []))));
+export async function collectServiceFiles(dirs: readonly string[]): Promise<Found<Documents>> {
+  const listings = await Promise.all(dirs.map(findFiles));
+  const names = new Set(listings.flatMap((listing) => (listing.ok ? listing.val : [])));
+  const loaded = await Promise.all([...names].sort().map(load));
+  const problems = [...listings, ...loaded].flatMap((found) => (found.err ? found.val : []));
+  const files = loaded.flatMap((found) => (found.ok ? [found.val] : []));
+  const checked = readServiceFiles(files, problems.length === 0);
+  if (problems.length === 0) return checked;
+  return Err([...problems, ...(checked.err ? checked.val : [])]);
 }
--- /dev/null
+++ b/src/config/crosscheck.ts
@@ -0,0 +1,187 @@
+/** Rules between documents: names are unique and references lead somewhere. */
+import { suggest } from '../kernel/index.js';
+import { KIND_NAMES } from './entries.js';
+
+import type { DocumentKind } from './difference.js';
+import type { Route, UpstreamDocument, Workspace } from './documents.js';
+import type { Entry } from './entries.js';
+
+type Path = readonly PropertyKey[];
+
+/** Largest document, in bytes of JSON, so that a piece stays under a megabyte. */
+export const MAX_DOCUMENT_BYTES = 900_000;
+
+/** A document that failed its schema: its name is taken all the same. */
+export interface BrokenEntry {
+  readonly kind: DocumentKind;
+  readonly name: string;
+}
+
+/** Where something stands: a file of the run and a path within it. */
+export interface Spot {
+  readonly source: number;
+  readonly path: Path;
+}
+
+/** Something that is wrong between documents. */
+export interface Finding extends Spot {
+  readonly text: string;
+  readonly remedy: string;
+  /** The other place, where two clash. */
+  readonly earlier?: Spot;
+}
+
+/** Names of each kind, and whom each budget belongs to. */
+class Index {
+  readonly #names = new Map<DocumentKind, Set<string>>();
+
+  readonly #owners = new Map<string, string>();
+
+  constructor(entries: readonly Entry[], broken: readonly BrokenEntry[]) {
+    entries.forEach((entry) => {
+      this.#add(entry.kind, entry.document.name);
+      if (entry.kind === 'budgets') {
+        this.#owners.set(entry.document.name, entry.document.workspace);
+      }
+    });
+    broken.forEach(({ kind, name }) => this.#add(kind, name));
+  }
+
+  /** Owner of a budget; undefined if the budget is unknown or broken. */
+  ownerOf(budget: string): string | undefined {
+    return this.#owners.get(budget);
+  }
+
+  /** What is wrong with a reference; undefined if it leads to a document. */
+  missing(kind: DocumentKind, name: string): Pick<Finding, 'text' | 'remedy'> | undefined {
+    const names = this.#names.get(kind) ?? new Set();
+    if (names.has(name)) return undefined;
+    const text = `there is no ${KIND_NAMES[kind]} "${name}"`;
+    return { text, remedy: suggest(name, [...names], kind) };
+  }
+
+  #add(kind: DocumentKind, name: string): void {
+    const names = this.#names.get(kind) ?? new Set();
+    this.#names.set(kind, names.add(name));
+  }
+}
+
+function spotOf({ source, kind, index }: Entry, ...path: Path): Spot {
+  return { source, path: [kind, index, ...path] };
+}
+
+function describe(spot: Spot, text: string): string {
+  return `${spot.path.map(String).join('.')}: ${text}`;
+}
+
+function at(spot: Spot, text: string, remedy: string): Finding {
+  return { ...spot, text: describe(spot, text), remedy };
+}
+
+function duplicateNames(entries: readonly Entry[]): readonly Finding[] {
+  const first = new Map<string, Spot>();
+  return entries.flatMap((entry) => {
+    const { name } = entry.document;
+    const slot = `${entry.kind}/${name}`;
+    const spot = spotOf(entry, 'name');
+    const earlier = first.get(slot);
+    if (!earlier) first.set(slot, spot);
+    if (!earlier) return [];
+    const text = `${KIND_NAMES[entry.kind]} "${name}" is declared twice`;
+    return [{ ...at(spot, text, 'rename or remove one of the two'), earlier }];
+  });
+}
+
+function duplicateKeys(entries: readonly Entry[]): readonly Finding[] {
+  const first = new Map<string, Spot>();
+  return entries.flatMap((entry) => {
+    if (entry.kind !== 'workspaces') return [];
+    return entry.document.keys.flatMap(({ sha256 }, index) => {
+      const spot = spotOf(entry, 'keys', index, 'sha256');
+      const earlier = first.get(sha256);
+      if (!earlier) first.set(sha256, spot);
+      if (!earlier) return [];
+      const text = 'this key digest is declared twice';
+      return [{ ...at(spot, text, 'make a key of its own for each use'), earlier }];
+    });
+  });
+}
+
+function checkWorkspace(entry: Entry, { name, keys }: Workspace, index: Index): Finding[] {
+  return keys.flatMap(({ budget }, position) => {
+    const spot = spotOf(entry, 'keys', position, 'budget');
+    const missing = index.missing('budgets', budget);
+    if (missing) return [at(spot, missing.text, missing.remedy)];
+    const owner = index.ownerOf(budget);
+    if (owner === undefined || owner === name) return [];
+    const text = `budget "${budget}" belongs to workspace "${owner}", not to "${name}"`;
+    return [at(spot, text, 'name a budget of this workspace')];
+  });
+}
+
+function checkRoute(entry: Entry, route: Route): readonly Finding[] {
+  const { defaultOutputTokens, maxOutputTokens } = route;
+  if (defaultOutputTokens <= maxOutputTokens) return [];
+  const text = `${defaultOutputTokens} is more than maxOutputTokens, ${maxOutputTokens}`;
+  return [at(spotOf(entry, 'defaultOutputTokens'), text, 'lower it, or raise maxOutputTokens')];
+}
+
+function checkReference(
+  entry: Entry,
+  field: string,
+  missing: ReturnType<Index['missing']>,
+): readonly Finding[] {
+  return missing ? [at(spotOf(entry, field), missing.text, missing.remedy)] : [];
+}
+
+function checkUpstream(
+  entry: Entry,
+  { route }: UpstreamDocument,
+  index: Index,
+): readonly Finding[] {
+  return checkReference(entry, 'route', index.missing('routes', route));
+}
+
+function checkEntry(entry: Entry, index: Index): readonly Finding[] {
+  switch (entry.kind) {
+    case 'workspaces':
+      return checkWorkspace(entry, entry.document, index);
+    case 'budgets': {
+      const { workspace } = entry.document;
+      return checkReference(entry, 'workspace', index.missing('workspaces', workspace));
+    }
+    case 'routes':
+      return checkRoute(entry, entry.document);
+    default:
+      return checkUpstream(entry, entry.document, index);
+  }
+}
+
+function checkSize(entry: Entry): readonly Finding[] {
+  const bytes = Buffer.byteLength(JSON.stringify(entry.document));
+  if (bytes <= MAX_DOCUMENT_BYTES) return [];
+  const text = `${bytes} bytes, more than ${MAX_DOCUMENT_BYTES}`;
+  return [at(spotOf(entry, 'name'), text, 'split it into several documents')];
+}
+
+/** What a check between documents goes by. */
+export interface CrossCheckInput {
+  readonly entries: readonly Entry[];
+  /** Documents that failed their schema. */
+  readonly broken: readonly BrokenEntry[];
+  /** Whether every file could be read: otherwise a missing name proves nothing. */
+  readonly complete: boolean;
+}
+
+/**
+ * Checks documents against one another.
+ * @param input - documents of all files of a run, or of a whole revision
+ * @returns everything that is wrong
+ */
+export function crossCheck({ entries, broken, complete }: CrossCheckInput): readonly Finding[] {
+  const index = new Index(entries, broken);
+  const own = entries.flatMap((entry) => checkSize(entry));
+  const clashes = [...duplicateNames(entries), ...duplicateKeys(entries)];
+  if (!complete) return [...own, ...clashes];
+  return [...own, ...clashes, ...entries.flatMap((entry) => checkEntry(entry, index))];
+}
--- a/src/config/documents.ts
+++ b/src/config/documents.ts
@@ -4,13 +4,15 @@
 /** Names are short and safe in object keys, paths and logs. */
 export const nameSchema = z
   .string()
-  .regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'expected lower-case letters, digits and hyphens');
+  .regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'expected 1 to 63 lower-case letters, digits and hyphens');
 
 /** Schema of a workspace key: only its digest is published. */
 export const workspaceKeySchema = z
   .strictObject({
     /** SHA-256 of the key that callers send, in hexadecimal. */
-    sha256: z.string().regex(/^[0-9a-f]{64}$/, 'expected 64 hexadecimal digits'),
+    sha256: z
+      .string()
+      .regex(/^[0-9a-f]{64}$/, 'expected 64 hexadecimal digits, the SHA-256 of the key'),
     /** Budget that requests with this key are charged to. */
     budget: nameSchema,
   })
@@ -66,7 +68,10 @@
     name: nameSchema,
     route: nameSchema,
     /** Base address, "http://IP:port". */
-    url: z.url(),
+    url: z.url({
+      protocol: /^https?$/,
+      error: 'expected a base address such as "http://127.0.0.1:9000"',
+    }),
     dataCentre: nameSchema,
     /** "leaving" upstreams receive no new work. */
     state: z.enum(['serving', 'leaving']).default('serving'),
@@ -77,6 +82,14 @@
   })
   .readonly();
 
+/** Schema of one document of each kind, by the name of its list in a service file. */
+export const documentSchemas = {
+  workspaces: workspaceSchema,
+  budgets: budgetDocumentSchema,
+  routes: routeSchema,
+  upstreams: upstreamSchema,
+} as const;
+
 /** Schema of everything that one service file, or a whole revision, declares. */
 export const documentsSchema = z
   .strictObject({
--- a/src/daemon/tests/settings.test.ts
+++ b/src/daemon/tests/settings.test.ts
@@ -1,7 +1,11 @@
+import { readFile } from 'node:fs/promises';
+
 import test from 'ava';
 
+import type { z } from 'zod';
 import { formatProblem } from '../../kernel/index.js';
-import { safeParseSettings } from '../settings.js';
+import { safeParseSettings, settingsSchema } from '../settings.js';
+
 
 const GOOD = `instance: entry-1
 dataCentre: kurume
@@ -26,13 +30,22 @@
     title: 'an address that is none',
     text: GOOD.replace('127.0.0.1:8081', 'here'),
     problem:
-      's.yaml:5:10: listen.peers: expected an address such as "127.0.0.1:8080"; correct "listen.peers"',
+      's.yaml:5:10: listen.peers: expected an address such as "127.0.0.1:8080", found "here"; correct the value',
   },
   {
     title: 'a missing data centre',
     text: GOOD.replace('dataCentre: kurume\n', ''),
-    problem:
-      's.yaml:1:1: dataCentre: Invalid input: expected string, received undefined; correct "dataCentre"',
+    problem: 's.yaml:1:1: missing field "dataCentre"; add "dataCentre"',
+  },
+  {
+    title: 'a short key, which is not shown',
+    text: GOOD.replace('fleetKey: 0123456789abcdef', 'fleetKey: 0123abc'),
+    problem: 's.yaml:9:11: fleetKey: expected at least 16 characters; correct the value',
+  },
+  {
+    title: 'a misspelt field',
+    text: `${GOOD}logLevl: warn\n`,
+    problem: 's.yaml:11:1: unknown field "logLevl"; did you mean "logLevel"?',
   },
   {
     title: 'broken YAML',
@@ -48,3 +61,23 @@
     t.deepEqual(parsed.ok ? [] : parsed.val.map(formatProblem), [row.problem]);
   });
 });
+
+const PAGE = new URL('../../../../docs/SETTINGS.md', import.meta.url);
+
+interface Def {
+  readonly shape?: Readonly<Record<string, z.ZodType>>;
+  readonly innerType?: z.ZodType;
+}
+
+function fieldsOf(schema: z.ZodType, prefix = ''): readonly string[] {
+  const { shape, innerType } = schema.def as Def;
+  if (innerType) return fieldsOf(innerType, prefix);
+  if (!shape) return [prefix.slice(0, -1)];
+  return Object.entries(shape).flatMap(([name, inner]) => fieldsOf(inner, `${prefix}${name}.`));
+}
+
+test('docs/SETTINGS.md lists every field and no other', async (t) => {
+  const page = await readFile(PAGE, 'utf8');
+  const listed = [...page.matchAll(/^\| `([\w.]+)`/gm)].map(([, name]) => name);
+  t.deepEqual(listed.toSorted(), fieldsOf(settingsSchema).toSorted());
+});
--- a/src/kernel/yamlsource.ts
+++ b/src/kernel/yamlsource.ts
@@ -1,60 +1,156 @@
 /** Reads YAML against a schema; every problem names file, line, column and remedy. */
-import { LineCounter, parseDocument } from 'yaml';
+import { isAlias, isMap, isScalar, LineCounter, parseDocument, visit } from 'yaml';
 
-import type { Document } from 'yaml';
+import type { Document, YAMLError } from 'yaml';
 import type { z } from 'zod';
+import { START } from './problem.js';
 import { Err, Ok } from './result.js';
+import { explainIssue } from './schemaissue.js';
+import { decodeYaml } from './yamltext.js';
+
+import type { Place, Problem } from './problem.js';
 import type { Result } from './result.js';
 
-/** Aliases that one file may expand, against files that grow without bound. */
+/** Aliases that one file may hold, against files that grow without bound. */
 const MAX_ALIASES = 100;
 
-/** Something wrong in a file. */
-export interface Problem {
-  readonly file: string;
-  readonly line: number;
-  readonly column: number;
-  readonly text: string;
-  readonly remedy: string;
-}
+type Path = readonly PropertyKey[];
 
-/**
- * Formats a problem on one line.
- * @param problem - the problem
- * @returns "file:line:column: text; remedy"
- */
-export function formatProblem(problem: Problem): string {
-  const { file, line, column, text, remedy } = problem;
-  return `${file}:${line}:${column}: ${text}; ${remedy}`;
-}
+/** Texts and remedies for errors of the parser, by its codes. */
+const SYNTAX: Readonly<Record<string, Pick<Problem, 'text' | 'remedy'>>> = {
+  DUPLICATE_KEY: { text: 'this field stands twice', remedy: 'keep one of the two' },
+  MULTIPLE_DOCS: {
+    text: 'the file holds more than one document',
+    remedy: 'keep one document in each file',
+  },
+  TAG_RESOLVE_FAILED: { text: 'unknown tag', remedy: 'remove the tag' },
+  NON_STRING_KEY: { text: 'the name of a field is not text', remedy: 'write a plain name' },
+};
 
-/** A file with its parsed form. */
-interface Source {
-  readonly file: string;
-  readonly doc: Document;
-  readonly lines: LineCounter;
-}
+/** A file that could be parsed. */
+export class YamlSource {
+  private constructor(
+    readonly file: string,
+    /** The content as plain data; an empty file holds no fields. */
+    readonly raw: unknown,
+    private readonly doc: Document,
+    private readonly lines: LineCounter,
+  ) {}
+
+  /**
+   * Parses a file.
+   * @param file - name of the file, for messages
+   * @param content - content of the file
+   * @returns the file, or every problem that was found
+   */
+  static read(file: string, content: Uint8Array): Result<YamlSource, readonly Problem[]> {
+    const text = decodeYaml(file, content);
+    if (text.err) return text;
+    return YamlSource.#parse(file, text.val);
+  }
+
+  static #parse(file: string, text: string): Result<YamlSource, readonly Problem[]> {
+    const lines = new LineCounter();
+    const options = { lineCounter: lines, prettyErrors: false, stringKeys: true };
+    const doc = parseDocument(text, options);
+    const source = new YamlSource(file, undefined, doc, lines);
+    const problems = [...doc.errors, ...doc.warnings].map((err) => source.#syntax(err));
+    if (problems.length > 0) return Err(problems);
+    const aliases = source.#aliasProblems();
+    if (aliases.length > 0) return Err(aliases);
+    const raw: unknown = doc.toJS({ maxAliasCount: MAX_ALIASES }) ?? {};
+    return Ok(new YamlSource(file, raw, doc, lines));
+  }
+
+  /**
+   * Checks the file against a schema.
+   * @param schema - what the content must be
+   * @returns the value, or every problem that was found
+   */
+  check<Schema extends z.ZodType>(schema: Schema): Result<z.infer<Schema>, readonly Problem[]> {
+    const parsed = schema.safeParse(this.raw);
+    if (parsed.success) return Ok(parsed.data);
+    const findings = parsed.error.issues.flatMap((issue) => explainIssue(schema, this.raw, issue));
+    return Err(
+      findings.map(({ path, atName, text, remedy }) => {
+        const place = atName ? this.nameOf(path) : this.placeOf(path);
+        return { file: this.file, ...place, text, remedy };
+      }),
+    );
+  }
 
-function placeOf(source: Source, path: readonly PropertyKey[]): { line: number; column: number } {
-  for (let depth = path.length; depth >= 0; depth -= 1) {
-    const node = source.doc.getIn(path.slice(0, depth), true) as { range?: number[] } | undefined;
-    const offset = node?.range?.[0];
-    if (offset !== undefined) {
-      const { line, col } = source.lines.linePos(offset);
-      return { line, column: col };
+  /**
+   * Finds a value.
+   * @param path - names and indices that lead to it
+   * @returns its place, or that of the nearest value around it
+   */
+  placeOf(path: Path): Place {
+    for (let depth = path.length; depth >= 0; depth -= 1) {
+      const node = this.doc.getIn(path.slice(0, depth), true) as { range?: number[] } | undefined;
+      const offset = node?.range?.[0];
+      if (offset !== undefined) return this.#at(offset);
     }
+    return START;
+  }
+
+  /**
+   * Finds the name of a field.
+   * @param path - names and indices that lead to the field
+   * @returns the place of its name
+   */
+  nameOf(path: Path): Place {
+    const parent = this.doc.getIn(path.slice(0, -1), true) ?? this.doc.contents;
+    const name = String(path.at(-1));
+    const items = isMap(parent) ? parent.items : [];
+    const key = items.map((pair) => pair.key).find((at) => isScalar(at) && at.value === name);
+    const offset = isScalar(key) ? key.range?.[0] : undefined;
+    return offset === undefined ? this.placeOf(path) : this.#at(offset);
+  }
+
+  #at(offset: number): Place {
+    const { line, col } = this.lines.linePos(offset);
+    return { line, column: col };
+  }
+
+  #syntax(err: YAMLError): Problem {
+    const known = SYNTAX[err.code];
+    const text = known?.text ?? err.message;
+    const remedy = known?.remedy ?? 'correct the YAML syntax';
+    return { file: this.file, ...this.#at(err.pos[0]), text, remedy };
   }
-  return { line: 1, column: 1 };
-}
 
-function schemaProblem(source: Source, issue: z.core.$ZodIssue): Problem {
-  const where = issue.path.map(String).join('.');
-  return {
-    file: source.file,
-    ...placeOf(source, issue.path),
-    text: where ? `${where}: ${issue.message}` : issue.message,
-    remedy: where ? `correct "${where}"` : 'correct the document',
-  };
+  #aliasProblems(): readonly Problem[] {
+    const found: Problem[] = [];
+    let count = 0;
+    visit(this.doc, {
+      Alias: (_, alias) => {
+        count += 1;
+        const offset = alias.range?.[0] ?? 0;
+        const target = alias.resolve(this.doc);
+        const place = { file: this.file, ...this.#at(offset) };
+        if (!target) {
+          const text = `alias "*${alias.source}" has no anchor before it`;
+          found.push({ ...place, text, remedy: 'write the value out' });
+        } else if (count === MAX_ALIASES + 1 || YamlSource.#nests(target)) {
+          const text = 'aliases that expand without bound';
+          found.push({ ...place, text, remedy: 'write the values out' });
+        }
+      },
+    });
+    return found;
+  }
+
+  /** Whether an anchored value holds aliases itself, which multiply when expanded. */
+  static #nests(target: Parameters<typeof visit>[0]): boolean {
+    let nested = false;
+    visit(target, {
+      Alias: () => {
+        nested = true;
+        return visit.BREAK;
+      },
+    });
+    return nested || isAlias(target);
+  }
 }
 
 /**
@@ -69,17 +165,5 @@
   text: string,
   schema: Schema,
 ): Result<z.infer<Schema>, readonly Problem[]> {
-  const lines = new LineCounter();
-  const doc = parseDocument(text, { lineCounter: lines, prettyErrors: false });
-  if (doc.errors.length > 0) {
-    return Err(
-      doc.errors.map((err) => {
-        const { line, col } = lines.linePos(err.pos[0]);
-        return { file, line, column: col, text: err.message, remedy: 'correct the YAML syntax' };
-      }),
-    );
-  }
-  const parsed = schema.safeParse(doc.toJS({ maxAliasCount: MAX_ALIASES }) ?? {});
-  if (parsed.success) return Ok(parsed.data);
-  return Err(parsed.error.issues.map((issue) => schemaProblem({ file, doc, lines }, issue)));
+  return YamlSource.read(file, Buffer.from(text)).andThen((source) => source.check(schema));
 }
