--- a/src/daemon/tests/settings.test.ts
+++ b/src/daemon/tests/settings.test.ts
@@ -6,7 +6,6 @@
 import { formatProblem } from '../../kernel/index.js';
 import { safeParseSettings, settingsSchema } from '../settings.js';
 
-
 const GOOD = `instance: entry-1
 dataCentre: kurume
 listen:
