Budgets: admission, demand, sizing, loans and their transfers as pure rules

Cause: a holder could only draw eight times the need from the store; it neither lent nor gave back. Loans are counters that only grow on both sides. In the store a loan becomes a transfer: the lender's row gives the units up and remembers to whom, the borrower's row is granted them, in one conditional update, so that granted less returned never changes. Weighed: rows that keep what they passed (every rule of recovery would have to subtract it) against this (recovery and closing of rows stay as they were).

--- /dev/null
+++ b/src/budget/draw.ts
@@ -0,0 +1,129 @@
+/** Draws: one conditional update reports a holder's counters and grants it more. */
+import { totalOf } from './escrow.js';
+import { grant, rowOf, spentOf, unallocated } from './ledger.js';
+import { targetUnits } from './sizing.js';
+import { applyReport } from './transfer.js';
+
+import type { Change } from '../platform/index.js';
+import type { DemandRate } from './demand.js';
+import type { PeerCounter } from './escrow.js';
+import type { BudgetRecord, BudgetShard } from './shard.js';
+import type { BudgetOutlook } from './sizing.js';
+import type { HolderReport } from './transfer.js';
+
+/** What a holder asks of the store for one budget. */
+export interface DrawRequest {
+  readonly report: HolderReport;
+  /** What the holder believes it has drawn. */
+  readonly granted: number;
+  /** What the holder can still reserve. */
+  readonly available: number;
+  /** Units that a waiting request lacks; 0 in the background. */
+  readonly missing: number;
+  readonly demand: DemandRate;
+}
+
+/** Another holder of a budget, as the store shows it. */
+export interface HolderView {
+  readonly holder: string;
+  /** Units that it has not spent or given up, as far as settled. */
+  readonly held: number;
+}
+
+/** What the store shows after a draw. */
+export interface DrawAnswer {
+  readonly known: boolean;
+  /** Units that the holder has drawn in all. */
+  readonly granted: number;
+  /** Units that no row holds. */
+  readonly left: number;
+  /** Units that the holder should keep available. */
+  readonly target: number;
+  /** Loans to this holder that the store knows. */
+  readonly loans: readonly PeerCounter[];
+  readonly others: readonly HolderView[];
+  /** Whether the store knows every loan and return of the holder. */
+  readonly reported: boolean;
+}
+
+const UNKNOWN: DrawAnswer = {
+  known: false,
+  granted: 0,
+  left: 0,
+  target: 0,
+  loans: [],
+  others: [],
+  reported: true,
+};
+
+function outlookOf(budget: BudgetRecord, ask: DrawRequest): BudgetOutlook {
+  const others = budget.rows.filter(({ holder }) => holder !== ask.report.holder);
+  const rate = others.reduce((sum, row) => sum + (row.demand ?? 0), ask.demand.rate);
+  return { paid: budget.paid, unspent: budget.paid - spentOf(budget), totalRate: rate };
+}
+
+function othersOf(budget: BudgetRecord, holder: string): readonly HolderView[] {
+  return budget.rows
+    .filter((row) => row.holder !== holder)
+    .map((row) => ({ holder: row.holder, held: row.granted - row.spent - row.returned }))
+    .filter(({ held }) => held > 0);
+}
+
+function loansTo(budget: BudgetRecord, holder: string): readonly PeerCounter[] {
+  return budget.rows.flatMap((row) =>
+    (row.passed ?? [])
+      .filter(({ peer }) => peer === holder)
+      .map(({ units }) => ({ peer: row.holder, units })),
+  );
+}
+
+/** Units given up by all rows: grows with every transfer and every return. */
+function returnedOf(shard: BudgetShard, name: string): number {
+  const rows = shard.budgets.find((budget) => budget.name === name)?.rows ?? [];
+  return rows.reduce((sum, { returned }) => sum + returned, 0);
+}
+
+/** Whether the rows hold everything that a holder reports. */
+function isReported(budget: BudgetRecord, report: HolderReport): boolean {
+  const row = rowOf(budget, report.holder);
+  const passed = totalOf(row.passed ?? []);
+  const owed = report.returned + totalOf(report.passed);
+  const received = row.received ?? 0;
+  return (
+    received >= totalOf(report.borrowed) && passed >= totalOf(report.passed) && row.returned >= owed
+  );
+}
+
+/**
+ * Reports a holder's counters and grants it what it needs, as far as units are left.
+ * A waiting request gets whatever is left, also less than it lacks: peers may have the rest.
+ * @param shard - shard in force
+ * @param ask - counters, demand and need of the holder
+ * @returns the change of the shard and what the holder learns
+ */
+export function drawUnits(shard: BudgetShard, ask: DrawRequest): Change<BudgetShard, DrawAnswer> {
+  const { report } = ask;
+  const reported = applyReport(shard, report);
+  const budget = reported.budgets.find(({ name }) => name === report.budget);
+  if (!budget) return { kind: 'keep', outcome: UNKNOWN };
+  const target = targetUnits(ask.demand, outlookOf(budget, ask));
+  const wanted = Math.max(ask.missing, target - ask.available);
+  const asked = { ...report, granted: ask.granted, needed: 1, wanted };
+  const change = wanted > 0 ? grant(reported, asked) : undefined;
+  const { granted, left } = change?.outcome ?? {
+    granted: ask.granted,
+    left: unallocated(budget),
+  };
+  const outcome: DrawAnswer = {
+    known: true,
+    granted,
+    left,
+    target,
+    loans: loansTo(budget, report.holder),
+    others: othersOf(budget, report.holder),
+    reported: isReported(budget, report),
+  };
+  if (change?.kind === 'write') return { ...change, outcome };
+  const kept = returnedOf(reported, report.budget) === returnedOf(shard, report.budget);
+  return kept ? { kind: 'keep', outcome } : { kind: 'write', value: reported, outcome };
+}
--- a/src/budget/escrow.ts
+++ b/src/budget/escrow.ts
@@ -1,14 +1,31 @@
 /** Escrow: what one holder may still spend from one budget, as plain data and rules. */
+import { z } from 'zod';
+
 import { Err, failure, Ok } from '../kernel/index.js';
 
 import type { Failure, Result } from '../kernel/index.js';
 
+/** Schema of a counter that one holder keeps for another; it only grows. */
+export const peerCounterSchema = z
+  .object({
+    /** Incarnation on the other side. */
+    peer: z.string(),
+    units: z.number().int().nonnegative(),
+  })
+  .readonly();
+
+/** A counter that one holder keeps for another. */
+export type PeerCounter = z.infer<typeof peerCounterSchema>;
+
 /** Counters of a holder; all but "reserved" only grow. */
 export interface Escrow {
   readonly budget: string;
+  /** Units drawn from the store. */
   readonly granted: number;
-  /** Units lent to other holders. */
-  readonly passed: number;
+  /** Units that other holders lent, by lender. */
+  readonly borrowed: readonly PeerCounter[];
+  /** Units lent to other holders, by borrower. */
+  readonly passed: readonly PeerCounter[];
   readonly spent: number;
   readonly returned: number;
   /** Worst cases of the requests that are running. */
@@ -21,7 +38,40 @@
  * @returns an empty escrow
  */
 export function emptyEscrow(budget: string): Escrow {
-  return { budget, granted: 0, passed: 0, spent: 0, returned: 0, reserved: 0 };
+  return { budget, granted: 0, borrowed: [], passed: [], spent: 0, returned: 0, reserved: 0 };
+}
+
+/**
+ * Adds up counters.
+ * @param counters - counters of several peers
+ * @returns units
+ */
+export function totalOf(counters: readonly PeerCounter[]): number {
+  return counters.reduce((sum, { units }) => sum + units, 0);
+}
+
+/**
+ * Gives the counter of one peer.
+ * @param counters - counters of several peers
+ * @param peer - incarnation of the peer
+ * @returns units; 0 for a peer without a counter
+ */
+export function counterOf(counters: readonly PeerCounter[], peer: string): number {
+  return counters.find((counter) => counter.peer === peer)?.units ?? 0;
+}
+
+/**
+ * Raises the counter of one peer; a lower value changes nothing.
+ * @param counters - counters of several peers
+ * @param next - the counter as it was heard of
+ * @returns the counters
+ */
+export function raiseCounter(
+  counters: readonly PeerCounter[],
+  next: PeerCounter,
+): readonly PeerCounter[] {
+  if (next.units <= counterOf(counters, next.peer)) return counters;
+  return [...counters.filter(({ peer }) => peer !== next.peer), next];
 }
 
 /**
@@ -30,7 +80,8 @@
  * @returns units
  */
 export function available(escrow: Escrow): number {
-  return escrow.granted - escrow.passed - escrow.spent - escrow.returned - escrow.reserved;
+  const got = escrow.granted + totalOf(escrow.borrowed);
+  return got - totalOf(escrow.passed) - escrow.spent - escrow.returned - escrow.reserved;
 }
 
 /**
@@ -63,9 +114,43 @@
 /**
  * Takes note of the units that the store has granted in all.
  * @param escrow - the escrow
- * @param granted - counter of the holder's row
+ * @param granted - units drawn under the holder's row
  * @returns the escrow; an older counter changes nothing
  */
 export function receiveGrant(escrow: Escrow, granted: number): Escrow {
   return granted > escrow.granted ? { ...escrow, granted } : escrow;
 }
+
+/**
+ * Takes note of the units that another holder has lent in all.
+ * @param escrow - the escrow
+ * @param loan - lender and its counter for this holder
+ * @returns the escrow; an older counter changes nothing
+ */
+export function receiveLoan(escrow: Escrow, loan: PeerCounter): Escrow {
+  return { ...escrow, borrowed: raiseCounter(escrow.borrowed, loan) };
+}
+
+/**
+ * Lends units to another holder.
+ * @param escrow - the escrow
+ * @param peer - incarnation of the borrower
+ * @param units - units to lend
+ * @returns the escrow; no more is lent than is available
+ */
+export function passUnits(escrow: Escrow, peer: string, units: number): Escrow {
+  const lent = Math.max(0, Math.min(units, available(escrow)));
+  const next = { peer, units: counterOf(escrow.passed, peer) + lent };
+  return { ...escrow, passed: raiseCounter(escrow.passed, next) };
+}
+
+/**
+ * Gives units up, before the store is told.
+ * @param escrow - the escrow
+ * @param units - units that are not needed
+ * @returns the escrow; no more is given up than is available
+ */
+export function returnUnits(escrow: Escrow, units: number): Escrow {
+  const freed = Math.max(0, Math.min(units, available(escrow)));
+  return { ...escrow, returned: escrow.returned + freed };
+}
--- a/src/budget/index.ts
+++ b/src/budget/index.ts
@@ -1,5 +1,12 @@
-/** Budget aggregate: escrow, grants, reservations and charge lines. */
+/** Budget aggregate: escrow, demand, grants, loans, reservations and charge lines. */
+export * from './admit.js';
 export * from './charge.js';
+export * from './demand.js';
+export * from './draw.js';
 export * from './escrow.js';
 export * from './ledger.js';
+export * from './lending.js';
+export * from './messages.js';
 export * from './shard.js';
+export * from './sizing.js';
+export * from './transfer.js';
--- a/src/budget/ledger.ts
+++ b/src/budget/ledger.ts
@@ -1,4 +1,4 @@
-/** Rules of a budget shard: every version of it keeps rule S1. */
+/** Rules of a budget shard: no version of it grants more than was paid. */
 import type { Change } from '../platform/index.js';
 import type { ChargeLine } from './charge.js';
 import type { BudgetRecord, BudgetShard, HolderEntry, HolderRow } from './shard.js';
@@ -8,7 +8,7 @@
   readonly holder: string;
   readonly backup: string | null;
   readonly budget: string;
-  /** What the holder believes its row grants: a higher stored value is an earlier lost answer. */
+  /** What the holder believes it has drawn: a higher stored value is an earlier lost answer. */
   readonly granted: number;
   /** Least units that are of use. */
   readonly needed: number;
@@ -18,7 +18,7 @@
 
 /** What the shard grants after a request. */
 export interface GrantAnswer {
-  /** Units granted to the row in all. */
+  /** Units that the holder has drawn in all, without those transferred to it. */
   readonly granted: number;
   /** Units of the budget that no row holds. */
   readonly left: number;
@@ -46,24 +46,58 @@
   return budget.rows.reduce((spent, row) => spent + row.spent, budget.retired);
 }
 
-function replaceBudget(shard: BudgetShard, next: BudgetRecord): BudgetShard {
+/**
+ * Replaces one budget of a shard.
+ * @param shard - the shard
+ * @param next - the budget in its new form
+ * @returns the shard with it
+ */
+export function replaceBudget(shard: BudgetShard, next: BudgetRecord): BudgetShard {
   const budgets = shard.budgets.map((budget) => (budget.name === next.name ? next : budget));
   return { ...shard, budgets };
 }
 
-function withHolder(shard: BudgetShard, holder: string, backup: string | null): BudgetShard {
+/**
+ * Adds the entry of a holder, unless there is one.
+ * @param shard - the shard
+ * @param holder - incarnation
+ * @param backup - who keeps its copies, as far as known
+ * @returns the shard with the entry
+ */
+export function withHolder(shard: BudgetShard, holder: string, backup: string | null): BudgetShard {
   const found = shard.holders.find((entry) => entry.holder === holder);
   if (found) return shard;
   const entry: HolderEntry = { holder, backup, settled: 0 };
   return { ...shard, holders: [...shard.holders, entry] };
 }
 
-function withRow(budget: BudgetRecord, next: HolderRow): BudgetRecord {
+/**
+ * Replaces the row of one holder.
+ * @param budget - the budget
+ * @param next - the row in its new form
+ * @returns the budget with it
+ */
+export function withRow(budget: BudgetRecord, next: HolderRow): BudgetRecord {
   const others = budget.rows.filter((row) => row.holder !== next.holder);
   return { ...budget, rows: [...others, next] };
 }
 
-function rowOf(budget: BudgetRecord, holder: string): HolderRow {
+/**
+ * Gives the units that a holder has drawn, without those transferred to its row.
+ * @param row - the row
+ * @returns units
+ */
+export function drawnOf(row: HolderRow): number {
+  return row.granted - (row.received ?? 0);
+}
+
+/**
+ * Gives the row of a holder.
+ * @param budget - the budget
+ * @param holder - incarnation
+ * @returns its row; an empty one if it has none
+ */
+export function rowOf(budget: BudgetRecord, holder: string): HolderRow {
   const found = budget.rows.find((row) => row.holder === holder);
   return found ?? { holder, granted: 0, spent: 0, returned: 0 };
 }
@@ -80,13 +114,14 @@
   const row = rowOf(budget, ask.holder);
   const left = unallocated(budget);
   const short = left < ask.needed;
-  if (row.granted > ask.granted || short) {
-    return { kind: 'keep', outcome: { granted: row.granted, left, known: true } };
+  const drawn = drawnOf(row);
+  if (drawn > ask.granted || short) {
+    return { kind: 'keep', outcome: { granted: drawn, left, known: true } };
   }
   const units = Math.min(left, ask.wanted);
   const next = withRow(budget, { ...row, granted: row.granted + units });
   const value = withHolder(replaceBudget(shard, next), ask.holder, ask.backup);
-  const outcome = { granted: row.granted + units, left: left - units, known: true };
+  const outcome = { granted: drawn + units, left: left - units, known: true };
   return { kind: 'write', value, outcome };
 }
 
--- a/src/budget/shard.ts
+++ b/src/budget/shard.ts
@@ -2,6 +2,7 @@
 import { z } from 'zod';
 
 import { hash32 } from '../kernel/index.js';
+import { peerCounterSchema } from './escrow.js';
 
 /** Schema of the counters of one holder in one budget; all of them only grow. */
 export const rowSchema = z
@@ -10,7 +11,14 @@
     holder: z.string(),
     granted: z.number().int().nonnegative(),
     spent: z.number().int().nonnegative(),
+    /** Units given up, those transferred to other rows included. */
     returned: z.number().int().nonnegative(),
+    /** Part of "granted" that was transferred from other rows; absent for none. */
+    received: z.number().int().nonnegative().optional(),
+    /** Units transferred to other rows, by borrower; absent for none. */
+    passed: z.array(peerCounterSchema).readonly().optional(),
+    /** Smoothed use, in units a second, when the holder last wrote. */
+    demand: z.number().nonnegative().optional(),
   })
   .readonly();
 
