Route decisions: affinity with bounded load, fair queue, ejection, retry budget

The thin path sent each request to the upstream with the fewest own open requests and had no queue, limits or retry budget. One scheduler a route now decides what is dispatched, what waits and what is refused early; choice policies share one shape, with round robin, least open and random of two as baselines. Wired into the runs of requests.

--- a/src/daemon/callers.controller.ts
+++ b/src/daemon/callers.controller.ts
@@ -8,6 +8,7 @@
   FAILURE_KINDS,
   formatFailure,
   newRequestKey,
+  retryAfter,
   sha256,
 } from '../kernel/index.js';
 import { parseChatRequest, serve, worstCase } from '../request/index.js';
@@ -163,7 +164,7 @@
     this.#recordRefusal(key, fail);
     void reply
       .status(FAILURE_KINDS[fail.code].status)
-      .header('idempotency-key', key)
+      .headers({ 'idempotency-key': key, ...retryAfter(fail) })
       .send(formatFailure(fail));
   }
 
--- a/src/daemon/modelrun.ts
+++ b/src/daemon/modelrun.ts
@@ -1,6 +1,7 @@
 /** One model request: streams the engine's answer to the caller. */
 import { failure } from '../kernel/index.js';
 import { outputLimit } from '../request/index.js';
+import { prefixDigests } from '../route/index.js';
 import { RequestRun } from './requestrun.js';
 
 import type { UpstreamDocument } from '../config/index.js';
@@ -44,8 +45,10 @@
 
   protected override async relayAnswer(): Promise<ServeEvent> {
     for await (const item of this.#stream ?? []) {
-      if (item.kind === 'part') await this.sink.write(item.bytes);
-      else if (item.kind === 'cut') return this.#cut(item.reason);
+      if (item.kind === 'part') {
+        this.noteFirstByte();
+        await this.sink.write(item.bytes);
+      } else if (item.kind === 'cut') return this.#cut(item.reason);
       else {
         const units = item.usage.promptTokens + item.usage.completionTokens;
         return { type: 'answered', units };
@@ -54,6 +57,10 @@
     return this.#cut('the stream has no end');
   }
 
+  protected override promptDigests(): readonly number[] {
+    return prefixDigests(this.input.tenant.workspace.name, this.req.messages);
+  }
+
   #cut(reason: string): ServeEvent {
     const outcome = this.sink.started ? 'interrupted' : 'unknown';
     const fail = failure('upstream-lost', reason, outcome);
--- a/src/daemon/requestrun.ts
+++ b/src/daemon/requestrun.ts
@@ -26,6 +26,13 @@
 
   #upstream: UpstreamDocument | undefined;
 
+  #entered = false;
+
+  #dispatchedAt = 0;
+
+  /** Whether the answer of the running attempt has begun. */
+  #begun = false;
+
   /**
    * Creates the run of one request.
    * @param input - who asks for what
@@ -108,13 +115,18 @@
     return { type: 'failed', fail: failure('store-unavailable', 'claim of the request') };
   }
 
-  #choose(excluded: readonly string[]): ServeEvent {
-    const { serving, route } = this.input;
-    const upstreams = serving.config.current?.upstreams(route.name) ?? [];
-    const openAt = (name: string): number => serving.open.at(name);
-    this.#upstream = serving.policy.choose({ upstreams, excluded, openAt });
-    if (this.#upstream) return { type: 'chosen', upstream: this.#upstream.name };
-    return { type: 'failed', fail: failure('upstream-unavailable', `route ${route.name}`) };
+  async #choose(excluded: readonly string[]): Promise<ServeEvent> {
+    const { serving, route, tenant, key, signal } = this.input;
+    const { workspace } = tenant;
+    const limited = this.#entered ? undefined : serving.routing.enter(workspace);
+    if (limited) return { type: 'failed', fail: limited };
+    this.#entered = true;
+    const id = `${key}.${this.#attempts}`;
+    const digests = this.promptDigests();
+    const placed = await serving.routing.place({ id, workspace, route, digests, excluded, signal });
+    if (placed.err) return { type: 'failed', fail: placed.val };
+    this.#upstream = placed.val;
+    return { type: 'chosen', upstream: this.#upstream.name };
   }
 
   async #dispatch(): Promise<ServeEvent> {
@@ -123,22 +135,26 @@
     if (!upstream) return { type: 'failed', fail: failure('upstream-unavailable', 'route') };
     this.#attempts += 1;
     serving.open.add(upstream.name, 1);
+    this.#dispatchedAt = performance.now();
+    this.#begun = false;
     serving.recorder.record('requestDispatched', { request: key, upstream: upstream.name });
     const sent = await this.send(upstream, `${key}.${serving.self}.${this.#attempts}`);
     if (sent.ok) return { type: 'done' };
-    serving.open.add(upstream.name, -1);
+    this.#end(upstream, sent.val.code !== 'upstream-refused');
     return { type: 'failed', fail: sent.val };
   }
 
   async #relay(): Promise<ServeEvent> {
     const result = await this.relayAnswer();
-    if (this.#upstream) this.input.serving.open.add(this.#upstream.name, -1);
+    const failed = result.type === 'cut' && !this.input.signal.aborted;
+    if (this.#upstream) this.#end(this.#upstream, failed);
     return result;
   }
 
   async #record(units: number): Promise<ServeEvent> {
     const { serving, tenant, key } = this.input;
     const { budget, workspace } = tenant;
+    this.#leave();
     await serving.budgets.ask({ type: 'settle', budget, reserved: this.#reserved, used: units });
     const charge = { key, workspace: workspace.name, budget, units };
     if (await serving.charges.record(charge)) return { type: 'done' };
@@ -147,11 +163,37 @@
 
   async #release(): Promise<ServeEvent> {
     const { serving, tenant } = this.input;
+    this.#leave();
     const { budget } = tenant;
     await serving.budgets.ask({ type: 'settle', budget, reserved: this.#reserved, used: 0 });
     return { type: 'done' };
   }
 
+  /** Digests of the prompt at its block boundaries; none for calls without a prompt. */
+  protected promptDigests(): readonly number[] {
+    return [];
+  }
+
+  /** Takes note that the answer has begun. */
+  protected noteFirstByte(): void {
+    if (this.#begun) return;
+    this.#begun = true;
+    const { serving, route } = this.input;
+    const delayMs = performance.now() - this.#dispatchedAt;
+    if (this.#upstream) serving.routing.begin(route, this.#upstream.name, delayMs);
+  }
+
+  #end(upstream: UpstreamDocument, isFailed: boolean): void {
+    const { serving, route } = this.input;
+    serving.open.add(upstream.name, -1);
+    serving.routing.end(route, upstream.name, isFailed);
+  }
+
+  #leave(): void {
+    if (this.#entered) this.input.serving.routing.leave(this.input.tenant.workspace);
+    this.#entered = false;
+  }
+
   /** A result without a value. */
   protected static accepted(): Result<void, Failure> {
     return Ok(undefined);
--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -5,7 +5,6 @@
 import { newIncarnation, SystemClock } from '../kernel/index.js';
 import { Directory, WsPeerNetwork } from '../link/index.js';
 import { HttpInstanceList, HttpObjectStore } from '../platform/index.js';
-import { LeastOpenPolicy } from '../route/index.js';
 import { Recorder } from '../telemetry/index.js';
 import { HttpModelEngine, HttpPlainService } from '../upstream/index.js';
 import { Backups } from './backups.js';
@@ -14,6 +13,7 @@
 import { ConfigTask } from './configtask.js';
 import { Grants } from './grants.js';
 import { Operations } from './operations.js';
+import { Routing } from './routing.js';
 import { OpenWork } from './serving.js';
 import { splitAddress } from './settings.js';
 
@@ -76,6 +76,7 @@
     const budgets = new BudgetTask();
     const backups = new Backups(self, settings.dataCentre, this.network);
     const backup = (): string | null => backups.choice ?? null;
+    const daemons = (): number => this.network.peers().length + 1;
     this.serving = {
       self,
       settings,
@@ -84,7 +85,7 @@
       budgets,
       grants: new Grants({ self, store, budgets, config, recorder, backup }),
       charges: new Charges({ self, store, backups, config, recorder }),
-      policy: new LeastOpenPolicy(),
+      routing: new Routing({ config, recorder, random: Math.random, daemons }),
       engine: new HttpModelEngine(),
       service: new HttpPlainService(),
       recorder,
@@ -103,6 +104,7 @@
     await this.#directory.start();
     this.network.start();
     this.serving.charges.start();
+    this.serving.routing.start();
     void this.serving.config.run();
     this.#phase = 'serving';
     this.recorder.record('daemonStarted');
@@ -118,6 +120,7 @@
   async finishStop(): Promise<void> {
     const { charges, config } = this.serving;
     charges.stop();
+    this.serving.routing.stop();
     await charges.flush();
     config.stop();
     this.#directory.stop();
--- a/src/daemon/servicerun.ts
+++ b/src/daemon/servicerun.ts
@@ -42,6 +42,7 @@
     const answered = await serving.service.call(upstream.url, call);
     if (answered.err) return RequestRun.rejected(answered.val);
     this.#answer = answered.val;
+    this.noteFirstByte();
     return RequestRun.accepted();
   }
 
--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -5,9 +5,9 @@
 import type { Grants } from './grants.js';
 import type { Incarnation } from '../kernel/index.js';
 import type { ObjectStore } from '../platform/index.js';
-import type { ChoicePolicy } from '../route/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { ModelEngine, PlainService } from '../upstream/index.js';
+import type { Routing } from './routing.js';
 import type { Settings } from './settings.js';
 
 /** Tasks and clients that every request uses. */
@@ -19,7 +19,7 @@
   readonly budgets: BudgetTask;
   readonly grants: Grants;
   readonly charges: Charges;
-  readonly policy: ChoicePolicy;
+  readonly routing: Routing;
   readonly engine: ModelEngine;
   readonly service: PlainService;
   readonly recorder: Recorder;
--- a/src/daemon/streamsink.ts
+++ b/src/daemon/streamsink.ts
@@ -2,7 +2,7 @@
 import { once } from 'node:events';
 
 import type { ServerResponse } from 'node:http';
-import { FAILURE_KINDS, formatFailure } from '../kernel/index.js';
+import { FAILURE_KINDS, formatFailure, retryAfter } from '../kernel/index.js';
 import { AnswerSink } from './answersink.js';
 
 import type { Failure } from '../kernel/index.js';
@@ -49,6 +49,7 @@
     this.res.writeHead(FAILURE_KINDS[fail.code].status, {
       'content-type': 'application/json',
       'idempotency-key': this.key,
+      ...retryAfter(fail),
     });
     this.res.end(body);
   }
--- a/src/daemon/wholesink.ts
+++ b/src/daemon/wholesink.ts
@@ -2,7 +2,7 @@
 import { z } from 'zod';
 
 import type { ServerResponse } from 'node:http';
-import { FAILURE_KINDS, formatFailure } from '../kernel/index.js';
+import { FAILURE_KINDS, formatFailure, retryAfter } from '../kernel/index.js';
 import { AnswerSink } from './answersink.js';
 
 import type { Failure } from '../kernel/index.js';
@@ -48,7 +48,7 @@
   }
 
   override refuse(fail: Failure): void {
-    this.#send(FAILURE_KINDS[fail.code].status, formatFailure(fail));
+    this.#send(FAILURE_KINDS[fail.code].status, formatFailure(fail), retryAfter(fail));
   }
 
   #assemble(): unknown {
@@ -75,10 +75,11 @@
     };
   }
 
-  #send(status: number, body: unknown): void {
+  #send(status: number, body: unknown, headers: Readonly<Record<string, string>> = {}): void {
     this.res.writeHead(status, {
       'content-type': 'application/json',
       'idempotency-key': this.key,
+      ...headers,
     });
     this.res.end(JSON.stringify(body));
   }
--- a/src/kernel/failure.ts
+++ b/src/kernel/failure.ts
@@ -1,5 +1,7 @@
 /** Failures as data: one code each, formatted only where they leave the process. */
 
+import { SECOND_MS } from './units.js';
+
 /** What is known about a request that was not answered. */
 export type Outcome = 'not-run' | 'unknown' | 'interrupted';
 
@@ -143,6 +145,8 @@
   readonly outcome: Outcome;
   /** What the failure is about: a field, a route, an object key. */
   readonly subject: string;
+  /** Delay after which a refused request may be repeated, in milliseconds. */
+  readonly retryAfterMs?: number;
 }
 
 /** A failure as callers and operators receive it. */
@@ -183,6 +187,16 @@
   };
 }
 
+/**
+ * Gives the header that tells a caller when to try again.
+ * @param fail - the failure
+ * @returns "retry-after" in whole seconds, or no header
+ */
+export function retryAfter(fail: Failure): Readonly<Record<string, string>> {
+  if (fail.retryAfterMs === undefined) return {};
+  return { 'retry-after': String(Math.ceil(fail.retryAfterMs / SECOND_MS)) };
+}
+
 /** Thrown by the throwing twin of a result-returning call. */
 export class FailureError extends Error {
   /**
--- a/src/route/choice.ts
+++ b/src/route/choice.ts
@@ -1,21 +1,36 @@
-/** Choice of the upstream for a request. */
-import type { UpstreamDocument } from '../config/index.js';
+/** Choice of the worker for a request. */
+import type { Worker } from './worker.js';
+
+/** A worker that may take a request, with its load at the moment of the choice. */
+export interface Candidate {
+  readonly worker: Worker;
+  /** Estimated open requests as a share of the trusted capacity. */
+  readonly load: number;
+}
 
 /** What a choice is made from. */
 export interface ChoiceInput {
-  readonly upstreams: readonly UpstreamDocument[];
-  /** Upstreams that earlier attempts of the request have tried. */
-  readonly excluded: readonly string[];
-  /** Open requests that this daemon has at an upstream. */
-  readonly openAt: (upstream: string) => number;
+  /** Workers that have room and may take the request. */
+  readonly candidates: readonly Candidate[];
+  /** Mean load of the candidates. */
+  readonly meanLoad: number;
+  /** Digests of the prompt at its block boundaries; empty for plain services. */
+  readonly digests: readonly number[];
 }
 
-/** Decides which upstream receives a request. */
+/** Decides which worker receives a request. */
 export abstract class ChoicePolicy {
   /**
-   * Chooses an upstream.
+   * Chooses a worker.
    * @param input - candidates and their load
-   * @returns the upstream; undefined if none may take the request
+   * @returns the worker; undefined if there is no candidate
+   */
+  abstract choose(input: ChoiceInput): Worker | undefined;
+
+  /**
+   * Takes note of where a prompt went.
+   * @param _worker - worker that received it
+   * @param _digests - digests of the prompt
    */
-  abstract choose(input: ChoiceInput): UpstreamDocument | undefined;
+  noteDispatch(_worker: Worker, _digests: readonly number[]): void {}
 }
--- /dev/null
+++ b/src/route/randomoftwo.ts
@@ -0,0 +1,27 @@
+/** Random of two: a baseline of the choice policies. */
+import { ChoicePolicy } from './choice.js';
+
+import type { Candidate, ChoiceInput } from './choice.js';
+import type { Worker } from './worker.js';
+
+/** Draws two workers and chooses the one with less load. */
+export class RandomOfTwoPolicy extends ChoicePolicy {
+  /**
+   * Creates the policy.
+   * @param random - random numbers in [0, 1)
+   */
+  constructor(private readonly random: () => number) {
+    super();
+  }
+
+  override choose({ candidates }: ChoiceInput): Worker | undefined {
+    const first = this.#draw(candidates);
+    const second = this.#draw(candidates);
+    if (!first || !second) return undefined;
+    return first.load <= second.load ? first.worker : second.worker;
+  }
+
+  #draw(candidates: readonly Candidate[]): Candidate | undefined {
+    return candidates[Math.floor(this.random() * candidates.length)];
+  }
+}
--- /dev/null
+++ b/src/route/roundrobin.ts
@@ -0,0 +1,24 @@
+/** Round robin: a baseline of the choice policies. */
+import { ChoicePolicy } from './choice.js';
+
+import type { ChoiceInput } from './choice.js';
+import type { Worker } from './worker.js';
+
+/** Chooses the workers in turn. */
+export class RoundRobinPolicy extends ChoicePolicy {
+  #turn: number;
+
+  /**
+   * Creates the policy.
+   * @param random - random numbers in [0, 1); daemons begin at different workers
+   */
+  constructor(random: () => number) {
+    super();
+    this.#turn = Math.floor(random() * 1_024);
+  }
+
+  override choose({ candidates }: ChoiceInput): Worker | undefined {
+    this.#turn += 1;
+    return candidates[this.#turn % Math.max(1, candidates.length)]?.worker;
+  }
+}
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -32,6 +32,7 @@
   linkSilent: { number: 5004, level: 'warn', text: 'peer link silent; it is replaced' },
   messageRejected: { number: 5005, level: 'warn', text: 'peer message rejected by its schema' },
   storeUnavailable: { number: 6001, level: 'warn', text: 'object API does not answer' },
+  upstreamEjected: { number: 7001, level: 'warn', text: 'failing upstream ejected for a while' },
 } as const satisfies Readonly<Record<string, EventKind>>;
 
 /** Names an event of the catalogue. */
