--- a/src/budget/tests/model.ts
+++ b/src/budget/tests/model.ts
@@ -192,7 +192,7 @@
   const next = { ...world, shard };
   const row = rowOf(budgetOf(next), holder.name);
   const complete = known.every(({ to, units }) => counterOf(row.passed ?? [], to) >= units);
-  const unsettled = holder.copy.lines.length > (settled.outcome);
+  const unsettled = holder.copy.lines.length > settled.outcome;
   if (!complete || unsettled) return next;
   const freed = withRow(budgetOf(next), { ...row, returned: row.granted - row.spent });
   return put({ ...next, shard: replaceBudget(shard, freed) }, { ...holder, fenced: true });
