Idempotency keys: registered at two daemons, so that a refusal's outcome is true

Cause: a repeated key that was refused (budget, limits, a stopping daemon) got not-run although an earlier attempt had been dispatched; a claim whose answer was lost burned its key. Ruled out: a store write for each request (the store takes some hundred writes a second); asking only on refusal, as then a daemon that died right after the dispatch has told nobody. Before: no memory of keys. A claim is resolved by reading it back and withdrawn when nothing ran. Conclusion: one loss between two attempts is covered; two losses within ten minutes give unknown at best.

--- a/src/daemon/callers.controller.ts
+++ b/src/daemon/callers.controller.ts
@@ -3,7 +3,6 @@
 
 import type { FastifyReply, FastifyRequest } from 'fastify';
 import {
-  drive,
   failure,
   FAILURE_KINDS,
   formatFailure,
@@ -11,7 +10,8 @@
   retryAfter,
   sha256,
 } from '../kernel/index.js';
-import { parseChatRequest, serve, worstCase } from '../request/index.js';
+import { parseChatRequest, worstCase } from '../request/index.js';
+import { refuseKeyed, serveKeyed } from './keyedrun.js';
 import { ModelRun } from './modelrun.js';
 import { Runtime } from './runtime.js';
 import { ServiceRun } from './servicerun.js';
@@ -22,7 +22,16 @@
 import type { Failure } from '../kernel/index.js';
 import type { RunInput } from './requestrun.js';
 
-/** A caller whose key and route were found. */
+/** One request of a caller. */
+interface Exchange {
+  readonly req: FastifyRequest;
+  readonly reply: FastifyReply;
+  readonly key: string;
+  /** Whether the caller gave the key. */
+  readonly keyGiven: boolean;
+}
+
+/** A caller whose workspace key and route were found. */
 interface Admitted {
   readonly tenant: Tenant;
   readonly route: Route;
@@ -36,9 +45,10 @@
   return header.startsWith('Bearer ') ? header.slice('Bearer '.length) : '';
 }
 
-function requestKey(req: FastifyRequest): string {
+function exchangeOf(req: FastifyRequest, reply: FastifyReply): Exchange {
   const given = req.headers['idempotency-key'];
-  return typeof given === 'string' && given !== '' ? given : newRequestKey();
+  const keyGiven = typeof given === 'string' && given !== '';
+  return { req, reply, key: keyGiven ? given : newRequestKey(), keyGiven };
 }
 
 function isFailure(value: object): value is Failure {
@@ -69,27 +79,26 @@
    */
   @Post('/v1/chat/completions')
   async complete(@Req() req: FastifyRequest, @Res() reply: FastifyReply): Promise<void> {
-    const key = requestKey(req);
+    const exchange = exchangeOf(req, reply);
+    const { key } = exchange;
     const parsed = parseChatRequest(parseJson(req.body));
     if (parsed.err) {
-      this.#refuse(reply, key, parsed.val);
+      await this.#refuse(exchange, parsed.val);
       return;
     }
-    const admitted = this.#admit(req, parsed.val.model, 'model');
+    const chat = parsed.val;
+    const admitted = this.#admit(req, chat.model, 'model');
     if (isFailure(admitted)) {
-      this.#refuse(reply, key, admitted);
+      await this.#refuseEarly(exchange, admitted);
       return;
     }
     reply.hijack();
-    const chat = parsed.val;
     const sink = chat.stream ? new StreamSink(reply.raw, key) : new WholeSink(reply.raw, key);
-    const input = this.#input(reply, key, admitted, worstCase(chat, admitted.route));
+    const input = this.#input(exchange, admitted, worstCase(chat, admitted.route));
     const run = new ModelRun(input, chat, sink);
-    const { route } = admitted;
-    const outcome = await drive(
-      serve({ worstCase: input.worstCase, idempotent: true, retries: route.retries }),
-      (command) => run.perform(command),
-    );
+    const digest = sha256(String(req.body));
+    const { retries } = admitted.route;
+    const outcome = await serveKeyed(run, { idempotent: true, retries }, digest);
     if (outcome.type === 'whole') {
       sink.finish();
       this.runtime.recorder.record('requestAnswered', { request: key });
@@ -106,28 +115,26 @@
    */
   @All('/services/*')
   async pass(@Req() req: FastifyRequest, @Res() reply: FastifyReply): Promise<void> {
-    const key = requestKey(req);
+    const exchange = exchangeOf(req, reply);
+    const { key } = exchange;
     const [name = '', ...rest] = req.url.slice(SERVICE_PREFIX.length).split('/');
     const admitted = this.#admit(req, name, 'service');
     if (isFailure(admitted)) {
-      this.#refuse(reply, key, admitted);
+      await this.#refuseEarly(exchange, admitted);
       return;
     }
-    const { route } = admitted;
-    const input = this.#input(reply, key, admitted, route.unitsPerCall);
+    const { idempotent, retries, unitsPerCall } = admitted.route;
+    const input = this.#input(exchange, admitted, unitsPerCall);
     const run = new ServiceRun(input, {
       method: req.method,
       path: `/${rest.join('/')}`,
       contentType: req.headers['content-type'] ?? 'application/octet-stream',
       body: Buffer.isBuffer(req.body) ? req.body : Buffer.alloc(0),
     });
-    const { idempotent, retries } = route;
-    const outcome = await drive(
-      serve({ worstCase: input.worstCase, idempotent, retries }),
-      (command) => run.perform(command),
-    );
+    const digest = sha256(`${req.method} ${req.url}\n${String(req.body ?? '')}`);
+    const outcome = await serveKeyed(run, { idempotent, retries }, digest);
     if (outcome.type === 'refused') {
-      this.#refuse(reply, key, outcome.fail);
+      await this.#refuse(exchange, outcome.fail);
       return;
     }
     this.runtime.recorder.record('requestAnswered', { request: key });
@@ -150,19 +157,33 @@
     return { tenant, route };
   }
 
-  #input(reply: FastifyReply, key: string, admitted: Admitted, units: number): RunInput {
+  #input(exchange: Exchange, admitted: Admitted, units: number): RunInput {
+    const { reply, key, keyGiven } = exchange;
     const caller = new AbortController();
     reply.raw.once('close', () => {
       if (!reply.raw.writableEnded) caller.abort();
     });
     const { tenant, route } = admitted;
     const { serving } = this.runtime;
-    return { serving, tenant, route, key, worstCase: units, signal: caller.signal };
+    const { signal } = caller;
+    return { serving, tenant, route, key, keyGiven, worstCase: units, signal };
+  }
+
+  /** Refuses before the request was served; an earlier attempt with the key may have run. */
+  async #refuseEarly(exchange: Exchange, fail: Failure): Promise<void> {
+    const { serving } = this.runtime;
+    const tenant = serving.config.current?.tenant(sha256(bearer(exchange.req)));
+    if (!exchange.keyGiven || !tenant) {
+      await this.#refuse(exchange, fail);
+      return;
+    }
+    const name = { workspace: tenant.workspace.name, key: exchange.key };
+    await this.#refuse(exchange, await refuseKeyed(serving, name, fail));
   }
 
-  #refuse(reply: FastifyReply, key: string, fail: Failure): void {
+  async #refuse({ reply, key }: Exchange, fail: Failure): Promise<void> {
     this.#recordRefusal(key, fail);
-    void reply
+    await reply
       .status(FAILURE_KINDS[fail.code].status)
       .headers({ 'idempotency-key': key, ...retryAfter(fail) })
       .send(formatFailure(fail));
--- a/src/daemon/requestrun.ts
+++ b/src/daemon/requestrun.ts
@@ -1,6 +1,5 @@
 /** Performs the commands of one request. */
 import { Err, failure, Ok } from '../kernel/index.js';
-import { claimKey } from '../request/index.js';
 
 import type { Route, Tenant, UpstreamDocument } from '../config/index.js';
 import type { Failure, Result } from '../kernel/index.js';
@@ -13,6 +12,8 @@
   readonly tenant: Tenant;
   readonly route: Route;
   readonly key: string;
+  /** Whether the caller gave the key, so that an earlier attempt may exist. */
+  readonly keyGiven: boolean;
   readonly worstCase: number;
   /** Aborted when the caller leaves. */
   readonly signal: AbortSignal;
@@ -26,6 +27,8 @@
 
   #upstream: UpstreamDocument | undefined;
 
+  #held: Claim | undefined;
+
   #entered = false;
 
   #dispatchedAt = 0;
@@ -37,7 +40,12 @@
    * Creates the run of one request.
    * @param input - who asks for what
    */
-  constructor(protected readonly input: RunInput) {}
+  constructor(readonly input: RunInput) {}
+
+  /** Whether an upstream may have received the request. */
+  get dispatched(): boolean {
+    return this.#attempts > 0;
+  }
 
   /**
    * Performs one command.
@@ -50,6 +58,8 @@
         return this.#reserve(command.units);
       case 'claim':
         return this.#claim();
+      case 'unclaim':
+        return this.#unclaim();
       case 'choose':
         return this.#choose(command.excluded);
       case 'dispatch':
@@ -104,15 +114,15 @@
 
   async #claim(): Promise<ServeEvent> {
     const { serving, tenant, key } = this.input;
-    const { name } = tenant.workspace;
-    const at = Date.now();
-    const claim: Claim = { workspace: name, key, owner: serving.self, attempt: `${at}`, at };
-    const made = await serving.store.write(claimKey(name, key), claim, 0);
-    if (made.ok) return { type: 'done' };
-    if (made.val.problem === 'conflict') {
-      return { type: 'failed', fail: failure('outcome-unknown', `key ${key}`, 'unknown') };
-    }
-    return { type: 'failed', fail: failure('store-unavailable', 'claim of the request') };
+    const made = await serving.claims.acquire({ workspace: tenant.workspace.name, key });
+    if (made.err) return { type: 'failed', fail: made.val };
+    this.#held = made.val;
+    return { type: 'done' };
+  }
+
+  async #unclaim(): Promise<ServeEvent> {
+    if (this.#held) await this.input.serving.claims.withdraw(this.#held);
+    return { type: 'done' };
   }
 
   async #choose(excluded: readonly string[]): Promise<ServeEvent> {
@@ -134,6 +144,10 @@
     const upstream = this.#upstream;
     if (!upstream) return { type: 'failed', fail: failure('upstream-unavailable', 'route') };
     this.#attempts += 1;
+    if (this.input.keyGiven) {
+      const workspace = this.input.tenant.workspace.name;
+      void serving.keys.note({ workspace, key }, 'running', upstream.name);
+    }
     serving.open.add(upstream.name, 1);
     this.#dispatchedAt = performance.now();
     this.#begun = false;
--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -10,8 +10,10 @@
 import { Backups } from './backups.js';
 import { BudgetTask } from './budgettask.js';
 import { Charges } from './charges.js';
+import { Claims } from './claims.js';
 import { ConfigTask } from './configtask.js';
 import { Grants } from './grants.js';
+import { KeyRegistry } from './keyregistry.js';
 import { Operations } from './operations.js';
 import { Routing } from './routing.js';
 import { OpenWork } from './serving.js';
@@ -84,6 +86,8 @@
       config,
       budgets,
       grants: new Grants({ self, store, budgets, config, recorder, backup }),
+      claims: new Claims(self, store),
+      keys: new KeyRegistry(self, this.network),
       charges: new Charges({ self, store, backups, config, recorder }),
       routing: new Routing({ config, recorder, random: Math.random, daemons }),
       engine: new HttpModelEngine(),
@@ -122,6 +126,7 @@
     charges.stop();
     this.serving.routing.stop();
     await charges.flush();
+    await this.serving.keys.handOver();
     config.stop();
     this.#directory.stop();
     await this.network.stop();
--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -2,7 +2,9 @@
 import type { ConfigTask } from './configtask.js';
 import type { BudgetTask } from './budgettask.js';
 import type { Charges } from './charges.js';
+import type { Claims } from './claims.js';
 import type { Grants } from './grants.js';
+import type { KeyRegistry } from './keyregistry.js';
 import type { Incarnation } from '../kernel/index.js';
 import type { ObjectStore } from '../platform/index.js';
 import type { Recorder } from '../telemetry/index.js';
@@ -19,6 +21,8 @@
   readonly budgets: BudgetTask;
   readonly grants: Grants;
   readonly charges: Charges;
+  readonly claims: Claims;
+  readonly keys: KeyRegistry;
   readonly routing: Routing;
   readonly engine: ModelEngine;
   readonly service: PlainService;
--- a/src/request/index.ts
+++ b/src/request/index.ts
@@ -1,4 +1,7 @@
 /** Request aggregate: keys, claims and outcomes. */
 export * from './claim.js';
+export * from './keyrecord.js';
+export * from './keytable.js';
+export * from './keyverdict.js';
 export * from './modelrequest.js';
 export * from './serve.js';
--- a/src/request/serve.ts
+++ b/src/request/serve.ts
@@ -16,6 +16,7 @@
 export type ServeCommand =
   | { readonly type: 'reserve'; readonly units: number }
   | { readonly type: 'claim' }
+  | { readonly type: 'unclaim' }
   | { readonly type: 'choose'; readonly excluded: readonly string[] }
   | { readonly type: 'dispatch'; readonly upstream: string }
   | { readonly type: 'relay'; readonly upstream: string }
@@ -103,6 +104,7 @@
   }
   const result = yield* attempts(req);
   if (result.type === 'failed') {
+    if (!req.idempotent && result.fail.outcome === 'not-run') yield { type: 'unclaim' };
     yield { type: 'release' };
     return { type: 'refused', fail: result.fail };
   }
