Proofs not-run and at-most-once, with callers that repeat their keys elsewhere

Cause: the two points had no proof. Before: none. Ruled out: checking after the end only, since a later repeat may run a key that was rightly called not-run before.

--- /dev/null
+++ b/proof/atmostonce.ts
@@ -0,0 +1,67 @@
+/** Proof: a non-idempotent request runs at most once, whatever fails. */
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { Fleet } from '../testbed/fleet.js';
+import { dispatchAll, summary } from './dispatching.js';
+import { ensure, Proof } from './proof.js';
+
+import type { ProofContext } from './proof.js';
+
+const CALLS = 300;
+const SPREAD_MS = 5_000;
+const ATTEMPTS = 5;
+const LOST_SHARE = 0.25;
+
+async function disturb(fleet: Fleet, random: () => number): Promise<void> {
+  fleet.store.setFaults({ loseAnswers: LOST_SHARE });
+  await delay(800);
+  fleet.service.setFaults({ loseAnswers: true });
+  await delay(400);
+  fleet.service.setFaults({ loseAnswers: false, delayMs: 200 });
+  const victim = fleet.daemon(Math.floor(random() * fleet.daemons.length));
+  victim.child.signal('SIGKILL');
+  await delay(700);
+  const paused = fleet.daemons.find(({ child }) => child.running);
+  paused?.child.signal('SIGSTOP');
+  fleet.store.setFaults({ outage: true });
+  await delay(700);
+  fleet.store.setFaults({ outage: false });
+  paused?.child.signal('SIGCONT');
+  fleet.service.setFaults({ delayMs: 0 });
+}
+
+/** Lost answers of the store and of the service, a kill, a freeze and an outage. */
+export class AtMostOnceProof extends Proof {
+  override readonly name = 'at-most-once';
+
+  override readonly point = 'a non-idempotent request runs at most once; "not-run" is true';
+
+  override readonly short = true;
+
+  override async run(ctx: ProofContext): Promise<void> {
+    const { random } = ctx;
+    const fleet = await Fleet.start({ daemons: 5, units: 100_000, random });
+    try {
+      const load = {
+        fleet,
+        route: 'dispatch',
+        calls: CALLS,
+        attempts: ATTEMPTS,
+        spreadMs: SPREAD_MS,
+        random,
+      };
+      const [stories] = await Promise.all([dispatchAll(load), disturb(fleet, random)]);
+      ctx.say(summary(stories));
+      const doubled = fleet.service.runs.filter(({ runs }) => runs > 1);
+      ensure(doubled.length === 0, `ran more than once: ${JSON.stringify(doubled)}`);
+      const confirmed = stories.filter(({ answers }) => answers.at(-1)?.status === 200);
+      ctx.say(`${confirmed.length} of ${CALLS} confirmed, ${fleet.service.runs.length} ran`);
+      const ran = new Set(fleet.service.runs.map(({ key }) => key));
+      const claimed = confirmed.filter(({ key }) => !ran.has(key));
+      ensure(claimed.length === 0, `confirmed but never ran: ${claimed.length}`);
+      ensure(confirmed.length > CALLS / 2, 'most calls must be confirmed for the proof to count');
+    } finally {
+      await fleet.stop();
+    }
+  }
+}
--- a/proof/catalogue.ts
+++ b/proof/catalogue.ts
@@ -1,7 +1,13 @@
 /** Every proof, in the order in which they run. */
+import { AtMostOnceProof } from './atmostonce.js';
+import { NotRunProof } from './notrun.js';
 import { OwnAnswerProof } from './ownanswer.js';
 
 import type { Proof } from './proof.js';
 
 /** The proofs. */
-export const PROOFS: readonly Proof[] = [new OwnAnswerProof()];
+export const PROOFS: readonly Proof[] = [
+  new OwnAnswerProof(),
+  new NotRunProof(),
+  new AtMostOnceProof(),
+];
--- /dev/null
+++ b/proof/dispatching.ts
@@ -0,0 +1,86 @@
+/** Callers that dispatch, and repeat with the same key at another daemon until they know. */
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { callService } from '../testbed/caller.js';
+import { API_KEY } from '../testbed/documents.js';
+import { ensure } from './proof.js';
+
+import type { Received } from '../testbed/caller.js';
+import type { Fleet } from '../testbed/fleet.js';
+
+/** Pause of a caller before it repeats, in milliseconds. */
+const PAUSE_MS = 150;
+
+/** What callers do. */
+export interface DispatchLoad {
+  readonly fleet: Fleet;
+  readonly route: string;
+  readonly calls: number;
+  readonly attempts: number;
+  /** Time over which the calls begin, in milliseconds. */
+  readonly spreadMs: number;
+  readonly random: () => number;
+}
+
+/** Everything that one caller was told about one key. */
+export interface DispatchStory {
+  readonly key: string;
+  readonly answers: readonly Received[];
+}
+
+function runsOf(fleet: Fleet, key: string): number {
+  return fleet.service.runs.find((entry) => entry.key === key)?.runs ?? 0;
+}
+
+async function dispatch(load: DispatchLoad, index: number): Promise<DispatchStory> {
+  const { fleet, route, random } = load;
+  const key = `${route}-${index}`;
+  const answers: Received[] = [];
+  await delay(random() * load.spreadMs);
+  for (let attempt = 0; attempt < load.attempts; attempt += 1) {
+    const daemon = fleet.daemon(Math.floor(random() * fleet.daemons.length));
+    // A caller repeats only after it was told, or cut off.
+    // eslint-disable-next-line no-await-in-loop
+    const answer = await callService({
+      url: daemon.url,
+      apiKey: API_KEY,
+      route,
+      path: '/crews',
+      key,
+      body: { crew: index },
+    });
+    answers.push(answer);
+    if (answer.outcome === 'not-run') {
+      ensure(runsOf(fleet, key) === 0, `${key} was called not-run (${answer.code}) but had run`);
+    }
+    if (answer.status === 200) return { key, answers };
+    // eslint-disable-next-line no-await-in-loop
+    await delay(PAUSE_MS);
+  }
+  return { key, answers };
+}
+
+/**
+ * Runs the callers to their end; every "not-run" is checked against the service's own count.
+ * @param load - what callers do
+ * @returns what each was told
+ */
+export async function dispatchAll(load: DispatchLoad): Promise<readonly DispatchStory[]> {
+  return Promise.all(Array.from({ length: load.calls }, (_, index) => dispatch(load, index)));
+}
+
+/**
+ * Counts what callers were told.
+ * @param stories - what each was told
+ * @returns one line for each kind of answer
+ */
+export function summary(stories: readonly DispatchStory[]): string {
+  const kinds = new Map<string, number>();
+  stories
+    .flatMap(({ answers }) => answers)
+    .forEach(({ status, code, outcome }) => {
+      const kind = code ? `${code}/${outcome}` : String(status);
+      kinds.set(kind, (kinds.get(kind) ?? 0) + 1);
+    });
+  return [...kinds].map(([kind, count]) => `${kind} ${count}`).join(', ');
+}
--- /dev/null
+++ b/proof/notrun.ts
@@ -0,0 +1,69 @@
+/** Proof: a request that is refused as "not-run" did not run, also when its key is repeated. */
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { Fleet } from '../testbed/fleet.js';
+import { dispatchAll, summary } from './dispatching.js';
+import { ensure, Proof } from './proof.js';
+
+import type { ProofContext } from './proof.js';
+
+const CALLS = 300;
+const SPREAD_MS = 4_000;
+const ATTEMPTS = 6;
+const TURNS = 12;
+const TURN_MS = 350;
+
+/** Units for a part of the calls: later ones are refused for want of budget. */
+const UNITS = 80;
+
+/** Answers are lost in turns, so that many keys have run when the budget ends. */
+async function loseInTurns(fleet: Fleet): Promise<void> {
+  for (let turn = 0; turn < TURNS; turn += 1) {
+    fleet.service.setFaults({ loseAnswers: turn % 2 === 0 });
+    // eslint-disable-next-line no-await-in-loop
+    await delay(TURN_MS);
+  }
+}
+
+async function disturb(fleet: Fleet, random: () => number): Promise<void> {
+  const losing = loseInTurns(fleet);
+  await delay(1_500);
+  const victim = fleet.daemon(Math.floor(random() * fleet.daemons.length));
+  victim.child.signal('SIGKILL');
+  await delay(1_000);
+  fleet.daemons.find(({ child }) => child.running)?.child.signal('SIGTERM');
+  await losing;
+}
+
+/** Answers of an idempotent service are lost, a daemon dies, one stops, the budget runs out. */
+export class NotRunProof extends Proof {
+  override readonly name = 'not-run';
+
+  override readonly point = 'a request refused as "not run" truly did not run';
+
+  override readonly short = true;
+
+  override async run(ctx: ProofContext): Promise<void> {
+    const { random } = ctx;
+    const fleet = await Fleet.start({ daemons: 5, units: UNITS, random });
+    try {
+      const load = {
+        fleet,
+        route: 'lookup',
+        calls: CALLS,
+        attempts: ATTEMPTS,
+        spreadMs: SPREAD_MS,
+        random,
+      };
+      const [stories] = await Promise.all([dispatchAll(load), disturb(fleet, random)]);
+      ctx.say(summary(stories));
+      const refused = stories.flatMap(({ answers }) =>
+        answers.filter(({ outcome }) => outcome === 'not-run'),
+      );
+      ensure(refused.length > 0, 'nothing was refused as not-run: the proof does not count');
+      ctx.say(`${refused.length} refusals as not-run, every one of a key that had not run`);
+    } finally {
+      await fleet.stop();
+    }
+  }
+}
