--- a/src/budget/charge.ts
+++ b/src/budget/charge.ts
@@ -40,12 +40,12 @@
 }
 
 /**
- * Names the segment object that starts at a line.
+ * Names the segment object that starts at a sequence.
  * @param shard - shard number
- * @param first - first line of the segment
+ * @param holder - incarnation that recorded the lines
+ * @param first - sequence of the first line
  * @returns the object key
  */
-export function segmentKey(shard: number, first: ChargeLine): string {
-  const sequence = String(first.sequence).padStart(SEQUENCE_DIGITS, '0');
-  return `${segmentPrefix(shard)}${first.holder}/${sequence}`;
+export function segmentKey(shard: number, holder: string, first: number): string {
+  return `${segmentPrefix(shard)}${holder}/${String(first).padStart(SEQUENCE_DIGITS, '0')}`;
 }
--- a/src/budget/ledger.ts
+++ b/src/budget/ledger.ts
@@ -1,7 +1,7 @@
-/** Rules of a budget shard: every version of it keeps rule S1. */
+/** Rules of a budget shard: no version of it grants more than was paid. */
 import type { Change } from '../platform/index.js';
-import type { ChargeLine } from './charge.js';
-import type { BudgetRecord, BudgetShard, HolderEntry, HolderRow } from './shard.js';
+import { newHolder } from './shard.js';
+import type { BudgetRecord, BudgetShard, HolderRow } from './shard.js';
 
 /** What a holder asks of a budget. */
 export interface GrantRequest {
@@ -14,6 +14,8 @@
   readonly needed: number;
   /** Units asked for. */
   readonly wanted: number;
+  /** The holder has entered itself before: a missing entry means that it was closed. */
+  readonly entered?: boolean;
 }
 
 /** What the shard grants after a request. */
@@ -23,6 +25,8 @@
   /** Units of the budget that no row holds. */
   readonly left: number;
   readonly known: boolean;
+  /** The holder may use none of its rows any more. */
+  readonly fenced?: true;
 }
 
 /**
@@ -33,7 +37,7 @@
 export function unallocated(budget: BudgetRecord): number {
   return budget.rows.reduce(
     (left, row) => left - (row.granted - row.returned),
-    budget.paid - budget.retired,
+    budget.paid + budget.credited - budget.retired,
   );
 }
 
@@ -43,7 +47,12 @@
  * @returns units
  */
 export function spentOf(budget: BudgetRecord): number {
-  return budget.rows.reduce((spent, row) => spent + row.spent, budget.retired);
+  return budget.rows.reduce((spent, row) => spent + row.spent, budget.retired - budget.credited);
+}
+
+function isFenced(shard: BudgetShard, ask: GrantRequest): boolean {
+  const entry = shard.holders.find(({ holder }) => holder === ask.holder);
+  return entry ? entry.state !== 'active' : ask.entered === true;
 }
 
 function replaceBudget(shard: BudgetShard, next: BudgetRecord): BudgetShard {
@@ -54,8 +63,7 @@
 function withHolder(shard: BudgetShard, holder: string, backup: string | null): BudgetShard {
   const found = shard.holders.find((entry) => entry.holder === holder);
   if (found) return shard;
-  const entry: HolderEntry = { holder, backup, settled: 0 };
-  return { ...shard, holders: [...shard.holders, entry] };
+  return { ...shard, holders: [...shard.holders, newHolder(holder, backup)] };
 }
 
 function withRow(budget: BudgetRecord, next: HolderRow): BudgetRecord {
@@ -77,6 +85,9 @@
 export function grant(shard: BudgetShard, ask: GrantRequest): Change<BudgetShard, GrantAnswer> {
   const budget = shard.budgets.find(({ name }) => name === ask.budget);
   if (!budget) return { kind: 'keep', outcome: { granted: 0, left: 0, known: false } };
+  if (isFenced(shard, ask)) {
+    return { kind: 'keep', outcome: { granted: 0, left: 0, known: true, fenced: true } };
+  }
   const row = rowOf(budget, ask.holder);
   const left = unallocated(budget);
   const short = left < ask.needed;
@@ -120,6 +131,8 @@
     paid: 0,
     topUps: [],
     retired: 0,
+    credited: 0,
+    settlements: [],
     rows: [],
   };
   if (base.topUps.some(({ operation }) => operation === ask.operation)) {
@@ -132,41 +145,3 @@
     : { ...shard, budgets: [...shard.budgets, next] };
   return { kind: 'write', value, outcome: { paid: next.paid, repeated: false } };
 }
-
-function settleBudget(
-  budget: BudgetRecord,
-  holder: string,
-  lines: readonly ChargeLine[],
-): BudgetRecord {
-  const units = lines
-    .filter((line) => line.budget === budget.name)
-    .reduce((sum, line) => sum + line.units, 0);
-  if (units === 0) return budget;
-  const row = rowOf(budget, holder);
-  return withRow(budget, { ...row, spent: row.spent + units });
-}
-
-/**
- * Settles the lines of one holder: moves its mark and adds to what its rows spent.
- * Lines at or below the mark are ignored, so any copy may be delivered again.
- * @param shard - shard in force
- * @param holder - incarnation that recorded the lines
- * @param lines - lines in the order of their sequence
- * @returns the change of the shard and the mark that is then in force
- */
-export function settle(
-  shard: BudgetShard,
-  holder: string,
-  lines: readonly ChargeLine[],
-): Change<BudgetShard, number> {
-  const entry = shard.holders.find((candidate) => candidate.holder === holder);
-  const mark = entry?.settled ?? 0;
-  const fresh = lines.filter(({ sequence }) => sequence > mark);
-  const last = fresh.at(-1);
-  if (!entry || !last) return { kind: 'keep', outcome: mark };
-  const budgets = shard.budgets.map((budget) => settleBudget(budget, holder, fresh));
-  const holders = shard.holders.map((candidate) =>
-    candidate === entry ? { ...entry, settled: last.sequence } : candidate,
-  );
-  return { kind: 'write', value: { ...shard, budgets, holders }, outcome: last.sequence };
-}
--- /dev/null
+++ b/src/budget/recovery.ts
@@ -0,0 +1,267 @@
+/** Rules by which a holder that has stopped is recovered, and its units freed or held. */
+import { entryOf, mapRows, withEntry } from './settlement.js';
+
+import type { Change } from '../platform/index.js';
+import type { BudgetRecord, BudgetShard, HolderEntry, HolderRow } from './shard.js';
+
+/** Why units stay held. */
+export const HOLD_CAUSES = {
+  fencing: 'the holder is being recovered; its backup has not answered yet',
+  noBackup: 'the holder had no backup; what it used is unknown',
+  copiesLost: 'the backup has lost its copies; what the holder used is unknown',
+  open: 'requests that were open when the holder stopped, and its window ahead of the backup',
+} as const;
+
+/** What a holder may have used of one budget beyond its charge lines. */
+export interface Exposure {
+  readonly budget: string;
+  /** Units of every reservation that was ever made; only grows. */
+  readonly reservedTotal: number;
+  /** Units of every reservation that has ended; only grows. */
+  readonly releasedTotal: number;
+  /** Units lent to other holders; only grows. */
+  readonly passed: number;
+}
+
+/** What is known of a holder that cannot write any more. */
+export interface FencedState {
+  readonly exposures: readonly Exposure[];
+  /** Units that the holder may be ahead of its backup, for each budget. */
+  readonly window: number;
+}
+
+/** What came of a step of a recovery. */
+export interface RecoveryAnswer {
+  /** Entry in force; undefined once it is closed. */
+  readonly entry: HolderEntry | undefined;
+  /** Whether the recoverer that asked is the one on record. */
+  readonly mine: boolean;
+}
+
+/**
+ * Gives the units of a row that are neither spent nor returned.
+ * @param row - the row
+ * @returns units that are held under the row
+ */
+export function heldIn(row: HolderRow): number {
+  return Math.max(0, row.granted - row.spent - row.returned);
+}
+
+/**
+ * Makes an incarnation the recoverer of a holder; from then on the holder's own writes fail.
+ * @param shard - shard in force
+ * @param holder - holder that seems to have stopped
+ * @param by - incarnation that recovers it
+ * @returns the change and the entry that is then in force
+ */
+export function claimRecovery(
+  shard: BudgetShard,
+  holder: string,
+  by: string,
+): Change<BudgetShard, RecoveryAnswer> {
+  const entry = entryOf(shard, holder);
+  if (!entry || entry.state === 'ended') return { kind: 'keep', outcome: { entry, mine: false } };
+  if (entry.state === 'recovering' && entry.recoverer === by) {
+    return { kind: 'keep', outcome: { entry, mine: true } };
+  }
+  const cause = entry.backup === null ? HOLD_CAUSES.noBackup : HOLD_CAUSES.fencing;
+  const next: HolderEntry = { ...entry, state: 'recovering', recoverer: by, cause };
+  return { kind: 'write', value: withEntry(shard, next), outcome: { entry: next, mine: true } };
+}
+
+function unproved(budget: string, known: FencedState): number {
+  const found = known.exposures.find((exposure) => exposure.budget === budget);
+  if (!found) return known.window;
+  return found.reservedTotal - found.releasedTotal + found.passed + known.window;
+}
+
+function release(row: HolderRow, hold: number): HolderRow {
+  const free = Math.max(0, heldIn(row) - hold);
+  return { ...row, returned: row.returned + free };
+}
+
+/**
+ * Ends the recovery of a fenced holder whose copies have been settled: what is proved
+ * unused goes back to the budgets, the rest stays held with its cause.
+ * @param shard - shard in force
+ * @param ask - holder, its recoverer and what its backup knew
+ * @returns the change and the entry that is then in force
+ */
+export function finishRecovery(
+  shard: BudgetShard,
+  ask: { readonly holder: string; readonly by: string; readonly known: FencedState },
+): Change<BudgetShard, RecoveryAnswer> {
+  const entry = entryOf(shard, ask.holder);
+  const mine = entry?.state === 'recovering' && entry.recoverer === ask.by;
+  if (!entry || !mine) return { kind: 'keep', outcome: { entry, mine: false } };
+  const next: HolderEntry = { ...entry, state: 'ended', cause: HOLD_CAUSES.open };
+  const freed = mapRows(shard, ask.holder, (row, budget) =>
+    release(row, unproved(budget.name, ask.known)),
+  );
+  return { kind: 'write', value: withEntry(freed, next), outcome: { entry: next, mine: true } };
+}
+
+/**
+ * Records why a recovery cannot go on; the units stay held.
+ * @param shard - shard in force
+ * @param ask - holder, its recoverer and the cause
+ * @returns the change and the entry that is then in force
+ */
+export function noteCause(
+  shard: BudgetShard,
+  ask: { readonly holder: string; readonly by: string; readonly cause: string },
+): Change<BudgetShard, RecoveryAnswer> {
+  const entry = entryOf(shard, ask.holder);
+  const mine = entry?.state === 'recovering' && entry.recoverer === ask.by;
+  if (!entry || !mine || entry.cause === ask.cause) {
+    return { kind: 'keep', outcome: { entry, mine } };
+  }
+  const next = { ...entry, cause: ask.cause };
+  return { kind: 'write', value: withEntry(shard, next), outcome: { entry: next, mine } };
+}
+
+/**
+ * Gives back what an ending holder proves unused: nothing of it is open, and all its lines are settled.
+ * Units that it has lent stay held.
+ * @param shard - shard in force
+ * @param holder - the holder itself, with every reservation ended
+ * @param lent - units lent to other holders, for each budget
+ * @returns the change and the entry that is then in force
+ */
+export function concede(
+  shard: BudgetShard,
+  holder: string,
+  lent: (budget: string) => number,
+): Change<BudgetShard, RecoveryAnswer> {
+  const entry = entryOf(shard, holder);
+  const mine = entry !== undefined;
+  // While another incarnation recovers, acknowledged lines may still be on their way.
+  if (!entry || (entry.state === 'recovering' && entry.recoverer !== holder)) {
+    return { kind: 'keep', outcome: { entry, mine: false } };
+  }
+  const next: HolderEntry = { ...entry, state: 'ended' };
+  const freed = mapRows(shard, holder, (row, budget) => release(row, lent(budget.name)));
+  return { kind: 'write', value: withEntry(freed, next), outcome: { entry: next, mine } };
+}
+
+/** Units that stay held after their holder has stopped. */
+export interface HeldUnits {
+  readonly holder: string;
+  readonly budget: string;
+  readonly units: number;
+  readonly state: HolderEntry['state'];
+  readonly cause: string;
+  readonly backup: string | null;
+  readonly recoverer: string | null;
+}
+
+/**
+ * Lists the units that are held under holders that have stopped.
+ * @param shard - shard in force
+ * @returns one entry for each holder and budget with held units
+ */
+export function heldUnits(shard: BudgetShard): readonly HeldUnits[] {
+  return shard.budgets.flatMap((budget) =>
+    budget.rows.flatMap((row) => {
+      const entry = entryOf(shard, row.holder);
+      const units = heldIn(row);
+      if (!entry || entry.state === 'active' || units === 0) return [];
+      const { holder, state, cause, backup, recoverer } = entry;
+      return [{ holder, budget: budget.name, units, state, cause, backup, recoverer }];
+    }),
+  );
+}
+
+/** An operator's order to give held units back to their budget. */
+export interface SettleHeldRequest {
+  readonly holder: string;
+  readonly budget: string;
+  readonly operation: string;
+  readonly at: number;
+}
+
+/** What came of an operator's settlement. */
+export interface SettleHeldAnswer {
+  readonly known: boolean;
+  /** The holder is active: its units are in use, not held. */
+  readonly active: boolean;
+  readonly units: number;
+  readonly repeated: boolean;
+}
+
+function settleRow(budget: BudgetRecord, ask: SettleHeldRequest, units: number): BudgetRecord {
+  const { operation, holder, at } = ask;
+  const rows = budget.rows.map((row) => (row.holder === holder ? release(row, 0) : row));
+  return {
+    ...budget,
+    rows,
+    settlements: [...budget.settlements, { operation, holder, units, at }],
+  };
+}
+
+/**
+ * Gives the held units of a stopped holder back to a budget, once for each operation id.
+ * Lines of the holder that are not settled by then never count.
+ * @param shard - shard in force
+ * @param ask - the order
+ * @returns the change and what came of it
+ */
+export function settleHeld(
+  shard: BudgetShard,
+  ask: SettleHeldRequest,
+): Change<BudgetShard, SettleHeldAnswer> {
+  const budget = shard.budgets.find(({ name }) => name === ask.budget);
+  const earlier = budget?.settlements.find(({ operation }) => operation === ask.operation);
+  if (earlier) {
+    const outcome = { known: true, active: false, units: earlier.units, repeated: true };
+    return { kind: 'keep', outcome };
+  }
+  const entry = entryOf(shard, ask.holder);
+  const row = budget?.rows.find(({ holder }) => holder === ask.holder);
+  const known = budget !== undefined && entry !== undefined && row !== undefined;
+  if (!known || entry.state === 'active') {
+    const outcome = { known, active: entry?.state === 'active', units: 0, repeated: false };
+    return { kind: 'keep', outcome };
+  }
+  const units = heldIn(row);
+  const ended = withEntry(shard, { ...entry, state: 'ended' });
+  const budgets = ended.budgets.map((found) =>
+    found === budget ? settleRow(found, ask, units) : found,
+  );
+  const outcome = { known: true, active: false, units, repeated: false };
+  return { kind: 'write', value: { ...ended, budgets }, outcome };
+}
+
+function canClose(
+  shard: BudgetShard,
+  entry: HolderEntry,
+  folded: ReadonlyMap<string, number>,
+): boolean {
+  if (entry.state !== 'ended' || (folded.get(entry.holder) ?? 0) < entry.settled) return false;
+  return shard.budgets.every((budget) =>
+    budget.rows.every((row) => row.holder !== entry.holder || heldIn(row) === 0),
+  );
+}
+
+/**
+ * Closes the entries and rows of ended holders that hold nothing and whose lines are all
+ * in the statement; what they spent moves to "retired".
+ * @param shard - shard in force
+ * @param folded - highest sequence of each holder that the statement holds
+ * @returns the change and the number of holders that were closed
+ */
+export function closeEnded(
+  shard: BudgetShard,
+  folded: ReadonlyMap<string, number>,
+): Change<BudgetShard, number> {
+  const closing = shard.holders.filter((entry) => canClose(shard, entry, folded));
+  if (closing.length === 0) return { kind: 'keep', outcome: 0 };
+  const names = new Set(closing.map(({ holder }) => holder));
+  const budgets = shard.budgets.map((budget) => {
+    const gone = budget.rows.filter(({ holder }) => names.has(holder));
+    const retired = gone.reduce((sum, row) => sum + row.spent, budget.retired);
+    return { ...budget, retired, rows: budget.rows.filter(({ holder }) => !names.has(holder)) };
+  });
+  const holders = shard.holders.filter(({ holder }) => !names.has(holder));
+  return { kind: 'write', value: { ...shard, budgets, holders }, outcome: closing.length };
+}
--- /dev/null
+++ b/src/budget/settlement.ts
@@ -0,0 +1,163 @@
+/** Rules of a holder's entry in a shard: joining, backups and the settlement of charge lines. */
+import { newHolder } from './shard.js';
+
+import type { Change } from '../platform/index.js';
+import type { ChargeLine } from './charge.js';
+import type { BudgetRecord, BudgetShard, HolderEntry, HolderRow } from './shard.js';
+
+/** What came of a change that only the rightful writer of an entry may make. */
+export interface EntryAnswer {
+  /** Highest settled sequence of the holder. */
+  readonly settled: number;
+  /** Backup on record. */
+  readonly backup: string | null;
+  /** The writer has no right to the entry any more. */
+  readonly fenced: boolean;
+}
+
+/**
+ * Finds the entry of a holder.
+ * @param shard - shard in force
+ * @param holder - incarnation of the holder
+ * @returns the entry; undefined before the holder joins and after its entry is closed
+ */
+export function entryOf(shard: BudgetShard, holder: string): HolderEntry | undefined {
+  return shard.holders.find((entry) => entry.holder === holder);
+}
+
+/**
+ * Replaces the entry of a holder.
+ * @param shard - shard in force
+ * @param next - the entry as it shall be
+ * @returns the shard with the entry
+ */
+export function withEntry(shard: BudgetShard, next: HolderEntry): BudgetShard {
+  const holders = shard.holders.map((entry) => (entry.holder === next.holder ? next : entry));
+  return { ...shard, holders };
+}
+
+/**
+ * Changes the rows of one holder in every budget of a shard.
+ * @param shard - shard in force
+ * @param holder - incarnation of the holder
+ * @param change - gives the new row
+ * @returns the shard with the changed rows
+ */
+export function mapRows(
+  shard: BudgetShard,
+  holder: string,
+  change: (row: HolderRow, budget: BudgetRecord) => HolderRow,
+): BudgetShard {
+  const budgets = shard.budgets.map((budget) => {
+    if (!budget.rows.some((row) => row.holder === holder)) return budget;
+    const rows = budget.rows.map((row) => (row.holder === holder ? change(row, budget) : row));
+    return { ...budget, rows };
+  });
+  return { ...shard, budgets };
+}
+
+function answer(entry: HolderEntry | undefined, fenced: boolean): EntryAnswer {
+  return { settled: entry?.settled ?? 0, backup: entry?.backup ?? null, fenced };
+}
+
+/** What a holder records of its backup. */
+export interface BackupRecord {
+  readonly holder: string;
+  readonly backup: string | null;
+  /** The holder has joined before: a missing entry means that it was closed. */
+  readonly joined: boolean;
+}
+
+/**
+ * Joins a shard, or records another backup of a holder that has joined.
+ * Every unflushed line must have been copied to the new backup before.
+ * @param shard - shard in force
+ * @param ask - holder and backup
+ * @returns the change and the entry that is then in force
+ */
+export function recordBackup(
+  shard: BudgetShard,
+  ask: BackupRecord,
+): Change<BudgetShard, EntryAnswer> {
+  const entry = entryOf(shard, ask.holder);
+  if (!entry && ask.joined) return { kind: 'keep', outcome: answer(entry, true) };
+  if (!entry) {
+    const made = newHolder(ask.holder, ask.backup);
+    const value = { ...shard, holders: [...shard.holders, made] };
+    return { kind: 'write', value, outcome: answer(made, false) };
+  }
+  if (entry.state !== 'active') return { kind: 'keep', outcome: answer(entry, true) };
+  if (entry.backup === ask.backup) return { kind: 'keep', outcome: answer(entry, false) };
+  const next = { ...entry, backup: ask.backup };
+  return { kind: 'write', value: withEntry(shard, next), outcome: answer(next, false) };
+}
+
+/**
+ * Records a sign of life of a holder that reaches the store but not every peer.
+ * @param shard - shard in force
+ * @param holder - incarnation of the holder
+ * @returns the change and the entry that is then in force
+ */
+export function recordBeat(shard: BudgetShard, holder: string): Change<BudgetShard, EntryAnswer> {
+  const entry = entryOf(shard, holder);
+  if (!entry || entry.state !== 'active') return { kind: 'keep', outcome: answer(entry, true) };
+  const next = { ...entry, beat: entry.beat + 1 };
+  return { kind: 'write', value: withEntry(shard, next), outcome: answer(next, false) };
+}
+
+/**
+ * Says whether an incarnation may settle lines of a holder.
+ * @param entry - the holder's entry
+ * @param by - incarnation that delivers the lines
+ * @returns true for the active holder itself and for the recoverer on record
+ */
+export function maySettle(entry: HolderEntry, by: string): boolean {
+  if (entry.state === 'active') return by === entry.holder;
+  return entry.state === 'recovering' && by === entry.recoverer;
+}
+
+/** Lines of one holder, and who delivers them. */
+export interface Delivery {
+  readonly holder: string;
+  /** The holder itself, or its recoverer. */
+  readonly by: string;
+  /** Lines in the order of their sequence. */
+  readonly lines: readonly ChargeLine[];
+}
+
+function spentIn(lines: readonly ChargeLine[], budget: string): number {
+  return lines.filter((line) => line.budget === budget).reduce((sum, line) => sum + line.units, 0);
+}
+
+function chargeRow(
+  budget: BudgetRecord,
+  holder: string,
+  lines: readonly ChargeLine[],
+): BudgetRecord {
+  const units = spentIn(lines, budget.name);
+  if (units === 0) return budget;
+  const found = budget.rows.find((row) => row.holder === holder);
+  const row = found ?? { holder, granted: 0, spent: 0, returned: 0 };
+  const others = budget.rows.filter((other) => other !== found);
+  return { ...budget, rows: [...others, { ...row, spent: row.spent + units }] };
+}
+
+/**
+ * Settles the lines of one holder: moves its mark and adds to what its rows spent.
+ * Lines at or below the mark are ignored, so any copy may be delivered again.
+ * @param shard - shard in force
+ * @param delivery - the lines and who delivers them
+ * @returns the change of the shard and the entry that is then in force
+ */
+export function settle(shard: BudgetShard, delivery: Delivery): Change<BudgetShard, EntryAnswer> {
+  const { holder, by, lines } = delivery;
+  const entry = entryOf(shard, holder);
+  if (!entry || !maySettle(entry, by)) return { kind: 'keep', outcome: answer(entry, true) };
+  const fresh = lines.filter(({ sequence }) => sequence > entry.settled);
+  const last = fresh.at(-1);
+  if (!last) return { kind: 'keep', outcome: answer(entry, false) };
+  const next = { ...entry, settled: last.sequence };
+  const budgets = shard.budgets.map((budget) => chargeRow(budget, holder, fresh));
+  const charged = { ...shard, budgets };
+  return { kind: 'write', value: withEntry(charged, next), outcome: answer(next, false) };
+}
--- a/src/budget/shard.ts
+++ b/src/budget/shard.ts
@@ -25,6 +25,14 @@
 /** One payment into a budget. */
 export type TopUp = z.infer<typeof topUpSchema>;
 
+/** Schema of an operator's settlement of held units, known by its operation id. */
+export const settlementSchema = z
+  .object({ operation: z.string(), holder: z.string(), units: z.number().int(), at: z.number() })
+  .readonly();
+
+/** Held units that an operator gave back to their budget. */
+export type HeldSettlement = z.infer<typeof settlementSchema>;
+
 /** Schema of a budget in its shard. */
 export const budgetSchema = z
   .object({
@@ -34,6 +42,9 @@
     topUps: z.array(topUpSchema).readonly(),
     /** Units spent under rows that have been closed and dropped. */
     retired: z.number().int().nonnegative(),
+    /** Units given back because their charge lines repeated the key of an earlier line. */
+    credited: z.number().int().nonnegative().default(0),
+    settlements: z.array(settlementSchema).readonly().default([]),
     rows: z.array(rowSchema).readonly(),
   })
   .readonly();
@@ -49,12 +60,30 @@
     backup: z.string().nullable(),
     /** Highest sequence whose charge line counts. */
     settled: z.number().int().nonnegative(),
+    /** "recovering": only the recoverer may settle lines; "ended": nobody may. */
+    state: z.enum(['active', 'recovering', 'ended']).default('active'),
+    /** Incarnation that recovers the holder. */
+    recoverer: z.string().nullable().default(null),
+    /** Why units of the holder's rows stay held; empty while it is active. */
+    cause: z.string().default(''),
+    /** Sign of life of a holder that reaches the store but not every peer. */
+    beat: z.number().int().default(0),
   })
   .readonly();
 
 /** A holder's entry in a shard. */
 export type HolderEntry = z.infer<typeof holderSchema>;
 
+/**
+ * Makes the entry of a holder that joins a shard.
+ * @param holder - incarnation of the holder
+ * @param backup - incarnation that keeps its copies; null for none
+ * @returns an active entry without settled lines
+ */
+export function newHolder(holder: string, backup: string | null): HolderEntry {
+  return { holder, backup, settled: 0, state: 'active', recoverer: null, cause: '', beat: 0 };
+}
+
 /** Schema of a shard object. */
 export const shardSchema = z
   .object({
--- a/src/daemon/backups.ts
+++ b/src/daemon/backups.ts
@@ -1,47 +1,39 @@
-/** Chooses the backup of this daemon and keeps the copies of other daemons. */
-import { instanceOf, rendezvous } from '../kernel/index.js';
+/** Speaks to the backup of this daemon and keeps the copies of other daemons. */
+import { backupCandidates, fence, keepBatch, NO_COPIES, WINDOW_UNITS } from '../fleet/index.js';
+import { instanceOf } from '../kernel/index.js';
 
-import type { ChargeLine } from '../budget/index.js';
-import type { Incarnation, InstanceName } from '../kernel/index.js';
+import type { Copies, CopyBatch, CopyVerdict, Handover } from '../fleet/index.js';
+import type { Incarnation } from '../kernel/index.js';
 import type { PeerNetwork } from '../link/index.js';
-import type { Instance } from '../platform/index.js';
 
 /** Longest wait for a backup's acknowledgement, in milliseconds. */
 const COPY_TIMEOUT_MS = 400;
 
-/** Lines that a holder hands to its backup. */
-export interface CopyBatch {
-  readonly holder: Incarnation;
-  readonly shard: number;
-  readonly lines: readonly ChargeLine[];
-  readonly settled: number;
-}
+/** Longest wait for an answer to a query or a fence, in milliseconds. */
+const QUERY_TIMEOUT_MS = 600;
+
+/** Lines of other daemons that this daemon keeps; about 30 MB. */
+const MAX_COPIED_LINES = 100_000;
+
+/** Candidates that are asked before a daemon goes on without a backup. */
+const MAX_CANDIDATES = 4;
 
-/**
- * Orders the candidates for a backup: other data centres come first.
- * @param self - incarnation that needs a backup
- * @param dataCentre - its data centre
- * @param peers - the other instances
- * @returns the candidates, the best first
- */
-export function backupCandidates(
-  self: Incarnation,
-  dataCentre: string,
-  peers: readonly Instance[],
-): readonly InstanceName[] {
-  const live = peers.filter(({ state }) => state === 'live');
-  const away = live.filter((peer) => peer.dataCentre !== dataCentre).map(({ name }) => name);
-  const near = live.filter((peer) => peer.dataCentre === dataCentre).map(({ name }) => name);
-  const own = instanceOf(self);
-  return [...rendezvous(own, away), ...rendezvous(own, near)];
+/** What an instance answers about itself and a holder. */
+export interface HolderSeen {
+  readonly self: Incarnation;
+  readonly silentMs: number | null;
 }
 
 /** Owns the copies that this daemon keeps for others. */
 export class Backups {
-  readonly #copies = new Map<string, readonly ChargeLine[]>();
+  readonly #copies = new Map<string, Copies>();
+
+  readonly #heardAt = new Map<Incarnation, number>();
+
+  #lines = 0;
 
   /**
-   * Creates the keeper and answers copy requests.
+   * Creates the keeper and answers the requests of holders and recoverers.
    * @param self - own incarnation
    * @param dataCentre - own data centre
    * @param network - links to the other daemons
@@ -51,39 +43,141 @@
     private readonly dataCentre: string,
     private readonly network: PeerNetwork,
   ) {
-    network.handle('copy-lines', (batch) => {
-      this.#keep(batch);
-      return { type: 'lines-copied', accepted: true };
+    network.handle('copy-lines', (batch) => this.#keep(batch));
+    network.handle('fence-holder', ({ holder, backup, shard, over }) =>
+      backup === this.self ? this.fenceHere(holder, shard, over) : Backups.#notBackup(),
+    );
+    network.handle('holder-query', ({ holder }, from) => {
+      if (from === holder) this.#heardAt.set(holder, performance.now());
+      return { type: 'holder-seen', self: this.self, silentMs: this.silentMs(holder) };
     });
   }
 
-  /** Instance that should keep the copies of this daemon; undefined without peers. */
-  get choice(): InstanceName | undefined {
-    return backupCandidates(this.self, this.dataCentre, this.network.peers())[0];
+  /**
+   * Looks for a daemon that can back up this one.
+   * @param excluded - incarnations that did not answer
+   * @returns an incarnation that answers now; null if there is none
+   */
+  async choose(excluded: readonly Incarnation[] = []): Promise<Incarnation | null> {
+    const names = backupCandidates(this.self, this.dataCentre, this.network.peers());
+    for (const name of names.slice(0, MAX_CANDIDATES)) {
+      // The better candidate is asked first.
+      // eslint-disable-next-line no-await-in-loop
+      const seen = await this.query(name, this.self);
+      if (seen && !excluded.includes(seen.self)) return seen.self;
+    }
+    return null;
   }
 
   /**
-   * Copies lines to the backup.
-   * @param shard - shard of the lines
-   * @param lines - the lines
-   * @param settled - highest sequence that the store holds
-   * @returns whether the backup holds them
+   * Hands lines to a backup.
+   * @param batch - lines, exposures and the incarnation that is meant
+   * @returns its answer; undefined if there is none
    */
-  async copy(shard: number, lines: readonly ChargeLine[], settled: number): Promise<boolean> {
-    const to = this.choice;
-    if (!to) return false;
+  async send(batch: CopyBatch): Promise<CopyVerdict | undefined> {
     const answer = await this.network.request({
-      to,
-      body: { type: 'copy-lines', holder: this.self, shard, lines, settled },
+      to: instanceOf(batch.backup),
+      body: batch,
       reply: 'lines-copied',
       timeoutMs: COPY_TIMEOUT_MS,
     });
-    return answer.ok && answer.val.accepted;
+    return answer.ok ? answer.val : undefined;
+  }
+
+  /**
+   * Asks an instance who it is and whether it has heard from a holder.
+   * @param instance - instance name
+   * @param holder - the holder
+   * @returns its answer; undefined if there is none
+   */
+  async query(instance: string, holder: Incarnation): Promise<HolderSeen | undefined> {
+    const answer = await this.network.request({
+      to: instance,
+      body: { type: 'holder-query', holder },
+      reply: 'holder-seen',
+      timeoutMs: QUERY_TIMEOUT_MS,
+    });
+    return answer.ok ? answer.val : undefined;
   }
 
-  #keep({ holder, shard, lines, settled }: CopyBatch): void {
+  /**
+   * Says whether an incarnation answers, and tells it that this one lives.
+   * @param peer - the incarnation
+   * @param holder - own incarnation
+   * @returns false also if a later incarnation answers
+   */
+  async isThere(peer: Incarnation, holder: Incarnation): Promise<boolean> {
+    return (await this.query(instanceOf(peer), holder))?.self === peer;
+  }
+
+  /**
+   * Fences a holder at its backup, which may be this daemon.
+   * @param backup - backup on record
+   * @param holder - the holder
+   * @param shard - shard of the copies
+   * @param over - whether the copies may be dropped
+   * @returns what the backup holds; undefined without an answer
+   */
+  async fenceAt(
+    backup: Incarnation,
+    holder: Incarnation,
+    shard: number,
+    over: boolean,
+  ): Promise<Handover | undefined> {
+    if (backup === this.self) return this.fenceHere(holder, shard, over);
+    const answer = await this.network.request({
+      to: instanceOf(backup),
+      body: { type: 'fence-holder', holder, backup, shard, over },
+      reply: 'holder-fenced',
+      timeoutMs: QUERY_TIMEOUT_MS,
+    });
+    return answer.ok ? answer.val : undefined;
+  }
+
+  /**
+   * Fences a holder whose copies this daemon keeps.
+   * @param holder - the holder
+   * @param shard - shard of the copies
+   * @param over - whether the copies may be dropped
+   * @returns what is kept
+   */
+  fenceHere(holder: Incarnation, shard: number, over: boolean): Handover {
     const slot = `${holder}/${shard}`;
-    const kept = this.#copies.get(slot) ?? [];
-    this.#copies.set(slot, [...kept.filter(({ sequence }) => sequence > settled), ...lines]);
+    const copies = fence(this.#copies.get(slot) ?? NO_COPIES);
+    this.#store(slot, over ? { ...copies, lines: [] } : copies);
+    const window = Math.max(copies.window, WINDOW_UNITS);
+    const { lines, exposures } = copies;
+    return { type: 'holder-fenced', isBackup: true, lines, exposures, window };
+  }
+
+  /**
+   * Says for how long a holder has sent nothing.
+   * @param holder - the holder
+   * @returns milliseconds; null if it never sent anything
+   */
+  silentMs(holder: Incarnation): number | null {
+    const at = this.#heardAt.get(holder);
+    return at === undefined ? null : performance.now() - at;
+  }
+
+  static #notBackup(): Handover {
+    return { type: 'holder-fenced', isBackup: false, lines: [], exposures: [], window: 0 };
+  }
+
+  #keep(batch: CopyBatch): CopyVerdict {
+    if (batch.backup !== this.self) {
+      return { type: 'lines-copied', verdict: 'elsewhere', through: 0 };
+    }
+    this.#heardAt.set(batch.holder, performance.now());
+    const slot = `${batch.holder}/${batch.shard}`;
+    const known = this.#copies.get(slot) ?? NO_COPIES;
+    const kept = keepBatch(known, batch, MAX_COPIED_LINES - this.#lines);
+    this.#store(slot, kept.copies);
+    return kept.verdict;
+  }
+
+  #store(slot: string, copies: Copies): void {
+    this.#lines += copies.lines.length - (this.#copies.get(slot)?.lines.length ?? 0);
+    this.#copies.set(slot, copies);
   }
 }
--- a/src/daemon/charges.ts
+++ b/src/daemon/charges.ts
@@ -1,48 +1,52 @@
 /** Records charge lines, has them copied, and delivers them to the store. */
-import { parseShard, segmentKey, settle, shardKey, shardOf } from '../budget/index.js';
-import { updateObject } from '../platform/index.js';
-
-import type { ChargeLine } from '../budget/index.js';
-import type { Incarnation } from '../kernel/index.js';
-import type { ObjectStore } from '../platform/index.js';
-import type { Recorder } from '../telemetry/index.js';
-import type { Backups } from './backups.js';
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { shardOf } from '../budget/index.js';
+import { Outbox } from './outbox.js';
+
 import type { ConfigTask } from './configtask.js';
+import type { Charge, OutboxContext } from './outbox.js';
 
-/** Interval between deliveries, in milliseconds. */
+/** Interval between deliveries while the store answers, in milliseconds. */
 const FLUSH_MS = 500;
 
-/** What is to be charged. */
-export interface Charge {
-  readonly key: string;
-  readonly workspace: string;
-  readonly budget: string;
-  readonly units: number;
-}
+/** Longest interval between deliveries while the store fails, in milliseconds. */
+const MAX_FLUSH_MS = 8_000;
 
-/** Lines of one shard that the store does not hold yet. */
-interface Outbox {
-  readonly shard: number;
-  next: number;
-  settled: number;
-  lines: readonly ChargeLine[];
-  flushing: Promise<boolean> | undefined;
-}
+/** Interval at which backups are checked, in milliseconds. */
+const CARE_MS = 500;
+
+/** Lines that a daemon keeps while the store does not take them; about 15 MB. */
+const MAX_UNFLUSHED_LINES = 50_000;
+
+/** Longest wait for the last reservations of a daemon that ends, in milliseconds. */
+const LEAVE_MS = 10_000;
+
+/** Interval at which an ending daemon looks for open reservations, in milliseconds. */
+const LEAVE_POLL_MS = 20;
 
 /** What charges need. */
-export interface ChargeContext {
-  readonly self: Incarnation;
-  readonly store: ObjectStore;
-  readonly backups: Backups;
+export interface ChargeContext extends OutboxContext {
   readonly config: ConfigTask;
-  readonly recorder: Recorder;
+}
+
+/** Units of one request that are set aside. */
+export interface Reservation {
+  readonly budget: string;
+  readonly units: number;
 }
 
 /** Owns the unflushed charge lines of one daemon. */
 export class Charges {
   readonly #outboxes = new Map<number, Outbox>();
 
-  #timer: NodeJS.Timeout | undefined;
+  #flushTimer: NodeJS.Timeout | undefined;
+
+  #careTimer: NodeJS.Timeout | undefined;
+
+  #isFenced = false;
+
+  #isStopped = false;
 
   /**
    * Creates the task.
@@ -50,35 +54,68 @@
    */
   constructor(private readonly ctx: ChargeContext) {}
 
-  /** Begins to deliver at intervals. */
+  /** Whether this incarnation may not use its rows any more. */
+  get isFenced(): boolean {
+    return this.#isFenced;
+  }
+
+  /** Begins to deliver at intervals and to look after the backups. */
   start(): void {
-    this.#timer = setInterval(() => {
-      void this.flush();
-    }, FLUSH_MS);
+    this.#flushLater(FLUSH_MS);
+    this.#careLater();
+  }
+
+  /**
+   * Joins the shard of a budget, with a backup on record.
+   * @param budget - budget name
+   * @returns whether the entry is in force
+   */
+  join(budget: string): Promise<boolean> {
+    return this.#outboxOf(budget).join();
   }
 
   /**
-   * Records a charge and waits until a second daemon or the store holds it.
+   * Takes note of a reservation; it may be used only if its charge can be kept.
+   * @param reservation - budget and units
+   * @param waitMs - longest wait in milliseconds
+   * @returns whether it may be used; it must be released either way
+   */
+  async admit({ budget, units }: Reservation, waitMs: number): Promise<boolean> {
+    const outbox = this.#outboxOf(budget);
+    const admitted = await outbox.admit(budget, units, waitMs);
+    return admitted && !this.#isFenced && this.#unflushed < MAX_UNFLUSHED_LINES;
+  }
+
+  /**
+   * Takes note that a reservation has ended without a charge.
+   * @param reservation - budget and units
+   */
+  release({ budget, units }: Reservation): void {
+    this.#outboxOf(budget).release(budget, units);
+  }
+
+  /**
+   * Takes note of a loan to another holder; it may be given only if the backup knows of it.
+   * @param budget - budget name
+   * @param passed - units lent in all, the new loan included
+   * @param waitMs - longest wait in milliseconds
+   * @returns whether the loan may be given
+   */
+  lend(budget: string, passed: number, waitMs: number): Promise<boolean> {
+    return this.#outboxOf(budget).lend(budget, passed, waitMs);
+  }
+
+  /**
+   * Ends a reservation with a charge and waits until a second daemon or the store holds it.
    * @param charge - what is to be charged
+   * @param reserved - units that were reserved
    * @returns whether the line is durable
    */
-  async record(charge: Charge): Promise<boolean> {
-    const shards = this.ctx.config.current?.manifest.budgetShards ?? 1;
-    const outbox = this.#outboxOf(shardOf(charge.budget, shards));
-    const line: ChargeLine = {
-      ...charge,
-      holder: this.ctx.self,
-      sequence: outbox.next,
-      at: Date.now(),
-    };
-    outbox.next += 1;
-    outbox.lines = [...outbox.lines, line];
-    if (await this.ctx.backups.copy(outbox.shard, [line], outbox.settled)) {
-      this.ctx.recorder.record('chargeCopied', { request: charge.key, budget: charge.budget });
-      return true;
-    }
-    await this.#deliver(outbox);
-    return outbox.settled >= line.sequence;
+  async record(charge: Charge, reserved: number): Promise<boolean> {
+    const outbox = this.#outboxOf(charge.budget);
+    // The line and the end of its reservation travel in the same copy.
+    outbox.release(charge.budget, reserved);
+    return outbox.record(charge);
   }
 
   /**
@@ -87,55 +124,103 @@
    */
   async flush(): Promise<boolean> {
     const results = await Promise.all(
-      [...this.#outboxes.values()].map((outbox) => this.#deliver(outbox)),
+      [...this.#outboxes.values()].map((outbox) => outbox.deliver()),
     );
     return results.every(Boolean);
   }
 
+  /**
+   * Ends this incarnation in every shard and gives back what it proves unused.
+   * No request may be open.
+   * @returns whether nothing is left to settle or to free
+   */
+  async leave(): Promise<boolean> {
+    this.stop();
+    const deadline = performance.now() + LEAVE_MS;
+    while (this.#open > 0 && performance.now() < deadline) {
+      // The last reservations end with their answers.
+      // eslint-disable-next-line no-await-in-loop
+      await delay(LEAVE_POLL_MS);
+    }
+    // What is open now stays held, and the copies are recovered by another daemon.
+    if (this.#open > 0) return false;
+    const left = await Promise.all(
+      [...this.#outboxes.values()].map((outbox) => outbox.leave(this.#isFenced)),
+    );
+    return left.every(Boolean);
+  }
+
   /** Ends the deliveries at intervals. */
   stop(): void {
-    clearInterval(this.#timer);
+    this.#isStopped = true;
+    clearTimeout(this.#flushTimer);
+    clearTimeout(this.#careTimer);
+  }
+
+  get #open(): number {
+    return [...this.#outboxes.values()].reduce((sum, { open }) => sum + open, 0);
+  }
+
+  get #unflushed(): number {
+    return [...this.#outboxes.values()].reduce((sum, { unflushed }) => sum + unflushed, 0);
   }
 
-  #outboxOf(shard: number): Outbox {
+  #outboxOf(budget: string): Outbox {
+    const shards = this.ctx.config.current?.manifest.budgetShards ?? 1;
+    const shard = shardOf(budget, shards);
     const found = this.#outboxes.get(shard);
     if (found) return found;
-    const outbox: Outbox = { shard, next: 1, settled: 0, lines: [], flushing: undefined };
+    const onFenced = (detail: string): void => this.#fence(detail);
+    const outbox = new Outbox(shard, { ...this.ctx, onFenced });
     this.#outboxes.set(shard, outbox);
     return outbox;
   }
 
-  async #deliver(outbox: Outbox): Promise<boolean> {
-    const state = outbox;
-    // A line that was recorded while a delivery runs needs one more.
-    if (state.flushing) await state.flushing;
-    if (state.flushing) return state.flushing;
-    if (state.lines.length === 0) return true;
-    state.flushing = this.#send(state).finally(() => {
-      state.flushing = undefined;
-    });
-    return state.flushing;
-  }
-
-  async #send(outbox: Outbox): Promise<boolean> {
-    const state = outbox;
-    const { store, self, recorder } = this.ctx;
-    const { lines, shard } = state;
-    const [first] = lines;
-    if (!first) return true;
-    const segment = await store.write(segmentKey(shard, first), { lines }, 0);
-    if (segment.err && segment.val.problem !== 'conflict') return this.#delayed(segment.val.text);
-    const kind = { key: shardKey(shard), parse: parseShard };
-    const mark = await updateObject(store, kind, (value) => settle(value, self, lines));
-    if (mark.err) return this.#delayed(mark.val.text);
-    state.settled = mark.val;
-    state.lines = state.lines.filter(({ sequence }) => sequence > mark.val);
-    recorder.record('chargesDelivered', { detail: `shard ${shard} through ${mark.val}` });
-    return true;
-  }
-
-  #delayed(detail: string): boolean {
-    this.ctx.recorder.record('chargesDelayed', { detail });
-    return false;
+  #fence(detail: string): void {
+    if (this.#isFenced) return;
+    this.#isFenced = true;
+    this.ctx.recorder.record('holderFenced', { detail });
+    this.ctx.onFenced(detail);
+  }
+
+  #flushLater(afterMs: number): void {
+    if (this.#isStopped) return;
+    const jittered = afterMs * (0.5 + Math.random() / 2);
+    this.#flushTimer = setTimeout(() => {
+      void this.#flushAndGoOn(afterMs);
+    }, jittered);
+  }
+
+  async #flushAndGoOn(afterMs: number): Promise<void> {
+    const flushed = this.#isFenced || (await this.flush());
+    this.#flushLater(flushed ? FLUSH_MS : Math.min(MAX_FLUSH_MS, afterMs * 2));
+  }
+
+  #careLater(): void {
+    if (this.#isStopped) return;
+    this.#careTimer = setTimeout(() => {
+      void this.#care().finally(() => this.#careLater());
+    }, CARE_MS);
+  }
+
+  async #care(): Promise<void> {
+    const outboxes = [...this.#outboxes.values()];
+    const { backups, self } = this.ctx;
+    const holding = new Set(outboxes.flatMap(({ backup }) => (backup === null ? [] : [backup])));
+    const silent = new Set<string>();
+    await Promise.all(
+      [...holding].map(async (backup) => {
+        // A query also tells the backup that this holder lives.
+        if (!(await backups.isThere(backup, self))) silent.add(backup);
+      }),
+    );
+    await Promise.all(
+      outboxes.map(async (outbox) => {
+        const isSilent = outbox.backup === null || silent.has(outbox.backup);
+        if (isSilent && outbox.unflushed === 0) await outbox.probe();
+        await outbox.maintain(isSilent);
+        if (isSilent) await outbox.beat();
+      }),
+    );
   }
 }
--- /dev/null
+++ b/src/daemon/delivery.ts
@@ -0,0 +1,65 @@
+/** Delivers charge lines to the store: segments, then one conditional update of the shard. */
+import { parseShard, segmentKey, segmentSchema, settle, shardKey } from '../budget/index.js';
+import { Err, Ok } from '../kernel/index.js';
+import { updateObject } from '../platform/index.js';
+
+import type { ChargeLine, EntryAnswer } from '../budget/index.js';
+import type { Incarnation, Result } from '../kernel/index.js';
+import type { ObjectStore, StoreError } from '../platform/index.js';
+
+/** Lines in one segment; about 600 KB. */
+const SEGMENT_LINES = 2_000;
+
+/** Lines of one holder in one shard, and who delivers them. */
+export interface DeliveryJob {
+  readonly shard: number;
+  readonly holder: Incarnation;
+  readonly by: Incarnation;
+  /** Highest settled sequence, as far as it is known. */
+  readonly settled: number;
+  /** Consecutive lines in the order of their sequence. */
+  readonly lines: readonly ChargeLine[];
+}
+
+/** Writes one segment; a segment that exists already takes the place of these lines. */
+async function writeSegment(
+  store: ObjectStore,
+  job: DeliveryJob,
+  lines: readonly ChargeLine[],
+): Promise<Result<readonly ChargeLine[], StoreError>> {
+  const key = segmentKey(job.shard, job.holder, lines[0]?.sequence ?? 1);
+  const written = await store.write(key, { lines }, 0);
+  if (written.ok) return Ok(lines);
+  if (written.val.problem !== 'conflict') return Err(written.val);
+  const found = await store.read(key);
+  return found.map(({ value }) => segmentSchema.parse(value).lines);
+}
+
+/**
+ * Delivers lines until all are settled.
+ * @param store - the object API
+ * @param job - the lines and who delivers them
+ * @returns the entry in force, fenced if the lines may not be delivered; or the store's problem
+ */
+export async function deliverLines(
+  store: ObjectStore,
+  job: DeliveryJob,
+): Promise<Result<EntryAnswer, StoreError>> {
+  const { shard, holder, by } = job;
+  const kind = { key: shardKey(shard), parse: parseShard };
+  let last: EntryAnswer = { settled: job.settled, backup: null, fenced: false };
+  for (;;) {
+    const from = last.settled;
+    const rest = job.lines.filter(({ sequence }) => sequence > from).slice(0, SEGMENT_LINES);
+    if (rest.length === 0) return Ok(last);
+    // Each segment begins where the one before it ended.
+    // eslint-disable-next-line no-await-in-loop
+    const segment = await writeSegment(store, job, rest);
+    if (segment.err) return segment;
+    const delivery = { holder, by, lines: segment.val };
+    // eslint-disable-next-line no-await-in-loop
+    const done = await updateObject(store, kind, (value) => settle(value, delivery));
+    if (done.err || done.val.fenced || done.val.settled === from) return done;
+    last = done.val;
+  }
+}
--- a/src/daemon/grants.ts
+++ b/src/daemon/grants.ts
@@ -7,6 +7,7 @@
 import type { ObjectStore } from '../platform/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { BudgetTask } from './budgettask.js';
+import type { Charges } from './charges.js';
 import type { ConfigTask } from './configtask.js';
 
 /** Times the needed units that one draw asks for. */
@@ -19,8 +20,8 @@
   readonly budgets: BudgetTask;
   readonly config: ConfigTask;
   readonly recorder: Recorder;
-  /** Backup that is recorded with the holder. */
-  readonly backup: () => string | null;
+  /** Joins shards on behalf of this holder. */
+  readonly charges: Charges;
 }
 
 /** Draws units for the escrows. */
@@ -48,12 +49,14 @@
   }
 
   async #draw(budget: string, needed: number): Promise<Failure | undefined> {
-    const { self, store, budgets, config, recorder } = this.ctx;
+    const { self, store, budgets, config, recorder, charges } = this.ctx;
+    if (!(await charges.join(budget))) return failure('budget-unreachable', budget);
     const shards = config.current?.manifest.budgetShards ?? 1;
     const { escrow } = await budgets.ask({ type: 'read', budget });
     const ask = {
       holder: self,
-      backup: this.ctx.backup(),
+      backup: null,
+      entered: true,
       budget,
       granted: escrow.granted,
       needed,
@@ -62,6 +65,7 @@
     const kind = { key: shardKey(shardOf(budget, shards)), parse: parseShard };
     const answer = await updateObject(store, kind, (shard) => grant(shard, ask));
     if (answer.err) return failure('budget-unreachable', budget);
+    if (answer.val.fenced) return failure('not-ready', 'this incarnation was recovered by another');
     await budgets.ask({ type: 'receive', budget, granted: answer.val.granted });
     if (answer.val.granted > escrow.granted) {
       recorder.record('grantDrawn', { budget, detail: String(answer.val.granted) });
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -13,6 +13,9 @@
 /** Exit code for settings that cannot be used. */
 const EXIT_SETTINGS = 2;
 
+/** Exit code after another daemon has taken the place of this incarnation; the platform starts a new one. */
+const EXIT_FENCED = 3;
+
 async function readSettings(file: string): Promise<Settings | undefined> {
   let text: string;
   try {
@@ -37,12 +40,13 @@
 const settings = await readSettings(argv.config);
 if (settings) {
   const daemon = await Daemon.start(settings);
-  const stop = async (): Promise<void> => {
+  const stop = async (code = 0): Promise<void> => {
     await daemon.stop();
     // Idle upstream connections would keep the process alive.
     // eslint-disable-next-line n/no-process-exit
-    process.exit(0);
+    process.exit(code);
   };
+  void daemon.runtime.fenced.then(() => stop(EXIT_FENCED));
   process.once('SIGTERM', () => {
     void stop();
   });
--- a/src/daemon/operations.ts
+++ b/src/daemon/operations.ts
@@ -1,17 +1,9 @@
 /** What operators may read and order, carried out against the store. */
-import {
-  parseShard,
-  segmentPrefix,
-  segmentSchema,
-  shardKey,
-  shardOf,
-  spentOf,
-  topUp,
-  unallocated,
-} from '../budget/index.js';
+import { parseShard, shardKey, shardOf, spentOf, topUp, unallocated } from '../budget/index.js';
 import { makePiece, MANIFEST_KEY, parseManifest, pieceKey, publish } from '../config/index.js';
 import { Err, failure, Ok } from '../kernel/index.js';
 import { updateObject } from '../platform/index.js';
+import { readStatement } from './statements.js';
 
 import type { BudgetShard, ChargeLine } from '../budget/index.js';
 import type { Documents, Manifest, PublishAnswer } from '../config/index.js';
@@ -120,14 +112,13 @@
     const manifest = this.#manifest();
     const lines: ChargeLine[] = [];
     for (let shard = 0; shard < manifest.budgetShards; shard += 1) {
-      // Segments are read shard by shard to stay inside the read rate of the store.
+      // Pages are read shard by shard to stay inside the read rate of the store.
       // eslint-disable-next-line no-await-in-loop
-      const found = await this.#settledLines(shard);
-      if (found.err) return found;
+      const found = await readStatement(this.store, shard);
+      if (found.err) return Err(failure('store-unavailable', found.val.text));
       lines.push(...found.val.filter((line) => line.workspace === workspace));
     }
-    const unique = new Map(lines.map((line) => [line.key, line]));
-    return Ok([...unique.values()].sort((a, b) => a.at - b.at));
+    return Ok(lines.sort((a, b) => a.at - b.at));
   }
 
   #manifest(): Pick<Manifest, 'budgetShards'> {
@@ -141,17 +132,4 @@
     if (bad?.err) return Err(failure('store-unavailable', bad.val.text));
     return Ok(found.flatMap((result) => (result.ok ? [parseShard(result.val.value)] : [])));
   }
-
-  async #settledLines(shard: number): Promise<Result<readonly ChargeLine[], Failure>> {
-    const root = await this.store.read(shardKey(shard));
-    const listed = await this.store.list(segmentPrefix(shard));
-    if (root.err || listed.err) return Err(failure('store-unavailable', `shard ${shard}`));
-    const { holders } = parseShard(root.val.value);
-    const marks = new Map(holders.map(({ holder, settled }) => [holder, settled]));
-    const segments = await Promise.all(listed.val.map(({ key }) => this.store.read(key)));
-    const lines = segments.flatMap((found) =>
-      found.ok ? segmentSchema.parse(found.val.value).lines : [],
-    );
-    return Ok(lines.filter((line) => line.sequence <= (marks.get(line.holder) ?? 0)));
-  }
 }
--- /dev/null
+++ b/src/daemon/recovering.ts
@@ -0,0 +1,103 @@
+/** Performs the recovery of one holder in one shard. */
+import { claimRecovery, finishRecovery, noteCause, parseShard, shardKey } from '../budget/index.js';
+import { recover } from '../fleet/index.js';
+import { drive } from '../kernel/index.js';
+import { updateObject } from '../platform/index.js';
+import { deliverLines } from './delivery.js';
+
+import type { HolderEntry, RecoveryAnswer } from '../budget/index.js';
+import type { RecoveryCommand, RecoveryEvent, RecoveryOutcome } from '../fleet/index.js';
+import type { Incarnation, Result } from '../kernel/index.js';
+import type { ObjectStore, StoreError } from '../platform/index.js';
+import type { Recorder } from '../telemetry/index.js';
+import type { Backups } from './backups.js';
+
+/** What a recovery needs. */
+export interface RecoveryContext {
+  readonly self: Incarnation;
+  readonly store: ObjectStore;
+  readonly backups: Backups;
+  readonly recorder: Recorder;
+}
+
+function eventOf(done: Result<RecoveryAnswer, StoreError>): RecoveryEvent {
+  return { type: done.ok && done.val.mine ? 'done' : 'failed' };
+}
+
+/** Performs the commands of one recovery. */
+class RecoveryRun {
+  readonly #kind;
+
+  constructor(
+    private readonly ctx: RecoveryContext,
+    private readonly shard: number,
+    private readonly holder: Incarnation,
+  ) {
+    this.#kind = { key: shardKey(shard), parse: parseShard };
+  }
+
+  async perform(command: RecoveryCommand): Promise<RecoveryEvent> {
+    const { ctx, holder, shard } = this;
+    const by = ctx.self;
+    switch (command.type) {
+      case 'claim':
+        return this.#claim();
+      case 'fence':
+        return this.#fence(command.backup);
+      case 'deliver': {
+        const { settled, lines } = command;
+        const done = await deliverLines(ctx.store, { shard, holder, by, settled, lines });
+        return { type: done.ok && !done.val.fenced ? 'done' : 'failed' };
+      }
+      case 'finish': {
+        const ask = { holder, by, known: command.known };
+        return eventOf(await updateObject(ctx.store, this.#kind, (v) => finishRecovery(v, ask)));
+      }
+      case 'note': {
+        const ask = { holder, by, cause: command.cause };
+        return eventOf(await updateObject(ctx.store, this.#kind, (v) => noteCause(v, ask)));
+      }
+      default:
+        await ctx.backups.fenceAt(command.backup, holder, shard, true);
+        return { type: 'done' };
+    }
+  }
+
+  async #claim(): Promise<RecoveryEvent> {
+    const { ctx, holder } = this;
+    const done = await updateObject(ctx.store, this.#kind, (v) =>
+      claimRecovery(v, holder, ctx.self),
+    );
+    const entry = done.ok && done.val.mine ? done.val.entry : undefined;
+    return entry ? { type: 'claimed', entry } : { type: 'failed' };
+  }
+
+  async #fence(backup: Incarnation): Promise<RecoveryEvent> {
+    const { ctx, holder, shard } = this;
+    const handover = await ctx.backups.fenceAt(backup, holder, shard, false);
+    if (!handover) return { type: 'silent' };
+    return handover.isBackup ? { type: 'handed', handover } : { type: 'gone' };
+  }
+}
+
+/**
+ * Recovers a holder that seems to have stopped.
+ * @param ctx - store, backups and identity of the recoverer
+ * @param shard - shard number
+ * @param entry - the holder's entry as it was read
+ * @returns how the recovery ended
+ */
+export async function recoverHolder(
+  ctx: RecoveryContext,
+  shard: number,
+  entry: HolderEntry,
+): Promise<RecoveryOutcome> {
+  const { recorder } = ctx;
+  const subject = { peer: entry.holder, detail: `shard ${shard}` };
+  if (entry.state === 'active') recorder.record('recoveryBegun', subject);
+  const run = new RecoveryRun(ctx, shard, entry.holder);
+  const outcome = await drive(recover(), (command) => run.perform(command));
+  if (outcome === 'ended') recorder.record('recoveryEnded', subject);
+  if (outcome === 'held' && entry.state === 'active') recorder.record('recoveryHeld', subject);
+  return outcome;
+}
--- a/src/daemon/requestrun.ts
+++ b/src/daemon/requestrun.ts
@@ -83,6 +83,9 @@
       const { accepted } = await serving.budgets.ask({ type: 'reserve', budget, units });
       if (accepted) {
         this.#reserved = units;
+        // eslint-disable-next-line no-await-in-loop
+        const isKept = await serving.charges.admit({ budget, units }, deadline - Date.now());
+        if (!isKept) return this.#refuseUndurable();
         serving.recorder.record('requestAdmitted', { request: this.input.key, budget });
         return { type: 'done' };
       }
@@ -95,6 +98,11 @@
     }
   }
 
+  async #refuseUndurable(): Promise<ServeEvent> {
+    await this.#release();
+    return { type: 'failed', fail: failure('no-durability', this.input.tenant.budget) };
+  }
+
   async #claim(): Promise<ServeEvent> {
     const { serving, tenant, key } = this.input;
     const { name } = tenant.workspace;
@@ -141,13 +149,14 @@
     const { budget, workspace } = tenant;
     await serving.budgets.ask({ type: 'settle', budget, reserved: this.#reserved, used: units });
     const charge = { key, workspace: workspace.name, budget, units };
-    if (await serving.charges.record(charge)) return { type: 'done' };
+    if (await serving.charges.record(charge, this.#reserved)) return { type: 'done' };
     return { type: 'failed', fail: failure('no-durability', `key ${key}`, 'interrupted') };
   }
 
   async #release(): Promise<ServeEvent> {
     const { serving, tenant } = this.input;
     const { budget } = tenant;
+    serving.charges.release({ budget, units: this.#reserved });
     await serving.budgets.ask({ type: 'settle', budget, reserved: this.#reserved, used: 0 });
     return { type: 'done' };
   }
--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -15,6 +15,7 @@
 import { Grants } from './grants.js';
 import { Operations } from './operations.js';
 import { OpenWork } from './serving.js';
+import { ShardCare } from './shardcare.js';
 import { splitAddress } from './settings.js';
 
 import type { Serving } from './serving.js';
@@ -53,6 +54,15 @@
 
   readonly #directory: Directory;
 
+  readonly #care: ShardCare;
+
+  #fenced: () => void = () => undefined;
+
+  /** Settles when this incarnation may not go on, because another daemon took its place. */
+  readonly fenced = new Promise<void>((resolve) => {
+    this.#fenced = resolve;
+  });
+
   #phase: Phase = 'starting';
 
   /**
@@ -75,15 +85,24 @@
     const config = new ConfigTask(store, recorder);
     const budgets = new BudgetTask();
     const backups = new Backups(self, settings.dataCentre, this.network);
-    const backup = (): string | null => backups.choice ?? null;
+    const charges = new Charges({
+      self,
+      store,
+      backups,
+      config,
+      recorder,
+      onFenced: () => this.#fenced(),
+    });
+    const { network } = this;
+    this.#care = new ShardCare({ self, store, backups, network, config, recorder });
     this.serving = {
       self,
       settings,
       store,
       config,
       budgets,
-      grants: new Grants({ self, store, budgets, config, recorder, backup }),
-      charges: new Charges({ self, store, backups, config, recorder }),
+      grants: new Grants({ self, store, budgets, config, recorder, charges }),
+      charges,
       policy: new LeastOpenPolicy(),
       engine: new HttpModelEngine(),
       service: new HttpPlainService(),
@@ -95,7 +114,8 @@
 
   /** Whether the daemon takes new work: it serves and has a configuration. */
   get ready(): boolean {
-    return this.#phase === 'serving' && this.serving.config.current !== undefined;
+    const { charges, config } = this.serving;
+    return this.#phase === 'serving' && config.current !== undefined && !charges.isFenced;
   }
 
   /** Opens the links and begins to follow the configuration. */
@@ -103,6 +123,7 @@
     await this.#directory.start();
     this.network.start();
     this.serving.charges.start();
+    this.#care.start();
     void this.serving.config.run();
     this.#phase = 'serving';
     this.recorder.record('daemonStarted');
@@ -117,8 +138,8 @@
   /** Delivers what is left and closes the links, once no request is open. */
   async finishStop(): Promise<void> {
     const { charges, config } = this.serving;
-    charges.stop();
-    await charges.flush();
+    this.#care.stop();
+    await charges.leave();
     config.stop();
     this.#directory.stop();
     await this.network.stop();
--- /dev/null
+++ b/src/daemon/statements.ts
@@ -0,0 +1,153 @@
+/** Reads the statement of a shard: its pages, and settled lines that no page holds yet. */
+import {
+  EMPTY_PAGE,
+  foldedMarks,
+  pagePrefix,
+  pageSchema,
+  parseShard,
+  requestOf,
+  segmentKey,
+  segmentSchema,
+  shardKey,
+} from '../budget/index.js';
+import { Err, Ok } from '../kernel/index.js';
+
+import type { BudgetShard, ChargeLine, StatementPage } from '../budget/index.js';
+import type { Result } from '../kernel/index.js';
+import type { ObjectStore, StoreError } from '../platform/index.js';
+
+/** Objects that are read at the same time, to stay inside the read rate of the store. */
+const READS_AT_ONCE = 8;
+
+/** A page with its place in the store. */
+export interface StoredPage {
+  /** Number of the page; 0 stands for the page before the first. */
+  readonly number: number;
+  readonly version: number;
+  readonly page: StatementPage;
+}
+
+async function readAll(
+  store: ObjectStore,
+  keys: readonly string[],
+): Promise<Result<readonly { readonly version: number; readonly value: unknown }[], StoreError>> {
+  const values: { readonly version: number; readonly value: unknown }[] = [];
+  for (let start = 0; start < keys.length; start += READS_AT_ONCE) {
+    const chunk = keys.slice(start, start + READS_AT_ONCE);
+    // A long statement must not use up the read rate.
+    // eslint-disable-next-line no-await-in-loop
+    const found = await Promise.all(chunk.map((key) => store.read(key)));
+    for (const result of found) {
+      if (result.err) return result;
+      values.push(result.val);
+    }
+  }
+  return Ok(values);
+}
+
+/**
+ * Reads the newest pages of a shard.
+ * @param store - the object API
+ * @param shard - shard number
+ * @param most - most pages to read
+ * @returns the pages in order; the page before the first if there is none
+ */
+export async function readPages(
+  store: ObjectStore,
+  shard: number,
+  most: number,
+): Promise<Result<readonly StoredPage[], StoreError>> {
+  const listed = await store.list(pagePrefix(shard));
+  if (listed.err) return listed;
+  const keys = listed.val.map(({ key }) => key).slice(-most);
+  const found = await readAll(store, keys);
+  if (found.err) return found;
+  const pages = found.val.map(({ version, value }, index) => ({
+    number: Number((keys[index] ?? '').slice(pagePrefix(shard).length)),
+    version,
+    page: pageSchema.parse(value),
+  }));
+  return Ok(pages.length > 0 ? pages : [{ number: 0, version: 0, page: EMPTY_PAGE }]);
+}
+
+/** Settled lines of one holder above a mark, up to a number of lines. */
+async function readHolder(
+  store: ObjectStore,
+  shard: number,
+  range: { readonly holder: string; readonly after: number; readonly through: number },
+): Promise<Result<readonly ChargeLine[], StoreError>> {
+  const { holder, through } = range;
+  const lines: ChargeLine[] = [];
+  let { after } = range;
+  while (after < through) {
+    // Each segment begins where the one before it ended.
+    // eslint-disable-next-line no-await-in-loop
+    const found = await store.read(segmentKey(shard, holder, after + 1));
+    if (found.err) return found;
+    const key = segmentKey(shard, holder, after + 1);
+    if (found.val.value === null) {
+      return Err({ problem: 'refused', key, text: 'a settled segment is missing' });
+    }
+    const segment = segmentSchema.parse(found.val.value).lines;
+    lines.push(...segment.filter(({ sequence }) => sequence <= through));
+    after = segment.at(-1)?.sequence ?? through;
+  }
+  return Ok(lines);
+}
+
+/**
+ * Reads the settled lines of a shard that no page holds.
+ * @param store - the object API
+ * @param shard - shard number
+ * @param value - the shard
+ * @param marks - highest sequence of each holder that the pages hold
+ * @returns the lines, each holder's in the order of its sequence
+ */
+export async function readUnfolded(
+  store: ObjectStore,
+  shard: number,
+  value: BudgetShard,
+  marks: ReadonlyMap<string, number>,
+): Promise<Result<readonly ChargeLine[], StoreError>> {
+  const lines: ChargeLine[] = [];
+  for (const { holder, settled } of value.holders) {
+    const after = marks.get(holder) ?? 0;
+    // Holders are read one after the other, to stay inside the read rate.
+    // eslint-disable-next-line no-await-in-loop
+    const found = await readHolder(store, shard, { holder, after, through: settled });
+    if (found.err) return found;
+    lines.push(...found.val);
+  }
+  return Ok(lines);
+}
+
+/**
+ * Reads every settled line of a shard, each request once.
+ * @param store - the object API
+ * @param shard - shard number
+ * @returns the billed lines
+ */
+export async function readStatement(
+  store: ObjectStore,
+  shard: number,
+): Promise<Result<readonly ChargeLine[], StoreError>> {
+  // The shard is read first: holders that close meanwhile are then in the pages.
+  const root = await store.read(shardKey(shard));
+  if (root.err) return root;
+  const pages = await readPages(store, shard, Number.MAX_SAFE_INTEGER);
+  if (pages.err) return pages;
+  const marks = foldedMarks(pages.val.at(-1)?.page ?? EMPTY_PAGE);
+  const folded = pages.val.flatMap(({ page }) => page.lines);
+  const duplicates = pages.val.flatMap(({ page }) => page.duplicates);
+  const done = new Set(
+    [...folded, ...duplicates].map(({ holder, sequence }) => `${holder}/${sequence}`),
+  );
+  const unfolded = await readUnfolded(store, shard, parseShard(root.val.value), marks);
+  if (unfolded.err) return unfolded;
+  const billed = new Map(folded.map((line) => [requestOf(line), line]));
+  unfolded.val
+    .filter((line) => !done.has(`${line.holder}/${line.sequence}`))
+    .filter((line) => !billed.has(requestOf(line)))
+    .forEach((line) => billed.set(requestOf(line), line));
+  return Ok([...billed.values()]);
+}
--- /dev/null
+++ b/src/fleet/placement.ts
@@ -0,0 +1,38 @@
+/** Which daemon backs up another, and which one looks after a shard. */
+import { instanceOf, rendezvous } from '../kernel/index.js';
+
+import type { Incarnation, InstanceName } from '../kernel/index.js';
+import type { Instance } from '../platform/index.js';
+
+/**
+ * Orders the candidates for a backup: other data centres come first.
+ * @param self - incarnation that needs a backup
+ * @param dataCentre - its data centre
+ * @param peers - the other instances
+ * @returns the candidates, the best first
+ */
+export function backupCandidates(
+  self: Incarnation,
+  dataCentre: string,
+  peers: readonly Instance[],
+): readonly InstanceName[] {
+  const live = peers.filter(({ state }) => state === 'live');
+  const away = live.filter((peer) => peer.dataCentre !== dataCentre).map(({ name }) => name);
+  const near = live.filter((peer) => peer.dataCentre === dataCentre).map(({ name }) => name);
+  const own = instanceOf(self);
+  return [...rendezvous(own, away), ...rendezvous(own, near)];
+}
+
+/**
+ * Orders the instances that look after a shard: recover its holders and fold its statement.
+ * The order spreads the work; several that believe to be first do no harm.
+ * @param shard - shard number
+ * @param instances - live instances
+ * @returns the instances, the first in charge
+ */
+export function shardCarers(
+  shard: number,
+  instances: readonly InstanceName[],
+): readonly InstanceName[] {
+  return rendezvous(`shard/${shard}`, instances);
+}
