Held units for operators, and the proof that each answered request is billed once

A patient caller repeats its key through any daemon while entries are killed, frozen past a takeover, and the store is away or loses three in ten answers to writes.

Before: a takeover began 4 s after the backup's last word plus 4 s of its own watch, so that a freeze of 9 s was not taken over (billed-once failed, exit code -1 after 20 s).

--- /dev/null
+++ b/proof/billedonce.ts
@@ -0,0 +1,139 @@
+/** Proof: each answered request is billed exactly once while entries die, freeze and lose the store. */
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { pageSchema, shardSchema } from '../src/budget/index.js';
+import { Fleet } from '../testbed/fleet.js';
+import { PatientCallers } from '../testbed/patientcallers.js';
+import { waitFor } from '../testbed/wait.js';
+import { ensure, Proof } from './proof.js';
+
+import type { ChargeLine } from '../src/budget/index.js';
+import type { ProofContext } from './proof.js';
+
+const DAEMONS = 6;
+const UNITS = 10_000_000;
+const CALLERS = 24;
+
+/** Longest wait until every charge is in the statement, in milliseconds. */
+const SETTLE_MS = 60_000;
+
+/** Pause of a frozen daemon: longer than a takeover, in milliseconds. */
+const FREEZE_MS = 9_000;
+
+/** Exit code of a daemon whose place was taken. */
+const EXIT_FENCED = 3;
+
+/** Entries are killed, frozen past a takeover, and lose the store and its answers. */
+export class BilledOnceProof extends Proof {
+  override readonly name = 'billed-once';
+
+  override readonly point = 'each request is billed exactly once';
+
+  override readonly short = false;
+
+  override async run(ctx: ProofContext): Promise<void> {
+    const fleet = await Fleet.start({
+      daemons: DAEMONS,
+      units: UNITS,
+      random: ctx.random,
+      tokenMs: 10,
+    });
+    try {
+      const load = new PatientCallers(fleet, CALLERS, ctx.random);
+      load.start();
+      await delay(1_000);
+      await this.#loseAnswers(fleet, ctx);
+      await this.#kill(fleet, ctx);
+      await this.#freeze(fleet, ctx);
+      await this.#outage(fleet, ctx);
+      await load.stop();
+      ctx.say(`${load.answered.length} requests answered whole`);
+      await this.#check(fleet, load.answered, ctx);
+    } finally {
+      await fleet.stop();
+    }
+  }
+
+  async #loseAnswers(fleet: Fleet, ctx: ProofContext): Promise<void> {
+    fleet.store.setFaults({ loseAnswers: 0.3 });
+    await delay(2_000);
+    ctx.say('three in ten answers to writes are lost from now on');
+  }
+
+  async #kill(fleet: Fleet, ctx: ProofContext): Promise<void> {
+    const victim = fleet.daemon(1 + Math.floor(ctx.random() * 2));
+    await delay(200 + ctx.random() * 300);
+    victim.child.signal('SIGKILL');
+    await victim.child.ended();
+    ctx.say(`${victim.options.name} killed with streams open`);
+    await delay(7_000);
+    fleet.store.setFaults({ loseAnswers: 0 });
+    await fleet.addDaemon('entry-7', 'dc-1');
+    await delay(1_000);
+  }
+
+  async #freeze(fleet: Fleet, ctx: ProofContext): Promise<void> {
+    const victim = fleet.daemon(3 + Math.floor(ctx.random() * 2));
+    victim.child.signal('SIGSTOP');
+    await delay(FREEZE_MS);
+    victim.child.signal('SIGCONT');
+    const code = await Promise.race([victim.child.ended(), delay(20_000, -1)]);
+    ctx.say(`${victim.options.name} frozen past its takeover, then ended with code ${code}`);
+    ensure(code === EXIT_FENCED, `a daemon whose place was taken ended with code ${code}`);
+  }
+
+  async #outage(fleet: Fleet, ctx: ProofContext): Promise<void> {
+    fleet.store.setFaults({ outage: true });
+    await delay(3_000);
+    const victim = fleet.daemons.at(-1);
+    victim?.child.signal('SIGKILL');
+    await delay(4_000);
+    fleet.store.setFaults({ outage: false });
+    ctx.say('the store was away for 7 s, and an entry was killed meanwhile');
+    await delay(1_000);
+  }
+
+  #duplicates(fleet: Fleet): number {
+    return fleet.store
+      .keys('statements/')
+      .map((key) => pageSchema.parse(fleet.store.peek(key)))
+      .reduce((sum, { duplicates }) => sum + duplicates.length, 0);
+  }
+
+  async #check(fleet: Fleet, answered: readonly string[], ctx: ProofContext): Promise<void> {
+    const reader = fleet.daemons.findIndex(({ child }) => child.running);
+    const read = async (): Promise<readonly ChargeLine[]> =>
+      fleet.daemon(reader).operator<readonly ChargeLine[]>('workspaces/shop/statement');
+    const wanted = new Set(answered);
+    const agrees = async (): Promise<boolean> => {
+      const lines = await read();
+      const billed = lines.reduce((sum, { units }) => sum + units, 0);
+      const { spent } = await fleet.budget(reader);
+      return lines.length === wanted.size && spent === billed;
+    };
+    await waitFor('the statement agrees', agrees, SETTLE_MS).catch(() => undefined);
+    const lines = await read();
+    const keys = lines.map(({ key }) => key);
+    const missing = [...wanted].filter((key) => !keys.includes(key));
+    const foreign = keys.filter((key) => !wanted.has(key));
+    const billed = lines.reduce((sum, { units }) => sum + units, 0);
+    const budget = await fleet.budget(reader);
+    ctx.say(`${lines.length} lines, ${billed} units billed, ${budget.spent} spent`);
+    ctx.say(`${this.#duplicates(fleet)} repeated lines were not billed`);
+    ensure(missing.length === 0, `not billed: ${missing.slice(0, 5).join(', ')}`);
+    ensure(foreign.length === 0, `billed without an answer: ${foreign.slice(0, 5).join(', ')}`);
+    ensure(new Set(keys).size === keys.length, 'a request is billed twice');
+    ensure(budget.spent === billed, `spent ${budget.spent}, but the statement says ${billed}`);
+    const shards = fleet.store
+      .keys('budgets/')
+      .map((key) => shardSchema.parse(fleet.store.peek(key)));
+    shards
+      .flatMap((shard) => shard.budgets)
+      .forEach(({ rows, paid, retired, credited }) => {
+        const out = rows.reduce((sum, row) => sum + row.granted - row.returned, retired - credited);
+        ensure(out <= paid, `granted ${out} of ${paid} paid units`);
+      });
+    const held = await fleet.daemon(reader).operator<readonly { readonly units: number }[]>('held');
+    ctx.say(`held: ${held.map(({ units }) => units).join(' + ') || 'nothing'}`);
+  }
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -7,6 +7,7 @@
 
 import { formatProblem } from '../kernel/index.js';
 import { OperatorClient } from './client.js';
+import { heldCommand } from './held.js';
 import { readServiceFiles } from './servicefiles.js';
 
 import type { ClientAnswer } from './client.js';
@@ -87,6 +88,7 @@
     (args) => args,
     async (argv) => print(await new OperatorClient(argv).get('status')),
   )
+  .command(heldCommand)
   .demandCommand(1)
   .strict()
   .help();
--- a/src/daemon/app.module.ts
+++ b/src/daemon/app.module.ts
@@ -4,6 +4,7 @@
 import type { DynamicModule } from '@nestjs/common';
 import { CallersController } from './callers.controller.js';
 import { HealthController } from './health.controller.js';
+import { HeldController } from './held.controller.js';
 import { OperatorGuard } from './operator.guard.js';
 import { OperatorsController } from './operators.controller.js';
 import { Runtime } from './runtime.js';
@@ -19,7 +20,7 @@
   static around(runtime: Runtime): DynamicModule {
     return {
       module: AppModule,
-      controllers: [CallersController, HealthController, OperatorsController],
+      controllers: [CallersController, HealthController, HeldController, OperatorsController],
       providers: [{ provide: Runtime, useValue: runtime }, OperatorGuard],
     };
   }
--- a/src/daemon/backups.ts
+++ b/src/daemon/backups.ts
@@ -1,5 +1,12 @@
 /** Speaks to the backup of this daemon and keeps the copies of other daemons. */
-import { backupCandidates, fence, keepBatch, NO_COPIES, WINDOW_UNITS } from '../fleet/index.js';
+import {
+  backupCandidates,
+  fence,
+  keepBatch,
+  NO_COPIES,
+  shardCarers,
+  WINDOW_UNITS,
+} from '../fleet/index.js';
 import { instanceOf } from '../kernel/index.js';
 
 import type { Copies, CopyBatch, CopyVerdict, Handover } from '../fleet/index.js';
@@ -18,6 +25,9 @@
 /** Candidates that are asked before a daemon goes on without a backup. */
 const MAX_CANDIDATES = 4;
 
+/** Daemons in the order of a shard's care that a holder keeps in touch with. */
+const FIRST_CARERS = 3;
+
 /** What an instance answers about itself and a holder. */
 export interface HolderSeen {
   readonly self: Incarnation;
@@ -110,6 +120,21 @@
     return (await this.query(instanceOf(peer), holder))?.self === peer;
   }
 
+  /**
+   * Says whether the daemons that would first look after a shard answer.
+   * @param shard - shard number
+   * @param holder - own incarnation
+   * @returns false if one of them may believe that this daemon has stopped
+   */
+  async reachesCarers(shard: number, holder: Incarnation): Promise<boolean> {
+    const live = this.network.peers().filter(({ state }) => state === 'live');
+    const names = [instanceOf(this.self), ...live.map(({ name }) => name)];
+    const first = shardCarers(shard, names).slice(0, FIRST_CARERS);
+    const others = first.filter((name) => name !== instanceOf(this.self));
+    const answers = await Promise.all(others.map((name) => this.query(name, holder)));
+    return answers.every((answer) => answer !== undefined);
+  }
+
   /**
    * Fences a holder at its backup, which may be this daemon.
    * @param backup - backup on record
--- a/src/daemon/charges.ts
+++ b/src/daemon/charges.ts
@@ -16,6 +16,9 @@
 /** Interval at which backups are checked, in milliseconds. */
 const CARE_MS = 500;
 
+/** Checks of the backups between two checks whether this daemon is seen by those who would recover it. */
+const BEAT_CARES = 3;
+
 /** Lines that a daemon keeps while the store does not take them; about 15 MB. */
 const MAX_UNFLUSHED_LINES = 50_000;
 
@@ -44,6 +47,8 @@
 
   #careTimer: NodeJS.Timeout | undefined;
 
+  #cares = 0;
+
   #isFenced = false;
 
   #isStopped = false;
@@ -206,6 +211,8 @@
   async #care(): Promise<void> {
     const outboxes = [...this.#outboxes.values()];
     const { backups, self } = this.ctx;
+    this.#cares += 1;
+    const isBeatDue = this.#cares % BEAT_CARES === 0;
     const holding = new Set(outboxes.flatMap(({ backup }) => (backup === null ? [] : [backup])));
     const silent = new Set<string>();
     await Promise.all(
@@ -219,7 +226,8 @@
         const isSilent = outbox.backup === null || silent.has(outbox.backup);
         if (isSilent && outbox.unflushed === 0) await outbox.probe();
         await outbox.maintain(isSilent);
-        if (isSilent) await outbox.beat();
+        const isSeen = !isBeatDue || (await backups.reachesCarers(outbox.shard, self));
+        if (!isSeen) await outbox.beat();
       }),
     );
   }
--- a/src/daemon/shardcare.ts
+++ b/src/daemon/shardcare.ts
@@ -107,31 +107,34 @@
     await recoverHolder(this.ctx, shard, entry);
   }
 
-  /** Whether the holder, or its recoverer, has long given no sign of life. */
+  /** Whether the holder, or its recoverer, has long given no sign of life to anybody. */
   async #hasStopped(shard: number, entry: HolderEntry): Promise<boolean> {
+    const { backups, self } = this.ctx;
     const watched = entry.state === 'active' ? entry.holder : (entry.recoverer ?? entry.holder);
     const slot = `${shard}/${entry.holder}`;
+    const seen = watched === self || (await backups.isThere(watched, self));
+    if (seen) {
+      this.#suspicions.delete(slot);
+      return false;
+    }
     const state = JSON.stringify(entry);
     const known = this.#suspicions.get(slot);
-    if (await this.#isAlive(watched, entry)) {
-      this.#suspicions.delete(slot);
+    if (known?.entry !== state) {
+      // A changed entry is a sign of life of a holder that no link reaches.
+      this.#suspicions.set(slot, { since: performance.now(), entry: state });
       return false;
     }
-    if (known?.entry === state) return performance.now() - known.since > SUSPECT_MS;
-    this.#suspicions.set(slot, { since: performance.now(), entry: state });
-    return false;
+    if (performance.now() - known.since < SUSPECT_MS) return false;
+    return watched !== entry.holder || !(await this.#isHeardByBackup(entry));
   }
 
-  async #isAlive(watched: Incarnation, entry: HolderEntry): Promise<boolean> {
+  async #isHeardByBackup({ holder, backup }: HolderEntry): Promise<boolean> {
     const { backups, self } = this.ctx;
-    if (watched === self) return true;
-    const seen = await backups.query(instanceOf(watched), self);
-    if (seen) return seen.self === watched;
-    if (entry.backup === null || watched !== entry.holder) return false;
+    if (backup === null) return false;
     const silentMs =
-      entry.backup === self
-        ? backups.silentMs(watched)
-        : ((await backups.query(instanceOf(entry.backup), watched))?.silentMs ?? null);
+      backup === self
+        ? backups.silentMs(holder)
+        : ((await backups.query(instanceOf(backup), holder))?.silentMs ?? null);
     return silentMs !== null && silentMs < SUSPECT_MS;
   }
 
--- /dev/null
+++ b/testbed/patientcallers.ts
@@ -0,0 +1,82 @@
+/** Callers that repeat each request with its key, through any daemon, until it is answered. */
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { askModel } from './caller.js';
+import { API_KEY } from './documents.js';
+
+import type { Fleet } from './fleet.js';
+
+/** Tokens of each answer. */
+const TOKENS = 24;
+
+/** Longest attempt, in milliseconds; a frozen daemon does not hold a caller for longer. */
+const ATTEMPT_MS = 4_000;
+
+/** Pause before a repeat, in milliseconds. */
+const PAUSE_MS = 50;
+
+/** Callers that go on until they are stopped, each repeating its key until it is answered. */
+export class PatientCallers {
+  /** Keys of the requests that were answered whole. */
+  readonly answered: string[] = [];
+
+  #isStopped = false;
+
+  #running: readonly Promise<void>[] = [];
+
+  /**
+   * Creates the callers.
+   * @param fleet - daemons that they call
+   * @param callers - number of callers, each with one request at a time
+   * @param random - chooses the daemon of each attempt
+   */
+  constructor(
+    private readonly fleet: Fleet,
+    private readonly callers: number,
+    private readonly random: () => number,
+  ) {}
+
+  /** Begins to send. */
+  start(): void {
+    this.#running = Array.from({ length: this.callers }, (_, caller) => this.#call(caller));
+  }
+
+  /** Ends after the answers to the open requests. */
+  async stop(): Promise<void> {
+    this.#isStopped = true;
+    await Promise.all(this.#running);
+  }
+
+  async #call(caller: number): Promise<void> {
+    for (let count = 0; !this.#isStopped; count += 1) {
+      // A caller sends its next request after the answer to the last one.
+      // eslint-disable-next-line no-await-in-loop
+      await this.#untilAnswered(`caller-${caller}-${count}`);
+    }
+  }
+
+  async #untilAnswered(key: string): Promise<void> {
+    for (;;) {
+      const running = this.fleet.daemons.filter(({ child }) => child.running);
+      const daemon = running[Math.floor(this.random() * running.length)];
+      if (!daemon) throw new Error('no daemon is left');
+      // A repeat goes through another daemon, with the same key.
+      // eslint-disable-next-line no-await-in-loop
+      const answer = await askModel({
+        url: daemon.url,
+        apiKey: API_KEY,
+        model: 'drafts',
+        prompt: `manifest ${key}`,
+        maxTokens: TOKENS,
+        key,
+        signal: AbortSignal.timeout(ATTEMPT_MS),
+      });
+      if (answer.whole || answer.code === 'key-settled') {
+        this.answered.push(key);
+        return;
+      }
+      // eslint-disable-next-line no-await-in-loop
+      await delay(PAUSE_MS);
+    }
+  }
+}
