--- a/src/budget/tests/model.ts
+++ b/src/budget/tests/model.ts
@@ -11,8 +11,9 @@
   returnUnits,
   settleReservation,
 } from '../escrow.js';
-import { rowOf, settle, topUp, unallocated, withRow, replaceBudget } from '../ledger.js';
+import { rowOf, topUp, unallocated, withRow, replaceBudget } from '../ledger.js';
 import { lend } from '../lending.js';
+import { settle } from '../settlement.js';
 import { parseShard } from '../shard.js';
 import { applyTransfer } from '../transfer.js';
 
@@ -152,9 +153,13 @@
 }
 
 function settleLines(world: World, holder: Holder, lost: boolean): World {
-  const change = settle(world.shard, holder.name, holder.lines);
+  const change = settle(world.shard, {
+    holder: holder.name,
+    by: holder.name,
+    lines: holder.lines,
+  });
   if (change.kind === 'keep') return world;
-  const lines = holder.lines.filter(({ sequence }) => sequence > change.outcome);
+  const lines = holder.lines.filter(({ sequence }) => sequence > change.outcome.settled);
   const next = { ...world, shard: change.value };
   return lost ? next : put(next, { ...holder, lines });
 }
@@ -187,12 +192,16 @@
     units,
   }));
   const moved = replaceBudget(world.shard, known.reduce(applyTransfer, budgetOf(world)));
-  const settled = settle(moved, holder.name, holder.copy.lines);
+  const settled = settle(moved, {
+    holder: holder.name,
+    by: holder.name,
+    lines: holder.copy.lines,
+  });
   const shard = settled.kind === 'write' ? settled.value : moved;
   const next = { ...world, shard };
   const row = rowOf(budgetOf(next), holder.name);
   const complete = known.every(({ to, units }) => counterOf(row.passed ?? [], to) >= units);
-  const unsettled = holder.copy.lines.length > settled.outcome;
+  const unsettled = holder.copy.lines.length > settled.outcome.settled;
   if (!complete || unsettled) return next;
   const freed = withRow(budgetOf(next), { ...row, returned: row.granted - row.spent });
   return put({ ...next, shard: replaceBudget(shard, freed) }, { ...holder, fenced: true });
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -6,6 +6,7 @@
 import { checkCommand } from './check.js';
 import { diffCommand } from './diff.js';
 import { EXIT } from './exits.js';
+import { heldCommand } from './held.js';
 import { say } from './output.js';
 import { publishCommand } from './publish.js';
 import { statementCommand } from './statement.js';
@@ -31,6 +32,7 @@
   .command(budgetsCommand)
   .command(topUpCommand)
   .command(statementCommand)
+  .command(heldCommand)
   .completion('completion', 'print a completion script for the shell')
   .epilogue('exit codes: 0 done, 1 refused, 2 wrong input, 3 no answer or outcome unknown')
   .demandCommand(1, 'name a command; --help lists them')
--- a/testbed/caller.ts
+++ b/testbed/caller.ts
@@ -51,6 +51,7 @@
 }
 
 function errorOf(status: number, text: string): ErrorBody['error'] {
+  // The connection broke before the headers.
   if (status === 0) return undefined;
   if (status !== 200) return (JSON.parse(text) as ErrorBody).error;
   const last = eventsOf(text).at(-1);
