--- a/src/cli/publish.ts
+++ b/src/cli/publish.ts
@@ -2,33 +2,100 @@
 import { randomUUID } from 'node:crypto';
 import { userInfo } from 'node:os';
 
-import type { CommandModule } from 'yargs';
-import { compareDocuments } from '../config/index.js';
+import type { Argv, CommandModule } from 'yargs';
+import { compareDocuments, cutDocuments } from '../config/index.js';
+import { Err } from '../kernel/index.js';
 import { readOrExplain, withDirs } from './check.js';
 import { OperatorClient } from './client.js';
 import { renderComparison } from './diff.js';
-import { announce, printFailure, report, say } from './output.js';
+import { announce, print, printFailure, say } from './output.js';
+import { awaitRollout } from './rollout.js';
 
-import type { PublishAnswer } from '../config/index.js';
+import type { Documents, PublicationOrder, PublicationView } from '../config/index.js';
 import type { RevisionView } from '../daemon/operators.controller.js';
 import type { DirArgs } from './check.js';
+import type { ClientAnswer } from './client.js';
 import type { GlobalArgs } from './output.js';
 
+/** Largest set of pieces that is sent at once, in bytes of JSON. */
+const BATCH_BYTES = 1_000_000;
+
+/** Time that "--wait" gives a revision by default, in seconds. */
+const WAIT_SECONDS = 30;
+
 interface PublishArgs extends DirArgs {
   readonly base: number | undefined;
   readonly operation: string;
+  readonly wait: boolean;
+  readonly waitSeconds: number;
+  readonly budgetShards: number | undefined;
+}
+
+function render({ result, revision, at }: PublicationView): string {
+  const done = result === 'repeated' ? `already done at ${new Date(at).toISOString()}` : result;
+  return `${done}: revision ${revision}`;
+}
+
+function batches(parts: readonly Documents[]): readonly (readonly Documents[])[] {
+  const list: Documents[][] = [];
+  let room = 0;
+  parts.forEach((part) => {
+    const bytes = JSON.stringify(part).length;
+    if (bytes > room) {
+      list.push([]);
+      room = BATCH_BYTES;
+    }
+    list.at(-1)?.push(part);
+    room -= bytes;
+  });
+  return list;
 }
 
-function render({ manifest, result }: PublishAnswer): string {
-  const done =
-    result === 'repeated' ? `already done at ${new Date(manifest.at).toISOString()}` : result;
-  return `${done}: revision ${manifest.revision}`;
+/** Sends the pieces that are not in force, then the publication that names all of them. */
+async function send(
+  client: OperatorClient,
+  order: Omit<PublicationOrder, 'digests' | 'documents'>,
+  before: Documents,
+  after: Documents,
+): Promise<ClientAnswer<PublicationView>> {
+  const known = new Set(cutDocuments(before).map(({ digest }) => digest));
+  const pieces = cutDocuments(after);
+  const fresh = pieces.filter(({ digest }) => !known.has(digest));
+  for (const parts of batches(fresh.map(({ documents }) => documents))) {
+    // The daemon stores one batch after the other.
+    // eslint-disable-next-line no-await-in-loop
+    const staged = await client.post('pieces', { parts });
+    if (staged.err) return Err(staged.val);
+  }
+  return client.post('publish', { ...order, digests: pieces.map(({ digest }) => digest) });
+}
+
+async function run(argv: PublishArgs): Promise<void> {
+  const documents = await readOrExplain(argv);
+  if (!documents) return;
+  const client = new OperatorClient(argv);
+  const inForce = await client.get<RevisionView>('revision');
+  if (inForce.err) {
+    printFailure(argv, inForce.val);
+    return;
+  }
+  const { revision, documents: before } = inForce.val;
+  say(renderComparison({ revision, differences: compareDocuments(before, documents) }));
+  const { operation, budgetShards } = argv;
+  announce(operation);
+  const author = userInfo().username;
+  const order = { operation, author, base: argv.base ?? revision, budgetShards };
+  const answer = await send(client, order, before, documents);
+  if (answer.err) printFailure(argv, answer.val, operation);
+  else if (argv.wait) await awaitRollout(argv, client, answer.val, render);
+  else print(argv, answer.val, render);
 }
 
 /** Puts service files in force. */
 export const publishCommand: CommandModule<GlobalArgs, PublishArgs> = {
   command: 'publish <dirs..>',
   describe: 'put the service files below some directories in force, as a whole',
+  // Hyphenated options reach the handler in camel case, which the types of yargs do not tell.
   builder: (args) =>
     withDirs(args)
       .option('base', { type: 'number', describe: 'revision that the change was compared with' })
@@ -37,23 +104,20 @@
         default: randomUUID(),
         defaultDescription: 'a random id',
         describe: 'operation id; running again with the same id is safe',
-      }),
-  handler: async (argv) => {
-    const documents = await readOrExplain(argv);
-    if (!documents) return;
-    const client = new OperatorClient(argv);
-    const inForce = await client.get<RevisionView>('revision');
-    if (inForce.err) {
-      printFailure(argv, inForce.val);
-      return;
-    }
-    const { revision, documents: before } = inForce.val;
-    say(renderComparison({ revision, differences: compareDocuments(before, documents) }));
-    const { operation } = argv;
-    announce(operation);
-    const author = userInfo().username;
-    const base = argv.base ?? revision;
-    const order = { operation, author, base, documents };
-    report(argv, await client.post<PublishAnswer>('publish', order), render, operation);
-  },
+      })
+      .option('wait', {
+        type: 'boolean',
+        default: false,
+        describe: 'return once every live daemon has the revision in force',
+      })
+      .option('wait-seconds', {
+        type: 'number',
+        default: WAIT_SECONDS,
+        describe: 'longest wait of --wait',
+      })
+      .option('budget-shards', {
+        type: 'number',
+        describe: 'budget shards; only the first publication may set them',
+      }) as unknown as Argv<PublishArgs>,
+  handler: run,
 };
--- /dev/null
+++ b/src/cli/rollout.ts
@@ -0,0 +1,69 @@
+/** Waits until a revision is in force at every live daemon. */
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { SECOND_MS } from '../kernel/index.js';
+import { EXIT } from './exits.js';
+import { print, say } from './output.js';
+
+import type { PublicationView } from '../config/index.js';
+import type { RolloutView } from '../daemon/configspread.js';
+import type { OperatorClient } from './client.js';
+import type { GlobalArgs } from './output.js';
+
+/** Interval between questions, in milliseconds. */
+const POLL_MS = 100;
+
+/** A publication and the daemons that have not taken it over. */
+export interface RolloutResult extends PublicationView {
+  /** Daemons that have the revision in force. */
+  readonly daemons: number;
+  readonly missing: readonly RolloutView[];
+}
+
+async function look(
+  client: OperatorClient,
+  published: PublicationView,
+): Promise<RolloutResult | undefined> {
+  const answer = await client.get<readonly RolloutView[]>('rollout');
+  if (answer.err) return undefined;
+  const missing = answer.val.filter(({ revision }) => (revision ?? 0) < published.revision);
+  return { ...published, daemons: answer.val.length - missing.length, missing };
+}
+
+function describe({ instance, revision }: RolloutView): string {
+  return `${instance} ${revision === null ? 'does not answer' : `has revision ${revision}`}`;
+}
+
+/**
+ * Waits for a revision, prints the result and names the daemons that do not have it.
+ * @param argv - options of the command
+ * @param client - client of a daemon
+ * @param published - the publication
+ * @param render - formats the publication for people
+ */
+export async function awaitRollout(
+  argv: GlobalArgs & { readonly waitSeconds: number },
+  client: OperatorClient,
+  published: PublicationView,
+  render: (view: PublicationView) => string,
+): Promise<void> {
+  const deadline = Date.now() + argv.waitSeconds * SECOND_MS;
+  let result = await look(client, published);
+  while ((!result || result.missing.length > 0) && Date.now() < deadline) {
+    // Questions follow one another.
+    /* eslint-disable no-await-in-loop */
+    await delay(POLL_MS);
+    result = await look(client, published);
+    /* eslint-enable no-await-in-loop */
+  }
+  if (!result) {
+    print(argv, published, render);
+    say('the daemon stopped answering; run "comfreyreel status" against another one');
+    process.exitCode = EXIT.unknown;
+    return;
+  }
+  print(argv, result, (found) => `${render(found)}, in force at ${found.daemons} daemons`);
+  if (result.missing.length === 0) return;
+  say(`not in force yet: ${result.missing.map(describe).join(', ')}`);
+  process.exitCode = EXIT.unknown;
+}
--- /dev/null
+++ b/src/config/delta.ts
@@ -0,0 +1,64 @@
+/** Differences between manifests, as daemons pass them on. */
+import { z } from 'zod';
+
+import { manifestSchema } from './revision.js';
+import { pieceRefSchema } from './pieces.js';
+
+import type { PieceRef } from './pieces.js';
+import type { Manifest } from './revision.js';
+
+/** Schema of a difference between two manifests. */
+export const manifestDeltaSchema = z
+  .object({
+    /** Revision that the difference starts from. */
+    base: z.number().int().nonnegative(),
+    /** The new manifest without its pieces. */
+    header: manifestSchema.unwrap().omit({ pieces: true }).readonly(),
+    /** Pieces that are new or changed. */
+    changed: z.array(pieceRefSchema).readonly(),
+    /** Slots that hold nothing any more. */
+    removed: z.array(z.string()).readonly(),
+  })
+  .readonly();
+
+/** What turns one manifest into a later one. */
+export type ManifestDelta = z.infer<typeof manifestDeltaSchema>;
+
+function bySlot(manifest: Manifest): ReadonlyMap<string, PieceRef> {
+  return new Map(manifest.pieces.map((piece) => [piece.slot, piece]));
+}
+
+/**
+ * Finds what turns one manifest into another.
+ * @param from - earlier manifest
+ * @param to - later manifest
+ * @returns the difference
+ */
+export function diffManifests(from: Manifest, to: Manifest): ManifestDelta {
+  const before = bySlot(from);
+  const after = bySlot(to);
+  const { pieces, ...header } = to;
+  return {
+    base: from.revision,
+    header,
+    changed: pieces.filter(({ slot, digest }) => before.get(slot)?.digest !== digest),
+    removed: [...before.keys()].filter((slot) => !after.has(slot)),
+  };
+}
+
+function slotOrder(a: PieceRef, b: PieceRef): number {
+  return Number.parseInt(a.slot, 10) - Number.parseInt(b.slot, 10) || (a.slot < b.slot ? -1 : 1);
+}
+
+/**
+ * Applies a difference.
+ * @param from - manifest that the difference starts from
+ * @param delta - the difference
+ * @returns the later manifest; undefined if the difference starts elsewhere
+ */
+export function applyDelta(from: Manifest, delta: ManifestDelta): Manifest | undefined {
+  if (from.revision !== delta.base) return undefined;
+  const gone = new Set([...delta.removed, ...delta.changed.map(({ slot }) => slot)]);
+  const kept = from.pieces.filter(({ slot }) => !gone.has(slot));
+  return { ...delta.header, pieces: [...kept, ...delta.changed].sort(slotOrder) };
+}
--- a/src/config/index.ts
+++ b/src/config/index.ts
@@ -1,9 +1,14 @@
 /** Configuration aggregate: documents, revisions and what is in force. */
+export * from './catchup.js';
 export * from './configuration.js';
 export * from './crosscheck.js';
+export * from './delta.js';
 export * from './difference.js';
 export * from './documents.js';
 export * from './entries.js';
+export * from './pieces.js';
+export * from './publication.js';
 export * from './revision.js';
 export * from './servicefile.js';
+export * from './spread.js';
 export * from './views.js';
--- /dev/null
+++ b/src/config/pieces.ts
@@ -0,0 +1,96 @@
+/** Pieces: a revision cut by the hash of document names, so that a small change moves a small piece. */
+import { z } from 'zod';
+
+import { hash32, sha256 } from '../kernel/index.js';
+import { documentsSchema } from './documents.js';
+import { documentsOf, entriesOf } from './entries.js';
+
+import type { Documents } from './documents.js';
+import type { Entry } from './entries.js';
+
+/** Pieces that a large revision is cut into. */
+export const SLOTS = 512;
+
+/** Largest piece, in bytes of JSON; the store takes a megabyte. */
+export const MAX_PIECE_BYTES = 950_000;
+
+/** Hexadecimal digits of a digest that name a piece. */
+const DIGEST_LENGTH = 32;
+
+/** Schema of a reference to a stored piece. */
+export const pieceRefSchema = z
+  .object({
+    /** Position in the revision; "12" or, where a slot was split, "12.0". */
+    slot: z.string(),
+    digest: z.string(),
+    /** Version of the stored object: an older piece is removed only in this version. */
+    version: z.number().int(),
+  })
+  .readonly();
+
+/** Names a stored piece. */
+export type PieceRef = z.infer<typeof pieceRefSchema>;
+
+/** Schema of a piece with its content. */
+export const pieceSchema = z
+  .object({ slot: z.string(), digest: z.string(), documents: documentsSchema })
+  .readonly();
+
+/** One part of a revision, named by its content. */
+export type Piece = z.infer<typeof pieceSchema>;
+
+/**
+ * Gives the object key of a piece.
+ * @param digest - digest of the piece
+ * @returns the object key
+ */
+export function pieceKey(digest: string): string {
+  return `config/pieces/${digest}`;
+}
+
+/**
+ * Gives the digest that names a piece.
+ * @param documents - content of the piece
+ * @returns hexadecimal digits
+ */
+export function digestOf(documents: Documents): string {
+  return sha256(JSON.stringify(documents)).slice(0, DIGEST_LENGTH);
+}
+
+function nameOf({ kind, document }: Entry): string {
+  return `${kind}/${document.name}`;
+}
+
+function inOrder(a: Entry, b: Entry): number {
+  return nameOf(a) < nameOf(b) ? -1 : 1;
+}
+
+function makePieces(slot: string, entries: readonly Entry[], level: number): readonly Piece[] {
+  const documents = documentsOf(entries);
+  const bytes = Buffer.byteLength(JSON.stringify(documents));
+  if (bytes <= MAX_PIECE_BYTES || entries.length === 1) {
+    return [{ slot, digest: digestOf(documents), documents }];
+  }
+  return [0, 1].flatMap((half) => {
+    const part = entries.filter((entry) => hash32(nameOf(entry), level) % 2 === half);
+    return part.length > 0 ? makePieces(`${slot}.${half}`, part, level + 1) : [];
+  });
+}
+
+/**
+ * Cuts documents into pieces. The same documents always give the same pieces.
+ * @param documents - documents of a whole revision
+ * @returns the pieces that are not empty, in a fixed order
+ */
+export function cutDocuments(documents: Documents): readonly Piece[] {
+  const slots = new Map<number, Entry[]>();
+  [...entriesOf(documents, 0)].sort(inOrder).forEach((entry) => {
+    const slot = hash32(nameOf(entry)) % SLOTS;
+    const list = slots.get(slot) ?? [];
+    list.push(entry);
+    slots.set(slot, list);
+  });
+  return [...slots.entries()]
+    .sort(([a], [b]) => a - b)
+    .flatMap(([slot, entries]) => makePieces(String(slot), entries, 1));
+}
--- /dev/null
+++ b/src/config/publication.ts
@@ -0,0 +1,75 @@
+/** What operators send to publish and what they are told. */
+import { z } from 'zod';
+
+import { failure } from '../kernel/index.js';
+import { compareDocuments } from './difference.js';
+import { documentsSchema } from './documents.js';
+
+import type { Failure } from '../kernel/index.js';
+import type { Documents } from './documents.js';
+import type { PublicationRecord, PublishOutcome } from './revision.js';
+
+/** Longest summary of a publication, in characters. */
+const MAX_SUMMARY = 100;
+
+/** Schema of a publication, as the command-line tool sends it. */
+export const publicationOrderSchema = z
+  .strictObject({
+    operation: z.string().min(1).max(128),
+    author: z.string().min(1).max(64),
+    /** Revision that the change was compared with. */
+    base: z.number().int().nonnegative(),
+    /** Everything that shall be in force; absent if "digests" is given. */
+    documents: documentsSchema.optional(),
+    /** Digests of the pieces, each in force already or sent before. */
+    digests: z.array(z.string()).readonly().optional(),
+    /** Budget shards of the first publication; fixed from then on. */
+    budgetShards: z.number().int().positive().max(4_096).optional(),
+  })
+  .readonly();
+
+/** A publication, as the command-line tool sends it. */
+export type PublicationOrder = z.infer<typeof publicationOrderSchema>;
+
+/** What came of a publication. */
+export interface PublicationView {
+  readonly result: 'published' | 'repeated' | 'unchanged';
+  readonly revision: number;
+  /** When the revision was published, in milliseconds since the epoch; 0 if unchanged. */
+  readonly at: number;
+}
+
+/**
+ * Says in a few words what a publication changes.
+ * @param before - documents in force
+ * @param after - documents to publish
+ * @returns counts and the first names
+ */
+export function summarize(before: Documents, after: Documents): string {
+  const differences = compareDocuments(before, after);
+  const names = differences.map(({ change, kind, name }) => `${change} ${kind} ${name}`);
+  const text = names.slice(0, 3).join(', ');
+  const more = names.length > 3 ? ` and ${names.length - 3} more` : '';
+  return `${text.slice(0, MAX_SUMMARY)}${more}`;
+}
+
+function describe({ revision, author, at, operation, summary }: PublicationRecord): string {
+  const when = new Date(at).toISOString();
+  return `revision ${revision} by ${author} at ${when} (operation ${operation}: ${summary})`;
+}
+
+/**
+ * Explains why a publication did not take effect.
+ * @param outcome - what came of it
+ * @param base - revision that it was compared with
+ * @returns the failure; undefined if it is in force
+ */
+export function refusalOf(outcome: PublishOutcome, base: number): Failure | undefined {
+  if (outcome.result === 'reused') {
+    return failure('operation-reused', describe(outcome.record));
+  }
+  if (outcome.result !== 'conflict') return undefined;
+  const first = outcome.since.toReversed().map(describe).join(', then ');
+  const came = first === '' ? 'a revision that is no longer remembered' : first;
+  return failure('conflict', `${came}; yours was compared with revision ${base}`);
+}
--- a/src/config/revision.ts
+++ b/src/config/revision.ts
@@ -2,23 +2,57 @@
 import { z } from 'zod';
 
 import { sha256 } from '../kernel/index.js';
+import { pieceRefSchema } from './pieces.js';
 
 import type { Change } from '../platform/index.js';
-import type { Documents } from './documents.js';
+import type { PieceRef } from './pieces.js';
 
 /** Object key of the manifest. */
 export const MANIFEST_KEY = 'config/manifest';
 
-/** Schema of a manifest. */
-export const manifestSchema = z
+/** Earlier publications that a manifest remembers, so that a repeat is recognised. */
+export const HISTORY_LENGTH = 64;
+
+/** Time for which a piece stays stored after no revision names it any more, in milliseconds. */
+export const RETENTION_MS = 120_000;
+
+/** Budget shards of a fleet that has published nothing yet. */
+export const DEFAULT_BUDGET_SHARDS = 2;
+
+/** Budgets for each shard that the first publication lays out. */
+const BUDGETS_PER_SHARD = 500;
+
+/** Hexadecimal digits of the digest of a publication. */
+const CONTENT_LENGTH = 16;
+
+/** Schema of one publication. */
+export const publicationSchema = z
   .object({
     revision: z.number().int().nonnegative(),
     /** Id of the publishing operation that made the revision. */
     operation: z.string(),
     author: z.string(),
+    /** When, in milliseconds since the epoch. */
+    at: z.number(),
+    /** What it changed, in a few words. */
+    summary: z.string().default(''),
+    /** Digest of the whole content: an operation id is not used for other content. */
+    content: z.string().default(''),
+  })
+  .readonly();
+
+/** Who put what in force, and when. */
+export type PublicationRecord = z.infer<typeof publicationSchema>;
+
+/** Schema of what daemons keep and pass on of a manifest. */
+export const manifestSchema = z
+  .object({
+    revision: z.number().int().nonnegative(),
+    operation: z.string(),
+    author: z.string(),
     at: z.number(),
-    /** Digests of the pieces, in a fixed order. */
-    pieces: z.array(z.string()).readonly(),
+    /** The pieces, in a fixed order. */
+    pieces: z.array(pieceRefSchema).readonly(),
     /** Budget shards; fixed by the first revision. */
     budgetShards: z.number().int().positive(),
   })
@@ -27,8 +61,26 @@
 /** What is in force, by reference. */
 export type Manifest = z.infer<typeof manifestSchema>;
 
-/** Budget shards of a fleet that has published nothing yet. */
-export const DEFAULT_BUDGET_SHARDS = 2;
+/** Schema of a piece that no revision names any more. */
+const retiredSchema = z
+  .object({ digest: z.string(), version: z.number().int(), at: z.number() })
+  .readonly();
+
+/** A stored piece that may be removed after a while. */
+export type RetiredPiece = z.infer<typeof retiredSchema>;
+
+/** Schema of the stored manifest. */
+export const storedManifestSchema = z
+  .object({
+    manifest: manifestSchema,
+    /** Publications, the newest first. */
+    history: z.array(publicationSchema).readonly(),
+    retired: z.array(retiredSchema).readonly(),
+  })
+  .readonly();
+
+/** The manifest as the store keeps it. */
+export type StoredManifest = z.infer<typeof storedManifestSchema>;
 
 /** The manifest before the first publication. */
 export const EMPTY_MANIFEST: Manifest = {
@@ -40,38 +92,35 @@
   budgetShards: DEFAULT_BUDGET_SHARDS,
 };
 
-/** One part of a revision, stored under its digest. */
-export interface Piece {
-  readonly digest: string;
-  readonly documents: Documents;
-}
+const NOTHING_STORED: StoredManifest = { manifest: EMPTY_MANIFEST, history: [], retired: [] };
 
 /**
- * Gives the object key of a piece.
- * @param digest - digest of the piece
- * @returns the object key
+ * Reads a stored manifest.
+ * @param value - stored value; null where nothing was published
+ * @returns the manifest with its history
+ * @throws ZodError if the value is not a manifest
  */
-export function pieceKey(digest: string): string {
-  return `config/pieces/${digest}`;
+export function parseManifest(value: unknown): StoredManifest {
+  return value === null ? NOTHING_STORED : storedManifestSchema.parse(value);
 }
 
 /**
- * Makes a piece of documents.
- * @param documents - documents that belong together
- * @returns the piece, named by its content
+ * Gives the number of budget shards that a first publication lays out.
+ * @param budgets - number of budgets that it declares
+ * @returns number of shards
  */
-export function makePiece(documents: Documents): Piece {
-  return { digest: sha256(JSON.stringify(documents)), documents };
+export function shardsFor(budgets: number): number {
+  return Math.max(DEFAULT_BUDGET_SHARDS, Math.ceil(budgets / BUDGETS_PER_SHARD));
 }
 
 /**
- * Reads a stored manifest.
- * @param value - stored value; null where nothing was published
- * @returns the manifest
- * @throws ZodError if the value is not a manifest
+ * Gives the digest of the content of a publication.
+ * @param pieces - its pieces
+ * @returns hexadecimal digits
  */
-export function parseManifest(value: unknown): Manifest {
-  return value === null ? EMPTY_MANIFEST : manifestSchema.parse(value);
+export function contentOf(pieces: readonly Pick<PieceRef, 'slot' | 'digest'>[]): string {
+  const text = pieces.map(({ slot, digest }) => `${slot}=${digest}`).join('\n');
+  return sha256(text).slice(0, CONTENT_LENGTH);
 }
 
 /** A publication, once its pieces are stored. */
@@ -79,37 +128,87 @@
   readonly operation: string;
   readonly author: string;
   readonly at: number;
+  readonly summary: string;
   /** Revision that the operator compared with. */
   readonly base: number;
-  readonly pieces: readonly string[];
+  readonly pieces: readonly PieceRef[];
+  /** Budget shards; counts only for the first publication. */
+  readonly budgetShards: number;
 }
 
 /** What came of a publication. */
-export interface PublishAnswer {
-  readonly manifest: Manifest;
-  readonly result: 'published' | 'repeated' | 'conflict';
+export type PublishOutcome =
+  | { readonly result: 'published' | 'repeated'; readonly record: PublicationRecord }
+  | { readonly result: 'unchanged'; readonly revision: number }
+  | { readonly result: 'reused'; readonly record: PublicationRecord }
+  /** Publications since the base, the newest first. */
+  | { readonly result: 'conflict'; readonly since: readonly PublicationRecord[] };
+
+/** Manifest and pieces that were removed from it for good. */
+type PublishChange = Change<StoredManifest, PublishOutcome>;
+
+function retire(
+  { manifest, retired }: StoredManifest,
+  pieces: readonly PieceRef[],
+  at: number,
+): readonly RetiredPiece[] {
+  const kept = new Set(pieces.map(({ digest }) => digest));
+  const dropped = manifest.pieces.filter(({ digest }) => !kept.has(digest));
+  return [
+    ...retired.filter((piece) => !kept.has(piece.digest) && piece.at > at - RETENTION_MS),
+    ...dropped.map(({ digest, version }) => ({ digest, version, at })),
+  ];
+}
+
+/**
+ * Lists the pieces that a publication at some time may remove for good.
+ * @param stored - manifest before the publication
+ * @param at - time of the publication, in milliseconds since the epoch
+ * @returns pieces that have been retired for long enough
+ */
+export function expired(
+  { manifest, retired }: StoredManifest,
+  at: number,
+): readonly RetiredPiece[] {
+  const named = new Set(manifest.pieces.map(({ digest }) => digest));
+  return retired.filter((piece) => piece.at <= at - RETENTION_MS && !named.has(piece.digest));
+}
+
+/** Recognises an operation that was carried out before. */
+function earlier({ history }: StoredManifest, ask: PublishRequest): PublishOutcome | undefined {
+  const record = history.find(({ operation }) => operation === ask.operation);
+  if (!record) return undefined;
+  if (record.content !== contentOf(ask.pieces)) return { result: 'reused', record };
+  // The answer to this very publication was lost: it took effect now, not in an earlier run.
+  return { result: record.at === ask.at ? 'published' : 'repeated', record };
 }
 
 /**
  * Puts a publication in force, unless another came first.
- * @param manifest - manifest in force
+ * @param stored - manifest in force, with its history
  * @param ask - the publication
- * @returns the change of the manifest and its result
+ * @returns the change of the manifest and its outcome
  */
-export function publish(manifest: Manifest, ask: PublishRequest): Change<Manifest, PublishAnswer> {
-  if (manifest.operation === ask.operation) {
-    return { kind: 'keep', outcome: { manifest, result: 'repeated' } };
-  }
+export function publish(stored: StoredManifest, ask: PublishRequest): PublishChange {
+  const { manifest, history } = stored;
+  const known = earlier(stored, ask);
+  if (known) return { kind: 'keep', outcome: known };
   if (manifest.revision !== ask.base) {
-    return { kind: 'keep', outcome: { manifest, result: 'conflict' } };
+    const since = history.filter(({ revision }) => revision > ask.base);
+    return { kind: 'keep', outcome: { result: 'conflict', since } };
+  }
+  const content = contentOf(ask.pieces);
+  if (manifest.revision > 0 && content === contentOf(manifest.pieces)) {
+    return { kind: 'keep', outcome: { result: 'unchanged', revision: manifest.revision } };
   }
-  const value: Manifest = {
-    revision: manifest.revision + 1,
-    operation: ask.operation,
-    author: ask.author,
-    at: ask.at,
-    pieces: ask.pieces,
-    budgetShards: manifest.budgetShards,
+  const { operation, author, at, summary, pieces } = ask;
+  const revision = manifest.revision + 1;
+  const budgetShards = manifest.revision > 0 ? manifest.budgetShards : ask.budgetShards;
+  const record: PublicationRecord = { revision, operation, author, at, summary, content };
+  const value: StoredManifest = {
+    manifest: { revision, operation, author, at, pieces, budgetShards },
+    history: [record, ...history].slice(0, HISTORY_LENGTH),
+    retired: retire(stored, pieces, at),
   };
-  return { kind: 'write', value, outcome: { manifest: value, result: 'published' } };
+  return { kind: 'write', value, outcome: { result: 'published', record } };
 }
--- /dev/null
+++ b/src/config/tests/pieces.test.ts
@@ -0,0 +1,201 @@
+import fc from 'fast-check';
+import test from 'ava';
+
+import { DEFAULT_SEED } from '../../../testbed/seed.js';
+import { documentsSchema } from '../documents.js';
+import { applyDelta, diffManifests } from '../delta.js';
+import { cutDocuments, MAX_PIECE_BYTES, SLOTS } from '../pieces.js';
+import { contentOf, EMPTY_MANIFEST, HISTORY_LENGTH, parseManifest, publish } from '../revision.js';
+
+import type { Documents } from '../documents.js';
+import type { Piece } from '../pieces.js';
+import type { Manifest, StoredManifest } from '../revision.js';
+
+const MEGABYTE = 1_000_000;
+
+function fullSize(workspaces: number, budgets: number): Documents {
+  const names = Array.from({ length: workspaces }, (_, index) => `workspace-${index}`);
+  const owners = Array.from({ length: budgets }, (_, index) => index % workspaces);
+  return documentsSchema.parse({
+    workspaces: names.map((name, owner) => ({
+      name,
+      keys: owners.flatMap((of, budget) =>
+        of === owner
+          ? [{ sha256: budget.toString(16).padStart(64, 'a'), budget: `budget-${budget}` }]
+          : [],
+      ),
+    })),
+    budgets: owners.map((owner, index) => ({
+      name: `budget-${index}`,
+      workspace: `workspace-${owner}`,
+    })),
+  });
+}
+
+function bytesOf(value: unknown): number {
+  return Buffer.byteLength(JSON.stringify(value));
+}
+
+function manifestOf(revision: number, pieces: readonly Piece[]): Manifest {
+  const refs = pieces.map(({ slot, digest }) => ({ slot, digest, version: 1 }));
+  return { ...EMPTY_MANIFEST, revision, operation: `op-${revision}`, pieces: refs };
+}
+
+test('500 workspaces and 42,000 budgets stay in objects under a megabyte', (t) => {
+  const documents = fullSize(500, 42_000);
+  const pieces = cutDocuments(documents);
+  const sizes = pieces.map((piece) => bytesOf(piece.documents));
+  t.is(pieces.length, SLOTS);
+  t.true(Math.max(...sizes) < 100_000, `largest piece: ${Math.max(...sizes)} bytes`);
+  const manifest = manifestOf(1, pieces);
+  const record = { ...manifest, summary: 'x'.repeat(200), content: 'c'.repeat(16) };
+  const history = Array.from({ length: HISTORY_LENGTH }, () => ({ ...record, pieces: undefined }));
+  const retired = manifest.pieces.map(({ digest }) => ({ digest, version: 1, at: 1 }));
+  t.true(bytesOf({ manifest, history, retired }) < MEGABYTE / 5);
+});
+
+test('a small change moves one small piece', (t) => {
+  const before = fullSize(500, 42_000);
+  const budgets = [...before.budgets, { name: 'spare', workspace: 'workspace-1' }];
+  const old = cutDocuments(before);
+  const next = cutDocuments({ ...before, budgets });
+  const delta = diffManifests(manifestOf(1, old), manifestOf(2, next));
+  t.is(delta.changed.length, 1);
+  const moved = next.find(({ digest }) => digest === delta.changed[0]?.digest);
+  t.true(bytesOf(moved) < 100_000, `moved ${bytesOf(moved)} bytes`);
+});
+
+test('a slot with large documents is split', (t) => {
+  const keys = Array.from({ length: 6_000 }, (_, index) => ({
+    sha256: index.toString(16).padStart(64, '0'),
+    budget: 'main',
+  }));
+  const workspaces = Array.from({ length: 600 }, (_, index) => ({
+    name: `w-${index}`,
+    state: 'open' as const,
+    keys: index < 40 ? keys : [],
+  }));
+  const pieces = cutDocuments({ workspaces, budgets: [], routes: [], upstreams: [] });
+  const sizes = pieces.map((piece) => bytesOf(piece.documents));
+  t.true(Math.max(...sizes) <= MAX_PIECE_BYTES);
+  t.true(pieces.some(({ slot }) => slot.includes('.')));
+  t.is(new Set(pieces.map(({ slot }) => slot)).size, pieces.length);
+});
+
+const refsArbitrary = fc
+  .uniqueArray(fc.integer({ min: 0, max: 30 }), { maxLength: 12 })
+  .chain((slots) =>
+    fc.tuple(
+      ...[...slots]
+        .sort((a, b) => a - b)
+        .map((slot) =>
+          fc.integer({ min: 0, max: 3 }).map((content) => ({
+            slot: String(slot),
+            digest: `d${content}`,
+            version: 1,
+          })),
+        ),
+    ),
+  );
+
+test('a difference of manifests leads from one to the other, and from no third', (t) => {
+  fc.assert(
+    fc.property(refsArbitrary, refsArbitrary, (a, b) => {
+      const from: Manifest = { ...EMPTY_MANIFEST, revision: 4, pieces: a };
+      const to: Manifest = { ...EMPTY_MANIFEST, revision: 7, pieces: b };
+      const delta = diffManifests(from, to);
+      t.deepEqual(applyDelta(from, delta), to);
+      t.is(applyDelta({ ...from, revision: 5 }, delta), undefined);
+    }),
+    { seed: DEFAULT_SEED },
+  );
+});
+
+const PIECES = [{ slot: '1', digest: 'aa', version: 1 }];
+const OTHER = [{ slot: '1', digest: 'bb', version: 1 }];
+const ASK = {
+  operation: 'op-1',
+  author: 'ana',
+  at: 1_000,
+  summary: 'added budgets main',
+  base: 0,
+  pieces: PIECES,
+  budgetShards: 3,
+};
+
+function after(stored: StoredManifest, ask: typeof ASK): StoredManifest {
+  const change = publish(stored, ask);
+  return change.kind === 'write' ? change.value : stored;
+}
+
+const EMPTY = parseManifest(null);
+const FIRST = after(EMPTY, ASK);
+const SECOND = after(FIRST, { ...ASK, operation: 'op-2', base: 1, pieces: OTHER, budgetShards: 9 });
+
+const OUTCOMES = [
+  { title: 'the first publication', stored: EMPTY, ask: ASK, result: 'published' },
+  { title: 'its own lost answer', stored: FIRST, ask: ASK, result: 'published' },
+  { title: 'a repeat', stored: FIRST, ask: { ...ASK, at: 2_000 }, result: 'repeated' },
+  {
+    title: 'a repeat after a later revision',
+    stored: SECOND,
+    ask: { ...ASK, at: 2_000 },
+    result: 'repeated',
+  },
+  {
+    title: 'an operation id that was used for other content',
+    stored: FIRST,
+    ask: { ...ASK, at: 2_000, pieces: OTHER },
+    result: 'reused',
+  },
+  { title: 'a race', stored: FIRST, ask: { ...ASK, operation: 'op-3' }, result: 'conflict' },
+  {
+    title: 'the same content again',
+    stored: FIRST,
+    ask: { ...ASK, operation: 'op-3', base: 1 },
+    result: 'unchanged',
+  },
+] as const;
+
+OUTCOMES.forEach(({ title, stored, ask, result }) => {
+  test(`publish: ${title} is ${result}`, (t) => {
+    t.is(publish(stored, ask).outcome.result, result);
+  });
+});
+
+test('publish: the loser of a race learns every publication that came first', (t) => {
+  const { outcome } = publish(SECOND, { ...ASK, operation: 'op-3' });
+  t.deepEqual(
+    outcome.result === 'conflict' ? outcome.since.map(({ operation }) => operation) : [],
+    ['op-2', 'op-1'],
+  );
+});
+
+test('publish: the number of budget shards is fixed by the first publication', (t) => {
+  t.is(FIRST.manifest.budgetShards, 3);
+  t.is(SECOND.manifest.budgetShards, 3);
+});
+
+test('publish: a dropped piece is kept for a while, with the version that was in force', (t) => {
+  t.deepEqual(SECOND.retired, [{ digest: 'aa', version: 1, at: 1_000 }]);
+  const soon = after(SECOND, { ...ASK, operation: 'op-3', base: 2, at: 2_000, pieces: [] });
+  t.deepEqual(
+    soon.retired.map(({ digest }) => digest),
+    ['aa', 'bb'],
+  );
+  const late = after(SECOND, { ...ASK, operation: 'op-3', base: 2, at: 900_000, pieces: [] });
+  t.deepEqual(
+    late.retired.map(({ digest }) => digest),
+    ['bb'],
+  );
+  const again = after(SECOND, { ...ASK, operation: 'op-3', base: 2, at: 2_000 });
+  t.deepEqual(
+    again.retired.map(({ digest }) => digest),
+    ['bb'],
+  );
+});
+
+test('the digest of a publication depends on slots and digests, not on versions', (t) => {
+  t.is(contentOf(PIECES), contentOf([{ slot: '1', digest: 'aa' }]));
+  t.not(contentOf(PIECES), contentOf(OTHER));
+});
--- /dev/null
+++ b/src/config/tests/spread.test.ts
@@ -0,0 +1,186 @@
+import test from 'ava';
+
+import { catchUp } from '../catchup.js';
+import { EMPTY_MANIFEST } from '../revision.js';
+import { elders, listenersOf, sourcesOf, WATCHERS, watchersOf } from '../spread.js';
+
+import type { Instance } from '../../platform/index.js';
+import type { CatchUpEvent } from '../catchup.js';
+
+function fleetOf(centres: number, each: number): readonly Instance[] {
+  return Array.from({ length: centres * each }, (_, index) => ({
+    name: `entry-${index}`,
+    dataCentre: `dc-${index % centres}`,
+    peerAddress: '127.0.0.1:1',
+    state: 'live',
+  }));
+}
+
+function placeOf({ name, dataCentre }: Instance): { self: string; dataCentre: string } {
+  return { self: name, dataCentre };
+}
+
+function others(fleet: readonly Instance[], self: string): readonly Instance[] {
+  return fleet.filter(({ name }) => name !== self);
+}
+
+const SIZES = [
+  { centres: 3, each: 1 },
+  { centres: 3, each: 3 },
+  { centres: 22, each: 59 },
+] as const;
+
+SIZES.forEach(({ centres, each }) => {
+  test(`${centres} data centres of ${each}: few watch, and each other daemon is told once`, (t) => {
+    const fleet = fleetOf(centres, each);
+    const told = fleet.flatMap((at) => listenersOf(placeOf(at), others(fleet, at.name)));
+    const watching = fleet.filter((at) =>
+      watchersOf(placeOf(at), others(fleet, at.name)).includes(at.name),
+    );
+    t.is(watching.length, centres * Math.min(each, WATCHERS));
+    t.is(new Set(told).size, told.length);
+    const heard = [...told, ...watching.map(({ name }) => name)].sort();
+    t.deepEqual(heard, fleet.map(({ name }) => name).sort());
+  });
+});
+
+test('a daemon asks the watchers of its data centre in turn, then one elsewhere', (t) => {
+  const fleet = fleetOf(2, 6);
+  const [at] = fleet.filter(
+    (one) => !watchersOf(placeOf(one), others(fleet, one.name)).includes(one.name),
+  );
+  t.truthy(at);
+  if (!at) return;
+  const peers = others(fleet, at.name);
+  const near = watchersOf(placeOf(at), peers);
+  const rounds = [0, 1].map((round) => sourcesOf(placeOf(at), peers, round));
+  t.deepEqual(
+    rounds.map(([first]) => first),
+    [...near],
+  );
+  rounds.forEach((names) => {
+    const last = fleet.find(({ name }) => name === names.at(-1));
+    t.is(names.length, WATCHERS + 1);
+    t.not(last?.dataCentre, at.dataCentre);
+  });
+});
+
+test('a fresh daemon asks some of each data centre, and no leaving one', (t) => {
+  const fleet = fleetOf(3, 5).map((at, index) =>
+    index === 0 ? { ...at, state: 'leaving' as const } : at,
+  );
+  const asked = elders(fleet, 2);
+  t.is(asked.length, 6);
+  t.false(asked.includes('entry-0'));
+});
+
+const MANIFEST = { ...EMPTY_MANIFEST, revision: 7 };
+
+interface Run {
+  readonly title: string;
+  readonly events: readonly CatchUpEvent[];
+  readonly commands: readonly string[];
+  readonly outcome: string;
+}
+
+const RUNS: readonly Run[] = [
+  {
+    title: 'the store answers',
+    events: [
+      { type: 'stored', manifest: MANIFEST },
+      { type: 'applied', whole: true },
+    ],
+    commands: ['read-store', 'apply'],
+    outcome: 'store',
+  },
+  {
+    title: 'nothing is published',
+    events: [{ type: 'stored', manifest: EMPTY_MANIFEST }],
+    commands: ['read-store'],
+    outcome: 'nothing',
+  },
+  {
+    title: 'a piece is missing',
+    events: [
+      { type: 'stored', manifest: MANIFEST },
+      { type: 'applied', whole: false },
+    ],
+    commands: ['read-store', 'apply'],
+    outcome: 'nothing',
+  },
+  {
+    title: 'an outage: the highest revision of the peers counts',
+    events: [
+      { type: 'no-answer' },
+      {
+        type: 'revisions',
+        found: [
+          { peer: 'old', revision: 6 },
+          { peer: 'new', revision: 7 },
+        ],
+      },
+      { type: 'manifest', manifest: MANIFEST },
+      { type: 'applied', whole: true },
+    ],
+    commands: ['read-store', 'ask-peers', 'ask-manifest new', 'apply new'],
+    outcome: 'peers',
+  },
+  {
+    title: 'an outage: an older revision is not taken when the highest cannot be had',
+    events: [
+      { type: 'no-answer' },
+      {
+        type: 'revisions',
+        found: [
+          { peer: 'old', revision: 6 },
+          { peer: 'new', revision: 7 },
+        ],
+      },
+      { type: 'no-answer' },
+    ],
+    commands: ['read-store', 'ask-peers', 'ask-manifest new'],
+    outcome: 'nothing',
+  },
+  {
+    title: 'an outage: the next peer with the highest revision is asked',
+    events: [
+      { type: 'no-answer' },
+      {
+        type: 'revisions',
+        found: [
+          { peer: 'a', revision: 7 },
+          { peer: 'b', revision: 7 },
+        ],
+      },
+      { type: 'no-answer' },
+      { type: 'manifest', manifest: MANIFEST },
+      { type: 'applied', whole: true },
+    ],
+    commands: ['read-store', 'ask-peers', 'ask-manifest a', 'ask-manifest b', 'apply b'],
+    outcome: 'peers',
+  },
+  {
+    title: 'an outage: fresh peers know nothing',
+    events: [{ type: 'no-answer' }, { type: 'revisions', found: [{ peer: 'a', revision: 0 }] }],
+    commands: ['read-store', 'ask-peers'],
+    outcome: 'nothing',
+  },
+];
+
+RUNS.forEach(({ title, events, commands, outcome }) => {
+  test(`catching up: ${title}`, (t) => {
+    const run = catchUp();
+    const seen: string[] = [];
+    let step = run.next();
+    for (const event of events) {
+      if (step.done) break;
+      const command = step.value;
+      const peer = 'peer' in command ? command.peer : undefined;
+      const from = 'from' in command ? command.from : peer;
+      seen.push(from ? `${command.type} ${from}` : command.type);
+      step = run.next(event);
+    }
+    t.deepEqual(seen, commands);
+    t.is(step.done ? step.value : 'unfinished', outcome);
+  });
+});
--- /dev/null
+++ b/src/daemon/configfollower.ts
@@ -0,0 +1,118 @@
+/** Follows the configuration: few daemons watch the store, the others ask those. */
+import { performance } from 'node:perf_hooks';
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { catchUp, MANIFEST_KEY, sourcesOf, watchersOf } from '../config/index.js';
+import { drive } from '../kernel/index.js';
+
+import type { CatchUpCommand, CatchUpEvent } from '../config/index.js';
+import type { ConfigContext, ConfigTask } from './configtask.js';
+import type { ConfigSpread } from './configspread.js';
+
+/** Longest wait of one watch, in milliseconds: each answer confirms the configuration. */
+const WATCH_MS = 500;
+
+/** Interval between the questions of a daemon that does not watch, in milliseconds. */
+const ASK_MS = 500;
+
+/** Rounds without a fresh answer of a peer before the store is read. */
+const STORE_ROUNDS = 8;
+
+/** Delay after a failed call, in milliseconds. */
+const RETRY_MS = 200;
+
+/** Owns the loop of one daemon. */
+export class ConfigFollower {
+  #stopped = false;
+
+  #position = 0;
+
+  #round = Math.floor(Math.random() * STORE_ROUNDS);
+
+  #storeAnswers = true;
+
+  /**
+   * Creates the loop; nothing runs before "run".
+   * @param ctx - identity, store and peers
+   * @param config - configuration in force
+   * @param spread - exchange with the peers
+   */
+  constructor(
+    private readonly ctx: ConfigContext,
+    private readonly config: ConfigTask,
+    private readonly spread: ConfigSpread,
+  ) {}
+
+  /** Catches up, then follows until "stop". */
+  async run(): Promise<void> {
+    while (!this.#stopped) {
+      // Each step begins after the one before has ended.
+      // eslint-disable-next-line no-await-in-loop
+      const waitMs = await (this.config.current ? this.#follow() : this.#catchUp());
+      // eslint-disable-next-line no-await-in-loop
+      if (waitMs > 0) await delay(waitMs);
+    }
+  }
+
+  /** Ends the loop after the running step. */
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  /** One attempt of a fresh daemon; gives the delay before the next step. */
+  async #catchUp(): Promise<number> {
+    const outcome = await drive(catchUp(), (command) => this.#perform(command));
+    if (outcome === 'peers') this.ctx.recorder.record('configFromPeers');
+    return outcome === 'nothing' ? RETRY_MS : 0;
+  }
+
+  async #perform(command: CatchUpCommand): Promise<CatchUpEvent> {
+    if (command.type === 'ask-peers') {
+      return { type: 'revisions', found: await this.spread.askElders() };
+    }
+    if (command.type === 'apply') {
+      const whole = await this.config.apply(command.manifest, command.from);
+      return { type: 'applied', whole };
+    }
+    if (command.type === 'ask-manifest') {
+      const manifest = await this.spread.askManifest(command.peer);
+      return manifest ? { type: 'manifest', manifest } : { type: 'no-answer' };
+    }
+    const found = await this.config.readManifest();
+    return found.ok ? { type: 'stored', manifest: found.val.manifest } : { type: 'no-answer' };
+  }
+
+  /** One step of a daemon that has caught up; gives the delay before the next. */
+  async #follow(): Promise<number> {
+    const peers = this.ctx.network.peers();
+    const { place } = this.spread;
+    if (watchersOf(place, peers).includes(place.self) && (await this.#watch())) return 0;
+    this.#round += 1;
+    const sources = sourcesOf(place, peers, this.#round);
+    for (let index = 0; index < sources.length; index += 1) {
+      // The next source is asked only if this one does not answer.
+      // eslint-disable-next-line no-await-in-loop
+      if (await this.spread.follow(sources[index] ?? '')) return ASK_MS;
+    }
+    // No daemon asks the store often: in an outage the whole fleet comes here.
+    if (this.#round % STORE_ROUNDS === 0) this.#storeAnswered(await this.config.refresh());
+    return ASK_MS;
+  }
+
+  /** Watches the store once; says whether it answered. */
+  async #watch(): Promise<boolean> {
+    const asked = performance.now();
+    const batch = await this.ctx.store.watch(MANIFEST_KEY, this.#position, WATCH_MS);
+    if (batch.err) return this.#storeAnswered(false);
+    if (batch.val.changes.length === 0) this.config.confirm(asked);
+    else if (!(await this.config.refresh())) return this.#storeAnswered(false);
+    this.#position = batch.val.position;
+    return this.#storeAnswered(true);
+  }
+
+  #storeAnswered(answers: boolean): boolean {
+    if (this.#storeAnswers && !answers) this.ctx.recorder.record('configUnconfirmed');
+    this.#storeAnswers = answers;
+    return answers;
+  }
+}
--- a/src/daemon/configtask.ts
+++ b/src/daemon/configtask.ts
@@ -1,112 +1,155 @@
-/** Keeps the configuration in force: watches the manifest and loads its pieces. */
-import { setTimeout as delay } from 'node:timers/promises';
-
-import {
-  Configuration,
-  documentsSchema,
-  joinDocuments,
-  MANIFEST_KEY,
-  parseManifest,
-  pieceKey,
-} from '../config/index.js';
-
-import type { Documents, Manifest } from '../config/index.js';
-import type { ObjectStore } from '../platform/index.js';
+/** Keeps the configuration in force; its revision only rises in the life of a daemon. */
+import { performance } from 'node:perf_hooks';
+
+import { Configuration, joinDocuments, MANIFEST_KEY, parseManifest } from '../config/index.js';
+import { ConfigFollower } from './configfollower.js';
+import { ConfigSpread } from './configspread.js';
+import { PieceLoader } from './pieceloader.js';
+
+import type { Manifest, Piece, PieceRef, StoredManifest } from '../config/index.js';
+import type { Incarnation, InstanceName, Result } from '../kernel/index.js';
+import type { PeerNetwork } from '../link/index.js';
+import type { ObjectStore, StoreError } from '../platform/index.js';
+import type { RolloutView } from './configspread.js';
 import type { Recorder } from '../telemetry/index.js';
 
-/** Longest wait of one watch, in milliseconds. */
-const WATCH_MS = 10_000;
-
-/** Delay after a failed call, in milliseconds. */
-const RETRY_MS = 200;
+/** What the configuration of one daemon needs. */
+export interface ConfigContext {
+  readonly self: Incarnation;
+  readonly dataCentre: string;
+  readonly store: ObjectStore;
+  readonly network: PeerNetwork;
+  readonly recorder: Recorder;
+}
 
-/** Owns the configuration of one daemon; its revision only rises. */
+/** Owns the configuration of one daemon. */
 export class ConfigTask {
   #current: Configuration | undefined;
 
-  readonly #pieces = new Map<string, Documents>();
+  #confirmedAt: number | undefined;
 
-  #stopped = false;
+  readonly #loader: PieceLoader;
 
-  #confirmedAt = 0;
+  readonly #spread: ConfigSpread;
+
+  readonly #follower: ConfigFollower;
 
   /**
-   * Creates the task.
-   * @param store - the object API
-   * @param recorder - records events
+   * Creates the task and answers the questions of peers.
+   * @param ctx - identity, store, peers and recorder
    */
-  constructor(
-    private readonly store: ObjectStore,
-    private readonly recorder: Recorder,
-  ) {}
+  constructor(private readonly ctx: ConfigContext) {
+    this.#loader = new PieceLoader(ctx);
+    this.#spread = new ConfigSpread(ctx, this);
+    this.#follower = new ConfigFollower(ctx, this, this.#spread);
+  }
 
   /** Configuration in force; undefined before the first revision. */
   get current(): Configuration | undefined {
     return this.#current;
   }
 
-  /** When the store last confirmed the configuration, in milliseconds since the epoch. */
-  get confirmedAt(): number {
+  /**
+   * When the store certainly had no later revision, on the monotonic clock of this process
+   * ("performance.now()", in milliseconds, which runs on while the process is frozen);
+   * undefined before the first time.
+   */
+  get confirmedAt(): number | undefined {
     return this.#confirmedAt;
   }
 
-  /** Follows the manifest until "stop". */
-  async run(): Promise<void> {
-    let position = 0;
-    while (!this.#stopped) {
-      // The loop follows one watch after the other.
-      /* eslint-disable no-await-in-loop */
-      const loaded = await this.refresh();
-      if (!loaded) await delay(RETRY_MS);
-      else {
-        const batch = await this.store.watch(MANIFEST_KEY, position, WATCH_MS);
-        if (batch.ok) {
-          position = batch.val.position;
-          this.#confirmedAt = Date.now();
-        } else {
-          this.recorder.record('storeUnavailable', { detail: batch.val.text });
-          await delay(RETRY_MS);
-        }
-      }
-      /* eslint-enable no-await-in-loop */
-    }
+  /** Milliseconds since the configuration was confirmed; infinite before the first time. */
+  get confirmedAgeMs(): number {
+    return this.#confirmedAt === undefined ? Infinity : performance.now() - this.#confirmedAt;
+  }
+
+  /** Follows the configuration until "stop". */
+  run(): Promise<void> {
+    return this.#follower.run();
   }
 
   /** Ends the task after the running watch. */
   stop(): void {
-    this.#stopped = true;
+    this.#follower.stop();
+  }
+
+  /**
+   * Takes note that the store had no later revision than the one in force.
+   * @param at - when the question was sent, or earlier, on the monotonic clock
+   */
+  confirm(at: number): void {
+    if (this.#confirmedAt === undefined || at > this.#confirmedAt) this.#confirmedAt = at;
   }
 
   /**
    * Reads the manifest and applies it if it is newer.
-   * @returns whether the store answered
+   * @returns whether the store answered and its revision is in force
    */
   async refresh(): Promise<boolean> {
-    const found = await this.store.read(MANIFEST_KEY);
-    if (found.err) return false;
-    const manifest = parseManifest(found.val.value);
-    this.#confirmedAt = Date.now();
-    if (manifest.revision <= (this.#current?.revision ?? 0)) return true;
-    return this.#apply(manifest);
+    const asked = performance.now();
+    const found = await this.readManifest();
+    if (found.err || !(await this.apply(found.val.manifest, null))) return false;
+    this.confirm(asked);
+    return true;
   }
 
-  async #apply(manifest: Manifest): Promise<boolean> {
-    const parts = await Promise.all(manifest.pieces.map((digest) => this.#piece(digest)));
-    const found = parts.filter((part) => part !== undefined);
-    if (found.length < parts.length) return false;
-    if (manifest.revision <= (this.#current?.revision ?? 0)) return true;
-    this.#current = new Configuration(manifest, joinDocuments(found));
-    this.recorder.record('configApplied', { detail: `revision ${manifest.revision}` });
+  /**
+   * Reads the manifest of the store.
+   * @returns the manifest with its history
+   */
+  async readManifest(): Promise<Result<StoredManifest, StoreError>> {
+    const found = await this.ctx.store.read(MANIFEST_KEY);
+    return found.map(({ value }) => parseManifest(value));
+  }
+
+  /**
+   * Puts a manifest in force, as a whole, if it is newer than the one in force.
+   * @param manifest - the manifest
+   * @param from - peer that has its pieces; null for the store alone
+   * @param given - pieces that came along
+   * @returns whether this revision or a later one is in force
+   */
+  async apply(
+    manifest: Manifest,
+    from: InstanceName | null,
+    given: readonly Piece[] = [],
+  ): Promise<boolean> {
+    if (!this.#rises(manifest)) return true;
+    this.#loader.take(given);
+    const parts = await this.#loader.load(manifest, from);
+    if (!parts) {
+      this.ctx.recorder.record('configRejected', { detail: `revision ${manifest.revision}` });
+      return false;
+    }
+    // Another revision may have come into force while the pieces were loaded.
+    if (!this.#rises(manifest)) return true;
+    const previous = this.#current?.manifest;
+    this.#current = new Configuration(manifest, joinDocuments(parts));
+    this.#loader.keepOnly(manifest);
+    this.ctx.recorder.record('configApplied', { detail: `revision ${manifest.revision}` });
+    this.#spread.announce(previous, manifest);
     return true;
   }
 
-  async #piece(digest: string): Promise<Documents | undefined> {
-    const known = this.#pieces.get(digest);
-    if (known) return known;
-    const found = await this.store.read(pieceKey(digest));
-    const parsed = found.ok ? documentsSchema.safeParse(found.val.value) : undefined;
-    if (!parsed?.success) return undefined;
-    this.#pieces.set(digest, parsed.data);
-    return parsed.data;
+  /**
+   * Gives pieces of the revision in force.
+   * @param refs - the pieces
+   * @returns those that are at hand
+   */
+  held(refs: readonly PieceRef[]): readonly Piece[] {
+    return this.#loader.held(refs);
+  }
+
+  /**
+   * Asks every live daemon for its revision.
+   * @returns a line for each, this one first
+   */
+  rollout(): Promise<readonly RolloutView[]> {
+    return this.#spread.rollout();
+  }
+
+  /** Whether a manifest is newer than the one in force. */
+  #rises(manifest: Manifest): boolean {
+    return manifest.revision > (this.#current?.revision ?? 0);
   }
 }
--- a/src/daemon/operations.ts
+++ b/src/daemon/operations.ts
@@ -9,12 +9,11 @@
   topUp,
   unallocated,
 } from '../budget/index.js';
-import { makePiece, MANIFEST_KEY, parseManifest, pieceKey, publish } from '../config/index.js';
 import { Err, failure, Ok } from '../kernel/index.js';
 import { updateObject } from '../platform/index.js';
 
 import type { BudgetShard, ChargeLine, TopUp } from '../budget/index.js';
-import type { Documents, Manifest, PublishAnswer } from '../config/index.js';
+import type { Manifest } from '../config/index.js';
 import type { Failure, Result } from '../kernel/index.js';
 import type { ObjectStore } from '../platform/index.js';
 import type { ConfigTask } from './configtask.js';
@@ -31,14 +30,6 @@
   readonly left: number;
 }
 
-/** A publication, as the command-line tool sends it. */
-export interface Publication {
-  readonly operation: string;
-  readonly author: string;
-  readonly base: number;
-  readonly documents: Documents;
-}
-
 /** A payment, as the command-line tool sends it. */
 export interface Payment {
   readonly budget: string;
@@ -73,25 +64,6 @@
     private readonly config: ConfigTask,
   ) {}
 
-  /**
-   * Puts documents in force as a new revision.
-   * @param ask - the publication
-   * @returns the manifest in force and whether this publication made it
-   */
-  async publish(ask: Publication): Promise<Result<PublishAnswer, Failure>> {
-    const piece = makePiece(ask.documents);
-    const stored = await this.store.write(pieceKey(piece.digest), piece.documents, 0);
-    if (stored.err && stored.val.problem !== 'conflict') {
-      return Err(failure('store-unavailable', stored.val.text));
-    }
-    const kind = { key: MANIFEST_KEY, parse: parseManifest };
-    const request = { ...ask, at: Date.now(), pieces: [piece.digest] };
-    const done = await updateObject(this.store, kind, (manifest) => publish(manifest, request));
-    if (done.err) return Err(failure('store-unavailable', done.val.text, 'unknown'));
-    await this.config.refresh();
-    return Ok(done.val);
-  }
-
   /**
    * Adds a payment to a budget.
    * @param ask - the payment
--- a/src/daemon/operators.controller.ts
+++ b/src/daemon/operators.controller.ts
@@ -2,23 +2,25 @@
 import { Body, Controller, Get, Inject, Param, Post, UseGuards } from '@nestjs/common';
 import { z } from 'zod';
 
-import { documentsSchema, EMPTY_DOCUMENTS, viewWorkspaces } from '../config/index.js';
+import {
+  documentsSchema,
+  EMPTY_DOCUMENTS,
+  publicationOrderSchema,
+  viewWorkspaces,
+} from '../config/index.js';
 import { failure, FailureError } from '../kernel/index.js';
 import { OperatorGuard } from './operator.guard.js';
 import { Runtime } from './runtime.js';
 
 import type { ChargeLine } from '../budget/index.js';
-import type { Documents, PublishAnswer, WorkspaceView } from '../config/index.js';
+import type { Documents, PublicationView, WorkspaceView } from '../config/index.js';
 import type { Failure, Result } from '../kernel/index.js';
+import type { RolloutView } from './configspread.js';
 import type { TimelineEvent } from '../telemetry/index.js';
 import type { BudgetView, PaymentAnswer } from './operations.js';
 
-const publicationSchema = z.strictObject({
-  operation: z.string().min(1),
-  author: z.string().min(1),
-  base: z.number().int().nonnegative(),
-  documents: documentsSchema,
-});
+/** Pieces that a publication will name. */
+const stagingSchema = z.strictObject({ parts: z.array(documentsSchema).readonly() });
 
 const paymentSchema = z.strictObject({
   budget: z.string(),
@@ -31,6 +33,8 @@
   readonly incarnation: string;
   readonly ready: boolean;
   readonly revision: number;
+  /** Time since the configuration was confirmed, in milliseconds; -1 for never. */
+  readonly confirmedAgeMs: number;
   readonly openRequests: number;
   readonly peers: number;
 }
@@ -72,10 +76,12 @@
   @Get('status')
   status(): StatusView {
     const { serving, network, ready } = this.runtime;
+    const { confirmedAgeMs } = serving.config;
     return {
       incarnation: serving.self,
       ready,
       revision: serving.config.current?.revision ?? 0,
+      confirmedAgeMs: Number.isFinite(confirmedAgeMs) ? Math.round(confirmedAgeMs) : -1,
       openRequests: serving.open.total,
       peers: network.peers().length,
     };
@@ -103,11 +109,31 @@
   /**
    * Puts documents in force.
    * @param body - the publication
-   * @returns the manifest in force and the result
+   * @returns the revision and whether this publication made it
    */
   @Post('publish')
-  async publish(@Body() body: unknown): Promise<PublishAnswer> {
-    return unwrap(await this.runtime.operations.publish(parse(publicationSchema, body)));
+  async publish(@Body() body: unknown): Promise<PublicationView> {
+    return unwrap(await this.runtime.publishing.publish(parse(publicationOrderSchema, body)));
+  }
+
+  /**
+   * Stores pieces ahead of a publication.
+   * @param body - content of the pieces
+   * @returns their digests
+   */
+  @Post('pieces')
+  async stage(@Body() body: unknown): Promise<{ readonly digests: readonly string[] }> {
+    const { parts } = parse(stagingSchema, body);
+    return { digests: unwrap(await this.runtime.publishing.stage(parts)) };
+  }
+
+  /**
+   * Shows which revision each live daemon has in force.
+   * @returns a line for each
+   */
+  @Get('rollout')
+  rollout(): Promise<readonly RolloutView[]> {
+    return this.runtime.serving.config.rollout();
   }
 
   /**
--- /dev/null
+++ b/src/daemon/pieceloader.ts
@@ -0,0 +1,125 @@
+/** Loads the pieces of a revision: from memory, from a peer, from the store. */
+import { digestOf, documentsSchema, pieceKey } from '../config/index.js';
+
+import type { Documents, Manifest, Piece, PieceRef } from '../config/index.js';
+import type { InstanceName } from '../kernel/index.js';
+import type { PeerNetwork } from '../link/index.js';
+import type { ObjectStore } from '../platform/index.js';
+
+/** Longest wait for the pieces of a peer, in milliseconds. */
+const PEER_TIMEOUT_MS = 1_000;
+
+/** Pieces in one answer of a peer. */
+export const PIECES_PER_ANSWER = 32;
+
+/** Reads of the store at once, so that a full load stays inside its rate. */
+const READS_AT_ONCE = 8;
+
+/** What a loader needs. */
+export interface PieceSources {
+  readonly store: ObjectStore;
+  readonly network: PeerNetwork;
+}
+
+/** Owns the pieces of the revision in force. */
+export class PieceLoader {
+  readonly #pieces = new Map<string, Documents>();
+
+  /**
+   * Creates a loader without pieces.
+   * @param sources - store and peers
+   */
+  constructor(private readonly sources: PieceSources) {}
+
+  /**
+   * Takes pieces that came with a message; those with a wrong digest are dropped.
+   * @param pieces - the pieces
+   */
+  take(pieces: readonly Piece[]): void {
+    pieces
+      .filter(({ digest, documents }) => digestOf(documents) === digest)
+      .forEach(({ digest, documents }) => this.#pieces.set(digest, documents));
+  }
+
+  /**
+   * Gives the pieces that are at hand.
+   * @param refs - pieces asked for
+   * @returns those of them that are in memory
+   */
+  held(refs: readonly PieceRef[]): readonly Piece[] {
+    return refs.flatMap(({ slot, digest }) => {
+      const documents = this.#pieces.get(digest);
+      return documents ? [{ slot, digest, documents }] : [];
+    });
+  }
+
+  /**
+   * Loads every piece of a manifest.
+   * @param manifest - the manifest
+   * @param from - peer that has them; null for the store alone
+   * @returns the documents of each piece; undefined if one cannot be had
+   */
+  async load(
+    manifest: Manifest,
+    from: InstanceName | null,
+  ): Promise<readonly Documents[] | undefined> {
+    if (from !== null) await this.#loadFromPeer(manifest, from);
+    await this.#loadFromStore(manifest);
+    const parts = manifest.pieces.map(({ digest }) => this.#pieces.get(digest));
+    const found = parts.filter((part) => part !== undefined);
+    return found.length === parts.length ? found : undefined;
+  }
+
+  /**
+   * Drops every piece that a manifest does not name.
+   * @param manifest - manifest in force
+   */
+  keepOnly(manifest: Manifest): void {
+    const named = new Set(manifest.pieces.map(({ digest }) => digest));
+    [...this.#pieces.keys()]
+      .filter((digest) => !named.has(digest))
+      .forEach((digest) => this.#pieces.delete(digest));
+  }
+
+  #missing(manifest: Manifest): readonly string[] {
+    return manifest.pieces
+      .map(({ digest }) => digest)
+      .filter((digest) => !this.#pieces.has(digest));
+  }
+
+  async #loadFromPeer(manifest: Manifest, to: InstanceName): Promise<void> {
+    const missing = this.#missing(manifest);
+    for (let start = 0; start < missing.length; start += PIECES_PER_ANSWER) {
+      const digests = missing.slice(start, start + PIECES_PER_ANSWER);
+      // Answers are bounded, so a large revision takes several, one after the other.
+      // eslint-disable-next-line no-await-in-loop
+      const answer = await this.sources.network.request({
+        to,
+        body: { type: 'ask-pieces', digests },
+        reply: 'pieces',
+        timeoutMs: PEER_TIMEOUT_MS,
+      });
+      if (answer.err) return;
+      this.take(answer.val.pieces);
+    }
+  }
+
+  async #loadFromStore(manifest: Manifest): Promise<void> {
+    const missing = this.#missing(manifest);
+    for (let start = 0; start < missing.length; start += READS_AT_ONCE) {
+      const digests = missing.slice(start, start + READS_AT_ONCE);
+      // A full load in small groups leaves the read rate of the store to others.
+      // eslint-disable-next-line no-await-in-loop
+      const loaded = await Promise.all(digests.map((digest) => this.#readPiece(digest)));
+      if (loaded.includes(false)) return;
+    }
+  }
+
+  async #readPiece(digest: string): Promise<boolean> {
+    const found = await this.sources.store.read(pieceKey(digest));
+    const parsed = found.ok ? documentsSchema.safeParse(found.val.value) : undefined;
+    if (!parsed?.success) return false;
+    this.#pieces.set(digest, parsed.data);
+    return true;
+  }
+}
--- /dev/null
+++ b/src/daemon/publishing.ts
@@ -0,0 +1,247 @@
+/** Publishes configuration: stores the pieces, then puts them in force by one conditional write. */
+import { setTimeout as delay } from 'node:timers/promises';
+
+import {
+  crossCheck,
+  cutDocuments,
+  digestOf,
+  EMPTY_DOCUMENTS,
+  entriesOf,
+  expired,
+  joinDocuments,
+  MANIFEST_KEY,
+  parseManifest,
+  pieceKey,
+  publish,
+  refusalOf,
+  shardsFor,
+  summarize,
+  documentsSchema,
+} from '../config/index.js';
+import { Err, failure, Ok } from '../kernel/index.js';
+import { updateObject } from '../platform/index.js';
+
+import type {
+  Documents,
+  Piece,
+  PieceRef,
+  PublicationOrder,
+  PublicationView,
+  PublishOutcome,
+  PublishRequest,
+  StoredManifest,
+} from '../config/index.js';
+import type { Failure, Result } from '../kernel/index.js';
+import type { ObjectStore } from '../platform/index.js';
+import type { Recorder } from '../telemetry/index.js';
+import type { ConfigTask } from './configtask.js';
+
+/** Pieces that are stored at once. */
+const WRITES_AT_ONCE = 8;
+
+/** Delay between groups of writes, so that the write rate of the store is left to others, in milliseconds. */
+const GROUP_MS = 40;
+
+/** Attempts to store one piece. */
+const MAX_ATTEMPTS = 8;
+
+/** Findings of a whole revision that a refusal names. */
+const MAX_FINDINGS = 5;
+
+/** What publishing needs. */
+export interface PublishingContext {
+  readonly store: ObjectStore;
+  readonly config: ConfigTask;
+  readonly recorder: Recorder;
+}
+
+function checkWhole(documents: Documents): Failure | undefined {
+  const entries = entriesOf(documents, 0);
+  const findings = crossCheck({ entries, broken: [], complete: true });
+  if (findings.length === 0) return undefined;
+  const named = findings.slice(0, MAX_FINDINGS).map(({ text }) => text);
+  const more = findings.length > MAX_FINDINGS ? ` (${findings.length} in all)` : '';
+  return failure('invalid', `${named.join('; ')}${more}`);
+}
+
+function viewOf(outcome: PublishOutcome): PublicationView {
+  if (outcome.result === 'published' || outcome.result === 'repeated') {
+    const { revision, at } = outcome.record;
+    return { result: outcome.result, revision, at };
+  }
+  const revision = outcome.result === 'unchanged' ? outcome.revision : 0;
+  return { result: 'unchanged', revision, at: 0 };
+}
+
+/** Carries out the publications that arrive at one daemon. */
+export class Publishing {
+  /**
+   * Creates it.
+   * @param ctx - store and configuration in force
+   */
+  constructor(private readonly ctx: PublishingContext) {}
+
+  /**
+   * Stores pieces ahead of a publication that names them.
+   * @param parts - content of the pieces
+   * @returns their digests
+   */
+  async stage(parts: readonly Documents[]): Promise<Result<readonly string[], Failure>> {
+    const pieces = parts.map((documents) => ({ slot: '', digest: digestOf(documents), documents }));
+    const stored = await this.#storeAll(pieces);
+    return stored.map((refs) => refs.map(({ digest }) => digest));
+  }
+
+  /**
+   * Puts documents in force as a new revision.
+   * @param order - the publication
+   * @returns the revision, or why it is not in force
+   */
+  async publish(order: PublicationOrder): Promise<Result<PublicationView, Failure>> {
+    await this.ctx.config.refresh();
+    const read = await this.ctx.config.readManifest();
+    if (read.err) return Err(failure('store-unavailable', read.val.text));
+    const documents = await this.#documentsOf(order);
+    if (documents.err) return documents;
+    const invalid = checkWhole(documents.val);
+    if (invalid) return Err(invalid);
+    const pieces = cutDocuments(documents.val);
+    const request = this.#request(order, documents.val, pieces);
+    const early = publish(read.val, request);
+    if (early.kind === 'keep') return Publishing.#conclude(early.outcome, order);
+    const refs = await this.#store(read.val, pieces);
+    if (refs.err) return refs;
+    return this.#putInForce(read.val, { ...request, pieces: refs.val }, order);
+  }
+
+  static #conclude(
+    outcome: PublishOutcome,
+    { base }: PublicationOrder,
+  ): Result<PublicationView, Failure> {
+    const refusal = refusalOf(outcome, base);
+    return refusal ? Err(refusal) : Ok(viewOf(outcome));
+  }
+
+  #request(
+    order: PublicationOrder,
+    documents: Documents,
+    pieces: readonly Piece[],
+  ): PublishRequest {
+    const { operation, author, base } = order;
+    const before = this.ctx.config.current?.documents ?? EMPTY_DOCUMENTS;
+    return {
+      operation,
+      author,
+      base,
+      at: Date.now(),
+      summary: summarize(before, documents),
+      pieces: pieces.map(({ slot, digest }) => ({ slot, digest, version: 0 })),
+      budgetShards: order.budgetShards ?? shardsFor(documents.budgets.length),
+    };
+  }
+
+  async #documentsOf({
+    documents,
+    digests,
+  }: PublicationOrder): Promise<Result<Documents, Failure>> {
+    if (documents) return Ok(documents);
+    const known = new Map(
+      this.ctx.config
+        .held(this.ctx.config.current?.manifest.pieces ?? [])
+        .map((piece) => [piece.digest, piece.documents]),
+    );
+    const parts: Documents[] = [];
+    for (const digest of digests ?? []) {
+      // Only the pieces that this publication brings are read, and they are few.
+      // eslint-disable-next-line no-await-in-loop
+      const part = known.get(digest) ?? (await this.#readPiece(digest));
+      if (!part) return Err(failure('invalid', `piece ${digest} is not stored`));
+      parts.push(part);
+    }
+    return Ok(joinDocuments(parts));
+  }
+
+  async #readPiece(digest: string): Promise<Documents | undefined> {
+    const found = await this.ctx.store.read(pieceKey(digest));
+    const parsed = found.ok ? documentsSchema.safeParse(found.val.value) : undefined;
+    return parsed?.success ? parsed.data : undefined;
+  }
+
+  async #putInForce(
+    before: StoredManifest,
+    request: PublishRequest,
+    order: PublicationOrder,
+  ): Promise<Result<PublicationView, Failure>> {
+    const kind = { key: MANIFEST_KEY, parse: parseManifest };
+    const done = await updateObject(this.ctx.store, kind, (stored) => publish(stored, request));
+    if (done.err) return Err(failure('store-unavailable', done.val.text, 'unknown'));
+    if (done.val.result === 'published') {
+      await this.ctx.config.refresh();
+      void this.#removeExpired(before, request.at);
+    }
+    return Publishing.#conclude(done.val, order);
+  }
+
+  /** Gives references to all pieces, after storing those that are not in force. */
+  async #store(
+    { manifest }: StoredManifest,
+    pieces: readonly Piece[],
+  ): Promise<Result<readonly PieceRef[], Failure>> {
+    const known = new Map(manifest.pieces.map(({ digest, version }) => [digest, version]));
+    const fresh = await this.#storeAll(pieces.filter(({ digest }) => !known.has(digest)));
+    if (fresh.err) return fresh;
+    const versions = new Map([
+      ...known,
+      ...fresh.val.map((ref) => [ref.digest, ref.version] as const),
+    ]);
+    return Ok(
+      pieces.map(({ slot, digest }) => ({ slot, digest, version: versions.get(digest) ?? 0 })),
+    );
+  }
+
+  async #storeAll(pieces: readonly Piece[]): Promise<Result<readonly PieceRef[], Failure>> {
+    const refs: PieceRef[] = [];
+    for (let start = 0; start < pieces.length; start += WRITES_AT_ONCE) {
+      /* Groups follow one another, to stay inside the write rate of the store. */
+      /* eslint-disable no-await-in-loop */
+      if (start > 0) await delay(GROUP_MS);
+      const group = pieces.slice(start, start + WRITES_AT_ONCE);
+      const stored = await Promise.all(group.map((piece) => this.#storePiece(piece)));
+      /* eslint-enable no-await-in-loop */
+      const found = stored.filter((ref) => ref !== undefined);
+      if (found.length < group.length) return Err(failure('store-unavailable', 'pieces'));
+      refs.push(...found);
+    }
+    return Ok(refs);
+  }
+
+  /**
+   * Stores a piece, or writes it again where it is stored: the new version keeps another
+   * publisher from removing it as an old piece.
+   */
+  async #storePiece({ slot, digest, documents }: Piece): Promise<PieceRef | undefined> {
+    const key = pieceKey(digest);
+    let expected = 0;
+    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
+      /* Attempts follow one another, each with the version that the last one found. */
+      /* eslint-disable no-await-in-loop */
+      const written = await this.ctx.store.write(key, documents, expected);
+      if (written.ok) return { slot, digest, version: written.val };
+      if (written.val.problem === 'refused') await delay(GROUP_MS * (attempt + 1));
+      const found = await this.ctx.store.read(key);
+      /* eslint-enable no-await-in-loop */
+      if (found.ok) expected = found.val.version;
+    }
+    return undefined;
+  }
+
+  async #removeExpired(before: StoredManifest, at: number): Promise<void> {
+    const old = expired(before, at);
+    for (const { digest, version } of old) {
+      // Only the version that was in force is removed: a later one is about to be used again.
+      // eslint-disable-next-line no-await-in-loop
+      await this.ctx.store.remove(pieceKey(digest), version);
+    }
+    if (old.length > 0) this.ctx.recorder.record('piecesRemoved', { detail: `${old.length}` });
+  }
+}
--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -14,6 +14,7 @@
 import { ConfigTask } from './configtask.js';
 import { Grants } from './grants.js';
 import { Operations } from './operations.js';
+import { Publishing } from './publishing.js';
 import { OpenWork } from './serving.js';
 import { splitAddress } from './settings.js';
 
@@ -49,6 +50,8 @@
 
   readonly operations: Operations;
 
+  readonly publishing: Publishing;
+
   readonly network: WsPeerNetwork;
 
   readonly #directory: Directory;
@@ -72,7 +75,9 @@
       directory: this.#directory,
       recorder,
     });
-    const config = new ConfigTask(store, recorder);
+    const { network } = this;
+    const { dataCentre } = settings;
+    const config = new ConfigTask({ self, dataCentre, store, network, recorder });
     const budgets = new BudgetTask();
     const backups = new Backups(self, settings.dataCentre, this.network);
     const backup = (): string | null => backups.choice ?? null;
@@ -91,6 +96,7 @@
       open: new OpenWork(),
     };
     this.operations = new Operations(store, config);
+    this.publishing = new Publishing({ store, config, recorder });
   }
 
   /** Whether the daemon takes new work: it serves and has a configuration. */
--- a/src/kernel/failure.ts
+++ b/src/kernel/failure.ts
@@ -120,7 +120,7 @@
   conflict: {
     status: 409,
     text: 'another operator changed this first',
-    remedy: 'look at the difference, then publish again',
+    remedy: 'run "comfreyreel diff", take their change into your files, then publish again',
   },
   'operation-reused': {
     status: 409,
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -26,6 +26,12 @@
   configApplied: { number: 4001, level: 'info', text: 'configuration revision in force' },
   configRejected: { number: 4002, level: 'error', text: 'configuration revision cannot be read' },
   configUnconfirmed: { number: 4003, level: 'warn', text: 'configuration cannot be confirmed' },
+  configFromPeers: {
+    number: 4004,
+    level: 'warn',
+    text: 'configuration taken from peers: the object API does not answer',
+  },
+  piecesRemoved: { number: 4005, level: 'info', text: 'old configuration pieces removed' },
   linkOpened: { number: 5001, level: 'info', text: 'peer link opened' },
   linkClosed: { number: 5002, level: 'info', text: 'peer link closed' },
   linkRefused: { number: 5003, level: 'warn', text: 'peer refused: unknown instance or wrong key' },
