--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -5,7 +5,6 @@
 import { newIncarnation, SystemClock } from '../kernel/index.js';
 import { Directory, WsPeerNetwork } from '../link/index.js';
 import { HttpInstanceList, HttpObjectStore } from '../platform/index.js';
-import { LeastOpenPolicy } from '../route/index.js';
 import { Recorder } from '../telemetry/index.js';
 import { HttpModelEngine, HttpPlainService } from '../upstream/index.js';
 import { Backups } from './backups.js';
@@ -15,6 +14,7 @@
 import { Grants } from './grants.js';
 import { Operations } from './operations.js';
 import { Publishing } from './publishing.js';
+import { Routing } from './routing.js';
 import { OpenWork } from './serving.js';
 import { splitAddress } from './settings.js';
 
@@ -81,6 +81,7 @@
     const budgets = new BudgetTask();
     const backups = new Backups(self, settings.dataCentre, this.network);
     const backup = (): string | null => backups.choice ?? null;
+    const daemons = (): number => this.network.peers().length + 1;
     this.serving = {
       self,
       settings,
@@ -89,7 +90,7 @@
       budgets,
       grants: new Grants({ self, store, budgets, config, recorder, backup }),
       charges: new Charges({ self, store, backups, config, recorder }),
-      policy: new LeastOpenPolicy(),
+      routing: new Routing({ config, recorder, random: Math.random, daemons }),
       engine: new HttpModelEngine(),
       service: new HttpPlainService(),
       recorder,
@@ -109,6 +110,7 @@
     await this.#directory.start();
     this.network.start();
     this.serving.charges.start();
+    this.serving.routing.start();
     void this.serving.config.run();
     this.#phase = 'serving';
     this.recorder.record('daemonStarted');
@@ -124,6 +126,7 @@
   async finishStop(): Promise<void> {
     const { charges, config } = this.serving;
     charges.stop();
+    this.serving.routing.stop();
     await charges.flush();
     config.stop();
     this.#directory.stop();
