--- /dev/null
+++ b/src/daemon/tests/configtask.test.ts
@@ -0,0 +1,125 @@
+import { performance } from 'node:perf_hooks';
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { StatsD } from 'hot-shots';
+import { pino } from 'pino';
+import test from 'ava';
+
+import { LonelyNetwork } from '../../../testbed/lonelynetwork.js';
+import { cutDocuments, EMPTY_DOCUMENTS, EMPTY_MANIFEST, pieceKey } from '../../config/index.js';
+import { Err, Ok, SystemClock } from '../../kernel/index.js';
+import { ObjectStore } from '../../platform/index.js';
+import { Recorder } from '../../telemetry/index.js';
+import { ConfigTask } from '../configtask.js';
+
+import type { Manifest, Piece } from '../../config/index.js';
+import type { Result } from '../../kernel/index.js';
+import type { ObjectChange, StoredObject, StoreError, WatchBatch } from '../../platform/index.js';
+
+/** A store whose answers the test gives, in the order that it likes. */
+class HeldStore extends ObjectStore {
+  readonly #waiting = new Map<string, (found: Result<StoredObject, StoreError>) => void>();
+
+  override read(key: string): Promise<Result<StoredObject, StoreError>> {
+    return new Promise((resolve) => {
+      this.#waiting.set(key, resolve);
+    });
+  }
+
+  give(key: string, value: unknown): void {
+    this.#waiting.get(key)?.(Ok({ key, version: 1, value }));
+  }
+
+  override async write(key: string): Promise<Result<number, StoreError>> {
+    return Err({ problem: 'refused', key, text: 'not used' });
+  }
+
+  override async remove(key: string): Promise<Result<number, StoreError>> {
+    return Err({ problem: 'refused', key, text: 'not used' });
+  }
+
+  override async list(): Promise<Result<readonly ObjectChange[], StoreError>> {
+    return Ok([]);
+  }
+
+  override async watch(): Promise<Result<WatchBatch, StoreError>> {
+    return Ok({ changes: [], position: 0 });
+  }
+}
+
+function makeTask(store: ObjectStore): ConfigTask {
+  const logger = pino({ level: 'silent' });
+  const recorder = new Recorder('entry-1~1', new SystemClock(), {
+    logger,
+    metrics: new StatsD({ mock: true }),
+  });
+  const network = new LonelyNetwork();
+  return new ConfigTask({ self: 'entry-1~1', dataCentre: 'dc-1', store, network, recorder });
+}
+
+function revisionOf(revision: number): { readonly manifest: Manifest; readonly piece: Piece } {
+  const workspaces = [{ name: `w-${revision}`, state: 'open' as const, keys: [] }];
+  const [piece] = cutDocuments({ ...EMPTY_DOCUMENTS, workspaces });
+  if (!piece) throw new Error('no piece');
+  const { slot, digest } = piece;
+  const pieces = [{ slot, digest, version: 1 }];
+  return { manifest: { ...EMPTY_MANIFEST, revision, pieces }, piece };
+}
+
+const ORDERS = [
+  { title: 'the older one arrives last', order: [3, 2] },
+  { title: 'the older one arrives first', order: [2, 3] },
+] as const;
+
+ORDERS.forEach(({ title, order }) => {
+  test(`two revisions are loaded at once: ${title}`, async (t) => {
+    const store = new HeldStore();
+    const task = makeTask(store);
+    const loading = [2, 3].map((revision) => task.apply(revisionOf(revision).manifest, null));
+    for (const revision of order) {
+      const { piece } = revisionOf(revision);
+      store.give(pieceKey(piece.digest), piece.documents);
+      // The first load comes to its end before the second is answered.
+      // eslint-disable-next-line no-await-in-loop
+      await delay(5);
+    }
+    t.deepEqual(await Promise.all(loading), [true, true]);
+    t.is(task.current?.revision, 3);
+    t.deepEqual(
+      task.current?.documents.workspaces.map(({ name }) => name),
+      ['w-3'],
+    );
+  });
+});
+
+test('a revision whose piece cannot be had does not come into force, not even in part', async (t) => {
+  const store = new HeldStore();
+  const task = makeTask(store);
+  const { manifest, piece } = revisionOf(2);
+  const loading = task.apply(manifest, null);
+  store.give(pieceKey(piece.digest), null);
+  t.false(await loading);
+  t.is(task.current, undefined);
+});
+
+test('a piece with a wrong digest is not taken from a peer', async (t) => {
+  const store = new HeldStore();
+  const task = makeTask(store);
+  const { manifest, piece } = revisionOf(2);
+  const forged: Piece = { ...piece, documents: revisionOf(3).piece.documents };
+  const loading = task.apply(manifest, null, [forged]);
+  store.give(pieceKey(piece.digest), piece.documents);
+  t.true(await loading);
+  t.is(task.current?.documents.workspaces[0]?.name, 'w-2');
+});
+
+test('a confirmation grows old on the monotonic clock and never goes back', async (t) => {
+  const task = makeTask(new HeldStore());
+  t.is(task.confirmedAgeMs, Infinity);
+  const now = performance.now();
+  task.confirm(now);
+  task.confirm(now - 1_000);
+  t.is(task.confirmedAt, now);
+  await delay(20);
+  t.true(task.confirmedAgeMs >= 15);
+});
--- a/testbed/relay.ts
+++ b/testbed/relay.ts
@@ -23,8 +23,8 @@
   #mode: RelayMode = 'pass';
 
   private constructor(
-    private readonly host: string,
-    private readonly port: number,
+    private host: string,
+    private port: number,
   ) {
     this.#server = createServer((near) => this.#accept(near));
   }
@@ -48,6 +48,16 @@
     return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
   }
 
+  /**
+   * Sends new connections to another target.
+   * @param host - host of the target
+   * @param port - port of the target
+   */
+  retarget(host: string, port: number): void {
+    this.host = host;
+    this.port = port;
+  }
+
   /**
    * Switches the relay.
    * "cut" resets open connections and new ones; "silent" keeps them open and drops
