--- a/src/cli/tests/commands.test.ts
+++ b/src/cli/tests/commands.test.ts
@@ -56,6 +56,64 @@
   t.regex((await runCli(['status', '--url', url])).stdout, /^incarnation +ready +revision/);
 });
 
+test('an operator who comes second learns whose change came first; --wait names the rest', async (t) => {
+  const fleet = await Fleet.start({ daemons: 2, units: 0 });
+  const dir = await mkdtemp(join(tmpdir(), 'comfreyreel-cli-'));
+  t.teardown(async () => {
+    await fleet.stop();
+    await rm(dir, { recursive: true, force: true });
+  });
+  const { documents } = fleet;
+  const { url } = fleet.daemon(0);
+  const file = join(dir, 'shop.comfreyreel.yaml');
+  const budgets = [...documents.budgets, { name: 'spare', workspace: 'shop' }];
+  await writeFile(file, stringify({ ...documents, budgets }));
+  const publish = ['publish', dir, '--url', url, '--base', '1'];
+  const first = await runCli([...publish, '--operation', 'one', '--wait', '--json']);
+  const result = JSON.parse(first.stdout) as { readonly at: number };
+  t.is(first.code, 0, first.stderr);
+  t.like(result, { result: 'published', revision: 2, daemons: 2, missing: [] });
+
+  await writeFile(file, stringify(documents));
+  const second = await runCli([...publish, '--operation', 'two']);
+  t.is(second.code, 1);
+  const when = new Date(result.at).toISOString();
+  t.true(
+    second.stderr.includes(`at ${when} (operation one: added budgets spare); yours was compared`),
+    second.stderr,
+  );
+  t.true(second.stderr.includes('run "comfreyreel diff"'));
+  const reused = await runCli([...publish, '--operation', 'one']);
+  t.is(reused.code, 1);
+  t.regex(reused.stderr, /this operation id was used for another order/);
+
+  fleet.daemon(1).child.signal('SIGSTOP');
+  const wait = ['--base', '2', '--operation', 'three', '--wait', '--wait-seconds', '1'];
+  const third = await runCli(['publish', dir, '--url', url, ...wait]);
+  t.is(third.code, 3);
+  t.regex(third.stdout, /^published: revision 3, in force at 1 daemons\n$/);
+  t.true(third.stderr.includes('not in force yet: entry-2 does not answer'));
+  fleet.daemon(1).child.signal('SIGCONT');
+  const again = await runCli(['publish', dir, '--url', url, ...wait.slice(0, -1), '10']);
+  t.is(again.code, 0, again.stderr);
+  t.regex(again.stdout, /^already done at \S+: revision 3, in force at 2 daemons\n$/);
+});
+
+test('a publication that does not hold together is refused by the daemon as well', async (t) => {
+  const fleet = await Fleet.start({ daemons: 1, units: 0 });
+  t.teardown(() => fleet.stop());
+  const budgets = [{ name: 'main', workspace: 'shp' }];
+  const order = { operation: 'bad', author: 'ana', base: 1 };
+  const answer = await fleet
+    .daemon(0)
+    .order('publish', { ...order, documents: { ...fleet.documents, budgets } });
+  t.like(answer, { error: { code: 'invalid', outcome: 'not-run' } });
+  t.regex(JSON.stringify(answer), /budgets\.0\.workspace: there is no workspace/);
+  const absent = await fleet.daemon(0).order('publish', { ...order, digests: ['0'.repeat(32)] });
+  t.like(absent, { error: { code: 'invalid' } });
+  t.is((await fleet.daemon(0).operator<{ revision: number }>('status')).revision, 1);
+});
+
 const EXITS = [
   { title: 'no daemon', args: ['status', '--url', UNREACHABLE], code: 3 },
   {
