--- a/proof/catalogue.ts
+++ b/proof/catalogue.ts
@@ -2,6 +2,7 @@
 import { AtMostOnceProof } from './atmostonce.js';
 import { NotRunProof } from './notrun.js';
 import { BilledOnceProof } from './billedonce.js';
+import { ConfigNeverRevertsProof } from './configneverreverts.js';
 import { OwnAnswerProof } from './ownanswer.js';
 
 import type { Proof } from './proof.js';
@@ -12,4 +13,5 @@
   new NotRunProof(),
   new AtMostOnceProof(),
   new BilledOnceProof(),
+  new ConfigNeverRevertsProof(),
 ];
--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -15,6 +15,7 @@
 import { Grants } from './grants.js';
 import { KeyRegistry } from './keyregistry.js';
 import { Operations } from './operations.js';
+import { Publishing } from './publishing.js';
 import { Routing } from './routing.js';
 import { OpenWork } from './serving.js';
 import { ShardCare } from './shardcare.js';
@@ -52,6 +53,8 @@
 
   readonly operations: Operations;
 
+  readonly publishing: Publishing;
+
   readonly network: WsPeerNetwork;
 
   readonly #directory: Directory;
@@ -84,7 +87,9 @@
       directory: this.#directory,
       recorder,
     });
-    const config = new ConfigTask(store, recorder);
+    const { network } = this;
+    const { dataCentre } = settings;
+    const config = new ConfigTask({ self, dataCentre, store, network, recorder });
     const budgets = new BudgetTask();
     const backups = new Backups(self, settings.dataCentre, this.network);
     const daemons = (): number => this.network.peers().length + 1;
@@ -96,7 +101,6 @@
       recorder,
       onFenced: () => this.#fenced(),
     });
-    const { network } = this;
     this.#care = new ShardCare({ self, store, backups, network, config, recorder });
     this.serving = {
       self,
@@ -115,6 +119,7 @@
       open: new OpenWork(),
     };
     this.operations = new Operations(store, config);
+    this.publishing = new Publishing({ store, config, recorder });
   }
 
   /** Whether the daemon takes new work: it serves and has a configuration. */
