The holder's decisions as plain rules, and a model of their failures

Cause: a lost answer while another backup was recorded left the holder counting the old backup's acknowledgements although the new one might be on record; a line acknowledged so would have been lost with the holder. Found while writing the model. Now a change of the backup suspends acknowledgements until it is known to have taken effect or certainly has not; meanwhile only the store makes lines durable.

--- a/src/daemon/charges.ts
+++ b/src/daemon/charges.ts
@@ -4,8 +4,9 @@
 import { shardOf } from '../budget/index.js';
 import { Outbox } from './outbox.js';
 
+import type { Charge } from '../fleet/index.js';
 import type { ConfigTask } from './configtask.js';
-import type { Charge, OutboxContext } from './outbox.js';
+import type { OutboxContext } from './outbox.js';
 
 /** Interval between deliveries while the store answers, in milliseconds. */
 const FLUSH_MS = 500;
@@ -87,7 +88,7 @@
    */
   async admit({ budget, units }: Reservation, waitMs: number): Promise<boolean> {
     const outbox = this.#outboxOf(budget);
-    const admitted = await outbox.admit(budget, units, waitMs);
+    const admitted = await outbox.admit({ budget, reserved: units }, waitMs);
     return admitted && !this.#isFenced && this.#unflushed < MAX_UNFLUSHED_LINES;
   }
 
@@ -107,7 +108,7 @@
    * @returns whether the loan may be given
    */
   lend(budget: string, passed: number, waitMs: number): Promise<boolean> {
-    return this.#outboxOf(budget).lend(budget, passed, waitMs);
+    return this.#outboxOf(budget).admit({ budget, passed }, waitMs);
   }
 
   /**
--- a/src/daemon/outbox.ts
+++ b/src/daemon/outbox.ts
@@ -1,4 +1,4 @@
-/** Charge lines of one daemon in one shard that the store does not hold yet. */
+/** Copies and delivers the charge lines of one daemon in one shard. */
 import { setImmediate as nextTurn, setTimeout as delay } from 'node:timers/promises';
 
 import {
@@ -9,14 +9,29 @@
   recordBeat,
   shardKey,
 } from '../budget/index.js';
-import { committed, isWithinWindow, noExposure, WINDOW_UNITS } from '../fleet/index.js';
+import {
+  addLine,
+  applyBackup,
+  applyEntry,
+  applyVerdict,
+  beginChange,
+  cancelChange,
+  commit,
+  copyBatch,
+  exposureOf,
+  isHeld,
+  mayProceed,
+  newHolderState,
+  unacknowledged,
+  WINDOW_UNITS,
+} from '../fleet/index.js';
 import { updateObject } from '../platform/index.js';
 import { deliverLines } from './delivery.js';
 
-import type { ChargeLine, EntryAnswer, Exposure } from '../budget/index.js';
-import type { CopyBatch } from '../fleet/index.js';
+import type { BudgetShard, EntryAnswer } from '../budget/index.js';
+import type { Charge, Commitment, HolderState } from '../fleet/index.js';
 import type { Incarnation, Result } from '../kernel/index.js';
-import type { ObjectStore, StoreError } from '../platform/index.js';
+import type { Change, ObjectStore, StoreError } from '../platform/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { Backups } from './backups.js';
 
@@ -26,6 +41,9 @@
 /** Pause between attempts to make a line durable, in milliseconds. */
 const RETRY_MS = 100;
 
+/** Share of the window after which commitments are copied ahead of the next line. */
+const EARLY_COPY_SHARE = 0.25;
+
 /** What an outbox needs. */
 export interface OutboxContext {
   readonly self: Incarnation;
@@ -36,37 +54,18 @@
   readonly onFenced: (detail: string) => void;
 }
 
-/** What is to be charged. */
-export type Charge = Pick<ChargeLine, 'key' | 'workspace' | 'budget' | 'units'>;
-
-/** Owns the lines and exposures of one shard. */
+/** Owns the lines and commitments of one shard. */
 export class Outbox {
-  /** Backup on record in the shard; null for none. */
-  #backup: Incarnation | null = null;
+  #state: HolderState;
 
   #joined: Promise<boolean> | undefined;
 
-  #next = 1;
-
-  #settled = 0;
-
-  /** Highest sequence that the backup on record has acknowledged. */
-  #acknowledged = 0;
-
-  #lines: readonly ChargeLine[] = [];
-
-  readonly #exposures = new Map<string, Exposure>();
-
-  readonly #copied = new Map<string, Exposure>();
-
   #copying: Promise<boolean> | undefined;
 
   #queued: Promise<boolean> | undefined;
 
   #delivering: Promise<boolean> | undefined;
 
-  #isFenced = false;
-
   #backupFailures = 0;
 
   #storeFailures = 0;
@@ -79,35 +78,32 @@
   constructor(
     readonly shard: number,
     private readonly ctx: OutboxContext,
-  ) {}
+  ) {
+    this.#state = newHolderState(ctx.self, shard);
+  }
 
   /** Lines that the store does not hold. */
   get unflushed(): number {
-    return this.#lines.length;
+    return this.#state.lines.length;
   }
 
   /** Units of reservations that have not ended. */
   get open(): number {
-    return [...this.#exposures.values()].reduce(
+    return this.#state.exposures.reduce(
       (sum, { reservedTotal, releasedTotal }) => sum + reservedTotal - releasedTotal,
       0,
     );
   }
 
-  /** Consecutive failures of the store. */
-  get storeFailures(): number {
-    return this.#storeFailures;
-  }
-
   /** Backup on record; null for none. */
   get backup(): Incarnation | null {
-    return this.#backup;
+    return this.#state.backup;
   }
 
   /** Whether a line that was recorded now would soon be held by a second daemon or the store. */
   get isDurable(): boolean {
-    if (this.#isFenced) return false;
-    return this.#storeFailures === 0 || (this.#backup !== null && this.#backupFailures === 0);
+    if (this.#state.isFenced) return false;
+    return this.#storeFailures === 0 || (this.backup !== null && this.#backupFailures === 0);
   }
 
   /**
@@ -122,19 +118,23 @@
   }
 
   /**
-   * Takes note of a reservation and waits while it is too far ahead of the backup.
-   * @param budget - budget name
-   * @param units - reserved units
+   * Takes note of a commitment and waits while it is too far ahead of the backup.
+   * @param change - reservation or loan that begins
    * @param waitMs - longest wait in milliseconds
-   * @returns whether the reservation may be used; it must be released either way
+   * @returns whether it may be used; a reservation must be released either way
    */
-  async admit(budget: string, units: number, waitMs: number): Promise<boolean> {
+  async admit(change: Commitment, waitMs: number): Promise<boolean> {
     const deadline = performance.now() + waitMs;
-    const before = this.#exposure(budget);
-    this.#exposures.set(budget, { ...before, reservedTotal: before.reservedTotal + units });
+    const { budget } = change;
+    this.#state = commit(this.#state, change);
     for (;;) {
       if (!this.isDurable) return false;
-      if (this.#mayProceed(budget)) return true;
+      if (mayProceed(this.#state, budget)) {
+        // Copying early keeps admission from waiting.
+        const ahead = unacknowledged(this.#state, budget);
+        if (ahead > WINDOW_UNITS * EARLY_COPY_SHARE) void this.#copySoon();
+        return true;
+      }
       if (performance.now() > deadline) return false;
       // eslint-disable-next-line no-await-in-loop
       if (!(await this.#copySoon())) await delay(RETRY_MS);
@@ -147,22 +147,7 @@
    * @param units - units that were reserved
    */
   release(budget: string, units: number): void {
-    const before = this.#exposure(budget);
-    this.#exposures.set(budget, { ...before, releasedTotal: before.releasedTotal + units });
-  }
-
-  /**
-   * Takes note of the units lent to other holders, and waits while they are too far ahead
-   * of the backup. Must be called before the loan is used.
-   * @param budget - budget name
-   * @param passed - units lent in all
-   * @param waitMs - longest wait in milliseconds
-   * @returns whether the loan may be given
-   */
-  async lend(budget: string, passed: number, waitMs: number): Promise<boolean> {
-    const before = this.#exposure(budget);
-    this.#exposures.set(budget, { ...before, passed: Math.max(before.passed, passed) });
-    return this.admit(budget, 0, waitMs);
+    this.#state = commit(this.#state, { budget, released: units });
   }
 
   /**
@@ -171,13 +156,11 @@
    * @returns whether the line is durable
    */
   async record(charge: Charge): Promise<boolean> {
-    const sequence = this.#next;
-    this.#next += 1;
-    const line = { ...charge, holder: this.ctx.self, sequence, at: Date.now() };
-    this.#lines = [...this.#lines, line];
+    const sequence = this.#state.next;
+    this.#state = addLine(this.#state, charge, Date.now());
     const deadline = performance.now() + DURABLE_MS;
-    while (!this.#isHeld(sequence)) {
-      if (this.#isFenced || performance.now() > deadline) return false;
+    while (!isHeld(this.#state, sequence)) {
+      if (this.#state.isFenced || performance.now() > deadline) return false;
       // Each way is tried after the one before it has failed.
       // eslint-disable-next-line no-await-in-loop
       const sent = (await this.#copySoon()) || (await this.deliver());
@@ -195,8 +178,8 @@
   async deliver(): Promise<boolean> {
     // A line that was recorded while a delivery runs needs one more.
     if (this.#delivering) await this.#delivering;
-    if (this.#lines.length === 0) return true;
-    this.#delivering ??= this.#send(this.ctx.self).finally(() => {
+    if (this.unflushed === 0) return true;
+    this.#delivering ??= this.#send().finally(() => {
       this.#delivering = undefined;
     });
     return this.#delivering;
@@ -207,25 +190,34 @@
    * @param isSilent - whether the backup on record gave no sign of life just now
    */
   async maintain(isSilent: boolean): Promise<void> {
-    if (!this.#joined || this.#isFenced) return;
-    const { backups, self } = this.ctx;
-    if (!isSilent && this.#backupFailures === 0) return;
-    if (this.#backup !== null && (await this.#copySoon())) return;
-    if (this.#isFenced) return;
-    const failed = this.#backup === null ? [] : [this.#backup];
-    const candidate = await backups.choose(failed);
-    if (candidate === null) return;
-    const exposures = [...this.#exposures.values()];
-    const answer = await backups.send(this.#batch(candidate, this.#settled, exposures));
-    if (answer?.verdict !== 'kept') return;
+    const isSound = !isSilent && this.#backupFailures === 0 && !this.#state.isChanging;
+    if (!this.#joined || this.#state.isFenced || isSound) return;
+    if (this.backup !== null && !this.#state.isChanging && (await this.#copySoon())) return;
+    const candidate = await this.ctx.backups.choose(this.backup === null ? [] : [this.backup]);
+    if (candidate !== null) await this.#changeTo(candidate);
+  }
+
+  async #changeTo(candidate: Incarnation): Promise<void> {
+    const { backups, self, recorder } = this.ctx;
+    const wasChanging = this.#state.isChanging;
+    this.#state = beginChange(this.#state);
+    const batch = copyBatch(this.#state, candidate);
+    const answer = await backups.send(batch);
+    if (answer?.verdict !== 'kept') {
+      if (!wasChanging) this.#state = cancelChange(this.#state);
+      return;
+    }
     const ask = { holder: self, backup: candidate, joined: true };
     const done = await this.#update((shard) => recordBackup(shard, ask));
-    if (done.err || !this.#check(done.val)) return;
-    this.#backup = done.val.backup;
+    if (done.err) {
+      // After a lost answer the new backup may be on record.
+      if (!wasChanging && done.val.problem !== 'lost') this.#state = cancelChange(this.#state);
+      return;
+    }
+    if (!this.#check(done.val)) return;
+    this.#state = applyBackup(this.#state, batch, answer.through);
     this.#backupFailures = 0;
-    this.#acknowledged = answer.through;
-    exposures.forEach((exposure) => this.#copied.set(exposure.budget, exposure));
-    this.ctx.recorder.record('backupChanged', { peer: candidate, detail: `shard ${this.shard}` });
+    recorder.record('backupChanged', { peer: candidate, detail: `shard ${this.shard}` });
   }
 
   /** Finds out whether the store answers, while no line is there to be delivered. */
@@ -236,7 +228,7 @@
 
   /** Writes a sign of life, for recoverers that no link reaches. */
   async beat(): Promise<void> {
-    if (!this.#joined || this.#isFenced) return;
+    if (!this.#joined || this.#state.isFenced) return;
     const done = await this.#update((shard) => recordBeat(shard, this.ctx.self));
     if (done.ok) this.#check(done.val);
   }
@@ -249,14 +241,14 @@
    */
   async leave(take: boolean): Promise<boolean> {
     if (!this.#joined) return true;
-    const { self } = this.ctx;
+    const { self, backups } = this.ctx;
     const mayDeliver = take ? await this.#takeBack() : true;
     if (mayDeliver === undefined) return false;
-    if (mayDeliver && this.#lines.length > 0 && !(await this.#send(self))) return false;
-    const lent = (budget: string): number => this.#exposure(budget).passed;
+    if (mayDeliver && this.unflushed > 0 && !(await this.#send())) return false;
+    const lent = (budget: string): number => exposureOf(this.#state.exposures, budget).passed;
     const done = await this.#update((shard) => concede(shard, self, lent));
     if (done.err) return false;
-    if (this.#backup) await this.ctx.backups.fenceAt(this.#backup, self, this.shard, true);
+    if (this.backup) await backups.fenceAt(this.backup, self, this.shard, true);
     return done.val.mine;
   }
 
@@ -272,27 +264,10 @@
     const ask = { holder: this.ctx.self, backup, joined: false };
     const done = await this.#update((shard) => recordBackup(shard, ask));
     if (done.err || !this.#check(done.val)) return false;
-    this.#backup = done.val.backup;
+    this.#state = { ...this.#state, backup: done.val.backup };
     return true;
   }
 
-  #exposure(budget: string): Exposure {
-    return this.#exposures.get(budget) ?? noExposure(budget);
-  }
-
-  #mayProceed(budget: string): boolean {
-    if (this.#backup === null) return true;
-    const known = this.#copied.get(budget) ?? noExposure(budget);
-    const now = this.#exposure(budget);
-    // Copying early keeps admission from waiting.
-    if (committed(now) - committed(known) > WINDOW_UNITS / 4) void this.#copySoon();
-    return isWithinWindow(now, committed(known));
-  }
-
-  #isHeld(sequence: number): boolean {
-    return Math.max(this.#acknowledged, this.#settled) >= sequence;
-  }
-
   /** Copies at the end of this turn of the event loop, so that its lines travel together. */
   #copySoon(): Promise<boolean> {
     this.#queued ??= this.#copyNext();
@@ -308,43 +283,22 @@
   }
 
   async #copy(): Promise<boolean> {
-    const backup = this.#backup;
-    if (backup === null || this.#isFenced) return false;
-    const exposures = [...this.#exposures.values()].filter(
-      (exposure) => this.#copied.get(exposure.budget) !== exposure,
-    );
-    const answer = await this.ctx.backups.send(this.#batch(backup, this.#acknowledged, exposures));
-    // The backup on record may have changed meanwhile.
-    if (this.#backup !== backup) return false;
-    if (answer?.verdict === 'gap') this.#acknowledged = this.#settled;
-    if (answer?.verdict === 'fenced') this.#fence('the backup has fenced this incarnation');
-    if (answer?.verdict !== 'kept') {
-      this.#backupFailures += 1;
-      return false;
-    }
-    this.#backupFailures = 0;
-    this.#acknowledged = Math.max(this.#acknowledged, answer.through);
-    exposures.forEach((exposure) => this.#copied.set(exposure.budget, exposure));
-    return true;
-  }
-
-  #batch(backup: Incarnation, after: number, exposures: readonly Exposure[]): CopyBatch {
-    return {
-      type: 'copy-lines',
-      holder: this.ctx.self,
-      backup,
-      shard: this.shard,
-      lines: this.#lines.filter(({ sequence }) => sequence > after),
-      settled: this.#settled,
-      exposures,
-      window: WINDOW_UNITS,
-    };
+    const { isChanging, isFenced } = this.#state;
+    if (this.backup === null || isChanging || isFenced) return false;
+    const batch = copyBatch(this.#state, this.backup);
+    const answer = await this.ctx.backups.send(batch);
+    if (answer) this.#state = applyVerdict(this.#state, batch, answer);
+    if (this.#state.isFenced) this.#fence('the backup has fenced this incarnation');
+    const isOnRecord = batch.backup === this.backup && !this.#state.isChanging;
+    const isKept = answer?.verdict === 'kept' && isOnRecord;
+    this.#backupFailures = isKept ? 0 : this.#backupFailures + 1;
+    return isKept;
   }
 
-  async #send(by: Incarnation): Promise<boolean> {
+  async #send(): Promise<boolean> {
     const { store, self, recorder } = this.ctx;
-    const job = { shard: this.shard, holder: self, by, settled: this.#settled, lines: this.#lines };
-    const done = await deliverLines(store, job);
+    const { shard, settled, lines } = this.#state;
+    const done = await deliverLines(store, { shard, holder: self, by: self, settled, lines });
     if (done.err) {
       this.#storeFailures += 1;
       recorder.record('chargesDelayed', { detail: done.val.text });
@@ -352,28 +306,24 @@
     }
     this.#storeFailures = 0;
     if (!this.#check(done.val)) return false;
-    const { settled } = done.val;
-    this.#settled = Math.max(this.#settled, settled);
-    this.#lines = this.#lines.filter(({ sequence }) => sequence > settled);
-    recorder.record('chargesDelivered', { detail: `shard ${this.shard} through ${settled}` });
+    recorder.record('chargesDelivered', { detail: `shard ${shard} through ${done.val.settled}` });
     return true;
   }
 
   #update<Outcome>(
-    change: Parameters<typeof updateObject<ReturnType<typeof parseShard>, Outcome>>[2],
+    change: (shard: BudgetShard) => Change<BudgetShard, Outcome>,
   ): Promise<Result<Outcome, StoreError>> {
     const kind = { key: shardKey(this.shard), parse: parseShard };
     return updateObject(this.ctx.store, kind, change);
   }
 
   #check(answer: EntryAnswer): boolean {
+    this.#state = applyEntry(this.#state, answer);
     if (answer.fenced) this.#fence('the shard entry is not active any more');
     return !answer.fenced;
   }
 
   #fence(detail: string): void {
-    if (this.#isFenced) return;
-    this.#isFenced = true;
     this.ctx.onFenced(`${detail} (shard ${this.shard})`);
   }
 }
--- /dev/null
+++ b/src/fleet/tests/recovery.test.ts
@@ -0,0 +1,66 @@
+import test from 'ava';
+import fc from 'fast-check';
+
+import { DEFAULT_SEED } from '../../../testbed/seed.js';
+import { WINDOW_UNITS } from '../index.js';
+import { PAID, World } from './world.js';
+
+import type { Step } from './world.js';
+
+const RUNS = 4_000;
+const STEPS = 120;
+
+const USUAL = ['grant', 'reserve', 'reserve', 'charge', 'charge', 'copy', 'deliver', 'deliver'];
+const FAULTS = ['abandon', 'deliver', 'repeat', 'lose', 'settle', 'change'];
+const RECOVERY = ['recover', 'recover', 'recover', 'leave'];
+const CRASHES = ['crash-holder', 'crash-backup', 'operator', 'operator'];
+
+const stepArbitrary = fc.record({
+  type: fc.oneof(
+    { weight: 60, arbitrary: fc.constantFrom(...USUAL) },
+    { weight: 20, arbitrary: fc.constantFrom(...FAULTS) },
+    { weight: 2, arbitrary: fc.constantFrom(...RECOVERY) },
+    { weight: 1, arbitrary: fc.constantFrom(...CRASHES) },
+  ),
+  pick: fc.nat(7),
+  units: fc.integer({ min: 1, max: WINDOW_UNITS / 4 }),
+  isLost: fc.integer({ min: 0, max: 4 }).map((roll) => roll === 0),
+}) as fc.Arbitrary<Step>;
+
+function violation(world: World): string | undefined {
+  const { row, shard, allLines, answered, settled } = world;
+  const out = (shard.budgets[0]?.rows ?? []).reduce((sum, r) => sum + r.granted - r.returned, 0);
+  if (out > PAID) return `rows hold ${out} of ${PAID} paid units`;
+  const counted = allLines.filter(({ sequence }) => sequence <= settled);
+  const billed = counted.reduce((sum, { units }) => sum + units, 0);
+  if (row.spent !== billed) return `spent ${row.spent}, but lines of ${billed} units are settled`;
+  const free = row.granted - row.returned - row.spent;
+  if (free < 0) return `spent ${row.spent} of ${row.granted - row.returned} granted units`;
+  if (world.isWrittenOff) return undefined;
+  if (!world.hasLeft && free < world.open) return `${world.open} units are open, ${free} held`;
+  const lost = world.isEnded && [...answered].some((sequence) => sequence > settled);
+  return lost ? 'an answered request is not billed, and its holder has ended' : undefined;
+}
+
+test(`recovery keeps every answered line and frees nothing in use (seed ${DEFAULT_SEED})`, (t) => {
+  const seen = { answered: 0, ended: 0, lines: 0 };
+  fc.assert(
+    fc.property(
+      fc.array(stepArbitrary, { minLength: 40, maxLength: STEPS, size: 'max' }),
+      (steps) => {
+        const world = new World();
+        steps.forEach((step, at) => {
+          world.step(step);
+          const found = violation(world);
+          if (found) throw new Error(`after step ${at} (${step.type}): ${found}`);
+        });
+        seen.answered += world.answered.size;
+        seen.ended += world.isEnded ? 1 : 0;
+        seen.lines += world.allLines.length;
+      },
+    ),
+    { seed: DEFAULT_SEED, numRuns: RUNS },
+  );
+  t.log(`${seen.lines} lines, ${seen.answered} answered, ${seen.ended} holders ended`);
+  t.true(seen.answered > RUNS / 4 && seen.ended > RUNS / 10);
+});
--- /dev/null
+++ b/src/fleet/tests/world.ts
@@ -0,0 +1,341 @@
+/** A model of one holder, its backups, its recoverers and the store, without any process. */
+import {
+  claimRecovery,
+  concede,
+  entryOf,
+  finishRecovery,
+  grant,
+  noteCause,
+  parseShard,
+  recordBackup,
+  settle,
+  settleHeld,
+  topUp,
+} from '../../budget/index.js';
+import {
+  addLine,
+  applyBackup,
+  applyEntry,
+  applyVerdict,
+  beginChange,
+  cancelChange,
+  commit,
+  copyBatch,
+  exposureOf,
+  fence,
+  isHeld,
+  keepBatch,
+  mayProceed,
+  newHolderState,
+  NO_COPIES,
+  recover,
+  WINDOW_UNITS,
+} from '../index.js';
+
+import type { BudgetShard, ChargeLine, HolderRow } from '../../budget/index.js';
+import type { Change } from '../../platform/index.js';
+import type { Copies, CopyBatch, CopyVerdict, HolderState } from '../index.js';
+import type { RecoveryCommand, RecoveryEvent } from '../recovery.js';
+
+const BUDGET = 'b';
+const HOLDER = 'h~1';
+/** Units of the budget: enough for a few grants. */
+export const PAID = 40 * WINDOW_UNITS;
+const ROOM = 1_000;
+const MAX_COMMANDS = 8;
+
+/** A message on its way; it may be lost, repeated and overtaken. */
+type Message =
+  | { readonly type: 'copy'; readonly batch: CopyBatch }
+  | { readonly type: 'verdict'; readonly batch: CopyBatch; readonly answer: CopyVerdict };
+
+type Recovery = ReturnType<typeof recover>;
+
+/** One step of a schedule; the numbers choose among what there is. */
+export interface Step {
+  readonly type:
+    | 'grant'
+    | 'reserve'
+    | 'charge'
+    | 'abandon'
+    | 'copy'
+    | 'deliver'
+    | 'repeat'
+    | 'lose'
+    | 'settle'
+    | 'change'
+    | 'recover'
+    | 'leave'
+    | 'operator'
+    | 'crash-holder'
+    | 'crash-backup';
+  readonly pick: number;
+  readonly units: number;
+  /** The answer of the store or of a backup gets lost. */
+  readonly isLost: boolean;
+}
+
+/** The whole model. */
+export class World {
+  shard: BudgetShard;
+
+  holder: HolderState = newHolderState(HOLDER, 0);
+
+  isHolderUp = true;
+
+  hasLeft = false;
+
+  /** An operator has given the held units back, and with them what was not settled. */
+  isWrittenOff = false;
+
+  readonly allLines: ChargeLine[] = [];
+
+  /** Sequences whose last frame has left. */
+  readonly answered = new Set<number>();
+
+  readonly #copies = new Map<string, Copies>([
+    ['p~1', NO_COPIES],
+    ['q~1', NO_COPIES],
+  ]);
+
+  readonly #recoveries = new Map<string, Recovery>();
+
+  readonly #events = new Map<string, RecoveryEvent>();
+
+  #open: readonly number[] = [];
+
+  #granted = 0;
+
+  #messages: readonly Message[] = [];
+
+  constructor() {
+    const empty = parseShard(null);
+    this.shard = empty;
+    const payment = { budget: BUDGET, workspace: 'w', operation: 'op', units: PAID, at: 1 };
+    this.#write((shard) => topUp(shard, payment));
+    this.#write((shard) => recordBackup(shard, { holder: HOLDER, backup: 'p~1', joined: false }));
+    this.holder = { ...this.holder, backup: 'p~1' };
+  }
+
+  get row(): HolderRow {
+    const found = this.shard.budgets[0]?.rows.find(({ holder }) => holder === HOLDER);
+    return found ?? { holder: HOLDER, granted: 0, spent: 0, returned: 0 };
+  }
+
+  /** Units of the reservations that are open at the holder. */
+  get open(): number {
+    return this.#open.reduce((sum, units) => sum + units, 0);
+  }
+
+  /** Settled mark of the holder; every line counts up to it. */
+  get settled(): number {
+    return entryOf(this.shard, HOLDER)?.settled ?? 0;
+  }
+
+  get isEnded(): boolean {
+    return entryOf(this.shard, HOLDER)?.state === 'ended';
+  }
+
+  step(step: Step): void {
+    this.#dispatch(step);
+    if (!this.isHolderUp) return;
+    this.allLines
+      .filter(({ sequence }) => isHeld(this.holder, sequence))
+      .forEach(({ sequence }) => this.answered.add(sequence));
+  }
+
+  #dispatch(step: Step): void {
+    if (step.type === 'recover') this.#recoverSome(step);
+    else if (step.type === 'operator') this.#operate();
+    else if (step.type === 'crash-holder') this.isHolderUp = false;
+    else if (step.type === 'crash-backup') this.#copies.delete(step.pick % 2 === 0 ? 'p~1' : 'q~1');
+    else if (['deliver', 'repeat', 'lose'].includes(step.type)) this.#message(step);
+    else if (this.isHolderUp && !this.hasLeft) this.#hold(step);
+  }
+
+  #hold(step: Step): void {
+    if (step.type === 'grant') this.#grant(step);
+    if (step.type === 'reserve') this.#reserve(step.units);
+    if (step.type === 'charge' || step.type === 'abandon') this.#end(step);
+    if (step.type === 'copy') this.#copy();
+    if (step.type === 'settle') this.#settle(step.isLost);
+    if (step.type === 'change') this.#change(step);
+    if (step.type === 'leave') this.#leave(step.isLost);
+  }
+
+  #operate(): void {
+    const order = { holder: HOLDER, budget: BUDGET, operation: 'op-2', at: 2 };
+    if (this.#write((shard) => settleHeld(shard, order)).units > 0) this.isWrittenOff = true;
+  }
+
+  #write<Outcome>(change: (shard: BudgetShard) => Change<BudgetShard, Outcome>): Outcome {
+    const done = change(this.shard);
+    if (done.kind === 'write') this.shard = done.value;
+    return done.outcome;
+  }
+
+  #grant({ units, isLost }: Step): void {
+    const ask = {
+      holder: HOLDER,
+      backup: null,
+      budget: BUDGET,
+      granted: this.#granted,
+      needed: 1,
+      wanted: units * 16,
+      entered: true,
+    };
+    const answer = this.#write((shard) => grant(shard, ask));
+    if (isLost) return;
+    if (answer.fenced) this.holder = { ...this.holder, isFenced: true };
+    else this.#granted = answer.granted;
+  }
+
+  #reserve(units: number): void {
+    const used = this.allLines.reduce((sum, line) => sum + line.units, 0) + this.open;
+    if (this.#granted - used < units) return;
+    this.holder = commit(this.holder, { budget: BUDGET, reserved: units });
+    if (mayProceed(this.holder, BUDGET)) this.#open = [...this.#open, units];
+    else this.holder = commit(this.holder, { budget: BUDGET, released: units });
+  }
+
+  #end({ type, pick, units }: Step): void {
+    const index = pick % Math.max(1, this.#open.length);
+    const reserved = this.#open[index];
+    if (reserved === undefined) return;
+    this.#open = this.#open.filter((_, at) => at !== index);
+    this.holder = commit(this.holder, { budget: BUDGET, released: reserved });
+    if (type === 'abandon') return;
+    const key = `k${this.holder.next}`;
+    const charge = { key, workspace: 'w', budget: BUDGET, units: Math.min(units, reserved) };
+    this.holder = addLine(this.holder, charge, 1);
+    const line = this.holder.lines.at(-1);
+    if (line) this.allLines.push(line);
+  }
+
+  #copy(): void {
+    const { backup, isChanging, isFenced } = this.holder;
+    if (backup === null || isChanging || isFenced) return;
+    this.#messages = [...this.#messages, { type: 'copy', batch: copyBatch(this.holder, backup) }];
+  }
+
+  #message({ type, pick }: Step): void {
+    const index = pick % Math.max(1, this.#messages.length);
+    const message = this.#messages[index];
+    if (!message) return;
+    if (type !== 'repeat') this.#messages = this.#messages.filter((_, at) => at !== index);
+    if (type !== 'lose') this.#receive(message);
+  }
+
+  #receive(message: Message): void {
+    if (message.type === 'copy') {
+      const answer = this.#keep(message.batch);
+      if (answer) {
+        this.#messages = [...this.#messages, { type: 'verdict', batch: message.batch, answer }];
+      }
+    } else if (this.isHolderUp) {
+      this.holder = applyVerdict(this.holder, message.batch, message.answer);
+    }
+  }
+
+  #keep(batch: CopyBatch): CopyVerdict | undefined {
+    const copies = this.#copies.get(batch.backup);
+    if (!copies) return undefined;
+    const kept = keepBatch(copies, batch, ROOM);
+    this.#copies.set(batch.backup, kept.copies);
+    return kept.verdict;
+  }
+
+  #settle(isLost: boolean): void {
+    const { lines } = this.holder;
+    const answer = this.#write((shard) => settle(shard, { holder: HOLDER, by: HOLDER, lines }));
+    if (!isLost) this.holder = applyEntry(this.holder, answer);
+  }
+
+  #change({ isLost, pick }: Step): void {
+    const { backup, isChanging, isFenced } = this.holder;
+    if (isFenced) return;
+    const other = backup === 'p~1' ? 'q~1' : 'p~1';
+    const candidate = isChanging && pick % 2 === 0 ? (backup ?? other) : other;
+    this.holder = beginChange(this.holder);
+    const batch = copyBatch(this.holder, candidate);
+    const kept = this.#keep(batch);
+    if (kept?.verdict !== 'kept') {
+      if (!isChanging) this.holder = cancelChange(this.holder);
+      return;
+    }
+    const ask = { holder: HOLDER, backup: candidate, joined: true };
+    const answer = this.#write((shard) => recordBackup(shard, ask));
+    if (isLost) return;
+    this.holder = applyEntry(this.holder, answer);
+    if (!answer.fenced) this.holder = applyBackup(this.holder, batch, kept.through);
+  }
+
+  #leave(isLost: boolean): void {
+    if (this.open > 0) return;
+    const isMine = this.#write((shard) => claimRecovery(shard, HOLDER, HOLDER)).mine;
+    const { lines } = this.holder;
+    if (isMine) this.#write((shard) => settle(shard, { holder: HOLDER, by: HOLDER, lines }));
+    if (isLost) return;
+    const lent = exposureOf(this.holder.exposures, BUDGET).passed;
+    this.hasLeft = this.#write((shard) => concede(shard, HOLDER, () => lent)).mine;
+  }
+
+  /** Several commands often follow each other without another step between them. */
+  #recoverSome({ pick, units, isLost }: Step): void {
+    const commands = 1 + (units % MAX_COMMANDS);
+    for (let at = 1; at <= commands; at += 1) this.#recover(pick, isLost && at === commands);
+  }
+
+  #recover(pick: number, isLost: boolean): void {
+    const by = pick % 2 === 0 ? 'r~1' : 's~1';
+    const running = this.#recoveries.get(by) ?? recover();
+    this.#recoveries.set(by, running);
+    const event = this.#events.get(by);
+    const next = event ? running.next(event) : running.next();
+    if (next.done) {
+      this.#recoveries.delete(by);
+      this.#events.delete(by);
+      return;
+    }
+    const done = this.#perform(by, next.value);
+    this.#events.set(by, isLost ? { type: 'failed' } : done);
+  }
+
+  #perform(by: string, command: RecoveryCommand): RecoveryEvent {
+    switch (command.type) {
+      case 'claim': {
+        const { entry, mine } = this.#write((shard) => claimRecovery(shard, HOLDER, by));
+        return mine && entry ? { type: 'claimed', entry } : { type: 'failed' };
+      }
+      case 'fence':
+        return this.#fence(command.backup);
+      case 'deliver': {
+        const { lines } = command;
+        const { fenced } = this.#write((shard) => settle(shard, { holder: HOLDER, by, lines }));
+        return { type: fenced ? 'failed' : 'done' };
+      }
+      case 'finish': {
+        const ask = { holder: HOLDER, by, known: command.known };
+        const { mine } = this.#write((shard) => finishRecovery(shard, ask));
+        return { type: mine ? 'done' : 'failed' };
+      }
+      case 'note':
+        this.#write((shard) => noteCause(shard, { holder: HOLDER, by, cause: command.cause }));
+        return { type: 'done' };
+      default:
+        return { type: 'done' };
+    }
+  }
+
+  #fence(backup: string): RecoveryEvent {
+    const copies = this.#copies.get(backup);
+    if (!copies) return { type: 'gone' };
+    this.#copies.set(backup, fence(copies));
+    const { lines, exposures } = copies;
+    const window = Math.max(copies.window, WINDOW_UNITS);
+    return {
+      type: 'handed',
+      handover: { type: 'holder-fenced', isBackup: true, lines, exposures, window },
+    };
+  }
+}
--- a/testbed/patientcallers.ts
+++ b/testbed/patientcallers.ts
@@ -4,6 +4,7 @@
 import { askModel } from './caller.js';
 import { API_KEY } from './documents.js';
 
+import type { Received } from './caller.js';
 import type { Fleet } from './fleet.js';
 
 /** Tokens of each answer. */
@@ -12,6 +13,9 @@
 /** Longest attempt, in milliseconds; a frozen daemon does not hold a caller for longer. */
 const ATTEMPT_MS = 4_000;
 
+/** Share of the attempts that two daemons get at the same time. */
+const IMPATIENT_SHARE = 0.1;
+
 /** Pause before a repeat, in milliseconds. */
 const PAUSE_MS = 50;
 
@@ -57,21 +61,13 @@
 
   async #untilAnswered(key: string): Promise<void> {
     for (;;) {
-      const running = this.fleet.daemons.filter(({ child }) => child.running);
-      const daemon = running[Math.floor(this.random() * running.length)];
-      if (!daemon) throw new Error('no daemon is left');
-      // A repeat goes through another daemon, with the same key.
+      // An impatient caller repeats its key through another daemon while the first still answers.
+      const isImpatient = this.random() < IMPATIENT_SHARE;
+      const attempts = [this.#attempt(key), ...(isImpatient ? [this.#attempt(key)] : [])];
+      // A repeat goes through any daemon, with the same key.
       // eslint-disable-next-line no-await-in-loop
-      const answer = await askModel({
-        url: daemon.url,
-        apiKey: API_KEY,
-        model: 'drafts',
-        prompt: `manifest ${key}`,
-        maxTokens: TOKENS,
-        key,
-        signal: AbortSignal.timeout(ATTEMPT_MS),
-      });
-      if (answer.whole || answer.code === 'key-settled') {
+      const answers = await Promise.all(attempts);
+      if (answers.some(({ whole, code }) => whole || code === 'key-settled')) {
         this.answered.push(key);
         return;
       }
@@ -79,4 +75,19 @@
       await delay(PAUSE_MS);
     }
   }
+
+  #attempt(key: string): Promise<Received> {
+    const running = this.fleet.daemons.filter(({ child }) => child.running);
+    const daemon = running[Math.floor(this.random() * running.length)];
+    if (!daemon) throw new Error('no daemon is left');
+    return askModel({
+      url: daemon.url,
+      apiKey: API_KEY,
+      model: 'drafts',
+      prompt: `manifest ${key}`,
+      maxTokens: TOKENS,
+      key,
+      signal: AbortSignal.timeout(ATTEMPT_MS),
+    });
+  }
 }
