--- a/src/cli/held.ts
+++ b/src/cli/held.ts
@@ -1,27 +1,23 @@
-/** Commands on units that are held under stopped holders. */
+/** The command "held" and its settlement. */
 import type { CommandModule } from 'yargs';
 import { OperatorClient } from './client.js';
+import { announce, formatTable, report } from './output.js';
 
-import type { ClientAnswer, ClientConfig } from './client.js';
+import type { HeldUnits } from '../budget/index.js';
+import type { HeldSettled } from '../daemon/heldunits.js';
+import type { GlobalArgs, Row } from './output.js';
 
-/** Exit code for an order that a daemon refused. */
-const EXIT_REFUSED = 1;
-
-const OK_STATUS = 300;
-
-/** Arguments of the settling command. */
-interface SettleArgs extends ClientConfig {
+interface SettleArgs extends GlobalArgs {
   readonly holder: string;
   readonly budget: string;
   readonly operation: string;
 }
 
-function print(answer: ClientAnswer): void {
-  process.stdout.write(`${JSON.stringify(answer.body, null, 2)}\n`);
-  if (answer.status >= OK_STATUS) process.exitCode = EXIT_REFUSED;
+function toRow({ backup, recoverer, ...held }: HeldUnits): Row {
+  return { ...held, backup: backup ?? '-', recoverer: recoverer ?? '-' };
 }
 
-const settleCommand: CommandModule<ClientConfig, SettleArgs> = {
+const settleCommand: CommandModule<GlobalArgs, SettleArgs> = {
   command: 'settle <holder> <budget>',
   describe: 'give the held units of a stopped holder back to a budget',
   builder: (args) =>
@@ -31,14 +27,20 @@
       .option('operation', { type: 'string', demandOption: true, describe: 'operation id' }),
   handler: async (argv) => {
     const { holder, budget, operation } = argv;
-    print(await new OperatorClient(argv).post('held', { holder, budget, operation }));
+    announce(operation);
+    const client = new OperatorClient(argv);
+    const answer = await client.post<HeldSettled>('held', { holder, budget, operation });
+    report(argv, answer, ({ units }) => `${units} units were given back`, operation);
   },
 };
 
 /** Lists held units; "settle" gives them back. */
-export const heldCommand: CommandModule<ClientConfig, ClientConfig> = {
+export const heldCommand: CommandModule<GlobalArgs, GlobalArgs> = {
   command: 'held',
-  describe: 'list the units that are held under stopped holders',
+  describe: 'list the units that are held under stopped holders, with the cause',
   builder: (args) => args.command(settleCommand),
-  handler: async (argv) => print(await new OperatorClient(argv).get('held')),
+  handler: async (argv) => {
+    const answer = await new OperatorClient(argv).get<readonly HeldUnits[]>('held');
+    report(argv, answer, (rows) => formatTable(rows.map(toRow)));
+  },
 };
--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -5,15 +5,17 @@
 import { newIncarnation, SystemClock } from '../kernel/index.js';
 import { Directory, WsPeerNetwork } from '../link/index.js';
 import { HttpInstanceList, HttpObjectStore } from '../platform/index.js';
-import { LeastOpenPolicy } from '../route/index.js';
 import { Recorder } from '../telemetry/index.js';
 import { HttpModelEngine, HttpPlainService } from '../upstream/index.js';
 import { Backups } from './backups.js';
 import { BudgetTask } from './budgettask.js';
 import { Charges } from './charges.js';
+import { Claims } from './claims.js';
 import { ConfigTask } from './configtask.js';
 import { Grants } from './grants.js';
+import { KeyRegistry } from './keyregistry.js';
 import { Operations } from './operations.js';
+import { Routing } from './routing.js';
 import { OpenWork } from './serving.js';
 import { ShardCare } from './shardcare.js';
 import { splitAddress } from './settings.js';
@@ -85,6 +87,7 @@
     const config = new ConfigTask(store, recorder);
     const budgets = new BudgetTask();
     const backups = new Backups(self, settings.dataCentre, this.network);
+    const daemons = (): number => this.network.peers().length + 1;
     const charges = new Charges({
       self,
       store,
@@ -101,9 +104,11 @@
       store,
       config,
       budgets,
+      claims: new Claims(self, store),
+      keys: new KeyRegistry(self, this.network),
+      routing: new Routing({ config, recorder, random: Math.random, daemons }),
       grants: new Grants({ self, store, budgets, config, recorder, charges }),
       charges,
-      policy: new LeastOpenPolicy(),
       engine: new HttpModelEngine(),
       service: new HttpPlainService(),
       recorder,
@@ -123,6 +128,7 @@
     await this.#directory.start();
     this.network.start();
     this.serving.charges.start();
+    this.serving.routing.start();
     this.#care.start();
     void this.serving.config.run();
     this.#phase = 'serving';
@@ -138,7 +144,9 @@
   /** Delivers what is left and closes the links, once no request is open. */
   async finishStop(): Promise<void> {
     const { charges, config } = this.serving;
+    this.serving.routing.stop();
     this.#care.stop();
+    await this.serving.keys.handOver();
     await charges.leave();
     config.stop();
     this.#directory.stop();
