Old pieces are really removed: no content type on a call without a body

Cause: the client of the object API sent a JSON content type with DELETE, and Fastify refuses an empty JSON body with 400, so nothing was ever removed. Found by the new test of old pieces. The publisher takes its clock from outside, so that the test moves the retention.

--- a/src/daemon/publishing.ts
+++ b/src/daemon/publishing.ts
@@ -31,7 +31,7 @@
   PublishRequest,
   StoredManifest,
 } from '../config/index.js';
-import type { Failure, Result } from '../kernel/index.js';
+import type { Clock, Failure, Result } from '../kernel/index.js';
 import type { ObjectStore } from '../platform/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { ConfigTask } from './configtask.js';
@@ -53,6 +53,8 @@
   readonly store: ObjectStore;
   readonly config: ConfigTask;
   readonly recorder: Recorder;
+  /** Clock of the time that a publication carries. */
+  readonly clock: Clock;
 }
 
 function checkWhole(documents: Documents): Failure | undefined {
@@ -133,7 +135,7 @@
       operation,
       author,
       base,
-      at: Date.now(),
+      at: this.ctx.clock.now(),
       summary: summarize(before, documents),
       pieces: pieces.map(({ slot, digest }) => ({ slot, digest, version: 0 })),
       budgetShards: order.budgetShards ?? shardsFor(documents.budgets.length),
--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -97,7 +97,7 @@
       open: new OpenWork(),
     };
     this.operations = new Operations(store, config);
-    this.publishing = new Publishing({ store, config, recorder });
+    this.publishing = new Publishing({ store, config, recorder, clock: new SystemClock() });
   }
 
   /** Whether the daemon takes new work: it serves and has a configuration. */
--- a/src/platform/httpobjectstore.ts
+++ b/src/platform/httpobjectstore.ts
@@ -123,7 +123,8 @@
       method,
       path,
       body: body ?? null,
-      headers: { 'content-type': 'application/json' },
+      // A content type without a body is an error to many servers.
+      headers: body === undefined ? {} : { 'content-type': 'application/json' },
       signal: AbortSignal.timeout(limitMs),
     });
     return { status: res.statusCode, body: await res.body.json() };
