--- /dev/null
+++ b/bench/localnetwork.ts
@@ -0,0 +1,84 @@
+/** Peer network inside one process: requests reach the handlers of the peer after a delay. */
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { Err, failure, instanceOf, Ok } from '../src/kernel/index.js';
+import { PeerNetwork } from '../src/link/index.js';
+
+import type { Failure, Incarnation, InstanceName, Result } from '../src/kernel/index.js';
+import type {
+  PeerHandler,
+  PeerMessage,
+  PeerMessageOf,
+  PeerMessageType,
+  PeerRequest,
+} from '../src/link/index.js';
+import type { Instance } from '../src/platform/index.js';
+
+type AnyHandler = (message: PeerMessage, from: Incarnation) => PeerMessage | Promise<PeerMessage>;
+
+/** Connects daemons' tasks without sockets. */
+export class LocalNetwork extends PeerNetwork {
+  readonly #handlers = new Map<PeerMessageType, AnyHandler>();
+
+  readonly #peers: LocalNetwork[] = [];
+
+  /**
+   * Creates the network of one daemon.
+   * @param self - its incarnation
+   * @param dataCentre - its data centre
+   * @param oneWayMs - delay of each message, in milliseconds
+   */
+  constructor(
+    private readonly self: Incarnation,
+    private readonly dataCentre: string,
+    private readonly oneWayMs: number,
+  ) {
+    super();
+  }
+
+  /**
+   * Lets this daemon reach another.
+   * @param peer - network of the other daemon
+   */
+  connect(peer: LocalNetwork): void {
+    this.#peers.push(peer);
+  }
+
+  override async request<Reply extends PeerMessageType>(
+    req: PeerRequest<Reply>,
+  ): Promise<Result<PeerMessageOf<Reply>, Failure>> {
+    const peer = this.#peers.find(({ self }) => instanceOf(self) === req.to);
+    await delay(this.oneWayMs);
+    const reply = await peer?.answer(req.body, this.self);
+    await delay(this.oneWayMs);
+    if (reply?.type !== req.reply) return Err(failure('peer-unreachable', req.to));
+    return Ok(reply as PeerMessageOf<Reply>);
+  }
+
+  override handle<Type extends PeerMessageType>(type: Type, handler: PeerHandler<Type>): void {
+    this.#handlers.set(type, handler as unknown as AnyHandler);
+  }
+
+  override peers(): readonly Instance[] {
+    return this.#peers.map(({ self, dataCentre }) => ({
+      name: instanceOf(self),
+      dataCentre,
+      peerAddress: '127.0.0.1:1',
+      state: 'live',
+    }));
+  }
+
+  override incarnationOf(instance: InstanceName): Incarnation | undefined {
+    return this.#peers.find(({ self }) => instanceOf(self) === instance)?.self;
+  }
+
+  /**
+   * Answers a request of a peer.
+   * @param body - the request
+   * @param from - incarnation of the peer
+   * @returns the reply; undefined without a handler
+   */
+  async answer(body: PeerMessage, from: Incarnation): Promise<PeerMessage | undefined> {
+    return this.#handlers.get(body.type)?.(body, from);
+  }
+}
