Loans recorded after a recovery are freed, and held only once

Cause: a lender's loans that its row already shows were held a second time at its recovery, and a loan recorded after its borrower had ended stayed held although nothing could use it. A row now keeps how much of it stays held; closing frees what comes back beyond that, and waits for the record of a loan that the row has already spent. Table tests for each.

--- a/src/budget/recovery.ts
+++ b/src/budget/recovery.ts
@@ -1,4 +1,5 @@
 /** Rules by which a holder that has stopped is recovered, and its units freed or held. */
+import { totalOf } from './escrow.js';
 import { entryOf, mapRows, withEntry } from './settlement.js';
 
 import type { Change } from '../platform/index.js';
@@ -69,15 +70,21 @@
   return { kind: 'write', value: withEntry(shard, next), outcome: { entry: next, mine: true } };
 }
 
-function unproved(budget: string, known: FencedState): number {
+/** Loans that the rows do not show yet: their borrowers may be using the units. */
+function unrecorded(row: HolderRow, passed: number): number {
+  return Math.max(0, passed - totalOf(row.passed ?? []));
+}
+
+function unproved(row: HolderRow, budget: string, known: FencedState): number {
   const found = known.exposures.find((exposure) => exposure.budget === budget);
   if (!found) return known.window;
-  return found.reservedTotal - found.releasedTotal + found.passed + known.window;
+  const open = found.reservedTotal - found.releasedTotal;
+  return open + unrecorded(row, found.passed) + known.window;
 }
 
 function release(row: HolderRow, hold: number): HolderRow {
   const free = Math.max(0, heldIn(row) - hold);
-  return { ...row, returned: row.returned + free };
+  return { ...row, hold, returned: row.returned + free };
 }
 
 /**
@@ -96,7 +103,7 @@
   if (!entry || !mine) return { kind: 'keep', outcome: { entry, mine: false } };
   const next: HolderEntry = { ...entry, state: 'ended', cause: HOLD_CAUSES.open };
   const freed = mapRows(shard, ask.holder, (row, budget) =>
-    release(row, unproved(budget.name, ask.known)),
+    release(row, unproved(row, budget.name, ask.known)),
   );
   return { kind: 'write', value: withEntry(freed, next), outcome: { entry: next, mine: true } };
 }
@@ -140,7 +147,9 @@
     return { kind: 'keep', outcome: { entry, mine: false } };
   }
   const next: HolderEntry = { ...entry, state: 'ended' };
-  const freed = mapRows(shard, holder, (row, budget) => release(row, lent(budget.name)));
+  const freed = mapRows(shard, holder, (row, budget) =>
+    release(row, unrecorded(row, lent(budget.name))),
+  );
   return { kind: 'write', value: withEntry(freed, next), outcome: { entry: next, mine } };
 }
 
@@ -238,8 +247,22 @@
   folded: ReadonlyMap<string, number>,
 ): boolean {
   if (entry.state !== 'ended' || (folded.get(entry.holder) ?? 0) < entry.settled) return false;
-  return shard.budgets.every((budget) =>
-    budget.rows.every((row) => row.holder !== entry.holder || heldIn(row) === 0),
+  // A row that has spent more than it shows as granted still waits for the record of a loan.
+  return shard.budgets.every(({ rows }) =>
+    rows.every((row) => row.holder !== entry.holder || row.granted === row.spent + row.returned),
+  );
+}
+
+/** Frees what came back to ended holders after their recovery, such as loans that were recorded late. */
+function freeLate(shard: BudgetShard): BudgetShard {
+  const late = shard.holders.filter(({ holder, state }) => {
+    const isLate = (row: HolderRow): boolean =>
+      row.holder === holder && row.hold !== undefined && heldIn(row) > row.hold;
+    return state === 'ended' && shard.budgets.some(({ rows }) => rows.some(isLate));
+  });
+  return late.reduce(
+    (value, { holder }) => mapRows(value, holder, (row) => release(row, row.hold ?? heldIn(row))),
+    shard,
   );
 }
 
@@ -254,14 +277,19 @@
   shard: BudgetShard,
   folded: ReadonlyMap<string, number>,
 ): Change<BudgetShard, number> {
-  const closing = shard.holders.filter((entry) => canClose(shard, entry, folded));
-  if (closing.length === 0) return { kind: 'keep', outcome: 0 };
+  const freed = freeLate(shard);
+  const closing = freed.holders.filter((entry) => canClose(freed, entry, folded));
+  if (closing.length === 0) {
+    return freed === shard
+      ? { kind: 'keep', outcome: 0 }
+      : { kind: 'write', value: freed, outcome: 0 };
+  }
   const names = new Set(closing.map(({ holder }) => holder));
-  const budgets = shard.budgets.map((budget) => {
+  const budgets = freed.budgets.map((budget) => {
     const gone = budget.rows.filter(({ holder }) => names.has(holder));
     const retired = gone.reduce((sum, row) => sum + row.spent, budget.retired);
     return { ...budget, retired, rows: budget.rows.filter(({ holder }) => !names.has(holder)) };
   });
-  const holders = shard.holders.filter(({ holder }) => !names.has(holder));
-  return { kind: 'write', value: { ...shard, budgets, holders }, outcome: closing.length };
+  const holders = freed.holders.filter(({ holder }) => !names.has(holder));
+  return { kind: 'write', value: { ...freed, budgets, holders }, outcome: closing.length };
 }
--- a/src/budget/shard.ts
+++ b/src/budget/shard.ts
@@ -19,6 +19,8 @@
     passed: z.array(peerCounterSchema).readonly().optional(),
     /** Smoothed use, in units a second, when the holder last wrote. */
     demand: z.number().nonnegative().optional(),
+    /** Units that stay held after the holder has ended; what comes back beyond them is free. */
+    hold: z.number().int().nonnegative().optional(),
   })
   .readonly();
 
--- a/src/budget/tests/recovery.test.ts
+++ b/src/budget/tests/recovery.test.ts
@@ -14,7 +14,7 @@
 
 import type { Change } from '../../platform/index.js';
 import type { Exposure } from '../recovery.js';
-import type { BudgetShard, HolderEntry } from '../shard.js';
+import type { BudgetShard, HolderEntry, HolderRow } from '../shard.js';
 
 function after<Outcome>(shard: BudgetShard, change: Change<BudgetShard, Outcome>): BudgetShard {
   return change.kind === 'write' ? change.value : shard;
@@ -185,3 +185,33 @@
     t.is(freeIn(done), freeIn(shard));
   });
 });
+
+function withRow(shard: BudgetShard, fields: Partial<HolderRow>): BudgetShard {
+  const budgets = shard.budgets.map((budget) => ({
+    ...budget,
+    rows: budget.rows.map((row) => ({ ...row, ...fields })),
+  }));
+  return { ...shard, budgets };
+}
+
+test('finishRecovery: loans that the rows show already are not held a second time', (t) => {
+  const recorded = { returned: 20, passed: [{ peer: 'x~1', units: 20 }] };
+  const shard = withRow(shardWith(RECOVERING), recorded);
+  const exposures = [{ ...NONE, passed: 25 }];
+  const ask = { holder: 'h~1', by: 'r~1', known: { exposures, window: 50 } };
+  const done = after(shard, finishRecovery(shard, ask));
+  t.is(heldUnits(done)[0]?.units, 55);
+});
+
+test('closeEnded: what comes back after a recovery is freed, but for what it holds', (t) => {
+  const shard = withRow(shardWith({ state: 'ended' }, 100), { granted: 300, hold: 50 });
+  const change = closeEnded(shard, new Map());
+  t.is(change.outcome, 0);
+  t.is(heldUnits(after(shard, change))[0]?.units, 50);
+  t.is(closeEnded(after(shard, change), new Map()).kind, 'keep');
+});
+
+test('closeEnded: a row waits for the record of the loan that it has spent', (t) => {
+  const shard = withRow(shardWith({ state: 'ended' }, 100), { granted: 90 });
+  t.is(closeEnded(shard, new Map()).kind, 'keep');
+});
