--- a/bench/durability.ts
+++ b/bench/durability.ts
@@ -15,7 +15,7 @@
 import { freePort } from '../testbed/ports.js';
 import { seededRandom } from '../testbed/seed.js';
 import { BenchGroup } from './figure.js';
-import { LocalNetwork } from './localnetwork.js';
+import { LocalNetwork } from '../testbed/localnetwork.js';
 
 import type { BenchContext, Figure } from './figure.js';
 
--- a/src/daemon/charges.ts
+++ b/src/daemon/charges.ts
@@ -31,7 +31,9 @@
 
 /** What charges need. */
 export interface ChargeContext extends OutboxContext {
-  readonly config: ConfigTask;
+  readonly config: Pick<ConfigTask, 'current'>;
+  /** Lines that are kept while the store does not take them. */
+  readonly maxLines?: number;
 }
 
 /** Units of one request that are set aside. */
@@ -89,7 +91,8 @@
   async admit({ budget, units }: Reservation, waitMs: number): Promise<boolean> {
     const outbox = this.#outboxOf(budget);
     const admitted = await outbox.admit({ budget, reserved: units }, waitMs);
-    return admitted && !this.#isFenced && this.#unflushed < MAX_UNFLUSHED_LINES;
+    const { maxLines = MAX_UNFLUSHED_LINES } = this.ctx;
+    return admitted && !this.#isFenced && this.#unflushed < maxLines;
   }
 
   /**
@@ -156,6 +159,31 @@
     return left.every(Boolean);
   }
 
+  /** Looks after the backups once: replaces one that is silent, finds out whether the store answers. */
+  async care(): Promise<void> {
+    const outboxes = [...this.#outboxes.values()];
+    const { backups, self } = this.ctx;
+    this.#cares += 1;
+    const isBeatDue = this.#cares % BEAT_CARES === 0;
+    const holding = new Set(outboxes.flatMap(({ backup }) => (backup === null ? [] : [backup])));
+    const silent = new Set<string>();
+    await Promise.all(
+      [...holding].map(async (backup) => {
+        // A query also tells the backup that this holder lives.
+        if (!(await backups.isThere(backup, self))) silent.add(backup);
+      }),
+    );
+    await Promise.all(
+      outboxes.map(async (outbox) => {
+        const isSilent = outbox.backup === null || silent.has(outbox.backup);
+        if (isSilent && outbox.unflushed === 0) await outbox.probe();
+        await outbox.maintain(isSilent);
+        const isSeen = !isBeatDue || (await backups.reachesCarers(outbox.shard, self));
+        if (!isSeen) await outbox.beat();
+      }),
+    );
+  }
+
   /** Ends the deliveries at intervals. */
   stop(): void {
     this.#isStopped = true;
@@ -205,31 +233,7 @@
   #careLater(): void {
     if (this.#isStopped) return;
     this.#careTimer = setTimeout(() => {
-      void this.#care().finally(() => this.#careLater());
+      void this.care().finally(() => this.#careLater());
     }, CARE_MS);
   }
-
-  async #care(): Promise<void> {
-    const outboxes = [...this.#outboxes.values()];
-    const { backups, self } = this.ctx;
-    this.#cares += 1;
-    const isBeatDue = this.#cares % BEAT_CARES === 0;
-    const holding = new Set(outboxes.flatMap(({ backup }) => (backup === null ? [] : [backup])));
-    const silent = new Set<string>();
-    await Promise.all(
-      [...holding].map(async (backup) => {
-        // A query also tells the backup that this holder lives.
-        if (!(await backups.isThere(backup, self))) silent.add(backup);
-      }),
-    );
-    await Promise.all(
-      outboxes.map(async (outbox) => {
-        const isSilent = outbox.backup === null || silent.has(outbox.backup);
-        if (isSilent && outbox.unflushed === 0) await outbox.probe();
-        await outbox.maintain(isSilent);
-        const isSeen = !isBeatDue || (await backups.reachesCarers(outbox.shard, self));
-        if (!isSeen) await outbox.beat();
-      }),
-    );
-  }
 }
--- a/bench/localnetwork.ts
+++ b/testbed/localnetwork.ts
@@ -22,6 +22,12 @@
 
   readonly #peers: LocalNetwork[] = [];
 
+  /** Requests of each type that this daemon has sent. */
+  readonly sent: PeerMessageType[] = [];
+
+  /** Whether requests of this daemon reach nobody. */
+  isCut = false;
+
   /**
    * Creates the network of one daemon.
    * @param self - its incarnation
@@ -47,6 +53,8 @@
   override async request<Reply extends PeerMessageType>(
     req: PeerRequest<Reply>,
   ): Promise<Result<PeerMessageOf<Reply>, Failure>> {
+    this.sent.push(req.body.type);
+    if (this.isCut) return Err(failure('peer-unreachable', req.to));
     const peer = this.#peers.find(({ self }) => instanceOf(self) === req.to);
     await delay(this.oneWayMs);
     const reply = await peer?.answer(req.body, this.self);
--- /dev/null
+++ b/testbed/memorystore.ts
@@ -0,0 +1,63 @@
+/** Object store inside one process, for tests of single tasks. */
+import { Err, Ok } from '../src/kernel/index.js';
+import { ObjectStore } from '../src/platform/index.js';
+
+import type { Result } from '../src/kernel/index.js';
+import type { ObjectChange, StoredObject, StoreError, WatchBatch } from '../src/platform/index.js';
+
+/** What the store does with writes. */
+export type MemoryStoreMode = 'answers' | 'away' | 'loses-answers';
+
+/** Keeps objects in memory. */
+export class MemoryStore extends ObjectStore {
+  readonly #objects = new Map<string, StoredObject>();
+
+  mode: MemoryStoreMode = 'answers';
+
+  override async read(key: string): Promise<Result<StoredObject, StoreError>> {
+    if (this.mode === 'away') return this.#lost(key);
+    return Ok(this.#objects.get(key) ?? { key, version: 0, value: null });
+  }
+
+  override async write(
+    key: string,
+    value: unknown,
+    expected: number,
+  ): Promise<Result<number, StoreError>> {
+    if (this.mode === 'away') return this.#lost(key);
+    const version = this.#objects.get(key)?.version ?? 0;
+    if (version !== expected) return Err({ problem: 'conflict', key, text: 'another write' });
+    this.#objects.set(key, { key, version: version + 1, value: structuredClone(value) });
+    return this.mode === 'loses-answers' ? this.#lost(key) : Ok(version + 1);
+  }
+
+  override async remove(key: string): Promise<Result<number, StoreError>> {
+    if (this.mode === 'away') return this.#lost(key);
+    const version = this.#objects.get(key)?.version ?? 0;
+    this.#objects.delete(key);
+    return Ok(version);
+  }
+
+  override async list(prefix: string): Promise<Result<readonly ObjectChange[], StoreError>> {
+    if (this.mode === 'away') return this.#lost(prefix);
+    const found = [...this.#objects.values()].filter(({ key }) => key.startsWith(prefix));
+    return Ok(found.sort((a, b) => (a.key < b.key ? -1 : 1)));
+  }
+
+  override async watch(): Promise<Result<WatchBatch, StoreError>> {
+    return Ok({ changes: [], position: 0 });
+  }
+
+  /**
+   * Reads an object past every fault.
+   * @param key - object key
+   * @returns the value; undefined if there is none
+   */
+  peek(key: string): unknown {
+    return this.#objects.get(key)?.value;
+  }
+
+  #lost(key: string): Result<never, StoreError> {
+    return Err({ problem: 'lost', key, text: 'no answer' });
+  }
+}
