Fair shares under saturation, and the model that measures routing

Ruled out: class weights alone (the noisy workspace also sends urgent requests). Now workspaces beyond their max-min share wait above 90% load, and the room of a nearly full worker is divided between the daemons.

--- /dev/null
+++ b/bench/routesimulation.ts
@@ -0,0 +1,363 @@
+/** Event simulation of entries and workers around the routing decisions. */
+import { RetryBudget, RouteScheduler, WorkspaceUse } from '../src/route/index.js';
+import { EventHeap } from './eventheap.js';
+import { WorkerModel, WORKER_SLOTS } from './routeworker.js';
+import { NOISY_WORKSPACE, Workload } from './routeworkload.js';
+
+import type { ChoicePolicy, RouteCommand, RouteEvent, Ticket } from '../src/route/index.js';
+import type { WorkerOutput } from './routeworker.js';
+import type { Arrival } from './routeworkload.js';
+
+/** Interval at which a silent worker is looked at, in milliseconds. */
+const SILENT_STEP_MS = 500;
+
+/** Lag of a load report, in milliseconds. */
+const REPORT_LAG_MS = 300;
+
+/** Delay between an entry and a worker one way, in milliseconds. */
+const NETWORK_MS = 1.5;
+
+/** Longest wait for a first token before the router gives a worker up, in milliseconds. */
+const FIRST_TOKEN_LIMIT_MS = 3_000;
+
+/** Longest silence of a stream, in milliseconds. */
+const SILENCE_LIMIT_MS = 5_000;
+
+/** Longest wait in the queue, in milliseconds. */
+const QUEUE_LIMIT_MS = 2_000;
+
+/** Time before anything is counted, in milliseconds. */
+const WARM_UP_MS = 20_000;
+
+/** Attempts after the first. */
+const RETRIES = 2;
+
+/** What goes wrong, from a third of the counted time to two thirds. */
+export type Trouble = 'none' | 'silent' | 'slow' | 'burst' | 'noisy';
+
+/** Sizes and faults of one simulation. */
+export interface SimulationOptions {
+  readonly entries: number;
+  readonly workers: number;
+  readonly workspaces: number;
+  readonly documentsPerWorkspace: number;
+  /** Requests a second. */
+  readonly rate: number;
+  readonly seconds: number;
+  /** Interval between the load reports of a worker, in milliseconds. */
+  readonly reportMs: number;
+  readonly trouble: Trouble;
+  readonly random: () => number;
+  readonly policy: (random: () => number) => ChoicePolicy;
+}
+
+/** What a simulation measured. */
+export interface SimulationResult {
+  /** First-token delays of well-behaved workspaces, in milliseconds, sorted. */
+  readonly firstTokens: readonly number[];
+  readonly hitShare: number;
+  readonly largestToMean: number;
+  readonly requests: number;
+  readonly refused: number;
+  /** Refusals of workspaces other than the noisy one. */
+  readonly refusedCalm: number;
+  readonly retries: number;
+  /** Requests whose retries were used up. */
+  readonly lost: number;
+  /** Answers that had begun when their worker fell silent. */
+  readonly interrupted: number;
+}
+
+/** One request in the router. */
+interface Flight {
+  readonly arrival: Arrival;
+  readonly entry: number;
+  readonly at: number;
+  excluded: readonly string[];
+  worker: number;
+  attempt: number;
+  begun: boolean;
+}
+
+interface Entry {
+  readonly scheduler: RouteScheduler;
+  readonly retries: RetryBudget;
+  readonly uses: WorkspaceUse;
+}
+
+const PRIORITY_NUMBERS = { urgent: 0, normal: 1, bulk: 2 } as const;
+
+/** Runs one simulation. */
+export class Simulation {
+  readonly #heap = new EventHeap();
+
+  readonly #workers: readonly WorkerModel[];
+
+  readonly #stepping: boolean[];
+
+  readonly #entries: readonly Entry[];
+
+  readonly #flights = new Map<number, Flight>();
+
+  readonly #workload: Workload;
+
+  readonly #loadSums: number[];
+
+  #loadSamples = 0;
+
+  readonly #firstTokens: number[] = [];
+
+  #now = 0;
+
+  #requests = 0;
+
+  #refused = 0;
+
+  #refusedCalm = 0;
+
+  #lost = 0;
+
+  #interrupted = 0;
+
+  /**
+   * Sets a simulation up.
+   * @param options - sizes, rate, fault and policy
+   */
+  constructor(private readonly options: SimulationOptions) {
+    const { workers, entries, workspaces, documentsPerWorkspace, random, policy } = options;
+    this.#workers = Array.from({ length: workers }, () => new WorkerModel());
+    this.#stepping = this.#workers.map(() => false);
+    this.#loadSums = this.#workers.map(() => 0);
+    const documents = this.#workers.map((_, index) => ({
+      name: String(index),
+      state: 'serving' as const,
+      concurrency: WORKER_SLOTS,
+    }));
+    this.#entries = Array.from({ length: entries }, () => {
+      const retries = new RetryBudget();
+      const scheduler = new RouteScheduler({
+        policy: policy(random),
+        retries,
+        daemons: () => entries,
+        random,
+      });
+      [...scheduler.handle({ type: 'workers', documents }, 0)].forEach(() => undefined);
+      return { scheduler, retries, uses: new WorkspaceUse() };
+    });
+    this.#workload = new Workload(workspaces, documentsPerWorkspace, random);
+  }
+
+  /**
+   * Runs to the end.
+   * @returns what was measured
+   */
+  run(): SimulationResult {
+    const endAt = WARM_UP_MS + this.options.seconds * 1_000;
+    this.#scheduleArrival(false);
+    if (this.options.trouble === 'noisy') this.#scheduleArrival(true);
+    this.#workers.forEach((_, index) => {
+      this.#at(this.options.random() * this.options.reportMs, () => this.#sample(index));
+    });
+    this.#at(50, () => this.#tick());
+    for (let next = this.#heap.pop(); next && next.at < endAt; next = this.#heap.pop()) {
+      this.#now = next.at;
+      next.run();
+    }
+    return this.#result();
+  }
+
+  get #inTrouble(): boolean {
+    const part = ((this.#now - WARM_UP_MS) / 1_000 / this.options.seconds) * 3;
+    return part >= 1 && part < 2;
+  }
+
+  #at(delayMs: number, run: () => void): void {
+    this.#heap.push({ at: this.#now + delayMs, run });
+  }
+
+  #scheduleArrival(isNoise: boolean): void {
+    const { rate, trouble, random } = this.options;
+    const burst = trouble === 'burst' && this.#inTrouble;
+    const perSecond = burst ? rate * 5 : rate;
+    this.#at((-Math.log(1 - random()) / perSecond) * 1_000, () => {
+      if (!isNoise || this.#inTrouble) this.#arrive(this.#workload.next(isNoise));
+      this.#scheduleArrival(isNoise);
+    });
+  }
+
+  #arrive(arrival: Arrival): void {
+    const entry = Math.floor(this.options.random() * this.#entries.length);
+    const at = this.#now;
+    const flight = { arrival, entry, at, excluded: [], worker: -1, attempt: 0, begun: false };
+    this.#flights.set(arrival.id, flight);
+    if (at >= WARM_UP_MS) this.#requests += 1;
+    this.#submit(flight);
+  }
+
+  #submit(flight: Flight): void {
+    const { arrival, entry, excluded } = flight;
+    const { workspace, priority, digests, id } = arrival;
+    const deadline = this.#now + QUEUE_LIMIT_MS;
+    const ticket: Ticket = { id: String(id), workspace, priority, digests, excluded, deadline };
+    this.#handle(entry, { type: 'submit', ticket });
+  }
+
+  #handle(entry: number, event: RouteEvent): void {
+    const scheduler = this.#entries[entry]?.scheduler;
+    if (!scheduler) return;
+    for (const command of scheduler.handle(event, this.#now)) this.#perform(command);
+  }
+
+  #perform(command: RouteCommand): void {
+    if (command.type === 'eject') return;
+    const flight = this.#flights.get(Number(command.ticket.id));
+    if (!flight) return;
+    if (command.type === 'dispatch') {
+      this.#dispatch(flight, Number(command.worker));
+      return;
+    }
+    this.#flights.delete(flight.arrival.id);
+    if (flight.at < WARM_UP_MS) return;
+    this.#refused += 1;
+    if (flight.arrival.workspace !== NOISY_WORKSPACE) this.#refusedCalm += 1;
+  }
+
+  #dispatch(flight: Flight, worker: number): void {
+    const state = flight;
+    state.worker = worker;
+    state.attempt += 1;
+    const { attempt } = state;
+    const { id, digests, tailTokens, outputTokens, priority } = flight.arrival;
+    const request = { id, digests, tailTokens, outputTokens, priority: PRIORITY_NUMBERS[priority] };
+    this.#at(NETWORK_MS, () => {
+      this.#workers[worker]?.submit(request);
+      this.#wake(worker);
+    });
+    const began = this.#now;
+    this.#at(FIRST_TOKEN_LIMIT_MS, () => {
+      if (!flight.begun && flight.attempt === attempt && this.#now - began > 0) this.#fail(flight);
+    });
+  }
+
+  #fail(flight: Flight): void {
+    if (!this.#flights.has(flight.arrival.id)) return;
+    const state = flight;
+    const { worker, entry, attempt, excluded, arrival } = flight;
+    this.#workers[worker]?.cancel(flight.arrival.id);
+    this.#handle(entry, {
+      type: 'end',
+      worker: String(worker),
+      workspace: arrival.workspace,
+      failed: true,
+    });
+    state.excluded = [...excluded, String(worker)];
+    state.worker = -1;
+    state.attempt += 1;
+    if (attempt <= RETRIES * 2) this.#submit(flight);
+    else {
+      this.#flights.delete(flight.arrival.id);
+      this.#lost += 1;
+    }
+  }
+
+  #wake(worker: number): void {
+    if (this.#stepping[worker]) return;
+    this.#stepping[worker] = true;
+    this.#step(worker);
+  }
+
+  #step(index: number): void {
+    const worker = this.#workers[index];
+    if (!worker) return;
+    const wasSilent = worker.silent;
+    worker.silent = this.options.trouble === 'silent' && index === 0 && this.#inTrouble;
+    if (worker.silent && !wasSilent) this.#at(SILENCE_LIMIT_MS, () => this.#cut(index));
+    worker.slowness = this.options.trouble === 'slow' && index === 0 && this.#inTrouble ? 3 : 1;
+    const outputs: WorkerOutput[] = [];
+    const ms = worker.step(outputs);
+    if (ms === 0 && !worker.silent) {
+      this.#stepping[index] = false;
+      return;
+    }
+    this.#at(worker.silent ? SILENT_STEP_MS : ms, () => {
+      outputs.forEach((output) => this.#receive(index, output));
+      this.#step(index);
+    });
+  }
+
+  /** The router gives up the streams that have been silent for too long. */
+  #cut(worker: number): void {
+    const begun = [...this.#flights.values()].filter(
+      (flight) => flight.worker === worker && flight.begun,
+    );
+    begun.forEach(({ arrival, entry }) => {
+      this.#flights.delete(arrival.id);
+      this.#workers[worker]?.cancel(arrival.id);
+      this.#interrupted += 1;
+      const { workspace } = arrival;
+      this.#handle(entry, { type: 'end', worker: String(worker), workspace, failed: true });
+    });
+  }
+
+  #receive(worker: number, { kind, request }: WorkerOutput): void {
+    const flight = this.#flights.get(request.id);
+    if (!flight || flight.worker !== worker) return;
+    const name = String(worker);
+    const delayMs = this.#now + NETWORK_MS - flight.at;
+    if (kind === 'end') {
+      this.#flights.delete(request.id);
+      const { workspace } = flight.arrival;
+      this.#handle(flight.entry, { type: 'end', worker: name, workspace, failed: false });
+      return;
+    }
+    flight.begun = true;
+    this.#handle(flight.entry, { type: 'begin', worker: name, delayMs });
+    const calm = this.options.trouble !== 'noisy' || flight.arrival.workspace !== NOISY_WORKSPACE;
+    if (flight.at >= WARM_UP_MS && calm) this.#firstTokens.push(delayMs);
+  }
+
+  #sample(index: number): void {
+    const worker = this.#workers[index];
+    if (!worker) return;
+    const { open, silent } = worker;
+    if (this.#now >= WARM_UP_MS) {
+      this.#loadSums[index] = (this.#loadSums[index] ?? 0) + open;
+      this.#loadSamples += 1;
+    }
+    if (!silent) this.#at(REPORT_LAG_MS, () => this.#report(index, open));
+    this.#at(this.options.reportMs, () => this.#sample(index));
+  }
+
+  #report(index: number, open: number): void {
+    const report = { open, ageMs: REPORT_LAG_MS };
+    this.#entries.forEach((_, entry) => {
+      this.#handle(entry, { type: 'report', worker: String(index), report });
+    });
+  }
+
+  #tick(): void {
+    this.#entries.forEach(({ scheduler }, entry) => {
+      if (scheduler.waiting > 0) this.#handle(entry, { type: 'tick' });
+    });
+    this.#at(50, () => this.#tick());
+  }
+
+  #result(): SimulationResult {
+    const faulty = this.options.trouble === 'silent' || this.options.trouble === 'slow';
+    const sums = faulty ? this.#loadSums.slice(1) : this.#loadSums;
+    const mean = sums.reduce((sum, load) => sum + load, 0) / sums.length;
+    const prompt = this.#workers.reduce((sum, { promptTokens }) => sum + promptTokens, 0);
+    const cached = this.#workers.reduce((sum, { cachedTokens }) => sum + cachedTokens, 0);
+    return {
+      firstTokens: this.#firstTokens.sort((a, b) => a - b),
+      hitShare: cached / prompt,
+      largestToMean: Math.max(...sums) / mean,
+      requests: this.#requests,
+      refused: this.#refused,
+      refusedCalm: this.#refusedCalm,
+      retries: this.#entries.reduce((sum, { retries }) => sum + retries.retries, 0),
+      lost: this.#lost,
+      interrupted: this.#interrupted,
+    };
+  }
+}
--- /dev/null
+++ b/bench/routeworker.ts
@@ -0,0 +1,182 @@
+/** Model of one worker: continuous batching, prefix cache with limited memory, lagging reports. */
+
+/** Requests that a worker runs at once. */
+export const WORKER_SLOTS = 64;
+
+/** Tokens in one block of prompt. */
+export const BLOCK_TOKENS = 128;
+
+/** Time of one step of the batch without work, in milliseconds. */
+const STEP_MS = 10;
+
+/** Time that each running request adds to a step, in milliseconds. */
+const STEP_MS_PER_REQUEST = 0.2;
+
+/** Time to compute one prompt token that is not cached, in milliseconds. */
+const PREFILL_MS_PER_TOKEN = 0.03;
+
+/** Prompt tokens that one step computes at most. */
+const PREFILL_TOKENS_PER_STEP = 512;
+
+/** Prompt blocks that a worker can keep. */
+const CACHE_BLOCKS = 600;
+
+/** A request as the workers see it. */
+export interface ModelRequest {
+  readonly id: number;
+  readonly digests: readonly number[];
+  /** Prompt tokens after the last whole block. */
+  readonly tailTokens: number;
+  readonly outputTokens: number;
+  /** A lower number goes first. */
+  readonly priority: number;
+}
+
+/** A request that has begun or ended at a worker. */
+export interface WorkerOutput {
+  readonly kind: 'first-token' | 'end';
+  readonly request: ModelRequest;
+}
+
+/** A request whose prompt is being computed. */
+interface Prefill {
+  readonly request: ModelRequest;
+  left: number;
+}
+
+/** Runs requests in steps; the owner advances the time. */
+export class WorkerModel {
+  /** Cached prefixes in order of last use. */
+  readonly #cache = new Map<number, true>();
+
+  #queue: ModelRequest[] = [];
+
+  #prefills: Prefill[] = [];
+
+  /** Running requests by the step in which they end. */
+  readonly #ending = new Map<number, ModelRequest[]>();
+
+  readonly #cancelled = new Set<number>();
+
+  #running = 0;
+
+  #step = 0;
+
+  silent = false;
+
+  /** Multiple of the normal step time. */
+  slowness = 1;
+
+  promptTokens = 0;
+
+  cachedTokens = 0;
+
+  started = 0;
+
+  /** Requests that wait or run. */
+  get open(): number {
+    return this.#queue.length + this.#prefills.length + this.#running;
+  }
+
+  /**
+   * Takes a request.
+   * @param request - the request
+   */
+  submit(request: ModelRequest): void {
+    const after = this.#queue.findIndex(({ priority }) => priority > request.priority);
+    if (after < 0) this.#queue.push(request);
+    else this.#queue.splice(after, 0, request);
+  }
+
+  /**
+   * Drops a request that the router has given up.
+   * @param id - id of the request
+   */
+  cancel(id: number): void {
+    const before = this.open;
+    this.#queue = this.#queue.filter((request) => request.id !== id);
+    this.#prefills = this.#prefills.filter(({ request }) => request.id !== id);
+    if (this.open === before) this.#cancelled.add(id);
+  }
+
+  /**
+   * Runs one step of the batch.
+   * @param outputs - receives what began and ended, at the end of the step
+   * @returns duration of the step in milliseconds; 0 if there was nothing to do
+   */
+  step(outputs: WorkerOutput[]): number {
+    if (this.open === 0 || this.silent) return 0;
+    this.#admit();
+    this.#step += 1;
+    const computed = this.#prefill(outputs);
+    this.#finish(outputs);
+    const active = this.#running + this.#prefills.length;
+    const ms = STEP_MS + STEP_MS_PER_REQUEST * active + PREFILL_MS_PER_TOKEN * computed;
+    return ms * this.slowness;
+  }
+
+  #admit(): void {
+    while (this.#queue.length > 0 && this.#running + this.#prefills.length < WORKER_SLOTS) {
+      const request = this.#queue.shift();
+      if (!request) return;
+      const cached = this.#lookUp(request.digests) * BLOCK_TOKENS;
+      const prompt = request.digests.length * BLOCK_TOKENS + request.tailTokens;
+      this.started += 1;
+      this.promptTokens += prompt;
+      this.cachedTokens += cached;
+      this.#prefills.push({ request, left: prompt - cached });
+    }
+  }
+
+  #prefill(outputs: WorkerOutput[]): number {
+    let room = PREFILL_TOKENS_PER_STEP;
+    while (room > 0) {
+      const [prefill] = this.#prefills;
+      if (!prefill) break;
+      const part = Math.min(room, prefill.left);
+      prefill.left -= part;
+      room -= part;
+      if (prefill.left > 0) break;
+      this.#prefills.shift();
+      this.#begin(prefill.request, outputs);
+    }
+    return PREFILL_TOKENS_PER_STEP - room;
+  }
+
+  #begin(request: ModelRequest, outputs: WorkerOutput[]): void {
+    outputs.push({ kind: 'first-token', request });
+    this.#store(request.digests);
+    this.#running += 1;
+    const end = this.#step + request.outputTokens;
+    const ending = this.#ending.get(end);
+    if (ending) ending.push(request);
+    else this.#ending.set(end, [request]);
+  }
+
+  #finish(outputs: WorkerOutput[]): void {
+    const ended = this.#ending.get(this.#step) ?? [];
+    this.#ending.delete(this.#step);
+    this.#running -= ended.length;
+    ended.forEach((request) => {
+      if (!this.#cancelled.delete(request.id)) outputs.push({ kind: 'end', request });
+    });
+  }
+
+  #lookUp(digests: readonly number[]): number {
+    let blocks = 0;
+    while (blocks < digests.length && this.#cache.has(digests[blocks] ?? 0)) blocks += 1;
+    return blocks;
+  }
+
+  #store(digests: readonly number[]): void {
+    // The first blocks are used last, so that a prefix outlives what continues it.
+    digests.toReversed().forEach((digest) => {
+      this.#cache.delete(digest);
+      this.#cache.set(digest, true);
+    });
+    for (const digest of this.#cache.keys()) {
+      if (this.#cache.size <= CACHE_BLOCKS) return;
+      this.#cache.delete(digest);
+    }
+  }
+}
--- /dev/null
+++ b/bench/routeworkload.ts
@@ -0,0 +1,120 @@
+/** Requests of the route benchmark: workspaces that share preambles and documents. */
+import type { PriorityClass } from '../src/route/index.js';
+
+/** Whole blocks of a prompt that all requests of a workspace share. */
+const PREAMBLE_BLOCKS = 4;
+
+/** Further blocks that all requests about one document share. */
+const DOCUMENT_BLOCKS = 8;
+
+/** Blocks of the question itself. */
+const QUESTION_BLOCKS = 1;
+
+/** Prompt tokens after the last whole block. */
+const TAIL_TOKENS = 60;
+
+/** Mean output of a request, in tokens. */
+const MEAN_OUTPUT_TOKENS = 380;
+
+/** Requests about one document at a time. */
+const REQUESTS_PER_DOCUMENT = 25;
+
+/** Share of the workspaces that are large, and their share of the requests. */
+const LARGE_WORKSPACES = 0.3;
+const LARGE_SHARE = 0.6;
+
+/** Workspace whose burst is the noise. */
+export const NOISY_WORKSPACE = 'w0';
+
+/** A request of the benchmark. */
+export interface Arrival {
+  readonly id: number;
+  readonly workspace: string;
+  readonly priority: PriorityClass;
+  readonly digests: readonly number[];
+  readonly tailTokens: number;
+  readonly outputTokens: number;
+}
+
+/** A document that is asked about for a while. */
+interface OpenDocument {
+  readonly number: number;
+  left: number;
+}
+
+/** Draws requests. */
+export class Workload {
+  #nextId = 1;
+
+  #nextDocument = 1;
+
+  readonly #documents = new Map<number, OpenDocument[]>();
+
+  /**
+   * Creates a workload.
+   * @param workspaces - number of workspaces
+   * @param perWorkspace - documents that a workspace works on at a time
+   * @param random - random numbers in [0, 1)
+   */
+  constructor(
+    private readonly workspaces: number,
+    private readonly perWorkspace: number,
+    private readonly random: () => number,
+  ) {}
+
+  /**
+   * Draws the next request.
+   * @param isNoise - whether it belongs to the noisy workspace
+   * @returns the request
+   */
+  next(isNoise = false): Arrival {
+    const workspace = isNoise ? 0 : this.#workspace();
+    const document = this.#document(workspace);
+    const id = this.#nextId;
+    this.#nextId += 1;
+    const output = -Math.log(1 - this.random()) * MEAN_OUTPUT_TOKENS;
+    return {
+      id,
+      workspace: `w${workspace}`,
+      priority: this.#priority(),
+      digests: [
+        ...Array.from({ length: PREAMBLE_BLOCKS }, (_, n) => workspace * PREAMBLE_BLOCKS + n),
+        ...Array.from({ length: DOCUMENT_BLOCKS }, (_, n) => 1e6 + document * DOCUMENT_BLOCKS + n),
+        ...Array.from({ length: QUESTION_BLOCKS }, () => 1e9 + id),
+      ],
+      tailTokens: TAIL_TOKENS,
+      outputTokens: Math.max(8, Math.min(1_500, Math.round(output))),
+    };
+  }
+
+  #workspace(): number {
+    const isLarge = this.random() < LARGE_SHARE;
+    const largeOnes = Math.ceil(this.workspaces * LARGE_WORKSPACES);
+    const count = isLarge ? largeOnes : this.workspaces - largeOnes;
+    const first = isLarge ? 0 : largeOnes;
+    // The noisy workspace is one of the small ones at other times.
+    return (first + Math.floor(this.random() * count) + 1) % this.workspaces;
+  }
+
+  #document(workspace: number): number {
+    const open = this.#documents.get(workspace) ?? [];
+    this.#documents.set(workspace, open);
+    const slot = Math.floor(this.random() * this.perWorkspace);
+    const known = open[slot];
+    if (known && known.left > 0) {
+      known.left -= 1;
+      return known.number;
+    }
+    const number = this.#nextDocument;
+    this.#nextDocument += 1;
+    const left = Math.ceil(this.random() * 2 * REQUESTS_PER_DOCUMENT);
+    open[slot] = { number, left };
+    return number;
+  }
+
+  #priority(): PriorityClass {
+    const draw = this.random();
+    if (draw < 0.2) return 'urgent';
+    return draw < 0.8 ? 'normal' : 'bulk';
+  }
+}
--- a/src/daemon/requestrun.ts
+++ b/src/daemon/requestrun.ts
@@ -184,9 +184,9 @@
   }
 
   #end(upstream: UpstreamDocument, isFailed: boolean): void {
-    const { serving, route } = this.input;
+    const { serving, route, tenant } = this.input;
     serving.open.add(upstream.name, -1);
-    serving.routing.end(route, upstream.name, isFailed);
+    serving.routing.end(route, upstream.name, tenant.workspace.name, isFailed);
   }
 
   #leave(): void {
--- a/src/daemon/routing.ts
+++ b/src/daemon/routing.ts
@@ -148,10 +148,11 @@
    * Takes note that a request has ended at an upstream.
    * @param route - the route
    * @param worker - upstream name
+   * @param workspace - workspace of the request
    * @param isFailed - whether the upstream failed
    */
-  end(route: Route, worker: string, isFailed: boolean): void {
-    this.#apply(this.#lane(route), { type: 'end', worker, failed: isFailed });
+  end(route: Route, worker: string, workspace: string, isFailed: boolean): void {
+    this.#apply(this.#lane(route), { type: 'end', worker, workspace, failed: isFailed });
   }
 
   /**
@@ -172,9 +173,9 @@
   #lane(route: Route): Lane {
     const known = this.#lanes.get(route.name);
     if (known) return known;
-    const { random } = this.ctx;
+    const { random, daemons } = this.ctx;
     const policy = route.kind === 'model' ? new AffinityPolicy() : new LeastOpenPolicy(random);
-    const scheduler = new RouteScheduler(policy, this.retries);
+    const scheduler = new RouteScheduler({ policy, retries: this.retries, daemons, random });
     const lane: Lane = { scheduler, policy, waiting: new Map() };
     this.#lanes.set(route.name, lane);
     return lane;
--- a/src/route/fairqueue.ts
+++ b/src/route/fairqueue.ts
@@ -54,13 +54,25 @@
 
   /**
    * Gives the entry that is next, without taking it.
+   * @param excess - workspaces that go after all others
    * @returns the entry; undefined if none waits
    */
-  peek(): Entry | undefined {
-    const name = this.#next();
-    if (!name) return undefined;
-    const [lane] = this.#classes[name].lanes.values();
-    return lane?.[0];
+  peek(excess: ReadonlySet<string> = new Set()): Entry | undefined {
+    return this.#next((workspace) => !excess.has(workspace)) ?? this.#next(() => true);
+  }
+
+  /**
+   * Counts the waiting entries of each workspace.
+   * @returns number of entries by workspace
+   */
+  waiting(): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    PRIORITY_CLASSES.forEach((name) => {
+      this.#classes[name].lanes.forEach((lane, workspace) => {
+        counts.set(workspace, (counts.get(workspace) ?? 0) + lane.length);
+      });
+    });
+    return counts;
   }
 
   /**
@@ -98,21 +110,23 @@
    * Estimates how many entries are dispatched before a new one.
    * @param priority - class of the new entry
    * @param workspace - its workspace
+   * @param excess - workspaces that go after all others
    * @returns number of entries
    */
-  ahead(priority: PriorityClass, workspace: string): number {
-    const own = this.#classes[priority];
-    const position = (own.lanes.get(workspace)?.length ?? 0) + 1;
-    let turns = 0;
-    own.lanes.forEach((lane, name) => {
-      if (name !== workspace) turns += Math.min(lane.length, position);
-    });
-    const inClass = turns + position - 1;
-    const others = PRIORITY_CLASSES.filter((name) => name !== priority).map((name) => {
+  ahead(
+    priority: PriorityClass,
+    workspace: string,
+    excess: ReadonlySet<string> = new Set(),
+  ): number {
+    const isLast = excess.has(workspace);
+    const position = (this.#classes[priority].lanes.get(workspace)?.length ?? 0) + 1;
+    const inClass = this.#turns(priority, workspace, position, excess) + position - 1;
+    return PRIORITY_CLASSES.reduce((sum, name) => {
+      if (name === priority) return sum;
       const ratio = CLASS_WEIGHTS[name] / CLASS_WEIGHTS[priority];
-      return Math.min(this.#classes[name].size, Math.ceil((inClass + 1) * ratio));
-    });
-    return others.reduce((sum, count) => sum + count, inClass);
+      const group = this.#group(name, excess, isLast);
+      return sum + Math.min(group, Math.ceil((inClass + 1) * ratio));
+    }, inClass);
   }
 
   /**
@@ -123,11 +137,44 @@
     return PRIORITY_CLASSES.flatMap((name) => [...this.#classes[name].lanes.values()].flat());
   }
 
-  #next(): PriorityClass | undefined {
-    let next: PriorityClass | undefined;
+  /** Entries of other workspaces of the class that take their turns before the position. */
+  #turns(
+    priority: PriorityClass,
+    workspace: string,
+    position: number,
+    excess: ReadonlySet<string>,
+  ): number {
+    let turns = 0;
+    this.#classes[priority].lanes.forEach((lane, name) => {
+      if (name === workspace) return;
+      if (!excess.has(workspace) && excess.has(name)) return;
+      const isBefore = excess.has(workspace) && !excess.has(name);
+      turns += isBefore ? lane.length : Math.min(lane.length, position);
+    });
+    return turns;
+  }
+
+  /** Entries of a class, without those in excess unless they count as well. */
+  #group(priority: PriorityClass, excess: ReadonlySet<string>, isLast: boolean): number {
+    const { lanes, size } = this.#classes[priority];
+    if (isLast || excess.size === 0) return size;
+    let count = 0;
+    lanes.forEach((lane, name) => {
+      if (!excess.has(name)) count += lane.length;
+    });
+    return count;
+  }
+
+  #next(allowed: (workspace: string) => boolean): Entry | undefined {
+    let next: Entry | undefined;
+    let due = Number.POSITIVE_INFINITY;
     PRIORITY_CLASSES.forEach((name) => {
-      const { size, due } = this.#classes[name];
-      if (size > 0 && (!next || due < this.#classes[next].due)) next = name;
+      const lanes = this.#classes[name];
+      if (lanes.size === 0 || lanes.due >= due) return;
+      const found = [...lanes.lanes].find(([workspace]) => allowed(workspace))?.[1][0];
+      if (!found) return;
+      next = found;
+      due = lanes.due;
     });
     return next;
   }
--- a/src/route/index.ts
+++ b/src/route/index.ts
@@ -4,6 +4,7 @@
 export * from './choice.js';
 export * from './digest.js';
 export * from './fairqueue.js';
+export * from './fairshare.js';
 export * from './health.js';
 export * from './leastopen.js';
 export * from './pool.js';
--- a/src/route/pool.ts
+++ b/src/route/pool.ts
@@ -9,6 +9,12 @@
 /** Mean first-token delay, as a multiple of the pool's, from which a worker counts as slow. */
 const SLOW_FACTOR = 2;
 
+/** Load from which the room of a worker is divided between the daemons. */
+const SCARCE_LOAD = 0.9;
+
+/** Interval at which the mean first-token delay is taken, in milliseconds. */
+const JUDGE_MS = 500;
+
 /** Least share that a slow worker is trusted with. */
 const MIN_SPEED = 0.25;
 
@@ -19,6 +25,15 @@
   readonly concurrency: number;
 }
 
+/** Which workers are asked for. */
+interface Question {
+  readonly excluded: readonly string[];
+  readonly now: number;
+  readonly limit: number;
+  /** Whether ejected and silent workers are left out. */
+  readonly strict: boolean;
+}
+
 /** Candidates of one choice. */
 export interface Candidates {
   readonly candidates: readonly Candidate[];
@@ -37,6 +52,8 @@
 
   #meanDelay = 0;
 
+  #judgedAt = Number.NEGATIVE_INFINITY;
+
   /** Workers that the configuration lets take new work. */
   get serving(): readonly Worker[] {
     return this.#serving;
@@ -77,6 +94,8 @@
    */
   noteReport(now: number): void {
     this.#lastReport = now;
+    if (now - this.#judgedAt < JUDGE_MS) return;
+    this.#judgedAt = now;
     let sum = 0;
     let count = 0;
     this.#serving.forEach(({ delayMs }) => {
@@ -92,18 +111,15 @@
    * If every worker is ejected or silent, all are tried again rather than none.
    * @param excluded - workers that earlier attempts have tried
    * @param now - time in milliseconds
+   * @param limit - load up to which a worker counts as having room
    * @returns those with room, and the mean load of the healthy ones
    */
-  candidates(excluded: readonly string[], now: number): Candidates {
-    const trusted = this.#gather(excluded, now, true);
-    return trusted.healthy > 0 ? trusted : this.#gather(excluded, now, false);
+  candidates(excluded: readonly string[], now: number, limit = 1): Candidates {
+    const trusted = this.#gather({ excluded, now, limit, strict: true });
+    return trusted.healthy > 0 ? trusted : this.#gather({ excluded, now, limit, strict: false });
   }
 
-  #gather(
-    excluded: readonly string[],
-    now: number,
-    strict: boolean,
-  ): Candidates & { readonly healthy: number } {
+  #gather({ excluded, now, limit, strict }: Question): Candidates & { readonly healthy: number } {
     const candidates: Candidate[] = [];
     let sum = 0;
     let healthy = 0;
@@ -113,7 +129,8 @@
         const load = worker.estimate / (worker.capacity * share);
         sum += load;
         healthy += 1;
-        if (load < 1) candidates.push({ worker, load });
+        const isRoom = load < limit && (load < SCARCE_LOAD || worker.allotment >= 1);
+        if (isRoom) candidates.push({ worker, load });
       }
     }
     return { candidates, meanLoad: healthy === 0 ? 0 : sum / healthy, healthy };
--- a/src/route/scheduler.ts
+++ b/src/route/scheduler.ts
@@ -1,5 +1,6 @@
 /** Decides for one route what is dispatched where, what waits and what is refused. */
 import { FairQueue } from './fairqueue.js';
+import { workspacesInExcess } from './fairshare.js';
 import { Pool } from './pool.js';
 
 import type { ChoicePolicy } from './choice.js';
@@ -11,6 +12,9 @@
 /** Weight of the newest interval between dispatches from the queue. */
 const INTERVAL_WEIGHT = 0.1;
 
+/** Load above which only workspaces within their fair share are dispatched. */
+const FAIR_LOAD = 0.9;
+
 /** Shortest delay that a refused caller is told to wait, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 1_000;
 
@@ -29,10 +33,17 @@
   | { readonly type: 'submit'; readonly ticket: Ticket }
   | { readonly type: 'leave'; readonly ticket: Ticket }
   | { readonly type: 'begin'; readonly worker: string; readonly delayMs: number }
-  | { readonly type: 'end'; readonly worker: string; readonly failed: boolean }
+  | {
+      readonly type: 'end';
+      readonly worker: string;
+      readonly workspace: string;
+      readonly failed: boolean;
+    }
   | { readonly type: 'report'; readonly worker: string; readonly report: LoadReport }
   | { readonly type: 'tick' };
 
+type EndEvent = Extract<RouteEvent, { readonly type: 'end' }>;
+
 /** Why a request is refused. */
 export type RouteRefusal = 'overloaded' | 'upstream-unavailable';
 
@@ -47,25 +58,36 @@
     }
   | { readonly type: 'eject'; readonly worker: string };
 
+/** What a scheduler decides with. */
+export interface SchedulerContext {
+  /** Chooses among the workers with room. */
+  readonly policy: ChoicePolicy;
+  /** Retry budget of the whole daemon. */
+  readonly retries: RetryBudget;
+  /** Live daemons that send to the same workers, this one included. */
+  readonly daemons: () => number;
+  /** Random numbers in [0, 1). */
+  readonly random: () => number;
+}
+
 /** Owns the queue and the load estimates of one route at one daemon. */
 export class RouteScheduler {
   readonly pool = new Pool();
 
   readonly #queue = new FairQueue<Ticket>();
 
+  /** Requests at workers, by workspace. */
+  readonly #open = new Map<string, number>();
+
   #intervalMs: number | undefined;
 
   #lastDispatch = 0;
 
   /**
    * Creates the scheduler of a route.
-   * @param policy - chooses among the workers with room
-   * @param retries - retry budget of the whole daemon
+   * @param ctx - policy, retry budget and what is known of the fleet
    */
-  constructor(
-    private readonly policy: ChoicePolicy,
-    private readonly retries: RetryBudget,
-  ) {}
+  constructor(private readonly ctx: SchedulerContext) {}
 
   /** Requests that wait. */
   get waiting(): number {
@@ -93,11 +115,10 @@
         this.#begin(event.worker, event.delayMs, now);
         return;
       case 'end':
-        yield* this.#end(event.worker, event.failed, now);
+        yield* this.#end(event, now);
         break;
       case 'report':
-        this.pool.worker(event.worker)?.report(event.report, now);
-        this.pool.noteReport(now);
+        this.#report(event.worker, event.report, now);
         break;
       default:
         yield* this.#expire(now);
@@ -107,13 +128,13 @@
 
   *#submit(ticket: Ticket, now: number): Generator<RouteCommand> {
     const retry = ticket.excluded.length > 0;
-    if (!retry) this.retries.addRequest();
-    else if (this.#untried(ticket) === 0 || !this.retries.takeRetry()) {
+    if (!retry) this.ctx.retries.addRequest();
+    else if (this.#untried(ticket) === 0 || !this.ctx.retries.takeRetry()) {
       yield this.#refusal(ticket, 'upstream-unavailable', MIN_RETRY_AFTER_MS);
       return;
     }
     if (this.#queue.size === 0) {
-      const worker = this.#place(ticket, now);
+      const worker = this.#place(ticket, now, FAIR_LOAD);
       if (worker !== undefined) {
         yield { type: 'dispatch', ticket, worker };
         return;
@@ -123,13 +144,11 @@
       yield this.#refusal(ticket, 'upstream-unavailable', MIN_RETRY_AFTER_MS);
       return;
     }
-    const waitMs = this.#expectedWait(ticket);
-    if (now + waitMs > ticket.deadline) {
-      yield this.#refusal(ticket, 'overloaded', Math.max(MIN_RETRY_AFTER_MS, waitMs));
-      return;
-    }
     this.#queue.push(ticket);
     yield* this.#pump(now);
+    const waitMs = this.#expectedWait(ticket);
+    if (now + waitMs <= ticket.deadline || !this.#queue.remove(ticket)) return;
+    yield this.#refusal(ticket, 'overloaded', Math.max(MIN_RETRY_AFTER_MS, waitMs));
   }
 
   #begin(name: string, delayMs: number, now: number): void {
@@ -138,15 +157,19 @@
     worker?.health.succeed(now);
   }
 
-  *#end(name: string, failed: boolean, now: number): Generator<RouteCommand> {
+  *#end({ worker: name, workspace, failed }: EndEvent, now: number): Generator<RouteCommand> {
     const worker = this.pool.worker(name);
+    this.#countOpen(workspace, -1);
     worker?.count(-1, now);
     if (failed && worker?.health.fail(now)) yield { type: 'eject', worker: name };
   }
 
   *#pump(now: number): Generator<RouteCommand> {
-    for (let ticket = this.#queue.peek(); ticket; ticket = this.#queue.peek()) {
-      const worker = this.#place(ticket, now);
+    while (this.#queue.size > 0) {
+      const excess = this.#excess();
+      const ticket = this.#queue.peek(excess);
+      if (!ticket) return;
+      const worker = this.#place(ticket, now, excess.has(ticket.workspace) ? FAIR_LOAD : 1);
       if (worker === undefined) return;
       this.#queue.dispatch(ticket);
       this.#noteInterval(now);
@@ -163,13 +186,14 @@
     }
   }
 
-  #place(ticket: Ticket, now: number): string | undefined {
-    const { candidates, meanLoad } = this.pool.candidates(ticket.excluded, now);
+  #place(ticket: Ticket, now: number, limit: number): string | undefined {
+    const { candidates, meanLoad } = this.pool.candidates(ticket.excluded, now, limit);
     const { digests } = ticket;
-    const worker = this.policy.choose({ candidates, meanLoad, digests });
+    const worker = this.ctx.policy.choose({ candidates, meanLoad, digests });
     if (!worker) return undefined;
     worker.count(1, now);
-    this.policy.noteDispatch(worker, digests);
+    this.#countOpen(ticket.workspace, 1);
+    this.ctx.policy.noteDispatch(worker, digests);
     return worker.name;
   }
 
@@ -179,7 +203,31 @@
 
   #expectedWait({ priority, workspace }: Ticket): number {
     if (this.#intervalMs === undefined) return 0;
-    return (this.#queue.ahead(priority, workspace) + 1) * this.#intervalMs;
+    return this.#queue.ahead(priority, workspace, this.#excess()) * this.#intervalMs;
+  }
+
+  #report(name: string, report: LoadReport, now: number): void {
+    const { daemons, random } = this.ctx;
+    this.pool.worker(name)?.report(report, now, 1 / daemons(), random());
+    this.pool.noteReport(now);
+  }
+
+  #excess(): ReadonlySet<string> {
+    const waiting = this.#queue.waiting();
+    const names = new Set([...this.#open.keys(), ...waiting.keys()]);
+    return workspacesInExcess(
+      [...names].map((workspace) => ({
+        workspace,
+        open: this.#open.get(workspace) ?? 0,
+        waiting: waiting.get(workspace) ?? 0,
+      })),
+    );
+  }
+
+  #countOpen(workspace: string, change: 1 | -1): void {
+    const open = (this.#open.get(workspace) ?? 0) + change;
+    if (open > 0) this.#open.set(workspace, open);
+    else this.#open.delete(workspace);
   }
 
   #noteInterval(now: number): void {
--- a/src/route/tests/scheduler.test.ts
+++ b/src/route/tests/scheduler.test.ts
@@ -27,7 +27,17 @@
 }
 
 function end(worker: string, hasFailed = false): RouteEvent {
-  return { type: 'end', worker, failed: hasFailed };
+  return { type: 'end', worker, workspace: 'w', failed: hasFailed };
+}
+
+function makeScheduler(draw: number, retries: RetryBudget): RouteScheduler {
+  const random = (): number => draw;
+  return new RouteScheduler({
+    policy: new LeastOpenPolicy(random),
+    retries,
+    daemons: () => 1,
+    random,
+  });
 }
 
 function text(command: RouteCommand): string {
@@ -162,7 +172,7 @@
 
 CASES.forEach(({ title, steps }) => {
   test(`scheduler: ${title}`, (t) => {
-    const scheduler = new RouteScheduler(new LeastOpenPolicy(() => 0.99), new RetryBudget());
+    const scheduler = makeScheduler(0.99, new RetryBudget());
     steps.forEach(({ at, event, expected }, index) => {
       const commands = [...scheduler.handle(event, at)].map(text);
       t.deepEqual(commands, expected, `step ${index}`);
@@ -172,7 +182,7 @@
 
 test('scheduler: retries stay within a tenth of the requests and the reserve', (t) => {
   const retries = new RetryBudget();
-  const scheduler = new RouteScheduler(new LeastOpenPolicy(() => 0), retries);
+  const scheduler = makeScheduler(0, retries);
   const run = (event: RouteEvent): readonly string[] => [...scheduler.handle(event, 0)].map(text);
   run(workers('a', 'b'));
   for (let index = 0; index < 1_000; index += 1) {
--- a/src/route/worker.ts
+++ b/src/route/worker.ts
@@ -42,6 +42,9 @@
 
   #changes: Change[] = [];
 
+  /** Room that this daemon may use until the next report. */
+  #allotment = Number.POSITIVE_INFINITY;
+
   #delayMs = 0;
 
   #samples = 0;
@@ -69,6 +72,11 @@
     return Math.max(this.#open, this.#reported + this.#since);
   }
 
+  /** Requests that this daemon may still send when the worker is nearly full. */
+  get allotment(): number {
+    return this.#allotment;
+  }
+
   /** Time of the last report in milliseconds; negative infinity before the first. */
   get reportedAt(): number {
     return this.#reportedAt;
@@ -86,6 +94,7 @@
    */
   count(change: 1 | -1, now: number): void {
     this.#open += change;
+    this.#allotment -= change;
     if (this.#reported === undefined) return;
     this.#since += change;
     this.#changes.push({ at: now, change });
@@ -94,21 +103,18 @@
   /**
    * Takes a load report, corrected for what this daemon has sent since it was made.
    * @param report - the report
+   * The room that it shows is divided between the daemons, which all see the same report.
+   * @param report - the report
    * @param now - time in milliseconds
+   * @param share - share of the room that falls to this daemon
+   * @param draw - random number in [0, 1), for a fraction of a request
    */
-  report({ open, ageMs }: LoadReport, now: number): void {
+  report({ open, ageMs }: LoadReport, now: number, share = 1, draw = 0): void {
     const madeAt = now - Math.min(ageMs, HISTORY_MS);
-    this.#changes = this.#changes.filter(({ at }) => at > madeAt);
-    this.#since = this.#changes.reduce((sum, { change }) => sum + change, 0);
+    if (this.#changes.length > 0) this.#forgetBefore(madeAt);
     this.#reported = open;
     this.#reportedAt = now;
-  }
-
-  /** Forgets a report that is too old to be relied on. */
-  forgetReport(): void {
-    this.#reported = undefined;
-    this.#changes = [];
-    this.#since = 0;
+    this.#allotment = Math.floor(Math.max(0, this.capacity - this.estimate) * share + draw);
   }
 
   /**
@@ -120,4 +126,9 @@
     const weight = Math.max(DELAY_WEIGHT, 1 / this.#samples);
     this.#delayMs += (delayMs - this.#delayMs) * weight;
   }
+
+  #forgetBefore(madeAt: number): void {
+    this.#changes = this.#changes.filter(({ at }) => at > madeAt);
+    this.#since = this.#changes.reduce((sum, { change }) => sum + change, 0);
+  }
 }
