--- a/bench/catalogue.ts
+++ b/bench/catalogue.ts
@@ -1,7 +1,8 @@
 /** Every benchmark group, in the order in which they run. */
 import { PathBench } from './path.js';
+import { RouteBench } from './route.js';
 
 import type { BenchGroup } from './figure.js';
 
 /** The groups. */
-export const GROUPS: readonly BenchGroup[] = [new PathBench()];
+export const GROUPS: readonly BenchGroup[] = [new PathBench(), new RouteBench()];
