--- a/bench/catalogue.ts
+++ b/bench/catalogue.ts
@@ -1,8 +1,13 @@
 /** Every benchmark group, in the order in which they run. */
 import { DurabilityBench } from './durability.js';
 import { PathBench } from './path.js';
+import { RouteBench } from './route.js';
 
 import type { BenchGroup } from './figure.js';
 
 /** The groups. */
-export const GROUPS: readonly BenchGroup[] = [new PathBench(), new DurabilityBench()];
+export const GROUPS: readonly BenchGroup[] = [
+  new PathBench(),
+  new RouteBench(),
+  new DurabilityBench(),
+];
--- a/proof/billedonce.ts
+++ b/proof/billedonce.ts
@@ -4,6 +4,7 @@
 import { pageSchema, shardSchema } from '../src/budget/index.js';
 import { Fleet } from '../testbed/fleet.js';
 import { PatientCallers } from '../testbed/patientcallers.js';
+import { seededRandom } from '../testbed/seed.js';
 import { waitFor } from '../testbed/wait.js';
 import { ensure, Proof } from './proof.js';
 
@@ -32,14 +33,15 @@
   override readonly short = false;
 
   override async run(ctx: ProofContext): Promise<void> {
+    // The schedule of the faults has its own numbers, so that it does not hang on the load.
     const fleet = await Fleet.start({
       daemons: DAEMONS,
       units: UNITS,
-      random: ctx.random,
+      random: seededRandom(ctx.seed + 1),
       tokenMs: 10,
     });
     try {
-      const load = new PatientCallers(fleet, CALLERS, ctx.random);
+      const load = new PatientCallers(fleet, CALLERS, seededRandom(ctx.seed + 2));
       load.start();
       await delay(1_000);
       await this.#loseAnswers(fleet, ctx);
--- a/testbed/ports.ts
+++ b/testbed/ports.ts
@@ -1,20 +1,68 @@
-/** Free TCP ports on loopback. */
+/** Free TCP ports on loopback, below the range of outgoing connections. */
 import { createServer } from 'node:net';
 
-import type { AddressInfo } from 'node:net';
+import type { Server } from 'node:net';
+
+const HOST = '127.0.0.1';
+
+/** First port of the first block. */
+const FIRST_PORT = 10_000;
+
+/** Ports in one block; a process owns one block while it lives. */
+const BLOCK_PORTS = 200;
+
+const BLOCKS = 100;
+
+/** Ports of this process. */
+interface Block {
+  readonly base: number;
+  next: number;
+}
+
+function listen(port: number): Promise<Server | undefined> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.once('error', () => resolve(undefined));
+    server.listen(port, HOST, () => resolve(server));
+  });
+}
+
+/** Holds the first port of a block, so that no other process takes the block. */
+async function claimBlock(): Promise<Block> {
+  for (let attempt = 0; attempt < BLOCKS; attempt += 1) {
+    const base = FIRST_PORT + ((process.pid + attempt) % BLOCKS) * BLOCK_PORTS;
+    // Blocks are tried in turn.
+    // eslint-disable-next-line no-await-in-loop
+    const server = await listen(base);
+    if (server) {
+      server.unref();
+      return { base, next: 1 };
+    }
+  }
+  throw new Error('no block of ports is free; end other test runs');
+}
+
+let block: Promise<Block> | undefined;
 
 /**
- * Finds a free port.
- * @returns a port that nothing listened on
+ * Finds a free port; concurrent processes never get the same one.
+ * @returns a port that nothing listens on
  */
 export async function freePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => {
-    server.close(resolve);
-  });
-  return port;
+  block ??= claimBlock();
+  const own = await block;
+  for (let attempt = 1; attempt < BLOCK_PORTS; attempt += 1) {
+    const port = own.base + own.next;
+    own.next = (own.next % (BLOCK_PORTS - 1)) + 1;
+    // eslint-disable-next-line no-await-in-loop
+    const server = await listen(port);
+    if (server) {
+      // eslint-disable-next-line no-await-in-loop
+      await new Promise((resolve) => {
+        server.close(resolve);
+      });
+      return port;
+    }
+  }
+  throw new Error(`no port is free from ${own.base}`);
 }
