--- a/src/fleet/tests/copies.test.ts
+++ b/src/fleet/tests/copies.test.ts
@@ -116,7 +116,12 @@
 });
 
 test('backupCandidates: other data centres come first, leaving instances are left out', (t) => {
-  const peer = (name: string, dataCentre: string, state: Instance['state']): Instance => ({ name, dataCentre, state, peerAddress: '127.0.0.1:1' });
+  const peer = (name: string, dataCentre: string, state: Instance['state']): Instance => ({
+    name,
+    dataCentre,
+    state,
+    peerAddress: '127.0.0.1:1',
+  });
   const peers = [
     peer('a', 'dc-1', 'live'),
     peer('b', 'dc-2', 'live'),
