Faster check of right files; benchmark of a check of 42,000 budgets

Right files are no longer taken apart line by line, and files without an asterisk are not searched for aliases.

--- a/bench/config.ts
+++ b/bench/config.ts
@@ -141,9 +141,9 @@
   }
 }
 
-function serviceFile(index: number): string {
+function serviceFile(index: number, budgets: number): string {
   const workspace = `workspace-${index}`;
-  const names = Array.from({ length: BUDGETS_PER_FILE }, (_, at) => `budget-${index}-${at}`);
+  const names = Array.from({ length: budgets }, (_, at) => `budget-${index}-${at}`);
   const keys = names.map((budget) => ({ sha256: sha256(budget), budget }));
   return stringify({
     workspaces: [{ name: workspace, keys, concurrency: 8 }],
@@ -160,26 +160,43 @@
   });
 }
 
-async function measureCheck(ctx: BenchContext): Promise<Figure> {
-  ctx.say(`check of ${SERVICE_FILES} service files`);
+async function timeCheck(ctx: BenchContext, budgets: number): Promise<number> {
+  ctx.say(`check of ${SERVICE_FILES} service files of ${budgets} budgets`);
   const dir = await mkdtemp(join(tmpdir(), 'comfreyreel-bench-'));
   try {
     await Promise.all(
       Array.from({ length: SERVICE_FILES }, (_, index) =>
-        writeFile(join(dir, `service-${index}.comfreyreel.yaml`), serviceFile(index)),
+        writeFile(join(dir, `service-${index}.comfreyreel.yaml`), serviceFile(index, budgets)),
       ),
     );
     const began = performance.now();
     const run = await runCli(['check', dir]);
     const value = Math.round(performance.now() - began);
     if (run.code !== 0) throw new Error(run.stderr);
-    const name = 'check of 500 service files, from start to exit';
-    return { name, value, unit: 'ms', bound: CHECK_BOUND_MS, comparison: 'at-most' };
+    return value;
   } finally {
     await rm(dir, { recursive: true, force: true });
   }
 }
 
+async function measureCheck(ctx: BenchContext): Promise<readonly Figure[]> {
+  const each = FULL_BUDGETS / FULL_WORKSPACES;
+  return [
+    {
+      name: 'check of 500 service files, from start to exit',
+      value: await timeCheck(ctx, BUDGETS_PER_FILE),
+      unit: 'ms',
+      bound: CHECK_BOUND_MS,
+      comparison: 'at-most',
+    },
+    {
+      name: 'check of 500 service files that declare 42,000 budgets',
+      value: await timeCheck(ctx, each),
+      unit: 'ms',
+    },
+  ];
+}
+
 /** The documents of a fleet at full size. */
 function fullSize(): Documents {
   const budgets = Array.from({ length: FULL_BUDGETS }, (_, index) => ({
@@ -233,6 +250,6 @@
 
   override async run(ctx: BenchContext): Promise<readonly Figure[]> {
     const spread = await measureSpread(ctx);
-    return [...spread, await measureCheck(ctx), ...measureFullSize(ctx)];
+    return [...spread, ...(await measureCheck(ctx)), ...measureFullSize(ctx)];
   }
 }
--- a/src/kernel/yamlsource.ts
+++ b/src/kernel/yamlsource.ts
@@ -56,7 +56,7 @@
     const source = new YamlSource(file, undefined, doc, lines);
     const problems = [...doc.errors, ...doc.warnings].map((err) => source.#syntax(err));
     if (problems.length > 0) return Err(problems);
-    const aliases = source.#aliasProblems();
+    const aliases = text.includes('*') ? source.#aliasProblems() : [];
     if (aliases.length > 0) return Err(aliases);
     const raw: unknown = doc.toJS({ maxAliasCount: MAX_ALIASES }) ?? {};
     return Ok(new YamlSource(file, raw, doc, lines));
--- a/src/kernel/yamltext.ts
+++ b/src/kernel/yamltext.ts
@@ -38,6 +38,9 @@
   { pattern: /^%/, text: 'YAML directive', remedy: 'remove the line' },
 ] as const;
 
+/** Finds whether any line of a file holds something of that. */
+const ANY_REFUSED = new RegExp(REFUSED.map(({ pattern }) => pattern.source).join('|'), 'm');
+
 function decode(bytes: Uint8Array): string | undefined {
   try {
     return new TextDecoder('utf-8', { fatal: true }).decode(bytes);
@@ -111,7 +114,8 @@
     const remedy = 'save the file as UTF-8';
     return Err([{ file, ...brokenPlace(content), text: 'the file is not UTF-8', remedy }]);
   }
-  const lines = text.split(/\r?\n/);
+  // Right files are many and long: they are not taken apart line by line.
+  const lines = ANY_REFUSED.test(text) ? text.split(/\r?\n/) : [];
   const problems = [
     ...lines.flatMap((line, index) => refusedIn(file, line, index)),
     ...depthProblem(file, text),
