--- a/bench/catalogue.ts
+++ b/bench/catalogue.ts
@@ -1,8 +1,14 @@
 /** Every benchmark group, in the order in which they run. */
+import { ConfigBench } from './config.js';
 import { PathBench } from './path.js';
 import { RouteBench } from './route.js';
 
 import type { BenchGroup } from './figure.js';
 
 /** The groups. */
-export const GROUPS: readonly BenchGroup[] = [new PathBench(), new RouteBench()];
+export const GROUPS: readonly BenchGroup[] = [
+  new PathBench(),
+  // One a line, so that branches add without conflicts.
+  new RouteBench(),
+  new ConfigBench(),
+];
