Graceful stop that loses nothing, and plans by which upstreams and workspaces leave

Cause: a stop waited only for dispatched requests, ended the process on a second signal, returned no grants, and lost the lines that an outage of the store kept back. Answers of the other daemons were cut when their first-choice backup had just stopped and the store was away: no second daemon was asked.

Now a stop counts requests from arrival until work and response have ended, gives grants back by counters that only grow, and leaves lines and counters to two peers when the store is away. A copy goes to the next peer when the first cannot keep it.

--- a/fakes/index.ts
+++ b/fakes/index.ts
@@ -3,3 +3,4 @@
 export * from './modelengine.js';
 export * from './objectstore.js';
 export * from './plainservice.js';
+export * from './orders.js';
--- a/fakes/modelengine.ts
+++ b/fakes/modelengine.ts
@@ -3,6 +3,7 @@
 
 import type { ServerResponse } from 'node:http';
 import type { FastifyInstance } from 'fastify';
+import { FakeOrders } from './orders.js';
 
 /** What an engine stand-in is started with. */
 export interface EngineOptions {
@@ -67,6 +68,9 @@
 
   readonly #app: FastifyInstance = Fastify({ forceCloseConnections: true, bodyLimit: 16e6 });
 
+  /** Orders that the stand-in was given. */
+  readonly orders = new FakeOrders(this.#app);
+
   private constructor(private readonly options: EngineOptions) {
     this.#app.post<{ Body: ChatBody }>('/v1/chat/completions', async (req, reply) => {
       this.#count('requests');
--- /dev/null
+++ b/fakes/orders.ts
@@ -0,0 +1,96 @@
+/** Orders interface of an upstream stand-in: fencing, lost answers, and its own counts. */
+import type { FastifyInstance } from 'fastify';
+
+/** Switches of the orders interface. */
+export interface OrderFaults {
+  /** Orders with a lower number than one that was seen are refused. */
+  readonly checksFencing: boolean;
+  /** Orders are carried out, but their answers never come. */
+  readonly loseAnswers: boolean;
+  /** Delay before an order is carried out, in milliseconds. */
+  readonly delayMs: number;
+}
+
+/** One order that was carried out. */
+export interface GivenOrder {
+  readonly id: string;
+  readonly order: string;
+  readonly fence: number;
+  /** Milliseconds since the epoch. */
+  readonly at: number;
+}
+
+/** What upstream stand-ins share beside their own work. */
+export class FakeOrders {
+  readonly #given: GivenOrder[] = [];
+
+  readonly #work: number[] = [];
+
+  #open = 0;
+
+  #fence = 0;
+
+  #faults: OrderFaults = { checksFencing: false, loseAnswers: false, delayMs: 0 };
+
+  /**
+   * Adds the interface to a stand-in and counts its work.
+   * @param app - server of the stand-in
+   */
+  constructor(app: FastifyInstance) {
+    app.addHook('onRequest', async (req, reply) => {
+      if (req.url.startsWith('/admin/') || req.url.startsWith('/orders')) return;
+      this.#work.push(Date.now());
+      this.#open += 1;
+      reply.raw.once('close', () => {
+        this.#open -= 1;
+      });
+    });
+    app.get('/orders', async () => ({
+      open: this.#open,
+      orders: this.#given.map(({ id }) => id),
+    }));
+    app.put<{ Body: { fence: number } }>('/orders/fence', async (req, reply) =>
+      this.#admits(req.body.fence) ? {} : reply.status(409).send({ error: 'old number' }),
+    );
+    app.put<{ Body: Omit<GivenOrder, 'at'> }>('/orders', async (req, reply) => {
+      await new Promise((resolve) => {
+        setTimeout(resolve, this.#faults.delayMs);
+      });
+      if (!this.#admits(req.body.fence)) return reply.status(409).send({ error: 'old number' });
+      this.#given.push({ ...req.body, at: Date.now() });
+      if (!this.#faults.loseAnswers) return {};
+      reply.hijack();
+      reply.raw.destroy();
+      return undefined;
+    });
+  }
+
+  /** Orders that were carried out, in their sequence. */
+  get given(): readonly GivenOrder[] {
+    return this.#given;
+  }
+
+  /** Times at which work arrived, in milliseconds since the epoch. */
+  get workTimes(): readonly number[] {
+    return this.#work;
+  }
+
+  /** Requests that are open. */
+  get open(): number {
+    return this.#open;
+  }
+
+  /**
+   * Switches faults.
+   * @param faults - faults to change; the others stay
+   */
+  setFaults(faults: Partial<OrderFaults>): void {
+    this.#faults = { ...this.#faults, ...faults };
+  }
+
+  #admits(fence: number): boolean {
+    if (this.#faults.checksFencing && fence < this.#fence) return false;
+    this.#fence = Math.max(this.#fence, fence);
+    return true;
+  }
+}
--- a/fakes/plainservice.ts
+++ b/fakes/plainservice.ts
@@ -2,6 +2,7 @@
 import Fastify from 'fastify';
 
 import type { FastifyInstance } from 'fastify';
+import { FakeOrders } from './orders.js';
 
 /** What a service stand-in is started with. */
 export interface ServiceOptions {
@@ -31,6 +32,9 @@
 
   readonly #app: FastifyInstance = Fastify({ forceCloseConnections: true });
 
+  /** Orders that the stand-in was given. */
+  readonly orders = new FakeOrders(this.#app);
+
   private constructor() {
     this.#app.put<{ Body: Partial<ServiceFaults> }>('/admin/faults', async (req) => {
       this.setFaults(req.body);
--- a/proof/catalogue.ts
+++ b/proof/catalogue.ts
@@ -1,7 +1,8 @@
 /** Every proof, in the order in which they run. */
+import { GracefulStopProof } from './gracefulstop.js';
 import { OwnAnswerProof } from './ownanswer.js';
 
 import type { Proof } from './proof.js';
 
 /** The proofs. */
-export const PROOFS: readonly Proof[] = [new OwnAnswerProof()];
+export const PROOFS: readonly Proof[] = [new OwnAnswerProof(), new GracefulStopProof()];
--- a/src/budget/escrow.ts
+++ b/src/budget/escrow.ts
@@ -69,3 +69,12 @@
 export function receiveGrant(escrow: Escrow, granted: number): Escrow {
   return granted > escrow.granted ? { ...escrow, granted } : escrow;
 }
+
+/**
+ * Gives back everything that is not spent, lent or reserved.
+ * @param escrow - the escrow
+ * @returns the escrow, which then has nothing available
+ */
+export function releaseAvailable(escrow: Escrow): Escrow {
+  return { ...escrow, returned: escrow.returned + available(escrow) };
+}
--- a/src/budget/index.ts
+++ b/src/budget/index.ts
@@ -2,4 +2,5 @@
 export * from './charge.js';
 export * from './escrow.js';
 export * from './ledger.js';
+export * from './returning.js';
 export * from './shard.js';
--- a/src/config/configuration.ts
+++ b/src/config/configuration.ts
@@ -81,5 +81,6 @@
     budgets: parts.flatMap((part) => part.budgets),
     routes: parts.flatMap((part) => part.routes),
     upstreams: parts.flatMap((part) => part.upstreams),
+    plans: parts.flatMap((part) => part.plans),
   };
 }
--- a/src/config/documents.ts
+++ b/src/config/documents.ts
@@ -1,10 +1,8 @@
 /** Configuration documents: what operators publish, as plain data. */
 import { z } from 'zod';
 
-/** Names are short and safe in object keys, paths and logs. */
-export const nameSchema = z
-  .string()
-  .regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'expected lower-case letters, digits and hyphens');
+import { nameSchema } from '../kernel/index.js';
+import { planDocumentSchema } from '../plan/document.js';
 
 /** Schema of a workspace key: only its digest is published. */
 export const workspaceKeySchema = z
@@ -84,6 +82,7 @@
     budgets: z.array(budgetDocumentSchema).readonly().default([]),
     routes: z.array(routeSchema).readonly().default([]),
     upstreams: z.array(upstreamSchema).readonly().default([]),
+    plans: z.array(planDocumentSchema).readonly().default([]),
   })
   .readonly();
 
--- a/src/daemon/app.module.ts
+++ b/src/daemon/app.module.ts
@@ -6,6 +6,7 @@
 import { HealthController } from './health.controller.js';
 import { OperatorGuard } from './operator.guard.js';
 import { OperatorsController } from './operators.controller.js';
+import { PlansController } from './plans.controller.js';
 import { Runtime } from './runtime.js';
 
 /** Binds the HTTP interfaces to the tasks of one daemon. */
@@ -19,7 +20,7 @@
   static around(runtime: Runtime): DynamicModule {
     return {
       module: AppModule,
-      controllers: [CallersController, HealthController, OperatorsController],
+      controllers: [CallersController, HealthController, OperatorsController, PlansController],
       providers: [{ provide: Runtime, useValue: runtime }, OperatorGuard],
     };
   }
--- a/src/daemon/backups.ts
+++ b/src/daemon/backups.ts
@@ -70,11 +70,20 @@
    * @returns whether the backup holds them
    */
   async copy(shard: number, lines: readonly ChargeLine[], settled: number): Promise<boolean> {
-    const to = this.choice;
-    if (!to) return false;
+    const order = backupCandidates(this.self, this.dataCentre, this.network.peers());
+    const batch = { holder: this.self, shard, lines, settled };
+    for (let index = 0; index < order.length; index += 1) {
+      // The next peer is asked only if the one before cannot keep the lines.
+      // eslint-disable-next-line no-await-in-loop
+      if (await this.#copyTo(order[index] ?? '', batch)) return true;
+    }
+    return false;
+  }
+
+  async #copyTo(to: InstanceName, batch: CopyBatch): Promise<boolean> {
     const answer = await this.network.request({
       to,
-      body: { type: 'copy-lines', holder: this.self, shard, lines, settled },
+      body: { type: 'copy-lines', ...batch },
       reply: 'lines-copied',
       timeoutMs: COPY_TIMEOUT_MS,
     });
--- a/src/daemon/budgettask.ts
+++ b/src/daemon/budgettask.ts
@@ -3,6 +3,7 @@
   available,
   emptyEscrow,
   receiveGrant,
+  releaseAvailable,
   reserve,
   settleReservation,
 } from '../budget/index.js';
@@ -20,6 +21,8 @@
       readonly used: number;
     }
   | { readonly type: 'receive'; readonly budget: string; readonly granted: number }
+  /** Takes what is available out of use, so that it can be returned to the store. */
+  | { readonly type: 'release'; readonly budget: string }
   | { readonly type: 'read'; readonly budget: string };
 
 /** The escrow after a message, and whether a reservation fitted. */
@@ -33,9 +36,15 @@
 export class BudgetTask extends Task<BudgetMessage, BudgetReply> {
   readonly #escrows = new Map<string, Escrow>();
 
+  /** Budgets that this daemon has an escrow for. */
+  get names(): readonly string[] {
+    return [...this.#escrows.keys()];
+  }
+
   protected override handle(message: BudgetMessage): BudgetReply {
     const escrow = this.#escrows.get(message.budget) ?? emptyEscrow(message.budget);
     if (message.type === 'read') return this.#reply(escrow, true);
+    if (message.type === 'release') return this.#keep(releaseAvailable(escrow));
     if (message.type === 'receive') return this.#keep(receiveGrant(escrow, message.granted));
     if (message.type === 'settle') {
       return this.#keep(settleReservation(escrow, message.reserved, message.used));
--- a/src/daemon/callers.controller.ts
+++ b/src/daemon/callers.controller.ts
@@ -85,9 +85,12 @@
     const input = this.#input(reply, key, admitted, worstCase(chat, admitted.route));
     const run = new ModelRun(input, chat, sink);
     const { route } = admitted;
-    const outcome = await drive(
-      serve({ worstCase: input.worstCase, idempotent: true, retries: route.retries }),
-      (command) => run.perform(command),
+    const outcome = await this.runtime.active.track(
+      input.tenant.workspace.name,
+      drive(
+        serve({ worstCase: input.worstCase, idempotent: true, retries: route.retries }),
+        (command) => run.perform(command),
+      ),
     );
     if (outcome.type === 'whole') {
       sink.finish();
@@ -121,9 +124,11 @@
       body: Buffer.isBuffer(req.body) ? req.body : Buffer.alloc(0),
     });
     const { idempotent, retries } = route;
-    const outcome = await drive(
-      serve({ worstCase: input.worstCase, idempotent, retries }),
-      (command) => run.perform(command),
+    const outcome = await this.runtime.active.track(
+      input.tenant.workspace.name,
+      drive(serve({ worstCase: input.worstCase, idempotent, retries }), (command) =>
+        run.perform(command),
+      ),
     );
     if (outcome.type === 'refused') {
       this.#refuse(reply, key, outcome.fail);
@@ -141,8 +146,9 @@
     if (!current || !this.runtime.ready) return failure('not-ready', 'daemon');
     const tenant = current.tenant(sha256(bearer(req)));
     if (!tenant) return failure('unknown-key', 'authorization');
-    if (tenant.workspace.state === 'closed') {
-      return failure('workspace-closed', tenant.workspace.name);
+    const { state, name } = tenant.workspace;
+    if (state === 'closed' || this.runtime.serving.plans.hasClosed(name)) {
+      return failure('workspace-closed', name);
     }
     const route = current.route(routeName);
     if (route?.kind !== kind) return failure('unknown-route', `${kind} route "${routeName}"`);
--- a/src/daemon/charges.ts
+++ b/src/daemon/charges.ts
@@ -20,9 +20,14 @@
   readonly units: number;
 }
 
-/** Lines of one shard that the store does not hold yet. */
-interface Outbox {
+/** Charge lines of one shard. */
+export interface ShardLines {
   readonly shard: number;
+  readonly lines: readonly ChargeLine[];
+}
+
+/** Lines of one shard that the store does not hold yet. */
+interface Outbox extends ShardLines {
   next: number;
   settled: number;
   lines: readonly ChargeLine[];
@@ -92,6 +97,13 @@
     return results.every(Boolean);
   }
 
+  /** Lines that the store does not hold yet. */
+  get unflushed(): readonly ShardLines[] {
+    return [...this.#outboxes.values()]
+      .filter(({ lines }) => lines.length > 0)
+      .map(({ shard, lines }) => ({ shard, lines }));
+  }
+
   /** Ends the deliveries at intervals. */
   stop(): void {
     clearInterval(this.#timer);
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -17,6 +17,16 @@
 /** Interval at which a graceful stop looks for open requests, in milliseconds. */
 const DRAIN_POLL_MS = 50;
 
+/** Shortest time for which a stopping daemon still answers, in milliseconds. */
+const MIN_DRAIN_MS = 500;
+
+/** Paths of the platform's balancer and of operators; a stop does not wait for these. */
+const OWN_PATHS = ['/operator/', '/healthz', '/readyz'];
+
+function isCallerPath(url: string): boolean {
+  return !OWN_PATHS.some((path) => url.startsWith(path));
+}
+
 /** Starts and stops a daemon. */
 export class Daemon {
   private constructor(
@@ -31,13 +41,22 @@
    */
   static async start(settings: Settings): Promise<Daemon> {
     const runtime = new Runtime(settings);
-    const adapter = new FastifyAdapter({ bodyLimit: settings.limits.bodyBytes });
+    const adapter = new FastifyAdapter({
+      bodyLimit: settings.limits.bodyBytes,
+      // The controllers refuse new work during a stop, with a body that names the outcome.
+      return503OnClosing: false,
+    });
     const module = AppModule.around(runtime);
     const app = await NestFactory.create<NestFastifyApplication>(module, adapter, {
       logger: false,
       bodyParser: false,
     });
     const fastify = adapter.getInstance();
+    fastify.addHook('onRequest', (req, reply, done) => {
+      if (isCallerPath(req.url)) runtime.active.follow(reply.raw);
+      if (runtime.stopping) void reply.header('connection', 'close');
+      done();
+    });
     fastify.removeAllContentTypeParsers();
     fastify.addContentTypeParser('*', { parseAs: 'buffer' }, (_req, body, done) => {
       done(null, body);
@@ -52,7 +71,8 @@
   /** Stops gracefully: no new work, open requests finish, then the links close. */
   async stop(): Promise<void> {
     this.runtime.beginStop();
-    while (this.runtime.serving.open.total > 0) {
+    await delay(MIN_DRAIN_MS);
+    while (this.runtime.active.count > 0) {
       // eslint-disable-next-line no-await-in-loop
       await delay(DRAIN_POLL_MS);
     }
--- /dev/null
+++ b/src/daemon/delivery.ts
@@ -0,0 +1,52 @@
+/** Delivers charge lines of any holder to the store. */
+import { parseShard, segmentKey, segmentSchema, settle, shardKey } from '../budget/index.js';
+import { updateObject } from '../platform/index.js';
+
+import type { ChargeLine } from '../budget/index.js';
+import type { Incarnation } from '../kernel/index.js';
+import type { ObjectStore } from '../platform/index.js';
+
+/** Lines of one holder in one shard, in the order of their sequence and without gaps. */
+export interface Delivery {
+  readonly holder: Incarnation;
+  readonly shard: number;
+  readonly lines: readonly ChargeLine[];
+}
+
+async function writeSegments(
+  store: ObjectStore,
+  shard: number,
+  lines: readonly ChargeLine[],
+): Promise<boolean> {
+  let rest = lines;
+  for (let [first] = rest; first; [first] = rest) {
+    const key = segmentKey(shard, first);
+    // A segment that another copy wrote may end before this one does.
+    /* eslint-disable no-await-in-loop */
+    const written = await store.write(key, { lines: rest }, 0);
+    if (written.ok) return true;
+    if (written.val.problem !== 'conflict') return false;
+    const found = await store.read(key);
+    /* eslint-enable no-await-in-loop */
+    if (found.err) return false;
+    const last = segmentSchema.parse(found.val.value).lines.at(-1)?.sequence ?? 0;
+    rest = rest.filter(({ sequence }) => sequence > last);
+  }
+  return true;
+}
+
+/**
+ * Writes lines as segments and moves the mark of their holder; a repeat changes nothing.
+ * @param store - the object API
+ * @param delivery - the lines
+ * @returns whether the store then holds and counts all of them
+ */
+export async function deliverLines(store: ObjectStore, delivery: Delivery): Promise<boolean> {
+  const { holder, shard, lines } = delivery;
+  const last = lines.at(-1);
+  if (!last) return true;
+  if (!(await writeSegments(store, shard, lines))) return false;
+  const kind = { key: shardKey(shard), parse: parseShard };
+  const mark = await updateObject(store, kind, (value) => settle(value, holder, lines));
+  return mark.ok && mark.val >= last.sequence;
+}
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -37,16 +37,20 @@
 const settings = await readSettings(argv.config);
 if (settings) {
   const daemon = await Daemon.start(settings);
+  let stopping = false;
   const stop = async (): Promise<void> => {
+    // A repeated signal must not end the process while answers are open.
+    if (stopping) return;
+    stopping = true;
     await daemon.stop();
     // Idle upstream connections would keep the process alive.
     // eslint-disable-next-line n/no-process-exit
     process.exit(0);
   };
-  process.once('SIGTERM', () => {
+  process.on('SIGTERM', () => {
     void stop();
   });
-  process.once('SIGINT', () => {
+  process.on('SIGINT', () => {
     void stop();
   });
 } else process.exitCode = EXIT_SETTINGS;
--- a/src/daemon/operators.controller.ts
+++ b/src/daemon/operators.controller.ts
@@ -3,13 +3,12 @@
 import { z } from 'zod';
 
 import { documentsSchema } from '../config/index.js';
-import { failure, FailureError } from '../kernel/index.js';
 import { OperatorGuard } from './operator.guard.js';
+import { parseBody, unwrap } from './operatorbody.js';
 import { Runtime } from './runtime.js';
 
 import type { ChargeLine } from '../budget/index.js';
 import type { PublishAnswer } from '../config/index.js';
-import type { Failure, Result } from '../kernel/index.js';
 import type { TimelineEvent } from '../telemetry/index.js';
 import type { BudgetView } from './operations.js';
 
@@ -35,20 +34,6 @@
   readonly peers: number;
 }
 
-function parse<Schema extends z.ZodType>(schema: Schema, body: unknown): z.infer<Schema> {
-  const raw: unknown = JSON.parse((body as Buffer).toString());
-  const parsed = schema.safeParse(raw);
-  if (parsed.success) return parsed.data;
-  const [issue] = parsed.error.issues;
-  const place = issue?.path.map(String).join('.') ?? 'body';
-  throw new FailureError(failure('invalid', `${place}: ${issue?.message ?? ''}`));
-}
-
-function unwrap<Value>(result: Result<Value, Failure>): Value {
-  if (result.err) throw new FailureError(result.val);
-  return result.val;
-}
-
 /** Serves operators. */
 @Controller('operator')
 @UseGuards(OperatorGuard)
@@ -82,7 +67,7 @@
    */
   @Post('publish')
   async publish(@Body() body: unknown): Promise<PublishAnswer> {
-    return unwrap(await this.runtime.operations.publish(parse(publicationSchema, body)));
+    return unwrap(await this.runtime.operations.publish(parseBody(publicationSchema, body)));
   }
 
   /**
@@ -92,7 +77,7 @@
    */
   @Post('topups')
   async topUp(@Body() body: unknown): Promise<{ paid: number; repeated: boolean }> {
-    return unwrap(await this.runtime.operations.topUp(parse(paymentSchema, body)));
+    return unwrap(await this.runtime.operations.topUp(parseBody(paymentSchema, body)));
   }
 
   /**
--- /dev/null
+++ b/src/daemon/planoperations.ts
@@ -0,0 +1,65 @@
+/** Operators' commands about plans, carried out against the store. */
+import { Err, failure, Ok } from '../kernel/index.js';
+import { declarePlan, orderPlan, parsePlan, planKey } from '../plan/index.js';
+import { updateObject } from '../platform/index.js';
+
+import type { Failure, Incarnation, Result } from '../kernel/index.js';
+import type { PlanAction, PlanAnswer, PlanState } from '../plan/index.js';
+import type { ObjectStore } from '../platform/index.js';
+import type { ConfigTask } from './configtask.js';
+import type { PlanFollower } from './planfollower.js';
+
+/** What the operations need. */
+export interface PlanOperationsContext {
+  readonly self: Incarnation;
+  readonly store: ObjectStore;
+  readonly config: ConfigTask;
+  readonly follower: PlanFollower;
+}
+
+/** An operator's command about one plan. */
+export interface PlanOrder {
+  readonly name: string;
+  readonly action: PlanAction;
+  readonly operation: string;
+}
+
+/** Lists plans and changes them. */
+export class PlanOperations {
+  /**
+   * Creates the operations of one daemon.
+   * @param ctx - store, configuration and what is known of the plans
+   */
+  constructor(private readonly ctx: PlanOperationsContext) {}
+
+  /**
+   * Lists the plans.
+   * @returns every plan of the store, or as last confirmed during an outage
+   */
+  async list(): Promise<readonly PlanState[]> {
+    await this.ctx.follower.confirm();
+    const plans = [...this.ctx.follower.known.values()].map(({ plan }) => plan);
+    return plans.sort((a, b) => (a.document.name < b.document.name ? -1 : 1));
+  }
+
+  /**
+   * Carries out a command, once for each operation id.
+   * @param ask - the command
+   * @returns the plan and whether the operation id was known before
+   */
+  async order(ask: PlanOrder): Promise<Result<PlanAnswer, Failure>> {
+    const { store, config, follower, self } = this.ctx;
+    const published = config.current?.documents.plans.find(({ name }) => name === ask.name);
+    const kind = { key: planKey(ask.name), parse: parsePlan };
+    const done = await updateObject(store, kind, (found) =>
+      orderPlan(found ?? (published ? declarePlan(published, self) : null), ask),
+    );
+    if (done.err) return Err(failure('store-unavailable', done.val.text, 'unknown'));
+    await follower.confirm();
+    if (done.val.result === 'unknown') return Err(failure('not-found', `plan ${ask.name}`));
+    if (done.val.result === 'too-late') {
+      return Err(failure('invalid', `plan ${ask.name} can no longer be changed: see "plans"`));
+    }
+    return Ok(done.val);
+  }
+}
--- a/src/daemon/requestrun.ts
+++ b/src/daemon/requestrun.ts
@@ -110,7 +110,8 @@
 
   #choose(excluded: readonly string[]): ServeEvent {
     const { serving, route } = this.input;
-    const upstreams = serving.config.current?.upstreams(route.name) ?? [];
+    const published = serving.config.current?.upstreams(route.name) ?? [];
+    const upstreams = published.filter(({ name }) => serving.plans.mayReceive(name));
     const openAt = (name: string): number => serving.open.at(name);
     this.#upstream = serving.policy.choose({ upstreams, excluded, openAt });
     if (this.#upstream) return { type: 'chosen', upstream: this.#upstream.name };
@@ -121,6 +122,10 @@
     const { serving, key } = this.input;
     const upstream = this.#upstream;
     if (!upstream) return { type: 'failed', fail: failure('upstream-unavailable', 'route') };
+    // The choice may be old by now: the daemon may have been paused or have queued the request.
+    if (!serving.plans.mayReceive(upstream.name)) {
+      return { type: 'failed', fail: failure('upstream-unavailable', `${upstream.name} leaves`) };
+    }
     this.#attempts += 1;
     serving.open.add(upstream.name, 1);
     serving.recorder.record('requestDispatched', { request: key, upstream: upstream.name });
--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -7,13 +7,19 @@
 import { HttpInstanceList, HttpObjectStore } from '../platform/index.js';
 import { LeastOpenPolicy } from '../route/index.js';
 import { Recorder } from '../telemetry/index.js';
-import { HttpModelEngine, HttpPlainService } from '../upstream/index.js';
+import { HttpModelEngine, HttpOrderClient, HttpPlainService } from '../upstream/index.js';
+import { ActiveRequests } from './activerequests.js';
 import { Backups } from './backups.js';
 import { BudgetTask } from './budgettask.js';
 import { Charges } from './charges.js';
 import { ConfigTask } from './configtask.js';
 import { Grants } from './grants.js';
+import { Handover } from './handover.js';
 import { Operations } from './operations.js';
+import { PlanExecutor } from './planexecutor.js';
+import { PlanFollower } from './planfollower.js';
+import { PlanOperations } from './planoperations.js';
+import { PlanWork } from './planwork.js';
 import { OpenWork } from './serving.js';
 import { splitAddress } from './settings.js';
 
@@ -49,8 +55,16 @@
 
   readonly operations: Operations;
 
+  readonly plans: PlanOperations;
+
   readonly network: WsPeerNetwork;
 
+  readonly active = new ActiveRequests();
+
+  readonly #handover: Handover;
+
+  readonly #executor: PlanExecutor;
+
   readonly #directory: Directory;
 
   #phase: Phase = 'starting';
@@ -76,8 +90,12 @@
     const budgets = new BudgetTask();
     const backups = new Backups(self, settings.dataCentre, this.network);
     const backup = (): string | null => backups.choice ?? null;
+    const { network } = this;
+    const { instance, dataCentre } = settings;
+    const plans = new PlanFollower({ instance, dataCentre, store, network, recorder });
     this.serving = {
       self,
+      plans,
       settings,
       store,
       config,
@@ -90,12 +108,27 @@
       recorder,
       open: new OpenWork(),
     };
+    const { charges, open } = this.serving;
+    this.#handover = new Handover({ self, store, budgets, charges, config, network, recorder });
     this.operations = new Operations(store, config);
+    const { active, operations } = this;
+    const follower = plans;
+    const work = new PlanWork({ store, network, follower, open, active, charges, operations });
+    const orders = new HttpOrderClient();
+    const ctx = { self, store, config, network, follower, work, orders, recorder };
+    this.#executor = new PlanExecutor(ctx);
+    this.plans = new PlanOperations(ctx);
   }
 
   /** Whether the daemon takes new work: it serves and has a configuration. */
   get ready(): boolean {
-    return this.#phase === 'serving' && this.serving.config.current !== undefined;
+    const { config, plans } = this.serving;
+    return this.#phase === 'serving' && config.current !== undefined && plans.loaded;
+  }
+
+  /** Whether a graceful stop has begun. */
+  get stopping(): boolean {
+    return this.#phase === 'stopping';
   }
 
   /** Opens the links and begins to follow the configuration. */
@@ -103,7 +136,10 @@
     await this.#directory.start();
     this.network.start();
     this.serving.charges.start();
+    this.#handover.start();
     void this.serving.config.run();
+    this.serving.plans.start();
+    this.#executor.start();
     this.#phase = 'serving';
     this.recorder.record('daemonStarted');
   }
@@ -111,6 +147,7 @@
   /** Stops taking new work. */
   beginStop(): void {
     this.#phase = 'stopping';
+    this.#executor.stop();
     this.recorder.record('daemonStopping');
   }
 
@@ -118,8 +155,9 @@
   async finishStop(): Promise<void> {
     const { charges, config } = this.serving;
     charges.stop();
-    await charges.flush();
+    await this.#handover.run();
     config.stop();
+    this.serving.plans.stop();
     this.#directory.stop();
     await this.network.stop();
     this.recorder.record('daemonStopped');
--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -8,6 +8,7 @@
 import type { ChoicePolicy } from '../route/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { ModelEngine, PlainService } from '../upstream/index.js';
+import type { PlanFollower } from './planfollower.js';
 import type { Settings } from './settings.js';
 
 /** Tasks and clients that every request uses. */
@@ -19,6 +20,7 @@
   readonly budgets: BudgetTask;
   readonly grants: Grants;
   readonly charges: Charges;
+  readonly plans: PlanFollower;
   readonly policy: ChoicePolicy;
   readonly engine: ModelEngine;
   readonly service: PlainService;
--- a/src/kernel/index.ts
+++ b/src/kernel/index.ts
@@ -3,6 +3,7 @@
 export * from './failure.js';
 export * from './hash.js';
 export * from './identity.js';
+export * from './name.js';
 export * from './procedure.js';
 export * from './result.js';
 export * from './stamp.js';
--- /dev/null
+++ b/src/plan/index.ts
@@ -0,0 +1,5 @@
+/** Plan aggregate: how upstreams and workspaces leave. */
+export * from './document.js';
+export * from './known.js';
+export * from './state.js';
+export * from './steps.js';
--- a/testbed/caller.ts
+++ b/testbed/caller.ts
@@ -51,6 +51,7 @@
 }
 
 function errorOf(status: number, text: string): ErrorBody['error'] {
+  if (text === '') return undefined;
   if (status !== 200) return (JSON.parse(text) as ErrorBody).error;
   const last = eventsOf(text).at(-1);
   if (last?.startsWith('{"error"')) return (JSON.parse(last) as ErrorBody).error;
--- a/testbed/documents.ts
+++ b/testbed/documents.ts
@@ -36,6 +36,7 @@
       { name: 'shop', state: 'open', keys: [{ sha256: sha256(API_KEY), budget: 'main' }] },
     ],
     budgets: [{ name: 'main', workspace: 'shop' }],
+    plans: [],
     routes: [
       { ...route, name: 'drafts', kind: 'model', idempotent: true },
       { ...route, name: 'dispatch', kind: 'service', idempotent: false },
--- a/testbed/fleet.ts
+++ b/testbed/fleet.ts
@@ -119,6 +119,22 @@
     return daemon;
   }
 
+  /**
+   * Stops a daemon gracefully and starts another in its place, at the same addresses.
+   * @param index - position of the daemon
+   * @returns exit code of the old daemon, once the new one takes work; null after a signal
+   */
+  async restart(index: number): Promise<number | null> {
+    const old = this.daemon(index);
+    old.child.signal('SIGTERM');
+    const code = await old.child.ended();
+    const { port, peerPort } = old;
+    const next = await DaemonProcess.start({ ...old.options, port, peerPort });
+    this.daemons[index] = next;
+    await next.waitReady();
+    return code;
+  }
+
   /**
    * Publishes documents through the first daemon.
    * @param documents - what shall be in force
