Proof of a departure under a cut, a freeze and the death of the executor

Cause: the time left to send an order was a fraction of a millisecond count, which AbortSignal.timeout refuses by throwing, so that no order ever left. Ruled out: the stand-in's fencing and the takeover (the log showed term 2 and a new number each time). The time is now whole milliseconds.

--- a/fakes/orders.ts
+++ b/fakes/orders.ts
@@ -18,13 +18,22 @@
   readonly fence: number;
   /** Milliseconds since the epoch. */
   readonly at: number;
+  /** Requests that were open when the order came. */
+  readonly open: number;
+}
+
+/** One request that arrived. */
+export interface ArrivedWork {
+  readonly id: string;
+  /** Milliseconds since the epoch. */
+  readonly at: number;
 }
 
 /** What upstream stand-ins share beside their own work. */
 export class FakeOrders {
   readonly #given: GivenOrder[] = [];
 
-  readonly #work: number[] = [];
+  readonly #work: ArrivedWork[] = [];
 
   #open = 0;
 
@@ -39,7 +48,7 @@
   constructor(app: FastifyInstance) {
     app.addHook('onRequest', async (req, reply) => {
       if (req.url.startsWith('/admin/') || req.url.startsWith('/orders')) return;
-      this.#work.push(Date.now());
+      this.#work.push({ id: String(req.headers['x-request-id']), at: Date.now() });
       this.#open += 1;
       reply.raw.once('close', () => {
         this.#open -= 1;
@@ -52,12 +61,12 @@
     app.put<{ Body: { fence: number } }>('/orders/fence', async (req, reply) =>
       this.#admits(req.body.fence) ? {} : reply.status(409).send({ error: 'old number' }),
     );
-    app.put<{ Body: Omit<GivenOrder, 'at'> }>('/orders', async (req, reply) => {
+    app.put<{ Body: Omit<GivenOrder, 'at' | 'open'> }>('/orders', async (req, reply) => {
       await new Promise((resolve) => {
         setTimeout(resolve, this.#faults.delayMs);
       });
       if (!this.#admits(req.body.fence)) return reply.status(409).send({ error: 'old number' });
-      this.#given.push({ ...req.body, at: Date.now() });
+      this.#given.push({ ...req.body, at: Date.now(), open: this.#open });
       if (!this.#faults.loseAnswers) return {};
       reply.hijack();
       reply.raw.destroy();
@@ -70,8 +79,8 @@
     return this.#given;
   }
 
-  /** Times at which work arrived, in milliseconds since the epoch. */
-  get workTimes(): readonly number[] {
+  /** Requests that arrived, in their sequence. */
+  get work(): readonly ArrivedWork[] {
     return this.#work;
   }
 
--- a/proof/catalogue.ts
+++ b/proof/catalogue.ts
@@ -1,8 +1,13 @@
 /** Every proof, in the order in which they run. */
+import { DepartureProof } from './departure.js';
 import { GracefulStopProof } from './gracefulstop.js';
 import { OwnAnswerProof } from './ownanswer.js';
 
 import type { Proof } from './proof.js';
 
 /** The proofs. */
-export const PROOFS: readonly Proof[] = [new OwnAnswerProof(), new GracefulStopProof()];
+export const PROOFS: readonly Proof[] = [
+  new OwnAnswerProof(),
+  new GracefulStopProof(),
+  new DepartureProof(),
+];
--- a/src/daemon/planrun.ts
+++ b/src/daemon/planrun.ts
@@ -164,7 +164,7 @@
   async #send(order: UpstreamOrder): Promise<PlanEvent> {
     const { upstream } = this;
     // A daemon that was frozen since it recorded its intent must not send any more.
-    const leftMs = SEND_LIMIT_MS - (performance.now() - this.#intendedAt);
+    const leftMs = Math.floor(SEND_LIMIT_MS - (performance.now() - this.#intendedAt));
     if (!upstream || leftMs <= 0) return { type: 'stopped' };
     const sent = await this.ctx.orders.give(upstream.url, order, leftMs);
     const { name } = this.stored.plan.document;
