--- a/src/config/documents.ts
+++ b/src/config/documents.ts
@@ -8,7 +8,9 @@
 export const workspaceKeySchema = z
   .strictObject({
     /** SHA-256 of the key that callers send, in hexadecimal. */
-    sha256: z.string().regex(/^[0-9a-f]{64}$/, 'expected 64 hexadecimal digits'),
+    sha256: z
+      .string()
+      .regex(/^[0-9a-f]{64}$/, 'expected 64 hexadecimal digits, the SHA-256 of the key'),
     /** Budget that requests with this key are charged to. */
     budget: nameSchema,
   })
@@ -64,7 +66,10 @@
     name: nameSchema,
     route: nameSchema,
     /** Base address, "http://IP:port". */
-    url: z.url(),
+    url: z.url({
+      protocol: /^https?$/,
+      error: 'expected a base address such as "http://127.0.0.1:9000"',
+    }),
     dataCentre: nameSchema,
     /** "leaving" upstreams receive no new work. */
     state: z.enum(['serving', 'leaving']).default('serving'),
@@ -75,6 +80,15 @@
   })
   .readonly();
 
+/** Schema of one document of each kind, by the name of its list in a service file. */
+export const documentSchemas = {
+  workspaces: workspaceSchema,
+  budgets: budgetDocumentSchema,
+  routes: routeSchema,
+  upstreams: upstreamSchema,
+  plans: planDocumentSchema,
+} as const;
+
 /** Schema of everything that one service file, or a whole revision, declares. */
 export const documentsSchema = z
   .strictObject({
@@ -96,3 +110,12 @@
 export type UpstreamDocument = z.infer<typeof upstreamSchema>;
 /** Everything that is published together. */
 export type Documents = z.infer<typeof documentsSchema>;
+
+/** The documents of a fleet that has published nothing yet. */
+export const EMPTY_DOCUMENTS: Documents = {
+  workspaces: [],
+  budgets: [],
+  routes: [],
+  upstreams: [],
+  plans: [],
+};
--- a/src/daemon/budgettask.ts
+++ b/src/daemon/budgettask.ts
@@ -3,8 +3,8 @@
   available,
   emptyEscrow,
   receiveGrant,
-  releaseAvailable,
   reserve,
+  returnUnits,
   settleReservation,
 } from '../budget/index.js';
 import { Task } from '../kernel/index.js';
@@ -44,7 +44,7 @@
   protected override handle(message: BudgetMessage): BudgetReply {
     const escrow = this.#escrows.get(message.budget) ?? emptyEscrow(message.budget);
     if (message.type === 'read') return this.#reply(escrow, true);
-    if (message.type === 'release') return this.#keep(releaseAvailable(escrow));
+    if (message.type === 'release') return this.#keep(returnUnits(escrow, available(escrow)));
     if (message.type === 'receive') return this.#keep(receiveGrant(escrow, message.granted));
     if (message.type === 'settle') {
       return this.#keep(settleReservation(escrow, message.reserved, message.used));
--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -5,21 +5,23 @@
 import { newIncarnation, SystemClock } from '../kernel/index.js';
 import { Directory, WsPeerNetwork } from '../link/index.js';
 import { HttpInstanceList, HttpObjectStore } from '../platform/index.js';
-import { LeastOpenPolicy } from '../route/index.js';
 import { Recorder } from '../telemetry/index.js';
 import { HttpModelEngine, HttpOrderClient, HttpPlainService } from '../upstream/index.js';
 import { ActiveRequests } from './activerequests.js';
 import { Backups } from './backups.js';
 import { BudgetTask } from './budgettask.js';
 import { Charges } from './charges.js';
+import { Claims } from './claims.js';
 import { ConfigTask } from './configtask.js';
 import { Grants } from './grants.js';
 import { Handover } from './handover.js';
+import { KeyRegistry } from './keyregistry.js';
 import { Operations } from './operations.js';
 import { PlanExecutor } from './planexecutor.js';
 import { PlanFollower } from './planfollower.js';
 import { PlanOperations } from './planoperations.js';
 import { PlanWork } from './planwork.js';
+import { Routing } from './routing.js';
 import { OpenWork } from './serving.js';
 import { splitAddress } from './settings.js';
 
@@ -93,6 +95,8 @@
     const { network } = this;
     const { instance, dataCentre } = settings;
     const plans = new PlanFollower({ instance, dataCentre, store, network, recorder });
+    const mayReceive = (upstream: string): boolean => plans.mayReceive(upstream);
+    const daemons = (): number => this.network.peers().length + 1;
     this.serving = {
       self,
       plans,
@@ -101,8 +105,10 @@
       config,
       budgets,
       grants: new Grants({ self, store, budgets, config, recorder, backup }),
+      claims: new Claims(self, store),
+      keys: new KeyRegistry(self, this.network),
       charges: new Charges({ self, store, backups, config, recorder }),
-      policy: new LeastOpenPolicy(),
+      routing: new Routing({ config, recorder, random: Math.random, daemons, mayReceive }),
       engine: new HttpModelEngine(),
       service: new HttpPlainService(),
       recorder,
@@ -137,6 +143,7 @@
     this.network.start();
     this.serving.charges.start();
     this.#handover.start();
+    this.serving.routing.start();
     void this.serving.config.run();
     this.serving.plans.start();
     this.#executor.start();
@@ -155,7 +162,9 @@
   async finishStop(): Promise<void> {
     const { charges, config } = this.serving;
     charges.stop();
+    this.serving.routing.stop();
     await this.#handover.run();
+    await this.serving.keys.handOver();
     config.stop();
     this.serving.plans.stop();
     this.#directory.stop();
--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -2,13 +2,15 @@
 import type { ConfigTask } from './configtask.js';
 import type { BudgetTask } from './budgettask.js';
 import type { Charges } from './charges.js';
+import type { Claims } from './claims.js';
 import type { Grants } from './grants.js';
+import type { KeyRegistry } from './keyregistry.js';
 import type { Incarnation } from '../kernel/index.js';
 import type { ObjectStore } from '../platform/index.js';
-import type { ChoicePolicy } from '../route/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { ModelEngine, PlainService } from '../upstream/index.js';
 import type { PlanFollower } from './planfollower.js';
+import type { Routing } from './routing.js';
 import type { Settings } from './settings.js';
 
 /** Tasks and clients that every request uses. */
@@ -21,7 +23,9 @@
   readonly grants: Grants;
   readonly charges: Charges;
   readonly plans: PlanFollower;
-  readonly policy: ChoicePolicy;
+  readonly claims: Claims;
+  readonly keys: KeyRegistry;
+  readonly routing: Routing;
   readonly engine: ModelEngine;
   readonly service: PlainService;
   readonly recorder: Recorder;
--- a/src/plan/document.ts
+++ b/src/plan/document.ts
@@ -3,6 +3,8 @@
 
 import { nameSchema } from '../kernel/index.js';
 
+const timeSchema = z.iso.datetime({ error: 'expected a time such as "2026-12-31T18:00:00Z"' });
+
 /** Schema of the orders that a leaving upstream can be given, once its work has ended. */
 export const orderKindSchema = z.enum(['unload', 'standby', 'stop']);
 
@@ -13,7 +15,7 @@
     name: nameSchema,
     upstream: nameSchema,
     /** When the plan starts by itself; absent to start it by command only. */
-    from: z.iso.datetime().optional(),
+    from: timeSchema.optional(),
     /** Orders in the sequence in which they are given. */
     orders: z.array(orderKindSchema).readonly().default(['unload']),
   })
@@ -26,7 +28,7 @@
     name: nameSchema,
     workspace: nameSchema,
     /** When the workspace closes; absent to close it by command only. */
-    from: z.iso.datetime().optional(),
+    from: timeSchema.optional(),
   })
   .readonly();
 
