--- /dev/null
+++ b/dist-b/bench/main.js
@@ -0,0 +1,52 @@
+/** Runs benchmark groups and fails when a bound is missed. */
+import yargs from 'yargs';
+import { hideBin } from 'yargs/helpers';
+import { DEFAULT_SEED } from '../testbed/seed.js';
+import { GROUPS } from './catalogue.js';
+import { keepsBound } from './figure.js';
+const argv = await yargs(hideBin(process.argv))
+    .scriptName('bench')
+    .usage('$0 [GROUP..] [--json] [--seed N]')
+    .option('json', { type: 'boolean', default: false, describe: 'a line of JSON for each figure' })
+    .option('seed', { type: 'number', default: DEFAULT_SEED, describe: 'seed of every schedule' })
+    .strictOptions()
+    .parse();
+const NAME_WIDTH = 64;
+const VALUE_WIDTH = 14;
+function line(figure) {
+    const ok = keepsBound(figure);
+    if (argv.json)
+        return JSON.stringify({ ...figure, ok });
+    const bound = figure.bound === undefined ? '' : `${figure.comparison ?? 'at-most'} ${figure.bound}`;
+    const value = Number(figure.value.toPrecision(5)).toString();
+    const verdict = ok ? '' : 'MISSED';
+    return `${figure.name.padEnd(NAME_WIDTH)}${value.padStart(VALUE_WIDTH)} ${figure.unit} ${bound} ${verdict}`;
+}
+async function run(group) {
+    const say = (text) => {
+        process.stderr.write(`${group.name}: ${text}\n`);
+    };
+    const figures = await group.run({ seed: argv.seed, say });
+    figures.forEach((figure) => process.stdout.write(`${line(figure)}\n`));
+    return figures.filter((figure) => !keepsBound(figure)).length;
+}
+const names = argv._.map(String);
+const unknown = names.filter((name) => !GROUPS.some((group) => group.name === name));
+if (unknown.length > 0) {
+    const known = GROUPS.map(({ name }) => name).join(', ');
+    process.stderr.write(`no such group: ${unknown.join(', ')}; there are ${known}\n`);
+    process.exit(2);
+}
+const chosen = GROUPS.filter(({ name }) => names.length === 0 || names.includes(name));
+process.stderr.write(`seed ${argv.seed}\n`);
+let missed = 0;
+for (let index = 0; index < chosen.length; index += 1) {
+    const group = chosen[index];
+    // Groups share the processors, so they run one after the other.
+    // eslint-disable-next-line no-await-in-loop
+    if (group)
+        missed += await run(group);
+}
+process.stderr.write(`${missed} bounds missed\n`);
+process.exit(missed > 0 ? 1 : 0);
+//# sourceMappingURL=main.js.map
--- /dev/null
+++ b/dist-b/demo/main.js
@@ -0,0 +1,133 @@
+/** Runs the main job: stand-ins and four daemons as processes, a streamed answer, a bill. */
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { request } from 'undici';
+import { stringify } from 'yaml';
+import { sha256 } from '../src/kernel/index.js';
+import { askModel, callService } from '../testbed/caller.js';
+import { Child } from '../testbed/child.js';
+import { DaemonProcess, OPERATOR_KEY } from '../testbed/daemonprocess.js';
+import { freePort } from '../testbed/ports.js';
+import { waitFor } from '../testbed/wait.js';
+const API_KEY = 'key-of-the-catalogue-staff';
+const DATA_CENTRES = ['ljubljana-1', 'ljubljana-2', 'ljubljana-3'];
+function say(text) {
+    process.stdout.write(`${text}\n`);
+}
+async function startFake(dir, kind) {
+    const port = await freePort();
+    const args = ['--kind', kind, '--port', String(port)];
+    const child = new Child({ module: 'fakes/main.js', args, logFile: join(dir, `${kind}.log`) });
+    const url = `http://127.0.0.1:${port}`;
+    await waitFor(`${kind} stand-in ${child.pid} answers`, async () => {
+        const res = await request(url);
+        await res.body.dump();
+        return res.statusCode > 0;
+    });
+    return url;
+}
+async function runCli(dir, url, args) {
+    const child = new Child({
+        module: 'src/cli/main.js',
+        args: [...args, '--url', url, '--key', OPERATOR_KEY],
+        logFile: join(dir, 'cli.log'),
+        inherit: true,
+    });
+    say(`$ comfreyreel ${args.join(' ')}`);
+    const code = await child.ended();
+    if (code !== 0)
+        throw new Error(`comfreyreel ${args[0]} ended with ${code}`);
+}
+async function writeServiceFiles(dir, engine, desk) {
+    const [dataCentre] = DATA_CENTRES;
+    await writeFile(join(dir, 'catalogue.comfreyreel.yaml'), stringify({
+        workspaces: [
+            { name: 'catalogue', keys: [{ sha256: sha256(API_KEY), budget: 'catalogue-2026' }] },
+        ],
+        budgets: [{ name: 'catalogue-2026', workspace: 'catalogue' }],
+        routes: [
+            { name: 'manifests', kind: 'model' },
+            { name: 'moorings', kind: 'service', idempotent: false, unitsPerCall: 10 },
+        ],
+        upstreams: [
+            { name: 'engine-1', route: 'manifests', url: engine, dataCentre },
+            { name: 'desk-1', route: 'moorings', url: desk, dataCentre },
+        ],
+    }));
+}
+async function demo(dir) {
+    const objects = await startFake(dir, 'objects');
+    const instances = await startFake(dir, 'instances');
+    const engine = await startFake(dir, 'engine');
+    const desk = await startFake(dir, 'service');
+    const names = ['entry-1', 'entry-2', 'entry-3', 'entry-4'];
+    const daemons = await Promise.all(names.map((name, index) => {
+        const dataCentre = DATA_CENTRES[index % DATA_CENTRES.length] ?? DATA_CENTRES[0];
+        return DaemonProcess.start({ name, dataCentre, objects, instances, dir });
+    }));
+    await request(`${instances}/admin/instances`, {
+        method: 'PUT',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify(daemons.map(({ listed }) => listed)),
+    });
+    await Promise.all(daemons.map((daemon) => daemon.waitHealthy()));
+    const [first, second, third] = daemons;
+    if (!first || !second || !third)
+        throw new Error('no daemons');
+    await writeServiceFiles(dir, engine, desk);
+    await runCli(dir, first.url, ['publish', dir]);
+    await runCli(dir, first.url, ['topup', 'catalogue-2026', '5000', '--operation', 'invoice-17']);
+    await Promise.all(daemons.map((daemon) => daemon.waitReady()));
+    say('--- a manifest draft, streamed through entry-2');
+    const prompt = 'Draft the cargo manifest of the barge Sloboda: 40 crates of novels, 12 of maps';
+    const draft = await askModel({
+        url: second.url,
+        apiKey: API_KEY,
+        model: 'manifests',
+        prompt,
+        maxTokens: 60,
+        onChunk: (chunk) => {
+            [...chunk.matchAll(/"content":"([^"]*)"/g)].forEach(([, word]) => {
+                process.stdout.write(word ?? '');
+            });
+        },
+    });
+    say(`\n--- whole answer: ${draft.whole}, key ${draft.key}`);
+    if (!draft.whole)
+        throw new Error(`the answer is not whole: ${draft.text}`);
+    say('--- a mooring charge, once, through entry-3');
+    const mooring = await callService({
+        url: third.url,
+        apiKey: API_KEY,
+        route: 'moorings',
+        path: '/charges',
+        key: 'mooring-2026-12-04-sloboda',
+        body: { berth: 7, barge: 'Sloboda' },
+    });
+    say(`${mooring.status} ${mooring.text}`);
+    if (mooring.status !== 200)
+        throw new Error('the mooring charge was not confirmed');
+    await waitFor('both charges are in the statement', async () => {
+        const lines = await first.operator('workspaces/catalogue/statement');
+        return lines.length === 2;
+    });
+    await runCli(dir, first.url, ['statement', 'catalogue']);
+    await runCli(dir, first.url, ['budgets']);
+    daemons.forEach(({ child }) => child.signal('SIGTERM'));
+    const codes = await Promise.all(daemons.map(({ child }) => child.ended()));
+    say(`--- daemons ended with ${codes.join(', ')}`);
+    if (codes.some((code) => code !== 0))
+        throw new Error('a daemon did not end cleanly');
+}
+const dir = await mkdtemp(join(tmpdir(), 'comfreyreel-demo-'));
+try {
+    await demo(dir);
+    await rm(dir, { recursive: true });
+    process.exit(0);
+}
+catch (err) {
+    process.stderr.write(`${String(err)}; the logs are in ${dir}\n`);
+    process.exit(1);
+}
+//# sourceMappingURL=main.js.map
--- /dev/null
+++ b/dist-b/proof/departure.js
@@ -0,0 +1,215 @@
+var _a;
+/** Proof: an upstream leaves while one daemon is cut off and another is frozen. */
+import { setTimeout as delay } from 'node:timers/promises';
+import { FakeInstanceList } from '../fakes/index.js';
+import { askModel } from '../testbed/caller.js';
+import { DaemonProcess } from '../testbed/daemonprocess.js';
+import { API_KEY } from '../testbed/documents.js';
+import { Fleet } from '../testbed/fleet.js';
+import { freePort } from '../testbed/ports.js';
+import { Relay } from '../testbed/relay.js';
+import { waitFor } from '../testbed/wait.js';
+import { ensure, Proof } from './proof.js';
+const HOST = '127.0.0.1';
+const PLAN = 'engine-leaves';
+const LONG_STREAMS = 12;
+const LONG_TOKENS = 400;
+const SHORT_TOKENS = 3;
+const TOKEN_MS = 20;
+/** Time after acceptance from which no new work may arrive, in milliseconds. */
+const LIMIT_MS = 3_000;
+/** Time for which callers go on after the acceptance, in milliseconds. */
+const LOAD_MS = 9_000;
+/** When the frozen daemon goes on, after the acceptance, in milliseconds. */
+const THAW_MS = 5_000;
+/** Delay between the requests of one caller, in milliseconds. */
+const PAUSE_MS = 60;
+/** Longest time until the plan is done, in milliseconds. */
+const DONE_MS = 45_000;
+/** The plan runs against an upstream that checks fencing numbers, and one that ignores them. */
+export class DepartureProof extends Proof {
+    name = 'departure';
+    point = 'an upstream that is leaving receives no new work after a few seconds';
+    short = false;
+    async run(ctx) {
+        await this.#leave(ctx, { checksFencing: true, arrived: false });
+        await this.#leave(ctx, { checksFencing: false, arrived: true });
+    }
+    async #leave(ctx, course) {
+        const fleet = await Fleet.start({
+            daemons: 3,
+            engines: 3,
+            units: 10_000_000,
+            tokenMs: TOKEN_MS,
+        });
+        let island;
+        try {
+            await this.#declare(fleet, course);
+            island = await this.#addIsland(fleet);
+            await this.#prepareIsland(fleet, island.daemon);
+            await this.#run(ctx, fleet, island, course);
+        }
+        finally {
+            await fleet.stop();
+            await Promise.all((island?.relays ?? []).map((relay) => relay.stop()));
+            await island?.list.stop();
+        }
+    }
+    async #declare(fleet, course) {
+        const { checksFencing, arrived } = course;
+        const { documents } = fleet;
+        const upstreams = documents.upstreams.map((upstream) => upstream.name === 'engine-1' ? { ...upstream, checksFencing } : upstream);
+        fleet.engines[0]?.orders.setFaults({ checksFencing, delayMs: arrived ? 300 : 0 });
+        const orders = ['unload', 'stop'];
+        const plan = { kind: 'upstream', name: PLAN, upstream: 'engine-1', orders };
+        await fleet.publish({ ...documents, upstreams, plans: [plan] });
+        await waitFor('the plan is armed', async () => (await this.#plan(fleet)).phase === 'armed');
+    }
+    async #plan(fleet, index = 0) {
+        const plans = await fleet.daemon(index).operator('plans');
+        const plan = plans.find(({ document }) => document.name === PLAN);
+        if (!plan)
+            throw new Error('the plan is missing');
+        return plan;
+    }
+    async #addIsland(fleet) {
+        const others = fleet.daemons.map(({ listed }) => listed);
+        const outward = await Promise.all(fleet.daemons.map(({ peerPort }) => Relay.start(HOST, peerPort)));
+        const store = await Relay.start(HOST, Number(new URL(fleet.urls.objects).port));
+        const peerPort = await freePort();
+        const inward = await Relay.start(HOST, peerPort);
+        const self = {
+            name: 'entry-4',
+            dataCentre: 'dc-1',
+            peerAddress: inward.address,
+            state: 'live',
+        };
+        const listPort = await freePort();
+        const list = await FakeInstanceList.start({ host: HOST, port: listPort, lagMs: 0 });
+        list.set([
+            ...others.map((peer, index) => ({
+                ...peer,
+                peerAddress: outward[index]?.address ?? peer.peerAddress,
+            })),
+            self,
+        ]);
+        const daemon = await DaemonProcess.start({
+            name: 'entry-4',
+            dataCentre: 'dc-1',
+            objects: `http://${store.address}`,
+            instances: `http://${HOST}:${listPort}`,
+            dir: fleet.dir,
+            peerPort,
+        });
+        fleet.daemons.push(daemon);
+        fleet.list.set([...others, self]);
+        await daemon.waitReady();
+        return { daemon, relays: [...outward, store, inward], list };
+    }
+    /** Lets the daemon draw enough units to go on without the store. */
+    async #prepareIsland(fleet, daemon) {
+        fleet.engines.forEach((engine) => engine.setFaults({ refuse: true }));
+        await _a.#ask(daemon.url, 'large', 4_096);
+        fleet.engines.forEach((engine) => engine.setFaults({ refuse: false }));
+        // The lists of all daemons show the new one by then.
+        await delay(6_000);
+    }
+    async #run(ctx, fleet, island, course) {
+        const leaving = fleet.engines[0];
+        if (!leaving)
+            throw new Error('the fleet has no engine');
+        const urls = fleet.daemons.slice(0, 3).map(({ url }) => url);
+        const long = Array.from({ length: LONG_STREAMS }, (_, index) => _a.#ask(urls[index % urls.length] ?? '', `long ${index}`, LONG_TOKENS));
+        await delay(500);
+        ensure(leaving.orders.open > 0, 'no stream is open at the leaving engine');
+        const { executor } = await this.#plan(fleet);
+        const starter = fleet.daemons.findIndex((daemon) => !executor.startsWith(daemon.options.name));
+        const frozen = fleet.daemons
+            .slice(0, 3)
+            .findIndex((daemon, index) => index !== starter && !executor.startsWith(daemon.options.name));
+        const load = { running: true };
+        const callers = fleet.daemons.map(({ url }, index) => _a.#callers(url, index, load));
+        await delay(500);
+        island.relays.forEach((relay) => relay.set('cut'));
+        fleet.daemon(frozen).child.signal('SIGSTOP');
+        await fleet
+            .daemon(starter)
+            .order(`plans/${PLAN}`, { action: 'start', operation: 'start-1' });
+        await waitFor('the plan is accepted', () => this.#stored(fleet).acceptedAt !== null);
+        const acceptedAt = this.#stored(fleet).acceptedAt ?? 0;
+        await delay(THAW_MS);
+        fleet.daemon(frozen).child.signal('SIGCONT');
+        await this.#killExecutor(ctx, fleet, leaving, course);
+        await delay(Math.max(0, acceptedAt + LOAD_MS - Date.now()));
+        load.running = false;
+        await Promise.all(callers);
+        this.#checkWork(ctx, fleet, acceptedAt);
+        const answers = await Promise.all(long);
+        this.#checkLong(fleet, answers);
+        await waitFor('the plan is done', () => this.#stored(fleet).phase === 'done', DONE_MS).catch(() => ensure(false, `the plan came no further: ${JSON.stringify(this.#stored(fleet))}`));
+        this.#checkOrders(ctx, leaving, course);
+    }
+    #stored(fleet) {
+        return fleet.store.peek(`plans/${PLAN}`);
+    }
+    /** Kills the executor while its first order is on the way, or once it was carried out. */
+    async #killExecutor(ctx, fleet, leaving, { arrived }) {
+        const { orders } = leaving;
+        const reached = () => arrived ? orders.received > 0 : this.#stored(fleet).orders[0]?.state === 'intended';
+        const deadline = Date.now() + DONE_MS;
+        while (!reached() && Date.now() < deadline) {
+            // The kill must come within the turn that recorded the intent.
+            // eslint-disable-next-line no-await-in-loop
+            await new Promise((resolve) => {
+                setImmediate(resolve);
+            });
+        }
+        const { executor } = this.#stored(fleet);
+        const found = fleet.daemons.find((daemon) => executor.startsWith(`${daemon.options.name}~`));
+        ensure(found !== undefined, `no daemon is the executor ${executor}`);
+        found.child.signal('SIGKILL');
+        await found.child.ended();
+        ctx.say(`executor killed with ${orders.received} orders on the way`);
+    }
+    #checkWork(ctx, fleet, acceptedAt) {
+        const [leaving, ...others] = fleet.engines;
+        const late = (leaving?.orders.work ?? []).filter(({ at }) => at > acceptedAt + LIMIT_MS);
+        const [first] = late;
+        const lag = first ? `${first.id} after ${first.at - acceptedAt} ms` : '';
+        ensure(late.length === 0, `${late.length} requests came too late at the engine: ${lag}`);
+        const last = Math.max(0, ...(leaving?.orders.work ?? []).map(({ at }) => at - acceptedAt));
+        const elsewhere = others
+            .flatMap(({ orders }) => orders.work)
+            .filter(({ at, id }) => at > acceptedAt + LIMIT_MS && id.includes('.entry-4~')).length;
+        ctx.say(`last work ${last} ms after acceptance; ${elsewhere} requests of the cut-off daemon`);
+        ensure(elsewhere > 0, 'the cut-off daemon had no work: nothing was proved');
+    }
+    #checkLong(fleet, answers) {
+        const ended = fleet.daemons.filter(({ child }) => !child.running).length;
+        const whole = answers.filter((answer) => answer.whole).length;
+        ensure(ended === 1, `${ended} daemons ended`);
+        ensure(whole === answers.length, `${answers.length - whole} open answers were cut`);
+    }
+    #checkOrders(ctx, leaving, { checksFencing }) {
+        const { given } = leaving.orders;
+        const names = given.map(({ order }) => order).join(', ');
+        ctx.say(`${checksFencing ? 'checks' : 'ignores'} fencing: orders given: ${names}`);
+        ensure(names === 'unload, stop', `orders given: ${names}`);
+        ensure(given.every(({ open }) => open === 0), 'an order came while work was open');
+    }
+    static #ask(url, prompt, maxTokens) {
+        return askModel({ url, apiKey: API_KEY, model: 'drafts', prompt, maxTokens });
+    }
+    static async #callers(url, index, load) {
+        const asked = [];
+        for (let round = 0; load.running; round += 1) {
+            asked.push(_a.#ask(url, `short ${index}-${round}`, SHORT_TOKENS));
+            // Requests go on while earlier ones wait, also at a frozen daemon.
+            // eslint-disable-next-line no-await-in-loop
+            await delay(PAUSE_MS);
+        }
+        await Promise.all(asked);
+    }
+}
+_a = DepartureProof;
+//# sourceMappingURL=departure.js.map
--- /dev/null
+++ b/dist-b/proof/gracefulstop.js
@@ -0,0 +1,144 @@
+/** Proof: daemons restart one after another under load; no answer is cut, no charge is lost. */
+import { setTimeout as delay } from 'node:timers/promises';
+import { askModel } from '../testbed/caller.js';
+import { API_KEY } from '../testbed/documents.js';
+import { Fleet } from '../testbed/fleet.js';
+import { waitFor } from '../testbed/wait.js';
+import { ensure, Proof } from './proof.js';
+const DAEMONS = 4;
+const CALLERS = 500;
+const TOKENS = 60;
+const TOKEN_MS = 60;
+const UNITS = 100_000_000;
+/** Delay before a caller tries another instance after a refusal, in milliseconds. */
+const REPEAT_MS = 100;
+/** Attempts of a caller for one request. */
+const ATTEMPTS = 300;
+/** Longest time from the outage's end until every charge is in the store, in milliseconds. */
+const SETTLE_MS = 20_000;
+function answersOf(asked) {
+    return asked.map(({ answer }) => answer);
+}
+/** Every daemon is restarted in turn, one of them during an outage of the store. */
+export class GracefulStopProof extends Proof {
+    name = 'graceful-stop';
+    point = 'a graceful shutdown cuts off no request that is in progress';
+    short = false;
+    async run(ctx) {
+        const fleet = await Fleet.start({
+            daemons: DAEMONS,
+            units: UNITS,
+            firstTokenMs: 50,
+            tokenMs: TOKEN_MS,
+        });
+        try {
+            const load = { running: true };
+            const callers = Array.from({ length: CALLERS }, (_, caller) => GracefulStopProof.#call(fleet, caller, load));
+            await delay(2_000);
+            const outageAt = Math.floor(ctx.random() * DAEMONS);
+            const codes = await GracefulStopProof.#roll(fleet, outageAt);
+            load.running = false;
+            const asked = (await Promise.all(callers)).flat();
+            ctx.say(`${asked.length} answers, store outage at stop ${outageAt + 1} of ${DAEMONS}`);
+            ensure(codes.every((code) => code === 0), `exit codes ${codes.join(', ')}`);
+            GracefulStopProof.#checkAnswers(answersOf(asked));
+            await GracefulStopProof.#checkBill(fleet, asked);
+            await GracefulStopProof.#checkBudget(fleet, asked);
+        }
+        finally {
+            await fleet.stop();
+        }
+    }
+    static async #roll(fleet, outageAt) {
+        const codes = [];
+        for (let index = 0; index < DAEMONS; index += 1) {
+            // A rolling restart takes one daemon at a time.
+            /* eslint-disable no-await-in-loop */
+            if (index === outageAt)
+                codes.push(await GracefulStopProof.#restartInOutage(fleet, index));
+            else
+                codes.push(await fleet.restart(index));
+            /* eslint-enable no-await-in-loop */
+        }
+        return codes;
+    }
+    static async #restartInOutage(fleet, index) {
+        const old = fleet.daemon(index);
+        fleet.store.setFaults({ outage: true });
+        old.child.signal('SIGTERM');
+        const code = await old.child.ended();
+        fleet.store.setFaults({ outage: false });
+        await fleet.restart(index);
+        return code;
+    }
+    static async #call(fleet, caller, load) {
+        const asked = [];
+        await delay((caller * TOKENS * TOKEN_MS) / CALLERS);
+        for (let round = 0; load.running; round += 1) {
+            const key = `caller-${caller}-${round}`;
+            // A caller asks again once it has its answer.
+            // eslint-disable-next-line no-await-in-loop
+            const answer = await GracefulStopProof.#ask(fleet, caller, key);
+            asked.push({ key, answer });
+            if (!answer.whole)
+                break;
+        }
+        return asked;
+    }
+    static async #ask(fleet, caller, key) {
+        let answer;
+        for (let attempt = 0; attempt < ATTEMPTS; attempt += 1) {
+            const { url } = fleet.daemon((caller + attempt) % DAEMONS);
+            const ask = { url, apiKey: API_KEY, model: 'drafts', prompt: key, maxTokens: TOKENS, key };
+            // eslint-disable-next-line no-await-in-loop
+            answer = await askModel(ask);
+            // Every refusal names the remedy to repeat with the same key; a begun answer is final.
+            if (answer.status === 200)
+                return answer;
+            // eslint-disable-next-line no-await-in-loop
+            await delay(REPEAT_MS);
+        }
+        if (!answer)
+            throw new Error('no attempt was made');
+        return answer;
+    }
+    static #checkAnswers(answers) {
+        const bad = answers.filter(({ whole }) => !whole);
+        const [first] = bad;
+        const seen = first ? `status ${first.status}, code ${first.code ?? 'none'}` : '';
+        ensure(bad.length === 0, `${bad.length} of ${answers.length} answers not whole: ${seen}`);
+    }
+    static async #checkBill(fleet, asked) {
+        const read = () => fleet.daemon(0).operator('workspaces/shop/statement');
+        await waitFor('every answer is on the statement', async () => (await read()).length >= asked.length, SETTLE_MS).catch(async () => {
+            const lines = await read();
+            ensure(false, `${asked.length - lines.length} of ${asked.length} charges are lost`);
+        });
+        const lines = await read();
+        const keys = new Set(lines.map(({ key }) => key));
+        ensure(keys.size === lines.length, 'a request is on the statement twice');
+        const missing = asked.filter(({ key }) => !keys.has(key));
+        ensure(missing.length === 0, `${missing.length} answers were not billed`);
+        ensure(lines.length === asked.length, `${lines.length} lines for ${asked.length} answers`);
+    }
+    static async #checkBudget(fleet, asked) {
+        const lines = await fleet
+            .daemon(0)
+            .operator('workspaces/shop/statement');
+        const billed = lines.reduce((sum, { units }) => sum + units, 0);
+        const running = new Set(await Promise.all(fleet.daemons.map(async (daemon) => {
+            const { incarnation } = await daemon.operator('status');
+            return incarnation;
+        })));
+        const held = () => fleet.store
+            .keys('budgets/')
+            .map((key) => fleet.store.peek(key))
+            .flatMap(({ budgets }) => budgets.flatMap(({ rows }) => rows))
+            .filter(({ holder }) => !running.has(holder))
+            .reduce((sum, row) => sum + row.granted - row.returned - row.spent, 0);
+        await waitFor('stopped daemons hold no units', () => held() === 0, SETTLE_MS).catch(() => ensure(false, `stopped daemons still hold ${held()} units`));
+        await waitFor('the budget has spent what was billed', async () => (await fleet.budget()).spent === billed);
+        ensure(asked.length > CALLERS, 'too few answers to prove anything');
+    }
+}
+//# sourceMappingURL=gracefulstop.js.map
--- /dev/null
+++ b/dist-b/src/budget/escrow.js
@@ -0,0 +1,123 @@
+/** Escrow: what one holder may still spend from one budget, as plain data and rules. */
+import { z } from 'zod';
+import { Err, failure, Ok } from '../kernel/index.js';
+/** Schema of a counter that one holder keeps for another; it only grows. */
+export const peerCounterSchema = z
+    .object({
+    /** Incarnation on the other side. */
+    peer: z.string(),
+    units: z.number().int().nonnegative(),
+})
+    .readonly();
+/**
+ * Opens an escrow without units.
+ * @param budget - budget name
+ * @returns an empty escrow
+ */
+export function emptyEscrow(budget) {
+    return { budget, granted: 0, borrowed: [], passed: [], spent: 0, returned: 0, reserved: 0 };
+}
+/**
+ * Adds up counters.
+ * @param counters - counters of several peers
+ * @returns units
+ */
+export function totalOf(counters) {
+    return counters.reduce((sum, { units }) => sum + units, 0);
+}
+/**
+ * Gives the counter of one peer.
+ * @param counters - counters of several peers
+ * @param peer - incarnation of the peer
+ * @returns units; 0 for a peer without a counter
+ */
+export function counterOf(counters, peer) {
+    return counters.find((counter) => counter.peer === peer)?.units ?? 0;
+}
+/**
+ * Raises the counter of one peer; a lower value changes nothing.
+ * @param counters - counters of several peers
+ * @param next - the counter as it was heard of
+ * @returns the counters
+ */
+export function raiseCounter(counters, next) {
+    if (next.units <= counterOf(counters, next.peer))
+        return counters;
+    return [...counters.filter(({ peer }) => peer !== next.peer), next];
+}
+/**
+ * Gives what the holder may still reserve.
+ * @param escrow - the escrow
+ * @returns units
+ */
+export function available(escrow) {
+    const got = escrow.granted + totalOf(escrow.borrowed);
+    return got - totalOf(escrow.passed) - escrow.spent - escrow.returned - escrow.reserved;
+}
+/**
+ * Reserves the worst case of a request.
+ * @param escrow - the escrow
+ * @param units - worst case of the request
+ * @returns the escrow with the reservation, or the failure if it does not fit
+ */
+export function reserve(escrow, units) {
+    if (available(escrow) < units)
+        return Err(failure('budget-exhausted', escrow.budget));
+    return Ok({ ...escrow, reserved: escrow.reserved + units });
+}
+/**
+ * Settles a reservation at what was used, never above it.
+ * @param escrow - the escrow
+ * @param reserved - units that were reserved
+ * @param used - units that were used; 0 releases the reservation
+ * @returns the escrow without the reservation
+ */
+export function settleReservation(escrow, reserved, used) {
+    const charged = Math.min(used, reserved);
+    return {
+        ...escrow,
+        reserved: escrow.reserved - reserved,
+        spent: escrow.spent + charged,
+    };
+}
+/**
+ * Takes note of the units that the store has granted in all.
+ * @param escrow - the escrow
+ * @param granted - units drawn under the holder's row
+ * @returns the escrow; an older counter changes nothing
+ */
+export function receiveGrant(escrow, granted) {
+    return granted > escrow.granted ? { ...escrow, granted } : escrow;
+}
+/**
+ * Takes note of the units that another holder has lent in all.
+ * @param escrow - the escrow
+ * @param loan - lender and its counter for this holder
+ * @returns the escrow; an older counter changes nothing
+ */
+export function receiveLoan(escrow, loan) {
+    return { ...escrow, borrowed: raiseCounter(escrow.borrowed, loan) };
+}
+/**
+ * Lends units to another holder.
+ * @param escrow - the escrow
+ * @param peer - incarnation of the borrower
+ * @param units - units to lend
+ * @returns the escrow; no more is lent than is available
+ */
+export function passUnits(escrow, peer, units) {
+    const lent = Math.max(0, Math.min(units, available(escrow)));
+    const next = { peer, units: counterOf(escrow.passed, peer) + lent };
+    return { ...escrow, passed: raiseCounter(escrow.passed, next) };
+}
+/**
+ * Gives units up, before the store is told.
+ * @param escrow - the escrow
+ * @param units - units that are not needed
+ * @returns the escrow; no more is given up than is available
+ */
+export function returnUnits(escrow, units) {
+    const freed = Math.max(0, Math.min(units, available(escrow)));
+    return { ...escrow, returned: escrow.returned + freed };
+}
+//# sourceMappingURL=escrow.js.map
--- /dev/null
+++ b/dist-b/src/budget/index.js
@@ -0,0 +1,14 @@
+/** Budget aggregate: escrow, demand, grants, loans, reservations and charge lines. */
+export * from './admit.js';
+export * from './charge.js';
+export * from './demand.js';
+export * from './draw.js';
+export * from './escrow.js';
+export * from './ledger.js';
+export * from './lending.js';
+export * from './messages.js';
+export * from './returning.js';
+export * from './shard.js';
+export * from './sizing.js';
+export * from './transfer.js';
+//# sourceMappingURL=index.js.map
--- /dev/null
+++ b/dist-b/src/budget/tests/admit.test.js
@@ -0,0 +1,110 @@
+import test from 'ava';
+import { admit } from '../admit.js';
+const REQ = { budget: 'b', worstCase: 100 };
+const RESERVED = { type: 'reserved', low: false };
+const LOW = { type: 'reserved', low: true };
+const SHORT = { type: 'short', missing: 60 };
+const DRAWN = { type: 'drawn', left: 0 };
+const AWAY = { type: 'unreachable' };
+const LATE = { type: 'late' };
+const HOLDERS = { type: 'holders', holders: ['x', 'y'] };
+const NOBODY = { type: 'holders', holders: [] };
+const LENT = { type: 'lent', units: 60, left: 10 };
+const NOTHING = { type: 'lent', units: 0, left: 0 };
+function endOf(outcome) {
+    if (!outcome)
+        return 'running';
+    return outcome.type === 'admitted' ? 'admitted' : outcome.fail.code;
+}
+function run(events) {
+    const procedure = admit(REQ);
+    const commands = [];
+    let step = procedure.next();
+    events.forEach((event) => {
+        if (step.done)
+            return;
+        commands.push(step.value.type);
+        step = procedure.next(event);
+    });
+    return { commands, end: endOf(step.done ? step.value : undefined) };
+}
+const ROWS = [
+    { title: 'units at hand are reserved without a message', events: [RESERVED], end: 'admitted' },
+    {
+        title: 'low units are drawn in the background',
+        events: [LOW, { type: 'started' }],
+        commands: ['reserve', 'prefetch'],
+        end: 'admitted',
+    },
+    {
+        title: 'the store is asked before a peer',
+        events: [SHORT, DRAWN, RESERVED],
+        commands: ['reserve', 'draw', 'reserve'],
+        end: 'admitted',
+    },
+    {
+        title: 'a peer lends while the store is away',
+        events: [SHORT, AWAY, SHORT, HOLDERS, SHORT, LENT, RESERVED],
+        commands: ['reserve', 'draw', 'reserve', 'holders', 'reserve', 'borrow', 'reserve'],
+        end: 'admitted',
+    },
+    {
+        title: 'exhausted once the store and every holder have nothing',
+        events: [SHORT, DRAWN, SHORT, HOLDERS, SHORT, NOTHING, SHORT, NOTHING, SHORT, SHORT],
+        end: 'budget-exhausted',
+    },
+    {
+        title: 'unreachable if the store did not answer',
+        events: [SHORT, AWAY, SHORT, HOLDERS, SHORT, NOTHING, SHORT, NOTHING, SHORT, SHORT],
+        end: 'budget-unreachable',
+    },
+    {
+        title: 'unreachable if one holder did not answer',
+        events: [SHORT, DRAWN, SHORT, HOLDERS, SHORT, NOTHING, SHORT, AWAY, SHORT, SHORT],
+        end: 'budget-unreachable',
+    },
+    {
+        title: 'unreachable once the deadline has passed',
+        events: [SHORT, DRAWN, SHORT, HOLDERS, SHORT, LATE, SHORT],
+        end: 'budget-unreachable',
+    },
+    {
+        title: 'another round while units are seen that nobody lent',
+        events: [
+            SHORT,
+            DRAWN,
+            SHORT,
+            HOLDERS,
+            SHORT,
+            { type: 'lent', units: 0, left: 70 },
+            SHORT,
+            NOTHING,
+            SHORT,
+            SHORT,
+            DRAWN,
+            RESERVED,
+        ],
+        end: 'admitted',
+    },
+    {
+        title: 'units seen in all rounds and never obtained are no proof of exhaustion',
+        events: Array.from({ length: 4 }).flatMap((_, index) => [
+            ...(index === 0 ? [SHORT] : []),
+            { type: 'drawn', left: 60 },
+            SHORT,
+            NOBODY,
+            SHORT,
+            SHORT,
+        ]),
+        end: 'budget-unreachable',
+    },
+];
+ROWS.forEach((row) => {
+    test(`admit: ${row.title}`, (t) => {
+        const result = run(row.events);
+        t.is(result.end, row.end);
+        if (row.commands)
+            t.deepEqual(result.commands, row.commands);
+    });
+});
+//# sourceMappingURL=admit.test.js.map
--- /dev/null
+++ b/dist-b/src/budget/tests/model.js
@@ -0,0 +1,205 @@
+/** A small world for the model check: one shard, holders, their backups, messages in any order. */
+import { drawUnits } from '../draw.js';
+import { available, counterOf, emptyEscrow, raiseCounter, receiveGrant, receiveLoan, reserve, returnUnits, settleReservation, } from '../escrow.js';
+import { rowOf, settle, topUp, unallocated, withRow, replaceBudget } from '../ledger.js';
+import { lend } from '../lending.js';
+import { parseShard } from '../shard.js';
+import { applyTransfer } from '../transfer.js';
+const BUDGET = 'b';
+const DEMAND = { rate: 0.01, typical: 10, largest: 10 };
+/**
+ * Starts a world with one paid budget.
+ * @param names - holders
+ * @param paid - units
+ * @returns the world
+ */
+export function newWorld(names, paid) {
+    const payment = { budget: BUDGET, workspace: 'w', operation: 'first', units: paid, at: 0 };
+    const first = topUp(parseShard(null), payment);
+    const holders = names.map((name) => ({
+        name,
+        escrow: emptyEscrow(BUDGET),
+        lines: [],
+        running: [],
+        used: 0,
+        alive: true,
+        fenced: false,
+        copy: { lines: [], passed: [] },
+    }));
+    const shard = first.kind === 'write' ? first.value : parseShard(null);
+    return { shard, holders, letters: [] };
+}
+function put(world, next) {
+    const holders = world.holders.map((holder) => (holder.name === next.name ? next : holder));
+    return { ...world, holders };
+}
+/**
+ * Gives the budget of a world.
+ * @param world - the world
+ * @returns its record
+ */
+export function budgetOf(world) {
+    const [found] = world.shard.budgets;
+    if (!found)
+        throw new Error('the budget is missing');
+    return found;
+}
+function draw(world, holder, units, lost) {
+    const { escrow } = holder;
+    const { borrowed, passed, returned } = escrow;
+    const report = { holder: holder.name, backup: null, budget: BUDGET };
+    const change = drawUnits(world.shard, {
+        report: { ...report, borrowed, passed, returned, demand: DEMAND.rate },
+        granted: escrow.granted,
+        available: available(escrow),
+        missing: units,
+        demand: DEMAND,
+    });
+    const shard = change.kind === 'write' ? change.value : world.shard;
+    if (lost)
+        return { ...world, shard };
+    const granted = receiveGrant(escrow, change.outcome.granted);
+    const next = change.outcome.loans.reduce(receiveLoan, granted);
+    return put({ ...world, shard }, { ...holder, escrow: next });
+}
+function lendTo(world, lender, borrower, missing) {
+    if (lender.name === borrower.name)
+        return world;
+    const known = counterOf(borrower.escrow.borrowed, lender.name);
+    const loan = lend(lender.escrow, { borrower: borrower.name, missing, known });
+    // The backup acknowledges before the borrower hears of the loan.
+    const passed = raiseCounter(lender.copy.passed, { peer: borrower.name, units: loan.passed });
+    const next = { ...lender, escrow: loan.escrow, copy: { ...lender.copy, passed } };
+    const letter = { to: borrower.name, loan: { peer: lender.name, units: loan.passed } };
+    return { ...put(world, next), letters: [...world.letters, letter] };
+}
+function deliver(world, index) {
+    const letter = world.letters[index % Math.max(1, world.letters.length)];
+    const holder = world.holders.find(({ name }) => name === letter?.to);
+    if (!letter || !holder?.alive)
+        return world;
+    return put(world, { ...holder, escrow: receiveLoan(holder.escrow, letter.loan) });
+}
+function settleLines(world, holder, lost) {
+    const change = settle(world.shard, holder.name, holder.lines);
+    if (change.kind === 'keep')
+        return world;
+    const lines = holder.lines.filter(({ sequence }) => sequence > change.outcome);
+    const next = { ...world, shard: change.value };
+    return lost ? next : put(next, { ...holder, lines });
+}
+function finish(world, holder, units) {
+    const [reserved, ...running] = holder.running;
+    if (reserved === undefined)
+        return world;
+    const used = Math.min(units, reserved);
+    const escrow = settleReservation(holder.escrow, reserved, used);
+    const sequence = (holder.copy.lines.at(-1)?.sequence ?? 0) + 1;
+    const line = { key: `${holder.name}-${sequence}`, workspace: 'w', budget: BUDGET, at: 0 };
+    const full = { ...line, units: used, holder: holder.name, sequence };
+    const copy = { ...holder.copy, lines: [...holder.copy.lines, full] };
+    return put(world, {
+        ...holder,
+        escrow,
+        running,
+        copy,
+        lines: [...holder.lines, full],
+        used: holder.used + used,
+    });
+}
+/** Fences a dead holder, settles what its backup knows and frees the rest. */
+function recover(world, holder) {
+    if (holder.alive || holder.fenced)
+        return world;
+    const known = holder.copy.passed.map(({ peer, units }) => ({
+        from: holder.name,
+        to: peer,
+        units,
+    }));
+    const moved = replaceBudget(world.shard, known.reduce(applyTransfer, budgetOf(world)));
+    const settled = settle(moved, holder.name, holder.copy.lines);
+    const shard = settled.kind === 'write' ? settled.value : moved;
+    const next = { ...world, shard };
+    const row = rowOf(budgetOf(next), holder.name);
+    const complete = known.every(({ to, units }) => counterOf(row.passed ?? [], to) >= units);
+    const unsettled = holder.copy.lines.length > settled.outcome;
+    if (!complete || unsettled)
+        return next;
+    const freed = withRow(budgetOf(next), { ...row, returned: row.granted - row.spent });
+    return put({ ...next, shard: replaceBudget(shard, freed) }, { ...holder, fenced: true });
+}
+/**
+ * Takes one step.
+ * @param world - the world before
+ * @param step - the step
+ * @returns the world after
+ */
+export function takeStep(world, step) {
+    const holder = world.holders[step.who % world.holders.length];
+    const other = world.holders[step.other % world.holders.length];
+    if (!holder || !other)
+        return world;
+    if (step.kind === 'topUp') {
+        const operation = `op-${step.units}`;
+        const payment = { budget: BUDGET, workspace: 'w', operation, units: step.units, at: 0 };
+        const change = topUp(world.shard, payment);
+        return change.kind === 'write' ? { ...world, shard: change.value } : world;
+    }
+    if (step.kind === 'recover')
+        return recover(world, holder);
+    if (step.kind === 'deliver')
+        return deliver(world, step.other);
+    if (!holder.alive)
+        return world;
+    switch (step.kind) {
+        case 'reserve': {
+            const reserved = reserve(holder.escrow, step.units);
+            if (reserved.err)
+                return world;
+            return put(world, {
+                ...holder,
+                escrow: reserved.val,
+                running: [...holder.running, step.units],
+            });
+        }
+        case 'finish':
+            return finish(world, holder, step.units);
+        case 'draw':
+            return draw(world, holder, step.units, false);
+        case 'drawLost':
+            return draw(world, holder, step.units, true);
+        case 'lend':
+            return other.alive ? lendTo(world, holder, other, step.units) : world;
+        case 'giveBack':
+            return put(world, { ...holder, escrow: returnUnits(holder.escrow, step.units) });
+        case 'settle':
+            return settleLines(world, holder, false);
+        case 'settleLost':
+            return settleLines(world, holder, true);
+        default:
+            return put(world, { ...holder, alive: false });
+    }
+}
+/**
+ * Checks a world.
+ * @param world - the world
+ * @returns what is violated; undefined if all holds
+ */
+export function violation(world) {
+    const budget = budgetOf(world);
+    if (unallocated(budget) < 0)
+        return `granted beyond paid: ${unallocated(budget)}`;
+    const used = world.holders.reduce((sum, holder) => sum + holder.used, 0);
+    const ready = world.holders
+        .filter(({ alive }) => alive)
+        .reduce((sum, { escrow }) => sum + available(escrow) + escrow.reserved, 0);
+    const claimed = used + ready + unallocated(budget);
+    if (claimed > budget.paid)
+        return `${claimed} used, ready or unallocated of ${budget.paid}`;
+    const overdrawn = world.holders.find(({ escrow }) => available(escrow) < 0);
+    if (overdrawn)
+        return `${overdrawn.name} is overdrawn`;
+    const row = budget.rows.find(({ granted, returned }) => returned > granted);
+    return row && `${row.holder} gave up more than it was granted`;
+}
+//# sourceMappingURL=model.js.map
--- /dev/null
+++ b/dist-b/src/cli/main.js
@@ -0,0 +1,44 @@
+/** Entry point of the command-line tool of operators. */
+import yargs from 'yargs';
+import { hideBin } from 'yargs/helpers';
+import { budgetsCommand } from './budgets.js';
+import { checkCommand } from './check.js';
+import { diffCommand } from './diff.js';
+import { EXIT } from './exits.js';
+import { say } from './output.js';
+import { publishCommand } from './publish.js';
+import { statementCommand } from './statement.js';
+import { statusCommand } from './status.js';
+import { topUpCommand } from './topup.js';
+import { workspacesCommand } from './workspaces.js';
+const cli = yargs(hideBin(process.argv))
+    .scriptName('comfreyreel')
+    .option('url', { type: 'string', default: 'http://127.0.0.1:8080', describe: 'a daemon' })
+    .option('key', {
+    type: 'string',
+    default: process.env.COMFREYREEL_OPERATOR_KEY ?? '',
+    defaultDescription: 'COMFREYREEL_OPERATOR_KEY',
+    describe: 'operator key',
+})
+    .option('json', { type: 'boolean', default: false, describe: 'print JSON instead of a table' })
+    .command(checkCommand)
+    .command(diffCommand)
+    .command(publishCommand)
+    .command(statusCommand)
+    .command(workspacesCommand)
+    .command(budgetsCommand)
+    .command(topUpCommand)
+    .command(statementCommand)
+    .completion('completion', 'print a completion script for the shell')
+    .epilogue('exit codes: 0 done, 1 refused, 2 wrong input, 3 no answer or outcome unknown')
+    .demandCommand(1, 'name a command; --help lists them')
+    .strict()
+    .fail((message, err, usage) => {
+    say(err ? String(err) : `${message}\n\n${usage.help()}`);
+    // Nothing was sent, and yargs would go on to the command's handler.
+    // eslint-disable-next-line n/no-process-exit
+    process.exit(EXIT.input);
+})
+    .help();
+await cli.parseAsync();
+//# sourceMappingURL=main.js.map
--- /dev/null
+++ b/dist-b/src/cli/statement.js
@@ -0,0 +1,24 @@
+import { OperatorClient } from './client.js';
+import { formatTable, report } from './output.js';
+function render(lines) {
+    const rows = lines.map(({ at, key, budget, units }) => ({
+        at: new Date(at).toISOString(),
+        key,
+        budget,
+        units,
+    }));
+    const total = lines.reduce((sum, { units }) => sum + units, 0);
+    return `${formatTable(rows)}\ntotal: ${total} units in ${lines.length} requests`;
+}
+/** Lists the settled charges of a workspace. */
+export const statementCommand = {
+    command: 'statement <workspace>',
+    describe: 'list the charges of a workspace, each request once',
+    builder: (args) => args.positional('workspace', { type: 'string', demandOption: true }),
+    handler: async (argv) => {
+        const client = new OperatorClient(argv);
+        const path = `workspaces/${encodeURIComponent(argv.workspace)}/statement`;
+        report(argv, await client.get(path), render);
+    },
+};
+//# sourceMappingURL=statement.js.map
--- /dev/null
+++ b/dist-b/src/cli/tests/output.test.js
@@ -0,0 +1,36 @@
+import test from 'ava';
+import { failure, formatFailure } from '../../kernel/index.js';
+import { exitOf } from '../exits.js';
+import { formatTable } from '../output.js';
+const EXITS = [
+    { fail: failure('conflict', 'x'), code: 1 },
+    { fail: failure('not-found', 'x'), code: 1 },
+    { fail: failure('operator-key', 'x'), code: 1 },
+    { fail: failure('operation-reused', 'x'), code: 1 },
+    { fail: failure('invalid', 'x'), code: 2 },
+    { fail: failure('malformed-request', 'x'), code: 2 },
+    { fail: failure('store-unavailable', 'x'), code: 3 },
+    { fail: failure('conflict', 'x', 'unknown'), code: 3 },
+];
+EXITS.forEach(({ fail, code }) => {
+    test(`exit code of ${fail.code}, outcome ${fail.outcome}`, (t) => {
+        t.is(exitOf(formatFailure(fail)), code);
+    });
+});
+const TABLES = [
+    { title: 'no rows', rows: [], text: '(none)' },
+    {
+        title: 'texts to the left, numbers to the right',
+        rows: [
+            { name: 'main', paid: 5 },
+            { name: 'b', paid: 12_345 },
+        ],
+        text: 'name  paid\nmain      5\nb     12345',
+    },
+];
+TABLES.forEach(({ title, rows, text }) => {
+    test(`table: ${title}`, (t) => {
+        t.is(formatTable(rows), text);
+    });
+});
+//# sourceMappingURL=output.test.js.map
--- /dev/null
+++ b/dist-b/src/cli/topup.js
@@ -0,0 +1,27 @@
+import { OperatorClient } from './client.js';
+import { announce, report } from './output.js';
+function render({ paid, repeated, at }) {
+    const done = repeated ? `already done at ${new Date(at).toISOString()}` : 'done';
+    return `${done}: ${paid} units are paid in all`;
+}
+/** Adds a payment to a budget. */
+export const topUpCommand = {
+    command: 'topup <budget> <units>',
+    describe: 'add a payment to a budget, once for each operation id',
+    builder: (args) => args
+        .positional('budget', { type: 'string', demandOption: true })
+        .positional('units', { type: 'number', demandOption: true })
+        .option('operation', {
+        type: 'string',
+        demandOption: true,
+        describe: 'id of the payment, such as an invoice number; a repeat adds nothing',
+    }),
+    handler: async (argv) => {
+        const { budget, units, operation } = argv;
+        announce(operation);
+        const client = new OperatorClient(argv);
+        const answer = await client.post('topups', { budget, units, operation });
+        report(argv, answer, render, operation);
+    },
+};
+//# sourceMappingURL=topup.js.map
--- /dev/null
+++ b/dist-b/src/config/messages.js
@@ -0,0 +1,4 @@
+/** Messages between daemons of the config aggregate. */
+/** Schemas of the messages. */
+export const configMessages = [];
+//# sourceMappingURL=messages.js.map
--- /dev/null
+++ b/dist-b/src/daemon/answersink.js
@@ -0,0 +1,4 @@
+/** Receives an answer; the caller may leave at any time. */
+export class AnswerSink {
+}
+//# sourceMappingURL=answersink.js.map
--- /dev/null
+++ b/dist-b/src/daemon/keyregistry.js
@@ -0,0 +1,204 @@
+/** Remembers idempotency keys at two daemons each, chosen by rendezvous hash. */
+import { instanceOf, rendezvous } from '../kernel/index.js';
+import { FRESH_KEY, KeyTable, keyId, newestRecord } from '../request/index.js';
+/** Daemons that remember a key. */
+const HOMES = 2;
+/** Daemons that are asked about a key: one more, so that a changed list does not hide a record. */
+const ASKED = 3;
+/** Longest wait for an answer about a key, in milliseconds. */
+const TIMEOUT_MS = 250;
+/** Records in one handover message. */
+const HANDOVER_BATCH = 1_000;
+/** Registers keys and answers for them. */
+export class KeyRegistry {
+    self;
+    network;
+    #table = new KeyTable();
+    /** Keys whose attempts run at this daemon. */
+    #running = new Set();
+    /**
+     * Creates the registry and answers its peers.
+     * @param self - own incarnation
+     * @param network - links to the other daemons
+     */
+    constructor(self, network) {
+        this.self = self;
+        this.network = network;
+        this.#answerPeers();
+    }
+    /** Number of keys that this daemon remembers. */
+    get size() {
+        return this.#table.size;
+    }
+    /**
+     * Registers an attempt before it is served.
+     * @param name - workspace and key
+     * @param digest - digest of the body
+     * @returns what earlier attempts are known
+     */
+    async begin(name, digest) {
+        const attempt = { ...name, digest, owner: this.self, at: Date.now() };
+        if (this.#running.has(keyId(name))) {
+            const earlier = this.#table.find(name);
+            if (earlier)
+                return { earlier, certain: true, running: true };
+        }
+        const homes = this.#homes(name, ASKED);
+        const answers = await Promise.all(homes.map((home, index) => index < HOMES ? this.#beginAt(home, attempt) : this.#queryAt(home, name)));
+        const findings = this.#findings(answers);
+        const { earlier } = findings;
+        if (earlier?.state !== 'running')
+            return findings;
+        return { ...findings, running: await this.#stillRuns(earlier) };
+    }
+    /**
+     * Finds out about a key without registering an attempt.
+     * @param name - workspace and key
+     * @returns what attempts are known
+     */
+    async query(name) {
+        const homes = this.#homes(name, ASKED);
+        const answers = await Promise.all(homes.map((home) => this.#queryAt(home, name)));
+        return this.#findings(answers);
+    }
+    /**
+     * Marks an attempt as running here.
+     * @param name - workspace and key
+     */
+    enter(name) {
+        this.#running.add(keyId(name));
+    }
+    /**
+     * Marks an attempt as ended here.
+     * @param name - workspace and key
+     */
+    leave(name) {
+        this.#running.delete(keyId(name));
+    }
+    /**
+     * Notes how an attempt of this daemon went on.
+     * @param name - workspace and key
+     * @param state - its state
+     * @param upstream - upstream that it went to; null if that is unchanged
+     */
+    async note(name, state, upstream) {
+        const progress = { ...name, owner: this.self, state, upstream };
+        await this.#tellHomes(name, { type: 'key-note', ...progress }, () => this.#table.note(progress));
+    }
+    /**
+     * Forgets an attempt of this daemon that reached no upstream.
+     * @param name - workspace and key
+     * @param earlier - what was known before it
+     */
+    async withdraw(name, earlier) {
+        const body = { type: 'key-withdraw', ...name, owner: this.self, earlier };
+        await this.#tellHomes(name, body, () => this.#table.withdraw(name, this.self, earlier));
+    }
+    /** Hands every record to the daemons that answer for it once this one has stopped. */
+    async handOver() {
+        const own = instanceOf(this.self);
+        const others = this.#live().filter((name) => name !== own);
+        const batches = new Map();
+        this.#table.list().forEach((record) => {
+            rendezvous(keyId(record), others)
+                .slice(0, HOMES)
+                .forEach((home) => batches.set(home, [...(batches.get(home) ?? []), record]));
+        });
+        await Promise.all([...batches].map(([home, records]) => this.#handOverTo(home, records)));
+    }
+    async #handOverTo(to, records) {
+        for (let start = 0; start < records.length; start += HANDOVER_BATCH) {
+            const part = records.slice(start, start + HANDOVER_BATCH);
+            const body = { type: 'key-handover', records: part };
+            // Batches go one after the other, so that the queue of the link stays short.
+            // eslint-disable-next-line no-await-in-loop
+            await this.network.request({ to, body, reply: 'key-noted', timeoutMs: TIMEOUT_MS });
+        }
+    }
+    #live() {
+        const peers = this.network.peers().filter(({ state }) => state === 'live');
+        return [instanceOf(this.self), ...peers.map(({ name }) => name)];
+    }
+    #homes(name, count) {
+        return rendezvous(keyId(name), this.#live()).slice(0, count);
+    }
+    /** An earlier attempt can be ruled out once one of the two homes has answered. */
+    #findings(answers) {
+        const known = answers.filter((answer) => answer !== undefined);
+        const missing = answers.length - known.length;
+        const certain = missing < Math.min(HOMES, answers.length);
+        return { ...FRESH_KEY, earlier: newestRecord(known), certain };
+    }
+    async #beginAt(home, attempt) {
+        if (home === instanceOf(this.self))
+            return this.#table.begin(attempt);
+        return this.#ask(home, { type: 'key-begin', ...attempt });
+    }
+    async #queryAt(home, name) {
+        if (home === instanceOf(this.self))
+            return this.#table.find(name);
+        const { workspace, key } = name;
+        return this.#ask(home, { type: 'key-query', workspace, key });
+    }
+    async #ask(to, body) {
+        const answer = await this.network.request({
+            to,
+            body,
+            reply: 'key-known',
+            timeoutMs: TIMEOUT_MS,
+        });
+        return answer.ok ? answer.val.record : undefined;
+    }
+    /** An owner that does not answer cannot deliver its answer either: another attempt may run. */
+    async #stillRuns(record) {
+        if (record.owner === this.self)
+            return this.#running.has(keyId(record));
+        const { workspace, key } = record;
+        const answer = await this.network.request({
+            to: instanceOf(record.owner),
+            body: { type: 'key-running', workspace, key },
+            reply: 'key-runs',
+            timeoutMs: TIMEOUT_MS,
+        });
+        return answer.ok && answer.val.running;
+    }
+    async #tellHomes(name, body, here) {
+        const own = instanceOf(this.self);
+        const timeoutMs = TIMEOUT_MS;
+        await Promise.all(this.#homes(name, HOMES).map(async (home) => {
+            if (home === own)
+                here();
+            else
+                await this.network.request({ to: home, body, reply: 'key-noted', timeoutMs });
+        }));
+    }
+    #answerPeers() {
+        const noted = { type: 'key-noted' };
+        const { network } = this;
+        network.handle('key-begin', ({ workspace, key, digest, owner, at }) => ({
+            type: 'key-known',
+            record: this.#table.begin({ workspace, key, digest, owner, at }),
+        }));
+        network.handle('key-query', (name) => ({
+            type: 'key-known',
+            record: this.#table.find(name),
+        }));
+        network.handle('key-note', (progress) => {
+            this.#table.note(progress);
+            return noted;
+        });
+        network.handle('key-withdraw', ({ workspace, key, owner, earlier }) => {
+            this.#table.withdraw({ workspace, key }, owner, earlier);
+            return noted;
+        });
+        network.handle('key-handover', ({ records }) => {
+            this.#table.adopt(records);
+            return noted;
+        });
+        network.handle('key-running', (name) => ({
+            type: 'key-runs',
+            running: this.#running.has(keyId(name)),
+        }));
+    }
+}
+//# sourceMappingURL=keyregistry.js.map
--- /dev/null
+++ b/dist-b/src/daemon/modelrun.js
@@ -0,0 +1,68 @@
+/** One model request: streams the engine's answer to the caller. */
+import { failure } from '../kernel/index.js';
+import { outputLimit } from '../request/index.js';
+import { prefixDigests } from '../route/index.js';
+import { RequestRun } from './requestrun.js';
+/** Priority numbers that engines understand; a lower one goes first. */
+const PRIORITIES = { urgent: 0, normal: 1, bulk: 2 };
+/** Speaks to model engines. */
+export class ModelRun extends RequestRun {
+    req;
+    sink;
+    #stream;
+    /**
+     * Creates the run of one model request.
+     * @param input - who asks for what
+     * @param req - the request
+     * @param sink - where the answer goes
+     */
+    constructor(input, req, sink) {
+        super(input);
+        this.req = req;
+        this.sink = sink;
+    }
+    async send(upstream, attempt) {
+        const { serving, signal } = this.input;
+        const opened = await serving.engine.generate(upstream.url, this.#call(attempt), signal);
+        if (opened.err)
+            return RequestRun.rejected(opened.val);
+        this.#stream = opened.val;
+        return RequestRun.accepted();
+    }
+    async relayAnswer() {
+        for await (const item of this.#stream ?? []) {
+            if (item.kind === 'part') {
+                this.noteFirstByte();
+                await this.sink.write(item.bytes);
+            }
+            else if (item.kind === 'cut')
+                return this.#cut(item.reason);
+            else {
+                const units = item.usage.promptTokens + item.usage.completionTokens;
+                return { type: 'answered', units };
+            }
+        }
+        return this.#cut('the stream has no end');
+    }
+    promptDigests() {
+        return prefixDigests(this.input.tenant.workspace.name, this.req.messages);
+    }
+    #cut(reason) {
+        const outcome = this.sink.started ? 'interrupted' : 'unknown';
+        const fail = failure('upstream-lost', reason, outcome);
+        return { type: 'cut', fail, relayed: this.sink.started };
+    }
+    #call(id) {
+        const { route } = this.input;
+        return {
+            id,
+            model: this.req.model,
+            messages: this.req.messages,
+            maxTokens: outputLimit(this.req, route),
+            priority: PRIORITIES[route.priority],
+            firstByteMs: route.firstByteMs,
+            silenceMs: route.silenceMs,
+        };
+    }
+}
+//# sourceMappingURL=modelrun.js.map
--- /dev/null
+++ b/dist-b/src/daemon/planexecutor.js
@@ -0,0 +1,107 @@
+/** Carries out plans: any daemon picks a plan up and hands it on by conditional writes. */
+import { performance } from 'node:perf_hooks';
+import { drive } from '../kernel/index.js';
+import { advance, declarePlan, hasLeft, isFinal, planKey } from '../plan/index.js';
+import { PlanRun } from './planrun.js';
+/** Interval between steps, in milliseconds. */
+const STEP_MS = 400;
+/** Interval between signs of life in the plan, in milliseconds. */
+const BEAT_MS = 1_500;
+/** Time without a sign of life after which another daemon takes a plan over, in milliseconds. */
+const TAKEOVER_MS = 5_000;
+/** Largest random addition to that time, in milliseconds. */
+const TAKEOVER_SPREAD_MS = 1_000;
+/** Owns the duty of carrying out plans. */
+export class PlanExecutor {
+    ctx;
+    #sights = new Map();
+    #running = new Set();
+    #timer;
+    /**
+     * Creates the task.
+     * @param ctx - store, peers, upstreams and what is known of the plans
+     */
+    constructor(ctx) {
+        this.ctx = ctx;
+    }
+    /** Begins to look for work. */
+    start() {
+        this.#timer = setInterval(() => this.#look(), STEP_MS);
+    }
+    /** Ends the duty; the plans go on elsewhere. */
+    stop() {
+        clearInterval(this.#timer);
+    }
+    #look() {
+        const { follower, config } = this.ctx;
+        const documents = config.current?.documents.plans ?? [];
+        if (follower.loaded) {
+            documents
+                .filter(({ name }) => !follower.known.has(name))
+                .forEach((document) => {
+                this.#once(document.name, () => this.#write(document.name, 0, declarePlan(document, this.ctx.self)));
+            });
+        }
+        follower.known.forEach((stored, name) => {
+            const sight = this.#see(name, stored);
+            if (isFinal(stored.plan))
+                return;
+            this.#once(name, () => this.#step(stored, sight));
+        });
+    }
+    #once(name, work) {
+        if (this.#running.has(name))
+            return;
+        this.#running.add(name);
+        void work().finally(() => this.#running.delete(name));
+    }
+    #see(name, { version, plan }) {
+        const now = performance.now();
+        const last = this.#sights.get(name);
+        const accepted = hasLeft(plan) ? (last?.acceptedSince ?? now) : null;
+        const same = last?.version === version;
+        const sight = {
+            version,
+            since: same ? last.since : now,
+            acceptedSince: accepted,
+            patienceMs: same ? last.patienceMs : TAKEOVER_MS + Math.random() * TAKEOVER_SPREAD_MS,
+        };
+        this.#sights.set(name, sight);
+        return sight;
+    }
+    async #step(stored, sight) {
+        const { plan, version } = stored;
+        const now = performance.now();
+        if (plan.executor !== this.ctx.self) {
+            if (now - sight.since > sight.patienceMs)
+                await this.#takeOver(stored);
+            return;
+        }
+        const run = new PlanRun(this.ctx, stored);
+        const { upstream } = run;
+        const view = {
+            plan,
+            wall: Date.now(),
+            acceptedForMs: sight.acceptedSince === null ? 0 : now - sight.acceptedSince,
+            checksFencing: upstream?.checksFencing ?? false,
+        };
+        await drive(advance(view), (command) => run.perform(command));
+        const idle = run.version === version && now - sight.since > BEAT_MS;
+        if (idle)
+            await this.#write(plan.document.name, version, { ...plan, beat: plan.beat + 1 });
+    }
+    async #takeOver({ plan, version }) {
+        const next = { ...plan, executor: this.ctx.self, term: plan.term + 1 };
+        const { name } = plan.document;
+        if (await this.#write(name, version, next)) {
+            this.ctx.recorder.record('planTakenOver', { plan: name, detail: `term ${next.term}` });
+        }
+    }
+    async #write(name, expected, plan) {
+        const written = await this.ctx.store.write(planKey(name), plan, expected);
+        if (written.ok)
+            this.ctx.follower.learn({ version: written.val, plan });
+        return written.ok;
+    }
+}
+//# sourceMappingURL=planexecutor.js.map
--- /dev/null
+++ b/dist-b/src/daemon/planfollower.js
@@ -0,0 +1,162 @@
+/** Follows the plans: what may still be dispatched, by plans that are confirmed again and again. */
+import { performance } from 'node:perf_hooks';
+import { rendezvous } from '../kernel/index.js';
+import { hasClosed, hasLeft, isFinal, mayReceive, mergePlans, parsePlan, PLAN_PREFIX, } from '../plan/index.js';
+/** Interval between confirmations while a plan may be accepted, in milliseconds. */
+const CONFIRM_MS = 600;
+/** Interval between confirmations while no plan is under way, in milliseconds. */
+const IDLE_MS = 1_500;
+/** Longest wait for a peer's confirmation, in milliseconds. */
+const PEER_MS = 400;
+/** Daemons of a data centre that read the plans from the store for the others. */
+const READERS = 2;
+/** Key by which the readers are chosen. */
+const READERS_KEY = 'plan-readers';
+/** Owns what this daemon knows of the plans. */
+export class PlanFollower {
+    ctx;
+    #known = new Map();
+    #confirmedAt = null;
+    #timer;
+    #stopped = false;
+    /**
+     * Creates the task and answers peers that confirm their plans here.
+     * @param ctx - store, peers and identity
+     */
+    constructor(ctx) {
+        this.ctx = ctx;
+        ctx.network.handle('confirm-plans', (ask) => this.#confirmPeer(ask));
+    }
+    /** Plans by name. */
+    get known() {
+        return this.#known;
+    }
+    /** Whether the plans were read or heard once. */
+    get loaded() {
+        return this.#confirmedAt !== null;
+    }
+    /** Begins to follow. */
+    start() {
+        void this.#loop();
+    }
+    /** Ends the task. */
+    stop() {
+        this.#stopped = true;
+        clearTimeout(this.#timer);
+    }
+    /**
+     * Says whether an upstream may receive new work now.
+     * @param upstream - upstream name
+     * @returns false if it is leaving, or may be without this daemon knowing
+     */
+    mayReceive(upstream) {
+        return mayReceive(this.#known, upstream, this.#confirmation());
+    }
+    /**
+     * Says whether a workspace has closed.
+     * @param workspace - workspace name
+     * @returns whether its new work is refused
+     */
+    hasClosed(workspace) {
+        return hasClosed(this.#known, workspace, this.#confirmation());
+    }
+    /**
+     * Takes over a plan that was read or written elsewhere in this daemon.
+     * @param stored - the plan with its version
+     */
+    learn(stored) {
+        this.#merge([stored]);
+    }
+    /** Confirms the plans by the store or by a peer. */
+    async confirm() {
+        const { recorder } = this.ctx;
+        const peers = this.#readers();
+        const reads = peers.includes(this.ctx.instance);
+        if (!reads && (await this.#byPeers(peers)))
+            return;
+        if (await this.#byStore())
+            return;
+        const all = this.ctx.network.peers().map(({ name }) => name);
+        if (await this.#byPeers(all))
+            return;
+        recorder.record('plansUnconfirmed');
+    }
+    #confirmation() {
+        return { confirmedAt: this.#confirmedAt, now: performance.now(), wall: Date.now() };
+    }
+    async #loop() {
+        const began = performance.now();
+        await this.confirm();
+        if (this.#stopped)
+            return;
+        const pending = [...this.#known.values()].some(({ plan }) => !isFinal(plan));
+        const wait = (pending ? CONFIRM_MS : IDLE_MS) - (performance.now() - began);
+        this.#timer = setTimeout(() => {
+            void this.#loop();
+        }, Math.max(0, wait));
+    }
+    #readers() {
+        const { instance, dataCentre, network } = this.ctx;
+        const near = network.peers().filter((peer) => peer.dataCentre === dataCentre);
+        const names = [instance, ...near.map(({ name }) => name)];
+        return rendezvous(READERS_KEY, names).slice(0, READERS);
+    }
+    async #byStore() {
+        const at = performance.now();
+        const listed = await this.ctx.store.list(PLAN_PREFIX);
+        if (listed.err)
+            return false;
+        const changed = listed.val.filter(({ key, version }) => version > (this.#known.get(key.slice(PLAN_PREFIX.length))?.version ?? 0));
+        const found = await Promise.all(changed.map(({ key }) => this.ctx.store.read(key)));
+        const plans = found.flatMap((result) => {
+            const plan = result.ok ? parsePlan(result.val.value) : null;
+            return result.ok && plan ? [{ version: result.val.version, plan }] : [];
+        });
+        this.#merge(plans);
+        if (plans.length < changed.length)
+            return false;
+        this.#confirmedAt = Math.max(this.#confirmedAt ?? at, at);
+        return true;
+    }
+    async #byPeers(names) {
+        const answers = await Promise.all(names.map((name) => this.#byPeer(name)));
+        return answers.some(Boolean);
+    }
+    async #byPeer(to) {
+        const at = performance.now();
+        const known = [...this.#known].map(([name, { version }]) => ({ name, version }));
+        const answer = await this.ctx.network.request({
+            to,
+            body: { type: 'confirm-plans', known },
+            reply: 'plans-confirmed',
+            timeoutMs: PEER_MS,
+        });
+        if (answer.err || answer.val.ageMs === null)
+            return false;
+        this.#merge(answer.val.newer);
+        const confirmedAt = at - answer.val.ageMs;
+        const fresher = confirmedAt > (this.#confirmedAt ?? -Infinity);
+        if (fresher)
+            this.#confirmedAt = confirmedAt;
+        return fresher;
+    }
+    #confirmPeer({ known }) {
+        const versions = new Map(known.map(({ name, version }) => [name, version]));
+        const newer = [...this.#known]
+            .filter(([name, { version }]) => version > (versions.get(name) ?? 0))
+            .map(([, stored]) => stored);
+        const at = this.#confirmedAt;
+        const ageMs = at === null ? null : performance.now() - at;
+        return { type: 'plans-confirmed', ageMs, newer };
+    }
+    #merge(news) {
+        const before = this.#known;
+        this.#known = mergePlans(before, news);
+        this.#known.forEach(({ plan }, name) => {
+            const left = hasLeft(plan) && !hasLeft(before.get(name)?.plan ?? { ...plan, phase: 'armed' });
+            if (left)
+                this.ctx.recorder.record('planInForce', { plan: name });
+        });
+    }
+}
+//# sourceMappingURL=planfollower.js.map
--- /dev/null
+++ b/dist-b/src/daemon/requestrun.js
@@ -0,0 +1,186 @@
+/** Performs the commands of one request. */
+import { Err, failure, Ok } from '../kernel/index.js';
+/** One request in progress; subclasses know how to speak to its kind of upstream. */
+export class RequestRun {
+    input;
+    #reserved = 0;
+    #attempts = 0;
+    #upstream;
+    #held;
+    #entered = false;
+    #dispatchedAt = 0;
+    /** Whether the answer of the running attempt has begun. */
+    #begun = false;
+    /**
+     * Creates the run of one request.
+     * @param input - who asks for what
+     */
+    constructor(input) {
+        this.input = input;
+    }
+    /** Whether an upstream may have received the request. */
+    get dispatched() {
+        return this.#attempts > 0;
+    }
+    /**
+     * Performs one command.
+     * @param command - what the decisions ask for
+     * @returns what came of it
+     */
+    async perform(command) {
+        switch (command.type) {
+            case 'reserve':
+                return this.#reserve(command.units);
+            case 'claim':
+                return this.#claim();
+            case 'unclaim':
+                return this.#unclaim();
+            case 'choose':
+                return this.#choose(command.excluded);
+            case 'dispatch':
+                return this.#dispatch();
+            case 'relay':
+                return this.#relay();
+            case 'record':
+                return this.#record(command.units);
+            default:
+                return this.#release();
+        }
+    }
+    async #reserve(units) {
+        const { serving, tenant } = this.input;
+        const deadline = Date.now() + serving.settings.limits.admissionMs;
+        for (;;) {
+            const { budget } = tenant;
+            // Each round depends on the one before.
+            // eslint-disable-next-line no-await-in-loop
+            const { accepted } = await serving.budgets.ask({ type: 'reserve', budget, units });
+            if (accepted) {
+                this.#reserved = units;
+                serving.recorder.record('requestAdmitted', { request: this.input.key, budget });
+                return { type: 'done' };
+            }
+            // eslint-disable-next-line no-await-in-loop
+            const fail = await serving.grants.draw(budget, units);
+            if (fail)
+                return { type: 'failed', fail };
+            if (Date.now() > deadline) {
+                return { type: 'failed', fail: failure('budget-unreachable', budget) };
+            }
+        }
+    }
+    async #claim() {
+        const { serving, tenant, key } = this.input;
+        const made = await serving.claims.acquire({ workspace: tenant.workspace.name, key });
+        if (made.err)
+            return { type: 'failed', fail: made.val };
+        this.#held = made.val;
+        return { type: 'done' };
+    }
+    async #unclaim() {
+        if (this.#held)
+            await this.input.serving.claims.withdraw(this.#held);
+        return { type: 'done' };
+    }
+    async #choose(excluded) {
+        const { serving, route, tenant, key, signal } = this.input;
+        const { workspace } = tenant;
+        const limited = this.#entered ? undefined : serving.routing.enter(workspace);
+        if (limited)
+            return { type: 'failed', fail: limited };
+        this.#entered = true;
+        const id = `${key}.${this.#attempts}`;
+        const digests = this.promptDigests();
+        const placed = await serving.routing.place({ id, workspace, route, digests, excluded, signal });
+        if (placed.err)
+            return { type: 'failed', fail: placed.val };
+        this.#upstream = placed.val;
+        return { type: 'chosen', upstream: this.#upstream.name };
+    }
+    async #dispatch() {
+        const { serving, key } = this.input;
+        const upstream = this.#upstream;
+        if (!upstream)
+            return { type: 'failed', fail: failure('upstream-unavailable', 'route') };
+        // The choice may be old by now: the daemon may have been paused or have queued the request.
+        if (!serving.plans.mayReceive(upstream.name)) {
+            return { type: 'failed', fail: failure('upstream-unavailable', `${upstream.name} leaves`) };
+        }
+        // The choice may be old by now: the daemon may have been paused or have queued the request.
+        if (!serving.plans.mayReceive(upstream.name)) {
+            serving.routing.end(this.input.route, upstream.name, false);
+            return { type: 'failed', fail: failure('upstream-unavailable', `${upstream.name} leaves`) };
+        }
+        this.#attempts += 1;
+        if (this.input.keyGiven) {
+            const workspace = this.input.tenant.workspace.name;
+            void serving.keys.note({ workspace, key }, 'running', upstream.name);
+        }
+        serving.open.add(upstream.name, 1);
+        this.#dispatchedAt = performance.now();
+        this.#begun = false;
+        serving.recorder.record('requestDispatched', { request: key, upstream: upstream.name });
+        const sent = await this.send(upstream, `${key}.${serving.self}.${this.#attempts}`);
+        if (sent.ok)
+            return { type: 'done' };
+        this.#end(upstream, sent.val.code !== 'upstream-refused');
+        return { type: 'failed', fail: sent.val };
+    }
+    async #relay() {
+        const result = await this.relayAnswer();
+        const failed = result.type === 'cut' && !this.input.signal.aborted;
+        if (this.#upstream)
+            this.#end(this.#upstream, failed);
+        return result;
+    }
+    async #record(units) {
+        const { serving, tenant, key } = this.input;
+        const { budget, workspace } = tenant;
+        this.#leave();
+        await serving.budgets.ask({ type: 'settle', budget, reserved: this.#reserved, used: units });
+        const charge = { key, workspace: workspace.name, budget, units };
+        if (await serving.charges.record(charge))
+            return { type: 'done' };
+        return { type: 'failed', fail: failure('no-durability', `key ${key}`, 'interrupted') };
+    }
+    async #release() {
+        const { serving, tenant } = this.input;
+        this.#leave();
+        const { budget } = tenant;
+        await serving.budgets.ask({ type: 'settle', budget, reserved: this.#reserved, used: 0 });
+        return { type: 'done' };
+    }
+    /** Digests of the prompt at its block boundaries; none for calls without a prompt. */
+    promptDigests() {
+        return [];
+    }
+    /** Takes note that the answer has begun. */
+    noteFirstByte() {
+        if (this.#begun)
+            return;
+        this.#begun = true;
+        const { serving, route } = this.input;
+        const delayMs = performance.now() - this.#dispatchedAt;
+        if (this.#upstream)
+            serving.routing.begin(route, this.#upstream.name, delayMs);
+    }
+    #end(upstream, isFailed) {
+        const { serving, route } = this.input;
+        serving.open.add(upstream.name, -1);
+        serving.routing.end(route, upstream.name, isFailed);
+    }
+    #leave() {
+        if (this.#entered)
+            this.input.serving.routing.leave(this.input.tenant.workspace);
+        this.#entered = false;
+    }
+    /** A result without a value. */
+    static accepted() {
+        return Ok(undefined);
+    }
+    /** A result that carries a failure. */
+    static rejected(fail) {
+        return Err(fail);
+    }
+}
+//# sourceMappingURL=requestrun.js.map
--- /dev/null
+++ b/dist-b/src/daemon/routing.js
@@ -0,0 +1,156 @@
+/** Owns the route schedulers of one daemon: places requests, lets them wait, or refuses them. */
+import { Err, failure, Ok } from '../kernel/index.js';
+import { AffinityPolicy, LeastOpenPolicy, RetryBudget, RouteScheduler, WorkspaceUse, } from '../route/index.js';
+/** Interval at which waiting requests are checked against their deadlines, in milliseconds. */
+const TICK_MS = 50;
+/** Refuses with the delay after which a caller may try again. */
+function refused(code, subject, retryAfterMs) {
+    return { ...failure(code, subject), retryAfterMs };
+}
+/** Places requests at upstreams. */
+export class Routing {
+    ctx;
+    retries = new RetryBudget();
+    #lanes = new Map();
+    #uses = new WorkspaceUse();
+    #timer;
+    /**
+     * Creates the task.
+     * @param ctx - configuration, events, random numbers and the size of the fleet
+     */
+    constructor(ctx) {
+        this.ctx = ctx;
+    }
+    /** Begins to check deadlines. */
+    start() {
+        this.#timer = setInterval(() => {
+            this.#lanes.forEach((lane) => {
+                if (lane.scheduler.waiting > 0)
+                    this.#apply(lane, { type: 'tick' });
+            });
+        }, TICK_MS);
+    }
+    /** Stops checking deadlines. */
+    stop() {
+        clearInterval(this.#timer);
+    }
+    /** Requests that wait at all routes. */
+    get waiting() {
+        return [...this.#lanes.values()].reduce((sum, { scheduler }) => sum + scheduler.waiting, 0);
+    }
+    /**
+     * Admits a request against the limits of its workspace.
+     * @param workspace - the workspace
+     * @returns a failure if the limit is reached; otherwise "leave" must follow
+     */
+    enter(workspace) {
+        const { name, concurrency, requestsPerSecond } = workspace;
+        const limits = { workspace: name, concurrency, requestsPerSecond };
+        const delayMs = this.#uses.enter(limits, Math.max(1, this.ctx.daemons()), performance.now());
+        if (delayMs === 0)
+            return undefined;
+        return refused('limit-reached', `workspace ${name}`, delayMs);
+    }
+    /**
+     * Takes note that an admitted request has ended.
+     * @param workspace - its workspace
+     */
+    leave(workspace) {
+        this.#uses.leave(workspace.name);
+    }
+    /**
+     * Finds an upstream, waiting for room until the queue deadline of the route.
+     * @param ask - the request
+     * @returns the upstream, counted as busy until "end"; otherwise why there is none
+     */
+    async place(ask) {
+        const { route, excluded, digests, id } = ask;
+        const documents = this.#upstreams(route);
+        const lane = this.#lane(route);
+        const { priority, queueMs } = route;
+        const deadline = performance.now() + queueMs;
+        const workspace = ask.workspace.name;
+        const ticket = { id, workspace, priority, digests, excluded, deadline };
+        const command = await new Promise((resolve) => {
+            lane.waiting.set(id, resolve);
+            ask.signal.addEventListener('abort', () => this.#abandon(lane, ticket), { once: true });
+            this.#apply(lane, { type: 'workers', documents });
+            this.#apply(lane, { type: 'submit', ticket });
+        });
+        if (command.type === 'dispatch') {
+            const upstream = documents.find(({ name }) => name === command.worker);
+            const current = upstream ?? this.#current(route, command.worker);
+            if (current)
+                return Ok(current);
+        }
+        if (command.type !== 'refuse')
+            return Err(failure('upstream-unavailable', route.name));
+        return Err(refused(command.code, `route ${route.name}`, command.retryAfterMs));
+    }
+    /**
+     * Takes note that an answer has begun.
+     * @param route - the route
+     * @param worker - upstream name
+     * @param delayMs - since the dispatch, in milliseconds
+     */
+    begin(route, worker, delayMs) {
+        this.#apply(this.#lane(route), { type: 'begin', worker, delayMs });
+    }
+    /**
+     * Takes note that a request has ended at an upstream.
+     * @param route - the route
+     * @param worker - upstream name
+     * @param isFailed - whether the upstream failed
+     */
+    end(route, worker, isFailed) {
+        this.#apply(this.#lane(route), { type: 'end', worker, failed: isFailed });
+    }
+    /**
+     * Takes a load report.
+     * @param route - route of the worker
+     * @param worker - upstream name
+     * @param report - the report
+     */
+    report(route, worker, report) {
+        this.#apply(this.#lane(route), { type: 'report', worker, report });
+    }
+    #upstreams(route) {
+        const published = this.ctx.config.current?.upstreams(route.name) ?? [];
+        return published.filter(({ name }) => this.ctx.mayReceive(name));
+    }
+    #current(route, name) {
+        return this.#upstreams(route).find((upstream) => upstream.name === name);
+    }
+    #lane(route) {
+        const known = this.#lanes.get(route.name);
+        if (known)
+            return known;
+        const { random } = this.ctx;
+        const policy = route.kind === 'model' ? new AffinityPolicy() : new LeastOpenPolicy(random);
+        const scheduler = new RouteScheduler(policy, this.retries);
+        const lane = { scheduler, policy, waiting: new Map() };
+        this.#lanes.set(route.name, lane);
+        return lane;
+    }
+    #abandon(lane, ticket) {
+        const resolve = lane.waiting.get(ticket.id);
+        if (!resolve)
+            return;
+        lane.waiting.delete(ticket.id);
+        this.#apply(lane, { type: 'leave', ticket });
+        resolve({ type: 'refuse', ticket, code: 'overloaded', retryAfterMs: 0 });
+    }
+    #apply(lane, event) {
+        for (const command of lane.scheduler.handle(event, performance.now())) {
+            if (command.type === 'eject') {
+                this.ctx.recorder.record('upstreamEjected', { upstream: command.worker });
+            }
+            else {
+                const resolve = lane.waiting.get(command.ticket.id);
+                lane.waiting.delete(command.ticket.id);
+                resolve?.(command);
+            }
+        }
+    }
+}
+//# sourceMappingURL=routing.js.map
--- /dev/null
+++ b/dist-b/src/daemon/v8flags.js
@@ -0,0 +1,4 @@
+/** Keeps the heap of an idle daemon small; imported before any other module. */
+import { setFlagsFromString } from 'node:v8';
+setFlagsFromString('--optimize-for-size');
+//# sourceMappingURL=v8flags.js.map
--- /dev/null
+++ b/dist-b/src/daemon/wholesink.js
@@ -0,0 +1,72 @@
+/** Collects a model answer and sends it as one JSON body. */
+import { z } from 'zod';
+import { FAILURE_KINDS, formatFailure, retryAfter } from '../kernel/index.js';
+import { AnswerSink } from './answersink.js';
+const eventSchema = z.object({
+    id: z.string(),
+    model: z.string().default(''),
+    choices: z
+        .array(z.object({
+        delta: z.object({ content: z.string().default('') }).default({ content: '' }),
+        finish_reason: z.string().nullable().default(null),
+    }))
+        .default([]),
+    usage: z.unknown().optional(),
+});
+/** Gathers the events of an answer until its end. */
+export class WholeSink extends AnswerSink {
+    res;
+    key;
+    started = false;
+    #chunks = [];
+    /**
+     * Creates the sink of one answer.
+     * @param res - response of the caller's request
+     * @param key - idempotency key, returned to the caller
+     */
+    constructor(res, key) {
+        super();
+        this.res = res;
+        this.key = key;
+    }
+    async write(bytes) {
+        this.#chunks.push(bytes);
+    }
+    finish() {
+        this.#send(200, this.#assemble());
+    }
+    refuse(fail) {
+        this.#send(FAILURE_KINDS[fail.code].status, formatFailure(fail), retryAfter(fail));
+    }
+    #assemble() {
+        const events = Buffer.concat(this.#chunks)
+            .toString()
+            .split('\n\n')
+            .filter((text) => text.startsWith('data: {'))
+            .map((text) => eventSchema.parse(JSON.parse(text.slice('data: '.length))));
+        const choices = events.flatMap((event) => event.choices);
+        const content = choices.map(({ delta }) => delta.content).join('');
+        return {
+            id: events[0]?.id,
+            object: 'chat.completion',
+            model: events[0]?.model,
+            choices: [
+                {
+                    index: 0,
+                    message: { role: 'assistant', content },
+                    finish_reason: choices.findLast((choice) => choice.finish_reason)?.finish_reason ?? 'stop',
+                },
+            ],
+            usage: events.findLast((event) => event.usage)?.usage,
+        };
+    }
+    #send(status, body, headers = {}) {
+        this.res.writeHead(status, {
+            'content-type': 'application/json',
+            'idempotency-key': this.key,
+            ...headers,
+        });
+        this.res.end(JSON.stringify(body));
+    }
+}
+//# sourceMappingURL=wholesink.js.map
--- /dev/null
+++ b/dist-b/src/fleet/index.js
@@ -0,0 +1,3 @@
+/** Fleet aggregate: instances, backups and handover. */
+export * from './messages.js';
+//# sourceMappingURL=index.js.map
--- /dev/null
+++ b/dist-b/src/kernel/schemaissue.js
@@ -0,0 +1,124 @@
+import { nearestName } from './nearest.js';
+/** Characters of a wrong value that are shown. */
+const MAX_SHOWN = 40;
+/** Fields whose values are not shown. */
+const SECRET = /key$|^sha256$/i;
+/** What people call the types of a schema. */
+const TYPE_NAMES = {
+    string: 'text',
+    number: 'a number',
+    int: 'a whole number',
+    boolean: 'true or false',
+    array: 'a list',
+    object: 'named fields',
+};
+function unwrap(schema) {
+    const { innerType } = schema.def;
+    return innerType ? unwrap(innerType) : schema;
+}
+function defOf(schema) {
+    return unwrap(schema).def;
+}
+/**
+ * Lists the fields that a schema knows at a place.
+ * @param schema - schema of the whole document
+ * @param path - place of an object within it
+ * @returns names of the fields
+ */
+export function knownFields(schema, path) {
+    const end = path.reduce((at, step) => {
+        if (!at)
+            return undefined;
+        const def = defOf(at);
+        return typeof step === 'number' ? def.element : def.shape?.[String(step)];
+    }, schema);
+    return end ? Object.keys(defOf(end).shape ?? {}) : [];
+}
+function valueAt(root, path) {
+    return path.reduce((at, step) => at?.[step], root);
+}
+function show(value) {
+    if (value === null)
+        return 'nothing';
+    if (Array.isArray(value))
+        return 'a list';
+    if (typeof value === 'object')
+        return 'named fields';
+    const text = typeof value === 'string' ? JSON.stringify(value) : String(value);
+    return text.length > MAX_SHOWN ? `${text.slice(0, MAX_SHOWN)}...` : text;
+}
+/**
+ * Offers the nearest known name, or lists the known ones.
+ * @param name - name as written
+ * @param known - known names
+ * @param what - what the names are, in the plural
+ * @returns a remedy
+ */
+export function suggest(name, known, what) {
+    const near = nearestName(name, known);
+    if (near !== undefined)
+        return `did you mean "${near}"?`;
+    return known.length > 0 ? `${what}: ${known.join(', ')}` : `there are no ${what}`;
+}
+function unknownFields(schema, path, keys) {
+    const known = knownFields(schema, path);
+    return keys.map((key) => ({
+        path: [...path, key],
+        atName: true,
+        text: `unknown field "${key}"`,
+        remedy: suggest(key, known, 'known fields'),
+    }));
+}
+function expected(issue, found) {
+    switch (issue.code) {
+        case 'invalid_type': {
+            const type = TYPE_NAMES[issue.expected] ?? issue.expected;
+            return { text: `expected ${type}`, remedy: `write ${type}` };
+        }
+        case 'invalid_value': {
+            const values = issue.values.map(String);
+            const text = `expected one of ${values.join(', ')}`;
+            return { text, remedy: suggest(String(found), values, 'values') };
+        }
+        case 'too_small': {
+            if (issue.origin === 'string')
+                return { text: issue.message, remedy: 'correct the value' };
+            const least = `${issue.inclusive ? 'at least' : 'more than'} ${issue.minimum}`;
+            return { text: `expected ${least}`, remedy: `write ${least}` };
+        }
+        case 'too_big': {
+            const most = `${issue.inclusive ? 'at most' : 'less than'} ${issue.maximum}`;
+            return { text: `expected ${most}`, remedy: `write ${most}` };
+        }
+        default:
+            return { text: issue.message, remedy: 'correct the value' };
+    }
+}
+/** Expectation of an issue, and what was found unless it may be a secret. */
+function expectation(issue, found) {
+    const { text, remedy } = expected(issue, found);
+    if (SECRET.test(String(issue.path.at(-1))))
+        return { text, remedy: 'correct the value' };
+    return { text: `${text}, found ${show(found)}`, remedy };
+}
+/**
+ * Explains an issue of a schema.
+ * @param schema - schema of the whole document
+ * @param root - the whole document
+ * @param issue - what the schema found
+ * @returns texts, remedies and places
+ */
+export function explainIssue(schema, root, issue) {
+    const { path } = issue;
+    if (issue.code === 'unrecognized_keys')
+        return unknownFields(schema, path, issue.keys);
+    const found = valueAt(root, path);
+    const where = path.map(String).join('.');
+    if (found === undefined) {
+        const remedy = `add "${String(path.at(-1))}"`;
+        return [{ path, atName: false, text: `missing field "${where}"`, remedy }];
+    }
+    const { text, remedy } = expectation(issue, found);
+    return [{ path, atName: false, text: where ? `${where}: ${text}` : text, remedy }];
+}
+//# sourceMappingURL=schemaissue.js.map
--- /dev/null
+++ b/dist-b/src/kernel/units.js
@@ -0,0 +1,10 @@
+/** Unit conversions shared by every aggregate. */
+/** Milliseconds in one second. */
+export const SECOND_MS = 1_000;
+/** Milliseconds in one minute. */
+export const MINUTE_MS = 60 * SECOND_MS;
+/** Bytes in one kibibyte. */
+export const KIB_BYTES = 1_024;
+/** Bytes in one mebibyte. */
+export const MIB_BYTES = 1_024 * KIB_BYTES;
+//# sourceMappingURL=units.js.map
--- /dev/null
+++ b/dist-b/src/kernel/yamltext.js
@@ -0,0 +1,113 @@
+/** Decodes the bytes of a YAML file and refuses what hides its meaning. */
+import { MIB_BYTES } from './units.js';
+import { START } from './problem.js';
+import { Err, Ok } from './result.js';
+/** Largest file, in bytes. */
+const MAX_FILE_BYTES = MIB_BYTES;
+/** Depth of nesting that one file may have: the parser recurses, and Node aborts on some deep files. */
+const MAX_DEPTH = 32;
+/** Indentation that one line may have, in spaces. */
+const MAX_INDENT = 100;
+const NEWLINE = 0x0a;
+const TOO_DEEP = { text: 'nested too deeply', remedy: 'write the fields with less nesting' };
+/** What no line of a file may hold. */
+const REFUSED = [
+    {
+        pattern: /\t/,
+        text: 'tab character',
+        remedy: 'use spaces; write "\\t" within double quotes',
+    },
+    {
+        // Control characters are what this pattern is about.
+        // eslint-disable-next-line no-control-regex
+        pattern: /[\u0000-\u0008\u000b\u000c\u000e-\u001f\u007f\u0085\u2028\u2029]/,
+        text: 'control character',
+        remedy: 'remove it, or write it as an escape within double quotes',
+    },
+    { pattern: new RegExp(`^ {${MAX_INDENT}}`), ...TOO_DEEP },
+    { pattern: new RegExp(`^ *(?:[-?:] +){${MAX_DEPTH}}`), ...TOO_DEEP },
+    { pattern: /^%/, text: 'YAML directive', remedy: 'remove the line' },
+];
+function decode(bytes) {
+    try {
+        return new TextDecoder('utf-8', { fatal: true }).decode(bytes);
+    }
+    catch {
+        return undefined;
+    }
+}
+function brokenPlace(bytes) {
+    let line = 1;
+    let start = 0;
+    for (let end = bytes.indexOf(NEWLINE); end >= 0; end = bytes.indexOf(NEWLINE, start)) {
+        if (decode(bytes.subarray(start, end)) === undefined)
+            break;
+        line += 1;
+        start = end + 1;
+    }
+    const rest = new TextDecoder().decode(bytes.subarray(start));
+    return { line, column: rest.indexOf('\ufffd') + 1 };
+}
+function refusedIn(file, line, index) {
+    return REFUSED.flatMap(({ pattern, text, remedy }) => {
+        const at = line.search(pattern);
+        return at < 0 ? [] : [{ file, line: index + 1, column: at + 1, text, remedy }];
+    });
+}
+/** Finds the first bracket that opens too deep; brackets within quotes count as well. */
+function deepBracket(text) {
+    let open = 0;
+    for (let index = 0; index < text.length; index += 1) {
+        const char = text[index];
+        if (char === '[' || char === '{')
+            open += 1;
+        if (char === ']' || char === '}')
+            open = Math.max(0, open - 1);
+        if (open > MAX_DEPTH)
+            return index;
+    }
+    return -1;
+}
+function depthProblem(file, text) {
+    const index = deepBracket(text);
+    if (index < 0)
+        return [];
+    const before = text.slice(0, index).split('\n');
+    const column = (before.at(-1)?.length ?? 0) + 1;
+    return [{ file, line: before.length, column, ...TOO_DEEP }];
+}
+/**
+ * Refuses a file by its size.
+ * @param file - name of the file
+ * @param bytes - its size in bytes
+ * @returns the problem; undefined for a file that is small enough
+ */
+export function sizeProblem(file, bytes) {
+    if (bytes <= MAX_FILE_BYTES)
+        return undefined;
+    const text = `the file has ${bytes} bytes, more than ${MAX_FILE_BYTES}`;
+    return { file, ...START, text, remedy: 'split the file' };
+}
+/**
+ * Decodes a file.
+ * @param file - name of the file, for messages
+ * @param content - bytes of the file
+ * @returns its text, or every problem that was found
+ */
+export function decodeYaml(file, content) {
+    const size = sizeProblem(file, content.length);
+    if (size)
+        return Err([size]);
+    const text = decode(content);
+    if (text === undefined) {
+        const remedy = 'save the file as UTF-8';
+        return Err([{ file, ...brokenPlace(content), text: 'the file is not UTF-8', remedy }]);
+    }
+    const lines = text.split(/\r?\n/);
+    const problems = [
+        ...lines.flatMap((line, index) => refusedIn(file, line, index)),
+        ...depthProblem(file, text),
+    ];
+    return problems.length > 0 ? Err(problems) : Ok(text);
+}
+//# sourceMappingURL=yamltext.js.map
--- /dev/null
+++ b/dist-b/src/link/frames.js
@@ -0,0 +1,60 @@
+/** Frames of a peer link: handshake, heartbeats, requests and replies. */
+import { createHmac, timingSafeEqual } from 'node:crypto';
+import { z } from 'zod';
+import { peerMessageSchema } from './messages.js';
+const stampSchema = z.object({ wall: z.number(), count: z.number() }).readonly();
+/** The listener asks the dialler to prove that it knows the fleet key. */
+const challengeSchema = z.object({ kind: z.literal('challenge'), nonce: z.string() });
+/** The dialler names itself, proves the key and asks the listener for the same. */
+const helloSchema = z.object({
+    kind: z.literal('hello'),
+    from: z.string(),
+    nonce: z.string(),
+    proof: z.string(),
+});
+/** The listener names itself and proves the key. */
+const welcomeSchema = z.object({ kind: z.literal('welcome'), from: z.string(), proof: z.string() });
+const heartbeatSchema = z.object({ kind: z.literal('heartbeat') });
+const requestSchema = z.object({
+    kind: z.literal('request'),
+    id: z.number().int(),
+    stamp: stampSchema,
+    body: peerMessageSchema,
+});
+const replySchema = z.object({
+    kind: z.literal('reply'),
+    id: z.number().int(),
+    stamp: stampSchema,
+    body: peerMessageSchema,
+});
+/** Schema of every frame. */
+export const frameSchema = z.discriminatedUnion('kind', [
+    challengeSchema,
+    helloSchema,
+    welcomeSchema,
+    heartbeatSchema,
+    requestSchema,
+    replySchema,
+]);
+/**
+ * Proves knowledge of the fleet key.
+ * @param fleetKey - key that all daemons share
+ * @param nonce - random text of the other side
+ * @param from - incarnation that proves itself
+ * @returns the proof in hexadecimal
+ */
+export function prove(fleetKey, nonce, from) {
+    return createHmac('sha256', fleetKey).update(`${nonce}\n${from}`).digest('hex');
+}
+/**
+ * Compares two proofs in constant time.
+ * @param a - one proof
+ * @param b - another proof
+ * @returns whether they are equal
+ */
+export function sameProof(a, b) {
+    const left = Buffer.from(a);
+    const right = Buffer.from(b);
+    return left.length === right.length && timingSafeEqual(left, right);
+}
+//# sourceMappingURL=frames.js.map
--- /dev/null
+++ b/dist-b/src/plan/tests/known.test.js
@@ -0,0 +1,48 @@
+import test from 'ava';
+import { declarePlan, hasClosed, mayReceive, mergePlans, STALE_MS } from '../index.js';
+const UPSTREAM = { kind: 'upstream', name: 'p', upstream: 'engine-1', orders: ['unload'] };
+const DATE = '2026-12-04T06:00:00Z';
+const WORKSPACE = { kind: 'workspace', name: 'w', workspace: 'shop', from: DATE };
+const FRESH = { confirmedAt: 10_000, now: 10_000 + STALE_MS, wall: 0 };
+const STALE = { ...FRESH, now: FRESH.now + 1 };
+function stored(document, phase, paused = false) {
+    return { version: 1, plan: { ...declarePlan(document, 'entry-1~a'), phase, paused } };
+}
+const DISPATCH = [
+    { name: 'declared, confirmed', phase: 'declared', at: FRESH, allowed: true },
+    { name: 'armed, confirmed', phase: 'armed', at: FRESH, allowed: true },
+    { name: 'declared, confirmation too old', phase: 'declared', at: STALE, allowed: false },
+    { name: 'armed, confirmation too old', phase: 'armed', at: STALE, allowed: false },
+    { name: 'leaving', phase: 'leaving', at: FRESH, allowed: false },
+    { name: 'ordering', phase: 'ordering', at: FRESH, allowed: false },
+    { name: 'done', phase: 'done', at: FRESH, allowed: false },
+    { name: 'abandoned, confirmation too old', phase: 'abandoned', at: STALE, allowed: true },
+];
+DISPATCH.forEach(({ name, phase, at, allowed }) => {
+    test(`new work for an upstream: ${name}`, (t) => {
+        const known = mergePlans(new Map(), [stored(UPSTREAM, phase)]);
+        t.is(mayReceive(known, 'engine-1', at), allowed);
+        t.true(mayReceive(known, 'engine-2', at), 'other upstreams stay in use during an outage');
+    });
+});
+const BEFORE = Date.parse(DATE) - 1;
+const CLOSED = [
+    { name: 'before the date', phase: 'armed', wall: BEFORE, paused: false, closed: false },
+    { name: 'at the date', phase: 'armed', wall: BEFORE + 1, paused: false, closed: true },
+    { name: 'at the date, paused', phase: 'armed', wall: BEFORE + 1, paused: true, closed: false },
+    { name: 'by command', phase: 'leaving', wall: BEFORE, paused: false, closed: true },
+    { name: 'abandoned', phase: 'abandoned', wall: BEFORE + 1, paused: false, closed: false },
+];
+CLOSED.forEach(({ name, phase, wall, paused, closed }) => {
+    test(`a workspace is closed: ${name}`, (t) => {
+        const known = mergePlans(new Map(), [stored(WORKSPACE, phase, paused)]);
+        t.is(hasClosed(known, 'shop', { ...FRESH, wall }), closed);
+        t.false(hasClosed(known, 'other', { ...FRESH, wall }));
+    });
+});
+test('a plan never goes back to an older version', (t) => {
+    const newer = { ...stored(UPSTREAM, 'leaving'), version: 7 };
+    const known = mergePlans(new Map(), [newer]);
+    t.is(mergePlans(known, [{ ...stored(UPSTREAM, 'armed'), version: 6 }]).get('p'), newer);
+});
+//# sourceMappingURL=known.test.js.map
--- /dev/null
+++ b/dist-b/src/plan/tests/steps.test.js
@@ -0,0 +1,148 @@
+import test from 'ava';
+import { advance, declarePlan, QUIET_MS } from '../index.js';
+const DOCUMENT = { kind: 'upstream', name: 'p', upstream: 'engine-1', orders: ['unload'] };
+function viewOf(setting) {
+    const { phase, started = false, paused = false, order = 'pending' } = setting;
+    const orders = [{ order: 'unload', state: order, fence: 0 }];
+    const plan = { ...declarePlan(DOCUMENT, 'entry-1~a'), phase, started, paused, orders };
+    const { acceptedForMs = 0, checks = false } = setting;
+    return { plan, wall: 5, acceptedForMs, checksFencing: checks };
+}
+/** Names a command with what matters of it. */
+function label(command) {
+    if (command.type !== 'write')
+        return command.type;
+    const { phase, orders } = command.plan;
+    return `write ${phase} ${orders[0]?.state ?? ''}`;
+}
+function run(view, answers) {
+    const steps = advance(view);
+    const seen = [];
+    let index = 0;
+    for (let step = steps.next(); !step.done; index += 1) {
+        seen.push(label(step.value));
+        step = steps.next(answers[index] ?? { type: 'stopped' });
+    }
+    return seen;
+}
+function surveyed(open, unreachable = [], unaware = []) {
+    return { type: 'surveyed', open, unreachable, unaware };
+}
+const DONE = { type: 'done' };
+const FENCED = { type: 'fenced', fence: 4 };
+function inspected(open, orders = []) {
+    return { type: 'inspected', open, orders };
+}
+const CASES = [
+    {
+        name: 'every daemon knows a declared plan',
+        setting: { phase: 'declared' },
+        answers: [surveyed(3), DONE],
+        seen: ['survey', 'write armed pending'],
+    },
+    {
+        name: 'a daemon that does not answer keeps a plan from being armed',
+        setting: { phase: 'declared' },
+        answers: [surveyed(0, ['entry-2']), DONE],
+        seen: ['survey', 'write declared pending'],
+    },
+    {
+        name: 'a started plan is not accepted before every daemon knows it',
+        setting: { phase: 'declared', started: true },
+        answers: [surveyed(0, [], ['entry-2']), DONE],
+        seen: ['survey', 'write declared pending'],
+    },
+    { name: 'an armed plan waits', setting: { phase: 'armed' }, answers: [], seen: [] },
+    {
+        name: 'an armed plan is accepted once it is started',
+        setting: { phase: 'armed', started: true },
+        answers: [DONE],
+        seen: ['write leaving pending'],
+    },
+    {
+        name: 'a paused plan rests',
+        setting: { phase: 'armed', started: true, paused: true },
+        answers: [],
+        seen: [],
+    },
+    {
+        name: 'open work has ended',
+        setting: { phase: 'leaving' },
+        answers: [surveyed(0), DONE],
+        seen: ['survey', 'write ordering pending'],
+    },
+    {
+        name: 'open work goes on',
+        setting: { phase: 'leaving' },
+        answers: [surveyed(2), DONE],
+        seen: ['survey', 'write leaving pending'],
+    },
+    {
+        name: 'a silent daemon within the quiet time',
+        setting: { phase: 'leaving', acceptedForMs: QUIET_MS },
+        answers: [surveyed(0, ['entry-2']), DONE],
+        seen: ['survey', 'write leaving pending'],
+    },
+    {
+        name: 'a silent daemon, and the upstream has nothing open',
+        setting: { phase: 'leaving', acceptedForMs: QUIET_MS + 1 },
+        answers: [surveyed(0, ['entry-2']), inspected(0), DONE],
+        seen: ['survey', 'inspect', 'write ordering pending'],
+    },
+    {
+        name: 'a silent daemon, and the upstream does not say what it has open',
+        setting: { phase: 'leaving', acceptedForMs: QUIET_MS + 1 },
+        answers: [surveyed(0, ['entry-2']), inspected(null), DONE],
+        seen: ['survey', 'inspect', 'write leaving pending'],
+    },
+    {
+        name: 'an order is recorded, sent and read back',
+        setting: { phase: 'ordering' },
+        answers: [FENCED, DONE, DONE, inspected(0, ['p/0']), DONE],
+        seen: ['fence', 'write ordering intended', 'send', 'inspect', 'write ordering confirmed'],
+    },
+    {
+        name: 'an intent that could not be recorded sends nothing',
+        setting: { phase: 'ordering' },
+        answers: [FENCED, { type: 'stopped' }],
+        seen: ['fence', 'write ordering intended'],
+    },
+    {
+        name: 'an order of an earlier sender that arrived is not sent again',
+        setting: { phase: 'ordering', order: 'intended' },
+        answers: [FENCED, DONE, inspected(0, ['p/0']), DONE],
+        seen: ['fence', 'wait', 'inspect', 'write ordering confirmed'],
+    },
+    {
+        name: 'an earlier sender is kept out by the number before the outcome is read',
+        setting: { phase: 'ordering', order: 'intended', checks: true },
+        answers: [FENCED, DONE, inspected(0), DONE, DONE, inspected(0, ['p/0']), DONE],
+        seen: [
+            'fence',
+            'present',
+            'inspect',
+            'write ordering intended',
+            'send',
+            'inspect',
+            'write ordering confirmed',
+        ],
+    },
+    {
+        name: 'an upstream that cannot be read back is not sent the order again',
+        setting: { phase: 'ordering', order: 'intended' },
+        answers: [FENCED, DONE, { type: 'stopped' }],
+        seen: ['fence', 'wait', 'inspect'],
+    },
+    {
+        name: 'every order is confirmed',
+        setting: { phase: 'ordering', order: 'confirmed' },
+        answers: [DONE],
+        seen: ['write done confirmed'],
+    },
+];
+CASES.forEach(({ name, setting, answers, seen }) => {
+    test(`steps of a departure: ${name}`, (t) => {
+        t.deepEqual(run(viewOf(setting), answers), seen);
+    });
+});
+//# sourceMappingURL=steps.test.js.map
--- /dev/null
+++ b/dist-b/src/platform/httpinstancelist.js
@@ -0,0 +1,40 @@
+/** HTTP client of the platform's instance list. */
+import { request } from 'undici';
+import { z } from 'zod';
+import { Err, Ok } from '../kernel/index.js';
+import { InstanceList } from './instancelist.js';
+/** Longest wait for the list, in milliseconds. */
+const TIMEOUT_MS = 2_000;
+const listSchema = z.object({
+    instances: z.array(z.object({
+        name: z.string(),
+        dataCentre: z.string(),
+        peerAddress: z.string(),
+        state: z.enum(['live', 'leaving']),
+    })),
+});
+/** Reads the list from the platform over HTTP. */
+export class HttpInstanceList extends InstanceList {
+    base;
+    /**
+     * Creates a client.
+     * @param base - base address, "http://IP:port"
+     */
+    constructor(base) {
+        super();
+        this.base = base;
+    }
+    async fetch() {
+        try {
+            const res = await request(`${this.base}/instances`, {
+                headersTimeout: TIMEOUT_MS,
+                bodyTimeout: TIMEOUT_MS,
+            });
+            return Ok(listSchema.parse(await res.body.json()).instances);
+        }
+        catch (err) {
+            return Err(`instance list at ${this.base}: ${String(err)}`);
+        }
+    }
+}
+//# sourceMappingURL=httpinstancelist.js.map
--- /dev/null
+++ b/dist-b/src/platform/instancelist.js
@@ -0,0 +1,4 @@
+/** Lists live and leaving instances. */
+export class InstanceList {
+}
+//# sourceMappingURL=instancelist.js.map
--- /dev/null
+++ b/dist-b/src/request/tests/keytable.test.js
@@ -0,0 +1,82 @@
+import test from 'ava';
+import { failure } from '../../kernel/index.js';
+import { newestRecord } from '../keyrecord.js';
+import { KEY_MEMORY_MS, KeyTable } from '../keytable.js';
+import { FRESH_KEY, honestFailure, refuseKey } from '../keyverdict.js';
+const FIRST = { workspace: 'w', key: 'k', digest: 'd', owner: 'a~1', at: 1_000 };
+const RECORD = { ...FIRST, state: 'running', upstream: null };
+test('key table: a second attempt learns of the first and becomes the newest', (t) => {
+    const table = new KeyTable();
+    t.is(table.begin(FIRST), null);
+    t.deepEqual(table.begin({ ...FIRST, owner: 'b~1', at: 2_000 }), RECORD);
+    table.note({ workspace: 'w', key: 'k', owner: 'a~1', state: 'answered', upstream: null });
+    t.is(table.find(FIRST)?.state, 'running');
+    t.is(table.find(FIRST)?.owner, 'b~1');
+});
+test('key table: another body does not replace the record', (t) => {
+    const table = new KeyTable();
+    table.begin(FIRST);
+    t.deepEqual(table.begin({ ...FIRST, digest: 'other', owner: 'b~1' }), RECORD);
+    t.deepEqual(table.find(FIRST), RECORD);
+});
+test('key table: a withdrawn attempt leaves what was known before it', (t) => {
+    const table = new KeyTable();
+    table.begin(FIRST);
+    const earlier = table.begin({ ...FIRST, owner: 'b~1', at: 2_000 });
+    table.withdraw(FIRST, 'b~1', earlier);
+    t.deepEqual(table.find(FIRST), RECORD);
+    table.withdraw(FIRST, 'a~1', null);
+    t.is(table.find(FIRST), null);
+});
+test('key table: old records are dropped', (t) => {
+    const table = new KeyTable();
+    table.begin(FIRST);
+    table.begin({ ...FIRST, key: 'later', at: FIRST.at + KEY_MEMORY_MS + 1 });
+    t.is(table.find(FIRST), null);
+    t.is(table.size, 1);
+});
+test('key records: the newest of several counts', (t) => {
+    const newer = { ...RECORD, at: 3_000, state: 'cut' };
+    t.deepEqual(newestRecord([null, RECORD, newer, null]), newer);
+    t.is(newestRecord([null]), null);
+});
+const NOT_RUN = failure('overloaded', 'r');
+const OUTCOMES = [
+    { title: 'a fresh key', findings: FRESH_KEY, outcome: 'not-run' },
+    { title: 'a known key', findings: { ...FRESH_KEY, earlier: RECORD }, outcome: 'unknown' },
+    { title: 'no answer', findings: { ...FRESH_KEY, certain: false }, outcome: 'unknown' },
+];
+OUTCOMES.forEach(({ title, findings, outcome }) => {
+    test(`a refusal is "not-run" only where that is proved: ${title}`, (t) => {
+        t.is(honestFailure(NOT_RUN, findings).outcome, outcome);
+    });
+});
+const VERDICTS = [
+    { title: 'a fresh key may run', findings: FRESH_KEY, digest: 'd', code: undefined },
+    {
+        title: 'an ended attempt may be repeated',
+        findings: { ...FRESH_KEY, earlier: { ...RECORD, state: 'cut' } },
+        digest: 'd',
+        code: undefined,
+    },
+    {
+        title: 'a running attempt is not doubled',
+        findings: { ...FRESH_KEY, earlier: RECORD, running: true },
+        digest: 'd',
+        code: 'key-in-progress',
+    },
+    {
+        title: 'another body is refused',
+        findings: { ...FRESH_KEY, earlier: RECORD },
+        digest: 'e',
+        code: 'key-reused',
+    },
+];
+VERDICTS.forEach(({ title, findings, digest, code }) => {
+    test(`key verdict: ${title}`, (t) => {
+        const refused = refuseKey(findings, digest);
+        t.is(refused?.code, code);
+        t.not(refused?.outcome, 'not-run');
+    });
+});
+//# sourceMappingURL=keytable.test.js.map
--- /dev/null
+++ b/dist-b/src/route/affinity.js
@@ -0,0 +1,83 @@
+/** Prompt-prefix affinity with bounded load. */
+import { CacheIndex } from './cacheindex.js';
+import { ChoicePolicy } from './choice.js';
+import { mix32 } from './digest.js';
+/** Blocks of a prompt that decide its home: longer than most shared preambles. */
+export const HOME_BLOCKS = 8;
+/** Load that a worker may reach for the sake of its cache, as a multiple of the mean. */
+export const LOAD_BOUND = 1.1;
+/** Load always allowed above the mean, as a share of capacity: an idle pool needs no bound. */
+const LOAD_SLACK = 0.02;
+/** Prefixes that one daemon remembers for one route. */
+const INDEXED_PREFIXES = 20_000;
+/**
+ * Sends a prompt to a worker that holds its prefix, as long as that worker is not overloaded.
+ * Where none is known, rendezvous hashing gives every daemon the same home without a message.
+ */
+export class AffinityPolicy extends ChoicePolicy {
+    index;
+    #bound;
+    /**
+     * Creates the policy.
+     * @param options - bound and memory
+     */
+    constructor(options = {}) {
+        super();
+        this.#bound = options.bound ?? LOAD_BOUND;
+        this.index = new CacheIndex(options.indexedPrefixes ?? INDEXED_PREFIXES);
+    }
+    choose({ candidates, meanLoad, digests }) {
+        const limit = meanLoad * this.#bound + LOAD_SLACK;
+        const home = digests[Math.min(HOME_BLOCKS, digests.length) - 1] ?? 0;
+        const first = AffinityPolicy.#preferred(candidates, home, limit);
+        const [top] = first;
+        if (!top)
+            return undefined;
+        if (first.length === 1 || this.#holds(top, digests))
+            return top;
+        return this.#holder(candidates, digests, limit) ?? top;
+    }
+    noteDispatch(worker, digests) {
+        this.index.add(worker.name, digests);
+    }
+    #holds(worker, digests) {
+        const home = digests[Math.min(HOME_BLOCKS, digests.length) - 1];
+        return home !== undefined && this.index.holders(home).includes(worker.name);
+    }
+    /** The worker below the limit that holds most of the prompt. */
+    #holder(candidates, digests, limit) {
+        for (let depth = digests.length - 1; depth >= 0; depth -= 1) {
+            const holders = this.index.holders(digests[depth] ?? 0);
+            if (holders.length > 0) {
+                const found = candidates.find(({ worker, load }) => load <= limit && holders.includes(worker.name));
+                if (found)
+                    return found.worker;
+            }
+        }
+        return undefined;
+    }
+    /** The preferred worker below the limit; a second entry marks that the very home is above it. */
+    static #preferred(candidates, home, limit) {
+        let allowed;
+        let allowedScore = -1;
+        let any;
+        let anyScore = -1;
+        for (const { worker, load } of candidates) {
+            const score = mix32(home, worker.seed);
+            if (score > anyScore) {
+                any = worker;
+                anyScore = score;
+            }
+            if (load <= limit && score > allowedScore) {
+                allowed = worker;
+                allowedScore = score;
+            }
+        }
+        if (!any)
+            return [];
+        if (!allowed || allowed === any)
+            return [any];
+        return [allowed, any];
+    }
+}
+//# sourceMappingURL=affinity.js.map
--- /dev/null
+++ b/dist-b/src/route/health.js
@@ -0,0 +1,64 @@
+/** Passive ejection of failing workers and their slow return. */
+/** Failures in a row that eject a worker. */
+const EJECT_FAILURES = 3;
+/** First ejection in milliseconds; each further one lasts twice as long. */
+const EJECT_MS = 2_000;
+/** Longest ejection, in milliseconds. */
+const MAX_EJECT_MS = 60_000;
+/** Time over which a returning worker regains its full share, in milliseconds. */
+const RETURN_MS = 10_000;
+/** Share that a worker has at the moment of its return. */
+const RETURN_SHARE = 0.1;
+/** Follows the failures of one worker. */
+export class Health {
+    #failures = 0;
+    #ejections = 0;
+    #ejectedUntil = Number.NEGATIVE_INFINITY;
+    /**
+     * Takes note of an answer that began.
+     * @param now - time in milliseconds
+     */
+    succeed(now) {
+        this.#failures = 0;
+        if (now > this.#ejectedUntil + RETURN_MS)
+            this.#ejections = 0;
+    }
+    /**
+     * Takes note of a failure.
+     * @param now - time in milliseconds
+     * @returns whether this failure ejected the worker
+     */
+    fail(now) {
+        if (this.ejected(now))
+            return false;
+        this.#failures += 1;
+        const returning = now < this.#ejectedUntil + RETURN_MS;
+        if (this.#failures < EJECT_FAILURES && !returning)
+            return false;
+        const length = Math.min(MAX_EJECT_MS, EJECT_MS * 2 ** this.#ejections);
+        this.#ejectedUntil = now + length;
+        this.#ejections += 1;
+        this.#failures = 0;
+        return true;
+    }
+    /**
+     * Says whether the worker is ejected.
+     * @param now - time in milliseconds
+     * @returns whether it should receive no work
+     */
+    ejected(now) {
+        return now < this.#ejectedUntil;
+    }
+    /**
+     * Gives the share of its capacity that the worker should be trusted with.
+     * @param now - time in milliseconds
+     * @returns 0 while ejected, then a share that grows to 1
+     */
+    share(now) {
+        if (this.ejected(now))
+            return 0;
+        const back = (now - this.#ejectedUntil) / RETURN_MS;
+        return back >= 1 ? 1 : RETURN_SHARE + (1 - RETURN_SHARE) * back;
+    }
+}
+//# sourceMappingURL=health.js.map
--- /dev/null
+++ b/dist-b/src/route/worker.js
@@ -0,0 +1,92 @@
+/** What one daemon knows of one worker: own open work, the last report, failures and speed. */
+import { hash32 } from '../kernel/index.js';
+import { Health } from './health.js';
+/** Weight of the newest first-token delay in the moving average. */
+const DELAY_WEIGHT = 0.2;
+/** Answers before the delay of a worker is judged. */
+const MIN_SAMPLES = 5;
+/** Own changes older than this are in every report, in milliseconds. */
+const HISTORY_MS = 5_000;
+/** Estimates the load of one worker. */
+export class Worker {
+    name;
+    capacity;
+    /** Hash of the name, for rendezvous hashing. */
+    seed;
+    health = new Health();
+    #open = 0;
+    #reported;
+    #reportedAt = Number.NEGATIVE_INFINITY;
+    #since = 0;
+    #changes = [];
+    #delayMs = 0;
+    #samples = 0;
+    /**
+     * Creates the record of a worker.
+     * @param name - upstream name
+     * @param capacity - requests that it may hold open at once
+     */
+    constructor(name, capacity) {
+        this.name = name;
+        this.capacity = capacity;
+        this.seed = hash32(name);
+    }
+    /** Open requests of this daemon at the worker. */
+    get open() {
+        return this.#open;
+    }
+    /** Estimated open requests of all daemons at the worker. */
+    get estimate() {
+        if (this.#reported === undefined)
+            return this.#open;
+        return Math.max(this.#open, this.#reported + this.#since);
+    }
+    /** Time of the last report in milliseconds; negative infinity before the first. */
+    get reportedAt() {
+        return this.#reportedAt;
+    }
+    /** Mean delay of the first token in milliseconds; undefined until enough were seen. */
+    get delayMs() {
+        return this.#samples < MIN_SAMPLES ? undefined : this.#delayMs;
+    }
+    /**
+     * Takes note of a request that begins or ends.
+     * @param change - 1 when it begins, -1 when it ends
+     * @param now - time in milliseconds
+     */
+    count(change, now) {
+        this.#open += change;
+        if (this.#reported === undefined)
+            return;
+        this.#since += change;
+        this.#changes.push({ at: now, change });
+    }
+    /**
+     * Takes a load report, corrected for what this daemon has sent since it was made.
+     * @param report - the report
+     * @param now - time in milliseconds
+     */
+    report({ open, ageMs }, now) {
+        const madeAt = now - Math.min(ageMs, HISTORY_MS);
+        this.#changes = this.#changes.filter(({ at }) => at > madeAt);
+        this.#since = this.#changes.reduce((sum, { change }) => sum + change, 0);
+        this.#reported = open;
+        this.#reportedAt = now;
+    }
+    /** Forgets a report that is too old to be relied on. */
+    forgetReport() {
+        this.#reported = undefined;
+        this.#changes = [];
+        this.#since = 0;
+    }
+    /**
+     * Takes note of the delay of a first token.
+     * @param delayMs - from dispatch, in milliseconds
+     */
+    observeDelay(delayMs) {
+        this.#samples += 1;
+        const weight = Math.max(DELAY_WEIGHT, 1 / this.#samples);
+        this.#delayMs += (delayMs - this.#delayMs) * weight;
+    }
+}
+//# sourceMappingURL=worker.js.map
--- /dev/null
+++ b/dist-b/src/telemetry/eventsdoc.js
@@ -0,0 +1,21 @@
+/** Renders docs/EVENTS.md from the catalogue. */
+import { EVENTS } from './events.js';
+const HEADER = `# Events
+
+Every event that a daemon logs (field \`event\`), counts (\`comfreyreel.event.NAME\`) and keeps for the
+time line. This page is generated from \`src/telemetry/events.ts\` by \`npm run docs\`; a test compares them.
+
+| number | name | level | meaning |
+| --- | --- | --- | --- |
+`;
+/**
+ * Renders the page.
+ * @returns the content of docs/EVENTS.md
+ */
+export function renderEventsPage() {
+    const rows = Object.entries(EVENTS)
+        .sort(([, a], [, b]) => a.number - b.number)
+        .map(([name, { number, level, text }]) => `| ${number} | ${name} | ${level} | ${text} |\n`);
+    return HEADER + rows.join('');
+}
+//# sourceMappingURL=eventsdoc.js.map
--- /dev/null
+++ b/dist-b/src/telemetry/index.js
@@ -0,0 +1,5 @@
+/** Telemetry: event catalogue, recorder and time line. */
+export * from './events.js';
+export * from './recorder.js';
+export * from './timeline.js';
+//# sourceMappingURL=index.js.map
--- /dev/null
+++ b/dist-b/src/upstream/orderclient.js
@@ -0,0 +1,4 @@
+/** Gives orders to upstreams and reads back what came of them. */
+export class OrderClient {
+}
+//# sourceMappingURL=orderclient.js.map
--- /dev/null
+++ b/dist-b/testbed/documents.js
@@ -0,0 +1,46 @@
+/** What a test fleet publishes. */
+import { sha256 } from '../src/kernel/index.js';
+/** Key of the workspace of a test fleet. */
+export const API_KEY = 'key-of-the-test-workspace';
+/**
+ * Gives the documents of a test fleet.
+ * @param urls - addresses of the stand-ins
+ * @returns one workspace, one budget, a model route and two service routes
+ */
+export function testDocuments(urls) {
+    const common = { dataCentre: 'dc-1', state: 'serving', checksFencing: false };
+    const route = {
+        priority: 'normal',
+        unitsPerCall: 1,
+        defaultOutputTokens: 64,
+        maxOutputTokens: 4_096,
+        retries: 2,
+        firstByteMs: 3_000,
+        silenceMs: 2_000,
+        queueMs: 2_000,
+    };
+    return {
+        workspaces: [
+            { name: 'shop', state: 'open', keys: [{ sha256: sha256(API_KEY), budget: 'main' }] },
+        ],
+        budgets: [{ name: 'main', workspace: 'shop' }],
+        plans: [],
+        routes: [
+            { ...route, name: 'drafts', kind: 'model', idempotent: true },
+            { ...route, name: 'dispatch', kind: 'service', idempotent: false },
+            { ...route, name: 'lookup', kind: 'service', idempotent: true },
+        ],
+        upstreams: [
+            ...urls.engines.map((url, index) => ({
+                ...common,
+                name: `engine-${index + 1}`,
+                route: 'drafts',
+                url,
+                concurrency: 512,
+            })),
+            { ...common, name: 'desk-1', route: 'dispatch', url: urls.service, concurrency: 64 },
+            { ...common, name: 'desk-2', route: 'lookup', url: urls.service, concurrency: 64 },
+        ],
+    };
+}
+//# sourceMappingURL=documents.js.map
--- /dev/null
+++ b/dist-c/fakes/modelengine.js
@@ -0,0 +1,110 @@
+/** Stand-in for a model engine: streams made-up tokens at a set rate. */
+import Fastify from 'fastify';
+import { FakeOrders } from './orders.js';
+/** Bytes of prompt that count as one token. */
+const BYTES_PER_TOKEN = 4;
+const NO_FAULTS = { silent: false, cutAfter: 0, refuse: false };
+function promptTokens(body) {
+    const bytes = body.messages.reduce((sum, { content }) => sum + Buffer.byteLength(content), 0);
+    return Math.ceil(bytes / BYTES_PER_TOKEN);
+}
+/**
+ * Gives the token at a position of the answer to a request.
+ * @param prompt - last message of the request
+ * @param index - position of the token
+ * @returns the text of the token
+ */
+export function tokenText(prompt, index) {
+    const words = prompt.split(/\s+/).filter(Boolean);
+    return `${words[index % Math.max(1, words.length)] ?? 'ok'}-${index} `;
+}
+/** Streams answers over HTTP. */
+export class FakeModelEngine {
+    options;
+    #faults = NO_FAULTS;
+    #counts = { requests: 0, finished: 0, cancelled: 0, tokens: 0 };
+    #app = Fastify({ forceCloseConnections: true, bodyLimit: 16e6 });
+    /** Orders that the stand-in was given. */
+    orders = new FakeOrders(this.#app);
+    constructor(options) {
+        this.options = options;
+        this.#app.post('/v1/chat/completions', async (req, reply) => {
+            this.#count('requests');
+            if (this.#faults.refuse)
+                return reply.status(503).send({ error: 'overloaded' });
+            reply.hijack();
+            this.#stream(String(req.headers['x-request-id']), req.body, reply.raw);
+            return undefined;
+        });
+        this.#app.put('/admin/faults', async (req) => {
+            this.setFaults(req.body);
+            return this.#faults;
+        });
+        this.#app.get('/admin/counts', async () => this.#counts);
+    }
+    /**
+     * Starts a stand-in.
+     * @param options - address and speed
+     * @returns the stand-in, once it listens
+     */
+    static async start(options) {
+        const engine = new FakeModelEngine(options);
+        await engine.#app.listen({ host: options.host, port: options.port });
+        return engine;
+    }
+    /** Work so far. */
+    get counts() {
+        return this.#counts;
+    }
+    /**
+     * Switches faults.
+     * @param faults - faults to change; the others stay
+     */
+    setFaults(faults) {
+        this.#faults = { ...this.#faults, ...faults };
+    }
+    /** Stops the stand-in. */
+    async stop() {
+        await this.#app.close();
+    }
+    #count(name) {
+        this.#counts = { ...this.#counts, [name]: this.#counts[name] + 1 };
+    }
+    #stream(id, body, res) {
+        const { firstTokenMs, tokenMs } = this.options;
+        const prompt = body.messages.at(-1)?.content ?? '';
+        let index = 0;
+        let timer;
+        const send = (fields) => {
+            res.write(`data: ${JSON.stringify({ id, model: body.model, ...fields })}\n\n`);
+        };
+        const next = () => {
+            if (this.#faults.silent)
+                return;
+            if (this.#faults.cutAfter > 0 && index >= this.#faults.cutAfter) {
+                res.destroy();
+                return;
+            }
+            if (index < body.max_tokens) {
+                this.#count('tokens');
+                send({ choices: [{ index: 0, delta: { content: tokenText(prompt, index) } }] });
+                index += 1;
+                timer = setTimeout(next, tokenMs);
+                return;
+            }
+            this.#count('finished');
+            send({ choices: [{ index: 0, delta: {}, finish_reason: 'length' }] });
+            const usage = { prompt_tokens: promptTokens(body), completion_tokens: index };
+            send({ choices: [], usage });
+            res.end('data: [DONE]\n\n');
+        };
+        res.writeHead(200, { 'content-type': 'text/event-stream' });
+        res.on('close', () => {
+            clearTimeout(timer);
+            if (!res.writableEnded)
+                this.#count('cancelled');
+        });
+        timer = setTimeout(next, firstTokenMs);
+    }
+}
+//# sourceMappingURL=modelengine.js.map
--- /dev/null
+++ b/dist-c/src/budget/charge.js
@@ -0,0 +1,41 @@
+/** Charge lines: what one answered request costs its budget. */
+import { z } from 'zod';
+/** Schema of a charge line, in the store and between daemons. */
+export const chargeLineSchema = z
+    .object({
+    /** Idempotency key of the request, unique within its workspace. */
+    key: z.string(),
+    workspace: z.string(),
+    budget: z.string(),
+    units: z.number().int().nonnegative(),
+    /** Incarnation that recorded the line. */
+    holder: z.string(),
+    /** Position among the lines of this holder in this shard; the first is 1. */
+    sequence: z.number().int().positive(),
+    /** Milliseconds since the epoch. */
+    at: z.number(),
+})
+    .readonly();
+/** Schema of a segment: consecutive lines of one holder in one shard. */
+export const segmentSchema = z.object({ lines: z.array(chargeLineSchema).readonly() }).readonly();
+/** Digits of a sequence in an object key, so that keys sort by sequence. */
+const SEQUENCE_DIGITS = 12;
+/**
+ * Gives the key prefix of the segments of a shard.
+ * @param shard - shard number
+ * @returns the prefix, with its closing slash
+ */
+export function segmentPrefix(shard) {
+    return `charges/${shard}/`;
+}
+/**
+ * Names the segment object that starts at a line.
+ * @param shard - shard number
+ * @param first - first line of the segment
+ * @returns the object key
+ */
+export function segmentKey(shard, first) {
+    const sequence = String(first.sequence).padStart(SEQUENCE_DIGITS, '0');
+    return `${segmentPrefix(shard)}${first.holder}/${sequence}`;
+}
+//# sourceMappingURL=charge.js.map
--- /dev/null
+++ b/dist-c/src/budget/demand.js
@@ -0,0 +1,59 @@
+/** Demand: how fast a holder has lately spent from a budget, smoothed. */
+import { MINUTE_MS, SECOND_MS } from '../kernel/index.js';
+/** Time constant of the smoothing, in milliseconds. */
+const SMOOTHING_MS = 10 * MINUTE_MS;
+/** Least share of the time constant that a young average is scaled from. */
+const MIN_WEIGHT = 0.05;
+/**
+ * Opens the demand of a budget that has not been used.
+ * @param now - milliseconds
+ * @returns demand of zero
+ */
+export function noDemand(now) {
+    return { units: 0, requests: 0, largest: 0, at: now, since: now };
+}
+function decayed(demand, now) {
+    const kept = Math.exp(-Math.max(0, now - demand.at) / SMOOTHING_MS);
+    return {
+        ...demand,
+        units: demand.units * kept,
+        requests: demand.requests * kept,
+        largest: demand.largest * kept,
+        at: Math.max(now, demand.at),
+    };
+}
+/**
+ * Counts a request that was settled.
+ * @param demand - the demand before
+ * @param used - units that it used
+ * @param now - milliseconds
+ * @returns the demand with the request
+ */
+export function noteUse(demand, used, now) {
+    const next = decayed(demand, now);
+    return { ...next, units: next.units + used, requests: next.requests + 1 };
+}
+/**
+ * Takes note of the worst case of a request.
+ * @param demand - the demand before
+ * @param worstCase - units
+ * @param now - milliseconds
+ * @returns the demand with the worst case
+ */
+export function noteWorstCase(demand, worstCase, now) {
+    const next = decayed(demand, now);
+    return { ...next, largest: Math.max(next.largest, worstCase) };
+}
+/**
+ * Gives the demand at a moment.
+ * @param demand - the demand
+ * @param now - milliseconds
+ * @returns units a second and the size of requests
+ */
+export function demandAt(demand, now) {
+    const { units, requests, largest, since } = decayed(demand, now);
+    const weight = Math.max(MIN_WEIGHT, 1 - Math.exp(-(now - since) / SMOOTHING_MS));
+    const rate = (units / (weight * SMOOTHING_MS)) * SECOND_MS;
+    return { rate, typical: requests > 0 ? units / requests : 0, largest };
+}
+//# sourceMappingURL=demand.js.map
--- /dev/null
+++ b/dist-c/src/budget/sizing.js
@@ -0,0 +1,56 @@
+/** Time that a holder can go on serving alone, in seconds. */
+export const ALONE_SECONDS = 1_800;
+/** Deviations of the expected use that are kept on top of it. */
+const DEVIATIONS = 3;
+/** Largest worst cases that are kept on top, so that a burst does not wait. */
+const BURST_REQUESTS = 4;
+/** Share of what was paid below which grants shrink. */
+const SHRINK_BELOW = 0.2;
+/** Share of its fair part that a holder keeps once grants shrink. */
+const SHRUNK_PART = 0.5;
+/** Share of the target below which more is drawn in the background. */
+const LOW_WATER = 0.5;
+/** Multiple of the target above which units are idle. */
+const IDLE_ABOVE = 2;
+/**
+ * Gives the units that a holder needs to serve alone for a while.
+ * @param demand - its demand
+ * @returns units: expected use, its deviation, and a burst
+ */
+export function aloneReserve(demand) {
+    const expected = demand.rate * ALONE_SECONDS;
+    const deviation = Math.sqrt(2 * expected * demand.typical);
+    return Math.ceil(expected + DEVIATIONS * deviation + BURST_REQUESTS * demand.largest);
+}
+/**
+ * Gives the units that a holder should have available.
+ * Near the end of a budget, a part of what is left stays unallocated or with busier holders.
+ * @param demand - its demand
+ * @param outlook - the budget as the store last showed it
+ * @returns units
+ */
+export function targetUnits(demand, outlook) {
+    const share = outlook.totalRate > 0 ? Math.min(1, demand.rate / outlook.totalRate) : 1;
+    const shrunk = outlook.unspent < outlook.paid * SHRINK_BELOW;
+    const fair = outlook.unspent * share * (shrunk ? SHRUNK_PART : 1);
+    return Math.floor(Math.min(aloneReserve(demand), fair));
+}
+/**
+ * Says whether more should be drawn in the background.
+ * @param availableUnits - what the holder can still reserve
+ * @param target - units that it should have
+ * @returns true below half of the target
+ */
+export function isLow(availableUnits, target) {
+    return availableUnits < target * LOW_WATER;
+}
+/**
+ * Gives the units that a holder need not keep.
+ * @param availableUnits - what the holder can still reserve
+ * @param target - units that it should have
+ * @returns units above the target, once there are twice as many; 0 before
+ */
+export function idleUnits(availableUnits, target) {
+    return availableUnits > target * IDLE_ABOVE ? availableUnits - target : 0;
+}
+//# sourceMappingURL=sizing.js.map
--- /dev/null
+++ b/dist-c/src/cli/diff.js
@@ -0,0 +1,39 @@
+import { compareDocuments } from '../config/index.js';
+import { readOrExplain, withDirs } from './check.js';
+import { OperatorClient } from './client.js';
+import { formatTable, print, printFailure } from './output.js';
+/**
+ * Formats differences for people.
+ * @param comparison - differences from a revision
+ * @returns a table
+ */
+export function renderComparison({ revision, differences }) {
+    if (differences.length === 0)
+        return `no difference from revision ${revision}`;
+    const rows = differences.map(({ change, kind, name, fields }) => ({
+        change,
+        kind,
+        name,
+        fields: fields.join(', '),
+    }));
+    return `differences from revision ${revision}:\n${formatTable(rows)}`;
+}
+/** Shows what a publication would change. */
+export const diffCommand = {
+    command: 'diff <dirs..>',
+    describe: 'compare the service files below some directories with what is in force',
+    builder: withDirs,
+    handler: async (argv) => {
+        const documents = await readOrExplain(argv);
+        if (!documents)
+            return;
+        const answer = await new OperatorClient(argv).get('revision');
+        if (answer.err) {
+            printFailure(argv, answer.val);
+            return;
+        }
+        const differences = compareDocuments(answer.val.documents, documents);
+        print(argv, { revision: answer.val.revision, differences }, renderComparison);
+    },
+};
+//# sourceMappingURL=diff.js.map
--- /dev/null
+++ b/dist-c/src/cli/output.js
@@ -0,0 +1,94 @@
+/** What the command-line tool prints: tables for people, JSON for programs. */
+import { EXIT, exitOf } from './exits.js';
+/** Space between the columns of a table. */
+const GAP = '  ';
+/**
+ * Formats rows as a table; numbers stand to the right.
+ * @param rows - rows with the same columns
+ * @returns the lines of the table; "(none)" without rows
+ */
+export function formatTable(rows) {
+    const [first] = rows;
+    if (!first)
+        return '(none)';
+    const columns = Object.keys(first);
+    const widths = columns.map((column) => Math.max(column.length, ...rows.map((row) => String(row[column] ?? '').length)));
+    const line = (cells) => cells
+        .map((cell, index) => {
+        const width = widths[index] ?? 0;
+        return typeof cell === 'number' ? String(cell).padStart(width) : String(cell).padEnd(width);
+    })
+        .join(GAP)
+        .trimEnd();
+    return [columns, ...rows.map((row) => columns.map((column) => row[column] ?? ''))]
+        .map(line)
+        .join('\n');
+}
+/**
+ * Prints a line for people beside the result: progress, operation ids, errors.
+ * @param text - the line
+ */
+export function say(text) {
+    process.stderr.write(`${text}\n`);
+}
+/**
+ * Prints the result of a command.
+ * @param argv - options of the command
+ * @param body - the result
+ * @param render - formats the result for people
+ */
+export function print(argv, body, render) {
+    const text = argv.json ? JSON.stringify(body, null, 2) : render(body);
+    process.stdout.write(`${text}\n`);
+}
+/**
+ * Prints why a command failed and sets the exit code.
+ * @param argv - options of the command
+ * @param fail - why
+ * @param operation - operation id of an order; absent for a read
+ */
+export function printFailure(argv, fail, operation) {
+    if (fail.kind === 'refused') {
+        const { body } = fail;
+        process.exitCode = exitOf(body);
+        if (argv.json)
+            print(argv, body, String);
+        else
+            say(body.error.message);
+        if (process.exitCode !== EXIT.unknown)
+            return;
+    }
+    else {
+        process.exitCode = EXIT.unknown;
+        const remedy = 'check --url, or name another daemon';
+        const error = { code: 'no-answer', message: `${argv.url}: ${fail.text}; ${remedy}`, remedy };
+        if (argv.json)
+            print(argv, { error }, String);
+        else
+            say(error.message);
+    }
+    if (operation !== undefined) {
+        say(`it is not known whether the order took effect; run it again with --operation ${operation}`);
+    }
+}
+/**
+ * Prints what a daemon answered, or why it did not, and sets the exit code.
+ * @param argv - options of the command
+ * @param answer - answer of the daemon
+ * @param render - formats the body for people
+ * @param operation - operation id of an order; absent for a read
+ */
+export function report(argv, answer, render, operation) {
+    if (answer.ok)
+        print(argv, answer.val, render);
+    else
+        printFailure(argv, answer.val, operation);
+}
+/**
+ * Prints the operation id of an order before it is sent.
+ * @param operation - operation id
+ */
+export function announce(operation) {
+    say(`operation ${operation}`);
+}
+//# sourceMappingURL=output.js.map
--- /dev/null
+++ b/dist-c/src/cli/servicefiles.js
@@ -0,0 +1,54 @@
+/** Collects service files from directories. */
+import { readdir, readFile, realpath, stat } from 'node:fs/promises';
+import { join, sep } from 'node:path';
+import { readServiceFiles } from '../config/index.js';
+import { Err, Ok, sizeProblem, START } from '../kernel/index.js';
+/** Ending of the names of service files. */
+const SUFFIX = '.comfreyreel.yaml';
+/** Directories that hold other people's code. */
+const SKIPPED = ['node_modules', '.git'];
+function unreadable(file, err, remedy) {
+    const { code } = err;
+    return [{ file, ...START, text: `cannot be read: ${code ?? String(err)}`, remedy }];
+}
+async function findFiles(dir) {
+    try {
+        const root = await realpath(dir);
+        const names = await readdir(root, { recursive: true });
+        const files = names.filter((name) => name.endsWith(SUFFIX) && !name.split(sep).some((part) => SKIPPED.includes(part)));
+        if (files.length > 0)
+            return Ok(files.map((name) => join(root, name)));
+        const text = `there is no file that ends in ${SUFFIX}`;
+        return Err([{ file: dir, ...START, text, remedy: 'name a directory with service files' }]);
+    }
+    catch (err) {
+        return Err(unreadable(dir, err, 'name a readable directory'));
+    }
+}
+async function load(file) {
+    try {
+        const { size } = await stat(file);
+        const problem = sizeProblem(file, size);
+        return problem ? Err([problem]) : Ok({ file, content: await readFile(file) });
+    }
+    catch (err) {
+        return Err(unreadable(file, err, 'make the file readable, or remove it'));
+    }
+}
+/**
+ * Reads every service file below some directories.
+ * @param dirs - directories
+ * @returns all documents together, or every problem of the run
+ */
+export async function collectServiceFiles(dirs) {
+    const listings = await Promise.all(dirs.map(findFiles));
+    const names = new Set(listings.flatMap((listing) => (listing.ok ? listing.val : [])));
+    const loaded = await Promise.all([...names].sort().map(load));
+    const problems = [...listings, ...loaded].flatMap((found) => (found.err ? found.val : []));
+    const files = loaded.flatMap((found) => (found.ok ? [found.val] : []));
+    const checked = readServiceFiles(files, problems.length === 0);
+    if (problems.length === 0)
+        return checked;
+    return Err([...problems, ...(checked.err ? checked.val : [])]);
+}
+//# sourceMappingURL=servicefiles.js.map
--- /dev/null
+++ b/dist-c/src/cli/tests/commands.test.js
@@ -0,0 +1,70 @@
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import test from 'ava';
+import { stringify } from 'yaml';
+import { runCli } from '../../../testbed/cli.js';
+import { Fleet } from '../../../testbed/fleet.js';
+const UNREACHABLE = 'http://127.0.0.1:9';
+test('an operator publishes, pays and repeats both safely', async (t) => {
+    const fleet = await Fleet.start({ daemons: 1, units: 100 });
+    const dir = await mkdtemp(join(tmpdir(), 'comfreyreel-cli-'));
+    t.teardown(async () => {
+        await fleet.stop();
+        await rm(dir, { recursive: true, force: true });
+    });
+    const { documents } = fleet;
+    const { url } = fleet.daemon(0);
+    const file = join(dir, 'shop.comfreyreel.yaml');
+    await writeFile(file, stringify(documents));
+    const same = await runCli(['diff', dir, '--url', url]);
+    t.deepEqual([same.code, same.stdout], [0, 'no difference from revision 1\n']);
+    const budgets = [...documents.budgets, { name: 'spare', workspace: 'shop' }];
+    await writeFile(file, stringify({ ...documents, budgets }));
+    const publish = ['publish', dir, '--operation', 'add-spare', '--url', url];
+    const first = await runCli(publish);
+    t.is(first.code, 0);
+    t.true(first.stderr.includes('operation add-spare'));
+    t.regex(first.stderr, /^added {3}budgets {2}spare$/m);
+    t.is(first.stdout, 'published: revision 2\n');
+    const again = await runCli(publish);
+    t.is(again.code, 0);
+    t.regex(again.stdout, /^already done at \S+: revision 2\n$/);
+    const pay = ['topup', 'spare', '25', '--operation', 'invoice-1', '--url', url];
+    t.is((await runCli(pay)).stdout, 'done: 25 units are paid in all\n');
+    t.regex((await runCli(pay)).stdout, /^already done at \S+: 25 units are paid in all\n$/);
+    const other = await runCli([...pay.slice(0, 2), '26', ...pay.slice(3)]);
+    t.is(other.code, 1);
+    t.regex(other.stderr, /this operation id was used for another order: invoice-1 paid 25 units/);
+    const listed = await runCli(['budgets', '--url', url]);
+    t.regex(listed.stdout, /^name +workspace +paid +spent +granted +held +left\n/);
+    const shown = await runCli(['workspaces', '--json', '--url', url]);
+    t.deepEqual(JSON.parse(shown.stdout), [
+        { name: 'shop', state: 'open', keys: 1, budgets: 2, concurrency: 0, requestsPerSecond: 0 },
+    ]);
+    t.is((await runCli(['statement', 'shop', '--url', url])).stdout, '(none)\ntotal: 0 units in 0 requests\n');
+    t.regex((await runCli(['status', '--url', url])).stdout, /^incarnation +ready +revision/);
+});
+const EXITS = [
+    { title: 'no daemon', args: ['status', '--url', UNREACHABLE], code: 3 },
+    {
+        title: 'no daemon for an order',
+        args: ['topup', 'a', '1', '--operation', 'p-1', '--url', UNREACHABLE],
+        code: 3,
+        stderr: /run it again with --operation p-1/,
+    },
+    { title: 'unknown command', args: ['pubish'], code: 2 },
+    { title: 'unknown option', args: ['status', '--jsn'], code: 2 },
+    { title: 'top-up without an operation id', args: ['topup', 'a', '1'], code: 2 },
+    { title: 'help of a command', args: ['publish', '--help'], code: 0 },
+    { title: 'completion script', args: ['completion'], code: 0 },
+];
+EXITS.forEach((row) => {
+    test(`exit code: ${row.title}`, async (t) => {
+        const run = await runCli(row.args);
+        t.is(run.code, row.code, run.stderr);
+        if ('stderr' in row)
+            t.regex(run.stderr, row.stderr);
+    });
+});
+//# sourceMappingURL=commands.test.js.map
--- /dev/null
+++ b/dist-c/src/config/documents.js
@@ -0,0 +1,102 @@
+/** Configuration documents: what operators publish, as plain data. */
+import { z } from 'zod';
+import { nameSchema } from '../kernel/index.js';
+import { planDocumentSchema } from '../plan/document.js';
+/** Schema of a workspace key: only its digest is published. */
+export const workspaceKeySchema = z
+    .strictObject({
+    /** SHA-256 of the key that callers send, in hexadecimal. */
+    sha256: z
+        .string()
+        .regex(/^[0-9a-f]{64}$/, 'expected 64 hexadecimal digits, the SHA-256 of the key'),
+    /** Budget that requests with this key are charged to. */
+    budget: nameSchema,
+})
+    .readonly();
+/** Schema of a workspace. */
+export const workspaceSchema = z
+    .strictObject({
+    name: nameSchema,
+    state: z.enum(['open', 'closed']).default('open'),
+    keys: z.array(workspaceKeySchema).readonly(),
+    /** Requests that may be open at once, in the whole fleet; absent for no limit. */
+    concurrency: z.number().int().positive().optional(),
+    /** Requests a second, in the whole fleet; absent for no limit. */
+    requestsPerSecond: z.number().positive().optional(),
+})
+    .readonly();
+/** Schema of a budget. */
+export const budgetDocumentSchema = z
+    .strictObject({ name: nameSchema, workspace: nameSchema })
+    .readonly();
+/** Schema of a route to upstreams. */
+export const routeSchema = z
+    .strictObject({
+    name: nameSchema,
+    kind: z.enum(['model', 'service']),
+    /** Whether a call may be repeated at the upstream. */
+    idempotent: z.boolean().default(true),
+    /** Priority class: "urgent" goes before "normal", and that before "bulk". */
+    priority: z.enum(['urgent', 'normal', 'bulk']).default('normal'),
+    /** Price of one call to a plain service, in units. */
+    unitsPerCall: z.number().int().nonnegative().default(1),
+    /** Output limit for model requests that give none, in tokens. */
+    defaultOutputTokens: z.number().int().positive().default(512),
+    /** Highest output limit that a caller may ask for, in tokens. */
+    maxOutputTokens: z.number().int().positive().default(4_096),
+    /** Attempts at other upstreams after a failure that allows them. */
+    retries: z.number().int().nonnegative().default(2),
+    /** Longest wait for the first byte of an answer, in milliseconds. */
+    firstByteMs: z.number().int().positive().default(10_000),
+    /** Longest silence within an answer, in milliseconds. */
+    silenceMs: z.number().int().positive().default(5_000),
+    /** Longest wait in the queue of the route, in milliseconds. */
+    queueMs: z.number().int().nonnegative().default(2_000),
+})
+    .readonly();
+/** Schema of an upstream. */
+export const upstreamSchema = z
+    .strictObject({
+    name: nameSchema,
+    route: nameSchema,
+    /** Base address, "http://IP:port". */
+    url: z.url({
+        protocol: /^https?$/,
+        error: 'expected a base address such as "http://127.0.0.1:9000"',
+    }),
+    dataCentre: nameSchema,
+    /** "leaving" upstreams receive no new work. */
+    state: z.enum(['serving', 'leaving']).default('serving'),
+    /** Whether the upstream refuses orders with an old fencing number. */
+    checksFencing: z.boolean().default(false),
+    /** Requests that the upstream may hold open at once. */
+    concurrency: z.number().int().positive().default(64),
+})
+    .readonly();
+/** Schema of one document of each kind, by the name of its list in a service file. */
+export const documentSchemas = {
+    workspaces: workspaceSchema,
+    budgets: budgetDocumentSchema,
+    routes: routeSchema,
+    upstreams: upstreamSchema,
+    plans: planDocumentSchema,
+};
+/** Schema of everything that one service file, or a whole revision, declares. */
+export const documentsSchema = z
+    .strictObject({
+    workspaces: z.array(workspaceSchema).readonly().default([]),
+    budgets: z.array(budgetDocumentSchema).readonly().default([]),
+    routes: z.array(routeSchema).readonly().default([]),
+    upstreams: z.array(upstreamSchema).readonly().default([]),
+    plans: z.array(planDocumentSchema).readonly().default([]),
+})
+    .readonly();
+/** The documents of a fleet that has published nothing yet. */
+export const EMPTY_DOCUMENTS = {
+    workspaces: [],
+    budgets: [],
+    routes: [],
+    upstreams: [],
+    plans: [],
+};
+//# sourceMappingURL=documents.js.map
--- /dev/null
+++ b/dist-c/src/daemon/activerequests.js
@@ -0,0 +1,51 @@
+/** Counts requests from their arrival until their work and their response have ended. */
+export class ActiveRequests {
+    #count = 0;
+    #workspaces = new Map();
+    /** Requests that have not ended. */
+    get count() {
+        return this.#count;
+    }
+    /**
+     * Gives the requests of one workspace.
+     * @param workspace - workspace name
+     * @returns number of requests
+     */
+    of(workspace) {
+        return this.#workspaces.get(workspace) ?? 0;
+    }
+    /**
+     * Counts a response until its connection has taken it or is gone.
+     * @param res - response of a caller's request
+     */
+    follow(res) {
+        this.#count += 1;
+        res.once('close', () => {
+            this.#count -= 1;
+        });
+    }
+    /**
+     * Counts the work of a request, which may outlive the caller's connection.
+     * @param workspace - workspace that is charged
+     * @param work - settles once the request is decided and charged
+     * @returns the outcome of the work
+     */
+    async track(workspace, work) {
+        this.#add(workspace, 1);
+        try {
+            return await work;
+        }
+        finally {
+            this.#add(workspace, -1);
+        }
+    }
+    #add(workspace, change) {
+        this.#count += change;
+        const count = this.of(workspace) + change;
+        if (count > 0)
+            this.#workspaces.set(workspace, count);
+        else
+            this.#workspaces.delete(workspace);
+    }
+}
+//# sourceMappingURL=activerequests.js.map
--- /dev/null
+++ b/dist-c/src/daemon/daemon.js
@@ -0,0 +1,74 @@
+/** One daemon with its HTTP listener. */
+import 'reflect-metadata';
+import { setTimeout as delay } from 'node:timers/promises';
+import { NestFactory } from '@nestjs/core';
+import { FastifyAdapter } from '@nestjs/platform-fastify';
+import { AppModule } from './app.module.js';
+import { FailureFilter } from './failure.filter.js';
+import { Runtime } from './runtime.js';
+import { splitAddress } from './settings.js';
+/** Interval at which a graceful stop looks for open requests, in milliseconds. */
+const DRAIN_POLL_MS = 50;
+/** Shortest time for which a stopping daemon still answers, in milliseconds. */
+const MIN_DRAIN_MS = 500;
+/** Paths of the platform's balancer and of operators; a stop does not wait for these. */
+const OWN_PATHS = ['/operator/', '/healthz', '/readyz'];
+function isCallerPath(url) {
+    return !OWN_PATHS.some((path) => url.startsWith(path));
+}
+/** Starts and stops a daemon. */
+export class Daemon {
+    runtime;
+    app;
+    constructor(runtime, app) {
+        this.runtime = runtime;
+        this.app = app;
+    }
+    /**
+     * Starts a daemon.
+     * @param settings - checked settings
+     * @returns the daemon, once it listens
+     */
+    static async start(settings) {
+        const runtime = new Runtime(settings);
+        const adapter = new FastifyAdapter({
+            bodyLimit: settings.limits.bodyBytes,
+            // The controllers refuse new work during a stop, with a body that names the outcome.
+            return503OnClosing: false,
+        });
+        const module = AppModule.around(runtime);
+        const app = await NestFactory.create(module, adapter, {
+            logger: false,
+            bodyParser: false,
+        });
+        const fastify = adapter.getInstance();
+        fastify.addHook('onRequest', (req, reply, done) => {
+            if (isCallerPath(req.url))
+                runtime.active.follow(reply.raw);
+            if (runtime.stopping)
+                void reply.header('connection', 'close');
+            done();
+        });
+        fastify.removeAllContentTypeParsers();
+        fastify.addContentTypeParser('*', { parseAs: 'buffer' }, (_req, body, done) => {
+            done(null, body);
+        });
+        app.useGlobalFilters(new FailureFilter());
+        await runtime.start();
+        const { host, port } = splitAddress(settings.listen.callers);
+        await app.listen(port, host);
+        return new Daemon(runtime, app);
+    }
+    /** Stops gracefully: no new work, open requests finish, then the links close. */
+    async stop() {
+        this.runtime.beginStop();
+        await delay(MIN_DRAIN_MS);
+        while (this.runtime.active.count > 0) {
+            // eslint-disable-next-line no-await-in-loop
+            await delay(DRAIN_POLL_MS);
+        }
+        await this.runtime.finishStop();
+        await this.app.close();
+    }
+}
+//# sourceMappingURL=daemon.js.map
--- /dev/null
+++ b/dist-c/src/daemon/keyedrun.js
@@ -0,0 +1,51 @@
+/** Serves a request under its idempotency key. */
+import { drive } from '../kernel/index.js';
+import { FRESH_KEY, honestFailure, refuseKey, serve } from '../request/index.js';
+function nameOf({ input }) {
+    return { workspace: input.tenant.workspace.name, key: input.key };
+}
+async function finish(run, findings, outcome) {
+    const { keys } = run.input.serving;
+    const name = nameOf(run);
+    if (outcome.type === 'whole')
+        await keys.note(name, 'answered', null);
+    else if (run.dispatched)
+        await keys.note(name, 'cut', null);
+    else
+        await keys.withdraw(name, findings.earlier);
+}
+/**
+ * Serves a request; its refusal says "not-run" only where no attempt with the key was dispatched.
+ * @param run - performs the commands of the request
+ * @param policy - how it may be tried again
+ * @param digest - digest of its body
+ * @returns how it ended
+ */
+export async function serveKeyed(run, policy, digest) {
+    const { serving, keyGiven, worstCase } = run.input;
+    const { keys } = serving;
+    const name = nameOf(run);
+    const findings = keyGiven ? await keys.begin(name, digest) : FRESH_KEY;
+    const refusal = refuseKey(findings, digest);
+    if (refusal)
+        return { type: 'refused', fail: refusal };
+    keys.enter(name);
+    const outcome = await drive(serve({ ...policy, worstCase }), (command) => run.perform(command));
+    keys.leave(name);
+    if (keyGiven)
+        void finish(run, findings, outcome);
+    if (outcome.type === 'whole')
+        return outcome;
+    return { type: 'refused', fail: honestFailure(outcome.fail, findings) };
+}
+/**
+ * States the outcome of a refusal that came before the request was served.
+ * @param serving - tasks of the daemon
+ * @param name - workspace and key, as the caller gave it
+ * @param fail - the refusal
+ * @returns the refusal with an outcome that is true
+ */
+export async function refuseKeyed(serving, name, fail) {
+    return honestFailure(fail, await serving.keys.query(name));
+}
+//# sourceMappingURL=keyedrun.js.map
--- /dev/null
+++ b/dist-c/src/daemon/main.js
@@ -0,0 +1,55 @@
+/** Entry point of comfreyreeld. */
+import './v8flags.js';
+import { readFile } from 'node:fs/promises';
+import yargs from 'yargs';
+import { hideBin } from 'yargs/helpers';
+import { formatProblem } from '../kernel/index.js';
+import { Daemon } from './daemon.js';
+import { safeParseSettings } from './settings.js';
+/** Exit code for settings that cannot be used. */
+const EXIT_SETTINGS = 2;
+async function readSettings(file) {
+    let text;
+    try {
+        text = await readFile(file, 'utf8');
+    }
+    catch (err) {
+        process.stderr.write(`${file}: ${String(err)}; name a readable settings file\n`);
+        return undefined;
+    }
+    const parsed = safeParseSettings(file, text);
+    if (parsed.ok)
+        return parsed.val;
+    parsed.val.forEach((problem) => process.stderr.write(`${formatProblem(problem)}\n`));
+    return undefined;
+}
+const argv = await yargs(hideBin(process.argv))
+    .scriptName('comfreyreeld')
+    .usage('$0 --config FILE')
+    .option('config', { type: 'string', demandOption: true, describe: 'settings file (YAML)' })
+    .strict()
+    .parse();
+const settings = await readSettings(argv.config);
+if (settings) {
+    const daemon = await Daemon.start(settings);
+    let stopping = false;
+    const stop = async () => {
+        // A repeated signal must not end the process while answers are open.
+        if (stopping)
+            return;
+        stopping = true;
+        await daemon.stop();
+        // Idle upstream connections would keep the process alive.
+        // eslint-disable-next-line n/no-process-exit
+        process.exit(0);
+    };
+    process.on('SIGTERM', () => {
+        void stop();
+    });
+    process.on('SIGINT', () => {
+        void stop();
+    });
+}
+else
+    process.exitCode = EXIT_SETTINGS;
+//# sourceMappingURL=main.js.map
--- /dev/null
+++ b/dist-c/src/daemon/operations.js
@@ -0,0 +1,122 @@
+/** What operators may read and order, carried out against the store. */
+import { parseShard, segmentPrefix, segmentSchema, shardKey, shardOf, spentOf, topUp, unallocated, } from '../budget/index.js';
+import { makePiece, MANIFEST_KEY, parseManifest, pieceKey, publish } from '../config/index.js';
+import { Err, failure, Ok } from '../kernel/index.js';
+import { updateObject } from '../platform/index.js';
+function earlierPayment(shard, ask) {
+    const budget = shard.budgets.find(({ name }) => name === ask.budget);
+    return budget?.topUps.find(({ operation }) => operation === ask.operation);
+}
+/** Reads and orders of operators. */
+export class Operations {
+    store;
+    config;
+    /**
+     * Creates the operations of one daemon.
+     * @param store - the object API
+     * @param config - configuration in force
+     */
+    constructor(store, config) {
+        this.store = store;
+        this.config = config;
+    }
+    /**
+     * Puts documents in force as a new revision.
+     * @param ask - the publication
+     * @returns the manifest in force and whether this publication made it
+     */
+    async publish(ask) {
+        const piece = makePiece(ask.documents);
+        const stored = await this.store.write(pieceKey(piece.digest), piece.documents, 0);
+        if (stored.err && stored.val.problem !== 'conflict') {
+            return Err(failure('store-unavailable', stored.val.text));
+        }
+        const kind = { key: MANIFEST_KEY, parse: parseManifest };
+        const request = { ...ask, at: Date.now(), pieces: [piece.digest] };
+        const done = await updateObject(this.store, kind, (manifest) => publish(manifest, request));
+        if (done.err)
+            return Err(failure('store-unavailable', done.val.text, 'unknown'));
+        await this.config.refresh();
+        return Ok(done.val);
+    }
+    /**
+     * Adds a payment to a budget.
+     * @param ask - the payment
+     * @returns units paid in all, and whether the operation id was known before
+     */
+    async topUp(ask) {
+        const { current } = this.config;
+        const budget = current?.documents.budgets.find(({ name }) => name === ask.budget);
+        if (!current || !budget)
+            return Err(failure('not-found', `budget ${ask.budget}`));
+        const shard = shardOf(ask.budget, current.manifest.budgetShards);
+        const kind = { key: shardKey(shard), parse: parseShard };
+        const payment = { ...ask, workspace: budget.workspace, at: Date.now() };
+        const done = await updateObject(this.store, kind, (value) => {
+            const change = topUp(value, payment);
+            const { units, at } = earlierPayment(value, ask) ?? payment;
+            return { ...change, outcome: { ...change.outcome, units, at } };
+        });
+        if (done.err)
+            return Err(failure('store-unavailable', done.val.text, 'unknown'));
+        const { units, ...answer } = done.val;
+        if (units === ask.units)
+            return Ok(answer);
+        return Err(failure('operation-reused', `${ask.operation} paid ${units} units`));
+    }
+    /**
+     * Lists the budgets.
+     * @returns every budget with its counters
+     */
+    async budgets() {
+        const shards = await this.#shards();
+        return shards.map((values) => values.flatMap((shard) => shard.budgets.map((budget) => {
+            const left = unallocated(budget);
+            const spent = spentOf(budget);
+            const { name, workspace, paid } = budget;
+            return { name, workspace, paid, spent, granted: paid - left - spent, left };
+        })));
+    }
+    /**
+     * Gives the settled charge lines of a workspace, each request once.
+     * @param workspace - workspace name
+     * @returns the lines in the order of their time
+     */
+    async statement(workspace) {
+        const manifest = this.#manifest();
+        const lines = [];
+        for (let shard = 0; shard < manifest.budgetShards; shard += 1) {
+            // Segments are read shard by shard to stay inside the read rate of the store.
+            // eslint-disable-next-line no-await-in-loop
+            const found = await this.#settledLines(shard);
+            if (found.err)
+                return found;
+            lines.push(...found.val.filter((line) => line.workspace === workspace));
+        }
+        const unique = new Map(lines.map((line) => [line.key, line]));
+        return Ok([...unique.values()].sort((a, b) => a.at - b.at));
+    }
+    #manifest() {
+        return this.config.current?.manifest ?? { budgetShards: 0 };
+    }
+    async #shards() {
+        const numbers = Array.from({ length: this.#manifest().budgetShards }, (_, index) => index);
+        const found = await Promise.all(numbers.map((shard) => this.store.read(shardKey(shard))));
+        const bad = found.find((result) => result.err);
+        if (bad?.err)
+            return Err(failure('store-unavailable', bad.val.text));
+        return Ok(found.flatMap((result) => (result.ok ? [parseShard(result.val.value)] : [])));
+    }
+    async #settledLines(shard) {
+        const root = await this.store.read(shardKey(shard));
+        const listed = await this.store.list(segmentPrefix(shard));
+        if (root.err || listed.err)
+            return Err(failure('store-unavailable', `shard ${shard}`));
+        const { holders } = parseShard(root.val.value);
+        const marks = new Map(holders.map(({ holder, settled }) => [holder, settled]));
+        const segments = await Promise.all(listed.val.map(({ key }) => this.store.read(key)));
+        const lines = segments.flatMap((found) => found.ok ? segmentSchema.parse(found.val.value).lines : []);
+        return Ok(lines.filter((line) => line.sequence <= (marks.get(line.holder) ?? 0)));
+    }
+}
+//# sourceMappingURL=operations.js.map
--- /dev/null
+++ b/dist-c/src/daemon/planrun.js
@@ -0,0 +1,132 @@
+/** Performs the commands of one step of a plan. */
+import { performance } from 'node:perf_hooks';
+import { setTimeout as delay } from 'node:timers/promises';
+import { z } from 'zod';
+import { planKey, SEND_LIMIT_MS } from '../plan/index.js';
+import { updateObject } from '../platform/index.js';
+/** Longest wait for a daemon's answer to a survey, in milliseconds. */
+const SURVEY_MS = 800;
+/** Counter of fencing numbers of one upstream, in the store. */
+const fenceSchema = z.object({ fence: z.number().int() }).readonly();
+function parseFence(value) {
+    return value === null ? { fence: 0 } : fenceSchema.parse(value);
+}
+/** Carries out one step; every write is fenced by the version that the step began with. */
+export class PlanRun {
+    ctx;
+    stored;
+    #version;
+    /** Monotonic milliseconds before which an intent was surely not yet recorded. */
+    #intendedAt = -Infinity;
+    /**
+     * Creates the run of one step.
+     * @param ctx - store, peers and upstreams
+     * @param stored - the plan
+     */
+    constructor(ctx, stored) {
+        this.ctx = ctx;
+        this.stored = stored;
+        this.#version = stored.version;
+    }
+    /** Version of the plan after the last write. */
+    get version() {
+        return this.#version;
+    }
+    /** The upstream that the plan names, if it is published. */
+    get upstream() {
+        const { document } = this.stored.plan;
+        if (document.kind !== 'upstream')
+            return undefined;
+        const upstreams = this.ctx.config.current?.documents.upstreams ?? [];
+        return upstreams.find(({ name }) => name === document.upstream);
+    }
+    /**
+     * Performs one command.
+     * @param command - what the decisions ask for
+     * @returns what came of it
+     */
+    async perform(command) {
+        switch (command.type) {
+            case 'survey':
+                return this.#survey();
+            case 'inspect':
+                return this.#inspect();
+            case 'fence':
+                return this.#fence();
+            case 'present':
+                return this.#present(command.fence);
+            case 'write':
+                return this.#write(command.plan);
+            case 'send':
+                return this.#send(command.order);
+            case 'close':
+                return this.ctx.work.close(this.stored.plan);
+            default:
+                await delay(command.ms);
+                return { type: 'done' };
+        }
+    }
+    async #survey() {
+        const { network, work } = this.ctx;
+        const { name } = this.stored.plan.document;
+        const ask = { type: 'survey-plan', plan: name, version: this.#version };
+        const own = await work.survey(ask);
+        const peers = network.peers();
+        const answers = await Promise.all(peers.map(({ name: to }) => network.request({ to, body: ask, reply: 'plan-surveyed', timeoutMs: SURVEY_MS })));
+        const unreachable = peers.filter((_, index) => answers[index]?.err).map((peer) => peer.name);
+        const unaware = peers
+            .filter((_, index) => answers[index]?.ok && !answers[index].val.aware)
+            .map((peer) => peer.name);
+        const open = answers.reduce((sum, found) => sum + (found.ok ? found.val.open : 0), own.open);
+        return { type: 'surveyed', unreachable, unaware, open };
+    }
+    async #inspect() {
+        const { upstream } = this;
+        const found = upstream ? await this.ctx.orders.state(upstream.url) : undefined;
+        if (!found?.ok)
+            return { type: 'stopped' };
+        return { type: 'inspected', ...found.val };
+    }
+    async #fence() {
+        const { upstream } = this;
+        if (!upstream)
+            return { type: 'stopped' };
+        const kind = { key: `fences/${upstream.name}`, parse: parseFence };
+        const raised = await updateObject(this.ctx.store, kind, ({ fence }) => ({
+            kind: 'write',
+            value: { fence: fence + 1 },
+            outcome: fence + 1,
+        }));
+        return raised.ok ? { type: 'fenced', fence: raised.val } : { type: 'stopped' };
+    }
+    async #present(fence) {
+        const { upstream } = this;
+        const taken = upstream ? await this.ctx.orders.present(upstream.url, fence) : undefined;
+        return { type: taken?.ok ? 'done' : 'stopped' };
+    }
+    async #write(plan) {
+        const { store, follower, recorder } = this.ctx;
+        const { name } = plan.document;
+        this.#intendedAt = performance.now();
+        const written = await store.write(planKey(name), plan, this.#version);
+        if (written.err)
+            return { type: 'stopped' };
+        this.#version = written.val;
+        follower.learn({ version: written.val, plan });
+        recorder.record('planMoved', { plan: name, detail: `${plan.phase} ${plan.waitsFor}` });
+        return { type: 'done' };
+    }
+    async #send(order) {
+        const { upstream } = this;
+        // A daemon that was frozen since it recorded its intent must not send any more.
+        const leftMs = Math.floor(SEND_LIMIT_MS - (performance.now() - this.#intendedAt));
+        if (!upstream || leftMs <= 0)
+            return { type: 'stopped' };
+        const sent = await this.ctx.orders.give(upstream.url, order, leftMs);
+        const { name } = this.stored.plan.document;
+        const detail = `${order.order} with ${order.fence}: ${sent.ok ? 'done' : sent.val.code}`;
+        this.ctx.recorder.record('planOrdered', { plan: name, upstream: upstream.name, detail });
+        return { type: 'done' };
+    }
+}
+//# sourceMappingURL=planrun.js.map
--- /dev/null
+++ b/dist-c/src/daemon/planwork.js
@@ -0,0 +1,70 @@
+/** Answers surveys and writes closing statements. */
+export class PlanWork {
+    ctx;
+    /**
+     * Creates the task and answers the executors of plans.
+     * @param ctx - open work, charges and store
+     */
+    constructor(ctx) {
+        this.ctx = ctx;
+        ctx.network.handle('survey-plan', (ask) => this.survey(ask));
+    }
+    /**
+     * Says what this daemon knows and has open.
+     * @param ask - plan and version
+     * @returns whether the plan is known, and the open work
+     */
+    async survey(ask) {
+        const { follower, open } = this.ctx;
+        if ((follower.known.get(ask.plan)?.version ?? 0) < ask.version)
+            await follower.confirm();
+        const found = follower.known.get(ask.plan);
+        if (!found || found.version < ask.version) {
+            return { type: 'plan-surveyed', aware: false, open: 0 };
+        }
+        const { document } = found.plan;
+        const count = document.kind === 'upstream'
+            ? open.at(document.upstream)
+            : await this.#openOf(document.workspace);
+        return { type: 'plan-surveyed', aware: true, open: count };
+    }
+    /**
+     * Writes the closing statement of a workspace; a repeat finds the same one.
+     * @param plan - plan of the workspace
+     * @returns what the workspace is left with
+     */
+    async close(plan) {
+        const { operations, store } = this.ctx;
+        if (plan.document.kind !== 'workspace')
+            return { type: 'stopped' };
+        const { workspace } = plan.document;
+        const lines = await operations.statement(workspace);
+        const budgets = await operations.budgets();
+        if (lines.err || budgets.err)
+            return { type: 'stopped' };
+        const units = lines.val.reduce((sum, line) => sum + line.units, 0);
+        const own = budgets.val.filter((budget) => budget.workspace === workspace);
+        const refund = own.reduce((sum, { paid, spent }) => sum + paid - spent, 0);
+        const statement = `statements/${workspace}`;
+        const charges = lines.val.length;
+        const value = { workspace, charges, units, refund, budgets: own };
+        const found = await store.read(statement);
+        if (found.err)
+            return { type: 'stopped' };
+        const written = await store.write(statement, value, found.val.version);
+        if (written.err)
+            return { type: 'stopped' };
+        return { type: 'closed', closing: { statement, charges, units, refund } };
+    }
+    /** Open requests, and one more while a charge is not in the store. */
+    async #openOf(workspace) {
+        const { active, charges } = this.ctx;
+        const open = active.of(workspace);
+        if (open > 0)
+            return open;
+        await charges.flush();
+        const unsettled = charges.unflushed.some(({ lines }) => lines.some((line) => line.workspace === workspace));
+        return unsettled ? 1 : 0;
+    }
+}
+//# sourceMappingURL=planwork.js.map
--- /dev/null
+++ b/dist-c/src/daemon/settings.js
@@ -0,0 +1,63 @@
+/** Settings of a daemon, read from a YAML file. */
+import { z } from 'zod';
+import { MIB_BYTES, safeParseYaml } from '../kernel/index.js';
+/** Bytes of a request body that are accepted by default. */
+const DEFAULT_BODY_BYTES = 4 * MIB_BYTES;
+const addressSchema = z
+    .string()
+    .regex(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/, 'expected an address such as "127.0.0.1:8080"');
+const baseSchema = z.url({
+    protocol: /^https?$/,
+    error: 'expected a base address, "http://IP:port"',
+});
+/** Schema of the settings file. */
+export const settingsSchema = z
+    .strictObject({
+    /** Name of the instance, as the platform lists it. */
+    instance: z.string().min(1),
+    dataCentre: z.string().min(1),
+    listen: z
+        .strictObject({
+        /** Callers, operators and the balancer, over HTTP. */
+        callers: addressSchema,
+        /** Other daemons. */
+        peers: addressSchema,
+    })
+        .readonly(),
+    platform: z.strictObject({ objects: baseSchema, instances: baseSchema }).readonly(),
+    /** Key that all daemons share; it authenticates peer links. */
+    fleetKey: z.string().min(16, 'expected at least 16 characters'),
+    /** Key that operators send. */
+    operatorKey: z.string().min(16, 'expected at least 16 characters'),
+    /** StatsD receiver; absent for none. */
+    metrics: addressSchema.optional(),
+    logLevel: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info'),
+    limits: z
+        .strictObject({
+        bodyBytes: z.number().int().positive().default(DEFAULT_BODY_BYTES),
+        /** Longest wait for units before a request is refused, in milliseconds. */
+        admissionMs: z.number().int().positive().default(2_000),
+    })
+        .readonly()
+        .prefault({}),
+})
+    .readonly();
+/**
+ * Reads settings.
+ * @param file - name of the file, for messages
+ * @param text - content of the file
+ * @returns the settings, or every problem with its place and remedy
+ */
+export function safeParseSettings(file, text) {
+    return safeParseYaml(file, text, settingsSchema);
+}
+/**
+ * Splits an address of the settings.
+ * @param address - "IP:port"
+ * @returns host and port
+ */
+export function splitAddress(address) {
+    const [host = '', port = '0'] = address.split(':');
+    return { host, port: Number(port) };
+}
+//# sourceMappingURL=settings.js.map
--- /dev/null
+++ b/dist-c/src/daemon/tests/path.test.js
@@ -0,0 +1,59 @@
+import test from 'ava';
+import { askModel, callService } from '../../../testbed/caller.js';
+import { API_KEY } from '../../../testbed/documents.js';
+import { Fleet } from '../../../testbed/fleet.js';
+import { waitFor } from '../../../testbed/wait.js';
+test('a request through any daemon is answered whole and billed once', async (t) => {
+    const fleet = await Fleet.start({ daemons: 3, units: 100_000 });
+    t.teardown(() => fleet.stop());
+    const answers = await Promise.all(fleet.daemons.map(({ url }, index) => askModel({
+        url,
+        apiKey: API_KEY,
+        model: 'drafts',
+        prompt: `summary ${index}`,
+        maxTokens: 10,
+        key: `key-${index}`,
+    })));
+    t.deepEqual(answers.map(({ whole, code }) => ({ whole, code })), answers.map(() => ({ whole: true, code: undefined })));
+    t.true(answers[1]?.content.startsWith('summary-0 1-1 '));
+    const dispatched = await callService({
+        url: fleet.daemon(2).url,
+        apiKey: API_KEY,
+        route: 'dispatch',
+        path: '/crews',
+        key: 'crew-1',
+        body: { street: 'Honmachi' },
+    });
+    t.is(dispatched.status, 200);
+    await waitFor('every charge is settled', async () => {
+        const lines = await fleet
+            .daemon(0)
+            .operator('workspaces/shop/statement');
+        return lines.length === 4;
+    });
+    const lines = await fleet.daemon(1).operator('workspaces/shop/statement');
+    t.deepEqual(lines.map(({ key }) => key).sort(), ['crew-1', 'key-0', 'key-1', 'key-2']);
+    t.is((await fleet.budget()).spent, 3 * (3 + 10) + 1);
+});
+const REFUSALS = [
+    { title: 'unknown key', apiKey: 'wrong', model: 'drafts', status: 401, code: 'unknown-key' },
+    { title: 'unknown route', apiKey: API_KEY, model: 'none', status: 404, code: 'unknown-route' },
+];
+test('refusals are typed and say that nothing ran', async (t) => {
+    const fleet = await Fleet.start({ daemons: 1, units: 20 });
+    t.teardown(() => fleet.stop());
+    const { url } = fleet.daemon(0);
+    const refused = await Promise.all(REFUSALS.map(({ apiKey, model }) => askModel({ url, apiKey, model, prompt: 'hello', maxTokens: 4 })));
+    t.deepEqual(refused.map(({ status, code, outcome }) => ({ status, code, outcome })), REFUSALS.map(({ status, code }) => ({ status, code, outcome: 'not-run' })));
+    const poor = await askModel({
+        url,
+        apiKey: API_KEY,
+        model: 'drafts',
+        prompt: 'hello',
+        maxTokens: 100,
+    });
+    t.is(poor.status, 402);
+    t.is(poor.code, 'budget-exhausted');
+    t.is(fleet.engines.reduce((sum, { counts }) => sum + counts.requests, 0), 0);
+});
+//# sourceMappingURL=path.test.js.map
--- /dev/null
+++ b/dist-c/src/kernel/failure.js
@@ -0,0 +1,180 @@
+/** Failures as data: one code each, formatted only where they leave the process. */
+import { SECOND_MS } from './units.js';
+/** Every failure code, with its HTTP status, its text and what to do about it. */
+export const FAILURE_KINDS = {
+    'unknown-key': {
+        status: 401,
+        text: 'the workspace key is missing or unknown',
+        remedy: 'send a published workspace key as "authorization: Bearer KEY"',
+    },
+    'operator-key': {
+        status: 401,
+        text: 'the operator key is missing or wrong',
+        remedy: 'send the operatorKey of the settings as "authorization: Bearer KEY"',
+    },
+    'workspace-closed': {
+        status: 403,
+        text: 'the workspace is closed',
+        remedy: 'ask the operators for the closing statement; new work is not taken',
+    },
+    'unknown-route': {
+        status: 404,
+        text: 'no such route is in force',
+        remedy: 'use a published route name, or publish the route',
+    },
+    'not-found': {
+        status: 404,
+        text: 'no such object',
+        remedy: 'check the name against the listing command',
+    },
+    'malformed-request': {
+        status: 400,
+        text: 'the request cannot be read',
+        remedy: 'correct the field that is named and send the request again',
+    },
+    'body-too-large': {
+        status: 413,
+        text: 'the body is larger than the limit',
+        remedy: 'send a shorter body, or raise limits.bodyBytes in the settings',
+    },
+    'budget-exhausted': {
+        status: 402,
+        text: 'the prepaid budget cannot cover the worst case of this request',
+        remedy: 'top up the budget or lower max_tokens',
+    },
+    'budget-unreachable': {
+        status: 503,
+        text: 'units may be left, but neither the store nor a peer could grant them in time',
+        remedy: 'repeat the request with the same idempotency key',
+    },
+    'not-ready': {
+        status: 503,
+        text: 'the daemon takes no new work now',
+        remedy: 'repeat the request with the same key; the balancer will pick another instance',
+    },
+    'no-durability': {
+        status: 503,
+        text: 'neither a peer nor the store can keep the charge of this request',
+        remedy: 'repeat the request with the same key at another instance',
+    },
+    'upstream-unavailable': {
+        status: 503,
+        text: 'no upstream of the route can take the request',
+        remedy: 'repeat the request with the same key after a short delay',
+    },
+    overloaded: {
+        status: 429,
+        text: 'the request cannot be served before its deadline',
+        remedy: 'repeat the request with the same key after the delay in retry-after',
+    },
+    'limit-reached': {
+        status: 429,
+        text: 'the workspace has reached its rate or concurrency limit',
+        remedy: 'wait for open requests to finish, or publish a higher limit',
+    },
+    'key-in-progress': {
+        status: 409,
+        text: 'a request with this idempotency key is still running',
+        remedy: 'wait for the first attempt, then repeat with the same key',
+    },
+    'key-reused': {
+        status: 422,
+        text: 'this idempotency key was used with another body',
+        remedy: 'use a new idempotency key for a new request',
+    },
+    'key-settled': {
+        status: 409,
+        text: 'a request with this idempotency key has already been answered and billed',
+        remedy: 'use the answer that was given; use a new key for new work',
+    },
+    'upstream-refused': {
+        status: 502,
+        text: 'the upstream refused the request',
+        remedy: 'correct the request as the upstream says',
+    },
+    'upstream-lost': {
+        status: 502,
+        text: 'the upstream stopped answering',
+        remedy: 'repeat the request with the same key',
+    },
+    'outcome-unknown': {
+        status: 502,
+        text: 'the request may have run',
+        remedy: 'check at the service; do not repeat it with a new key',
+    },
+    'store-unavailable': {
+        status: 503,
+        text: 'the object API does not answer',
+        remedy: 'run the command again with the same operation id',
+    },
+    conflict: {
+        status: 409,
+        text: 'another operator changed this first',
+        remedy: 'look at the difference, then publish again',
+    },
+    'operation-reused': {
+        status: 409,
+        text: 'this operation id was used for another order',
+        remedy: 'use a new operation id for a new order',
+    },
+    invalid: {
+        status: 422,
+        text: 'the input is not valid',
+        remedy: 'correct the places that are named',
+    },
+    'peer-unreachable': {
+        status: 503,
+        text: 'the peer daemon does not answer',
+        remedy: 'none needed: the link reconnects by itself',
+    },
+};
+/**
+ * Builds a failure.
+ * @param code - discriminating code
+ * @param subject - what the failure is about
+ * @param outcome - what is known about the request; "not-run" only where that is proved
+ * @returns the failure as data
+ */
+export function failure(code, subject, outcome = 'not-run') {
+    return { code, outcome, subject };
+}
+/**
+ * Formats a failure for a caller or an operator.
+ * @param fail - the failure
+ * @returns the body, with a message that names the remedy
+ */
+export function formatFailure(fail) {
+    const kind = FAILURE_KINDS[fail.code];
+    return {
+        error: {
+            code: fail.code,
+            outcome: fail.outcome,
+            message: `${kind.text}: ${fail.subject}; ${kind.remedy}`,
+            remedy: kind.remedy,
+        },
+    };
+}
+/**
+ * Gives the header that tells a caller when to try again.
+ * @param fail - the failure
+ * @returns "retry-after" in whole seconds, or no header
+ */
+export function retryAfter(fail) {
+    if (fail.retryAfterMs === undefined)
+        return {};
+    return { 'retry-after': String(Math.ceil(fail.retryAfterMs / SECOND_MS)) };
+}
+/** Thrown by the throwing twin of a result-returning call. */
+export class FailureError extends Error {
+    fail;
+    /**
+     * Wraps a failure.
+     * @param fail - the failure as data
+     */
+    constructor(fail) {
+        super(formatFailure(fail).error.message);
+        this.fail = fail;
+        this.name = 'FailureError';
+    }
+}
+//# sourceMappingURL=failure.js.map
--- /dev/null
+++ b/dist-c/src/link/peernetwork.js
@@ -0,0 +1,4 @@
+/** Requests and replies between daemons. */
+export class PeerNetwork {
+}
+//# sourceMappingURL=peernetwork.js.map
--- /dev/null
+++ b/dist-c/src/plan/index.js
@@ -0,0 +1,6 @@
+/** Plan aggregate: how upstreams and workspaces leave. */
+export * from './document.js';
+export * from './known.js';
+export * from './state.js';
+export * from './steps.js';
+//# sourceMappingURL=index.js.map
--- /dev/null
+++ b/dist-c/src/platform/httpobjectstore.js
@@ -0,0 +1,93 @@
+/** HTTP client of the platform's object API. */
+import { Agent } from 'undici';
+import { z } from 'zod';
+import { Err, Ok } from '../kernel/index.js';
+import { ObjectStore } from './objectstore.js';
+/** Longest wait for an answer, in milliseconds; a silent connection ends with it. */
+const CALL_TIMEOUT_MS = 1_500;
+/** Added to the wait of a watch before its connection counts as silent, in milliseconds. */
+const WATCH_GRACE_MS = 1_500;
+const CONFLICT_STATUS = 412;
+const objectSchema = z.object({ version: z.number(), value: z.unknown() });
+const versionSchema = z.object({ version: z.number() });
+const changesSchema = z.array(z.object({ key: z.string(), version: z.number() }));
+const listSchema = z.object({ changes: changesSchema });
+const watchSchema = z.object({ changes: changesSchema, position: z.number() });
+/** Talks to the object API over HTTP. */
+export class HttpObjectStore extends ObjectStore {
+    base;
+    #agent = new Agent({ connections: 64, pipelining: 1, connectTimeout: CALL_TIMEOUT_MS });
+    /**
+     * Creates a client.
+     * @param base - base address, "http://IP:port"
+     */
+    constructor(base) {
+        super();
+        this.base = base;
+    }
+    async read(key) {
+        const answer = await this.#call({ method: 'GET', key, path: this.#objectPath(key) });
+        if (answer.err)
+            return answer;
+        const { version, value } = objectSchema.parse(answer.val.body);
+        return Ok({ key, version, value });
+    }
+    async write(key, value, expected) {
+        const path = `${this.#objectPath(key)}?expected=${expected}`;
+        const answer = await this.#call({ method: 'PUT', key, path, body: JSON.stringify(value) });
+        return answer.map(({ body }) => versionSchema.parse(body).version);
+    }
+    async remove(key, expected) {
+        const path = `${this.#objectPath(key)}?expected=${expected}`;
+        const answer = await this.#call({ method: 'DELETE', key, path });
+        return answer.map(({ body }) => versionSchema.parse(body).version);
+    }
+    async list(prefix) {
+        const path = `/objects?prefix=${encodeURIComponent(prefix)}`;
+        const answer = await this.#call({ method: 'GET', key: prefix, path });
+        return answer.map(({ body }) => listSchema.parse(body).changes);
+    }
+    async watch(prefix, position, waitMs) {
+        const path = `/watch?prefix=${encodeURIComponent(prefix)}&position=${position}&waitMs=${waitMs}`;
+        const answer = await this.#call({ method: 'GET', key: prefix, path, waitMs });
+        return answer.map(({ body }) => watchSchema.parse(body));
+    }
+    /** Closes the connections. */
+    async close() {
+        await this.#agent.destroy();
+    }
+    #objectPath(key) {
+        return `/objects/${encodeURIComponent(key)}`;
+    }
+    async #call(call) {
+        const { key } = call;
+        try {
+            const answer = await this.#exchange(call);
+            if (answer.status === CONFLICT_STATUS) {
+                return Err({ problem: 'conflict', key, text: 'another write came first' });
+            }
+            if (answer.status >= 500)
+                return Err({ problem: 'lost', key, text: `status ${answer.status}` });
+            if (answer.status >= 400) {
+                return Err({ problem: 'refused', key, text: `status ${answer.status}` });
+            }
+            return Ok(answer);
+        }
+        catch (err) {
+            return Err({ problem: 'lost', key, text: String(err) });
+        }
+    }
+    async #exchange({ method, path, body, waitMs }) {
+        const limitMs = waitMs === undefined ? CALL_TIMEOUT_MS : waitMs + WATCH_GRACE_MS;
+        const res = await this.#agent.request({
+            origin: this.base,
+            method,
+            path,
+            body: body ?? null,
+            headers: { 'content-type': 'application/json' },
+            signal: AbortSignal.timeout(limitMs),
+        });
+        return { status: res.statusCode, body: await res.body.json() };
+    }
+}
+//# sourceMappingURL=httpobjectstore.js.map
--- /dev/null
+++ b/dist-c/src/platform/objectstore.js
@@ -0,0 +1,4 @@
+/** Versioned objects with conditional updates and watches. */
+export class ObjectStore {
+}
+//# sourceMappingURL=objectstore.js.map
--- /dev/null
+++ b/dist-c/src/platform/update.js
@@ -0,0 +1,36 @@
+/** Read, change, write: conditional updates that survive lost answers. */
+import { Err, Ok } from '../kernel/index.js';
+/** Attempts before an update gives up under conflicts or lost answers. */
+const MAX_ATTEMPTS = 12;
+/**
+ * Updates one object by a conditional write, again after a conflict or a lost answer.
+ * The change must recognise its own earlier effect (counters that only grow, an
+ * operation id), since after a lost answer it sees the object as it then is.
+ * @param store - the object API
+ * @param kind - key and parser of the object
+ * @param change - pure function of the value in force
+ * @returns the outcome of the change that took effect, or why none is known to have
+ */
+export async function updateObject(store, kind, change) {
+    let last = { problem: 'refused', key: kind.key, text: 'no attempt was made' };
+    let lost = false;
+    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
+        // eslint-disable-next-line no-await-in-loop
+        const found = await store.read(kind.key);
+        if (found.err)
+            return Err({ ...found.val, problem: lost ? 'lost' : 'refused' });
+        const next = change(kind.parse(found.val.value));
+        if (next.kind === 'keep')
+            return Ok(next.outcome);
+        // eslint-disable-next-line no-await-in-loop
+        const written = await store.write(kind.key, next.value, found.val.version);
+        if (written.ok)
+            return Ok(next.outcome);
+        last = written.val;
+        lost = lost || last.problem === 'lost';
+        if (last.problem === 'refused')
+            return Err({ ...last, problem: lost ? 'lost' : 'refused' });
+    }
+    return Err({ ...last, problem: lost ? 'lost' : last.problem });
+}
+//# sourceMappingURL=update.js.map
--- /dev/null
+++ b/dist-c/src/request/index.js
@@ -0,0 +1,8 @@
+/** Request aggregate: keys, claims and outcomes. */
+export * from './claim.js';
+export * from './keyrecord.js';
+export * from './keytable.js';
+export * from './keyverdict.js';
+export * from './modelrequest.js';
+export * from './serve.js';
+//# sourceMappingURL=index.js.map
--- /dev/null
+++ b/dist-c/src/request/keytable.js
@@ -0,0 +1,99 @@
+/** The keys that one daemon remembers, bounded in number and age. */
+import { MINUTE_MS } from '../kernel/index.js';
+import { keyId } from './keyrecord.js';
+/** How long a key is remembered after its newest attempt, in milliseconds. */
+export const KEY_MEMORY_MS = 10 * MINUTE_MS;
+/** Keys that one daemon remembers at most. */
+export const MAX_KEYS = 50_000;
+/** Owns the key records of one daemon. */
+export class KeyTable {
+    // Insertion order is the order of age: a record that changes is put at the end.
+    #records = new Map();
+    #forgottenAt = 0;
+    /** When a record was last dropped for want of room, in milliseconds since the epoch; 0 for never. */
+    get forgottenAt() {
+        return this.#forgottenAt;
+    }
+    /** Number of keys that are remembered. */
+    get size() {
+        return this.#records.size;
+    }
+    /**
+     * Looks a key up.
+     * @param name - workspace and key
+     * @returns what is remembered; null if nothing is
+     */
+    find(name) {
+        return this.#records.get(keyId(name)) ?? null;
+    }
+    /**
+     * Notes that an attempt begins.
+     * @param attempt - the attempt
+     * @returns what was remembered before it
+     */
+    begin(attempt) {
+        const earlier = this.find(attempt);
+        const foreign = earlier && earlier.digest !== attempt.digest;
+        if (!foreign)
+            this.#put({ ...attempt, state: 'running', upstream: earlier?.upstream ?? null });
+        this.#trim(attempt.at);
+        return earlier;
+    }
+    /**
+     * Notes how an attempt went on; an attempt that is not the newest changes nothing.
+     * @param progress - state and upstream
+     */
+    note(progress) {
+        const record = this.find(progress);
+        if (record?.owner !== progress.owner)
+            return;
+        const { state, upstream } = progress;
+        this.#put({ ...record, state, upstream: upstream ?? record.upstream });
+    }
+    /**
+     * Forgets an attempt that never reached an upstream.
+     * @param name - workspace and key
+     * @param owner - incarnation that ran the attempt
+     * @param earlier - what was remembered before the attempt
+     */
+    withdraw(name, owner, earlier) {
+        if (this.find(name)?.owner !== owner)
+            return;
+        if (earlier)
+            this.#put(earlier);
+        else
+            this.#records.delete(keyId(name));
+    }
+    /**
+     * Takes over records of a daemon that stops.
+     * @param records - its records
+     */
+    adopt(records) {
+        records
+            .filter((record) => (this.find(record)?.at ?? 0) < record.at)
+            .forEach((record) => this.#put(record));
+    }
+    /**
+     * Lists every record.
+     * @returns the records, the oldest first
+     */
+    list() {
+        return [...this.#records.values()];
+    }
+    #put(record) {
+        const id = keyId(record);
+        this.#records.delete(id);
+        this.#records.set(id, record);
+    }
+    #trim(now) {
+        for (const [id, record] of this.#records) {
+            const old = record.at < now - KEY_MEMORY_MS;
+            if (!old && this.#records.size <= MAX_KEYS)
+                return;
+            if (!old)
+                this.#forgottenAt = now;
+            this.#records.delete(id);
+        }
+    }
+}
+//# sourceMappingURL=keytable.js.map
--- /dev/null
+++ b/dist-c/src/request/modelrequest.js
@@ -0,0 +1,50 @@
+/** Model requests in the shape that callers speak. */
+import { z } from 'zod';
+import { Err, failure, Ok } from '../kernel/index.js';
+/** Tokens that a chat template may add to each message. */
+const TEMPLATE_TOKENS_PER_MESSAGE = 8;
+/** Schema of a chat completion request; fields that are not listed are ignored. */
+export const chatRequestSchema = z
+    .object({
+    model: z.string(),
+    messages: z
+        .array(z.object({ role: z.string(), content: z.string() }).readonly())
+        .min(1)
+        .readonly(),
+    stream: z.boolean().default(false),
+    max_tokens: z.number().int().positive().optional(),
+})
+    .readonly();
+/**
+ * Checks the body of a model request.
+ * @param body - parsed JSON
+ * @returns the request, or a failure that names the first wrong field
+ */
+export function parseChatRequest(body) {
+    const parsed = chatRequestSchema.safeParse(body);
+    if (parsed.success)
+        return Ok(parsed.data);
+    const [issue] = parsed.error.issues;
+    const where = issue?.path.map(String).join('.') || 'body';
+    return Err(failure('malformed-request', `${where}: ${issue?.message ?? 'unreadable'}`));
+}
+/**
+ * Gives the output limit that the router sends upstream.
+ * @param req - the request
+ * @param route - its route
+ * @returns tokens
+ */
+export function outputLimit(req, route) {
+    return Math.min(req.max_tokens ?? route.defaultOutputTokens, route.maxOutputTokens);
+}
+/**
+ * Gives the most units that a request can cost: a token takes at least one byte.
+ * @param req - the request
+ * @param route - its route
+ * @returns units
+ */
+export function worstCase(req, route) {
+    const prompt = req.messages.reduce((sum, { role, content }) => sum + TEMPLATE_TOKENS_PER_MESSAGE + Buffer.byteLength(role) + Buffer.byteLength(content), 0);
+    return prompt + outputLimit(req, route);
+}
+//# sourceMappingURL=modelrequest.js.map
