--- /dev/null
+++ b/dist-c/src/request/serve.js
@@ -0,0 +1,69 @@
+/** Decides the course of one request: admission, attempts, charge, end of the answer. */
+import { failure } from '../kernel/index.js';
+function failed(event, fallback) {
+    return event.type === 'failed' || event.type === 'cut' ? event.fail : fallback;
+}
+function* attempt(req, upstream) {
+    const opened = yield { type: 'dispatch', upstream };
+    if (opened.type === 'failed') {
+        const again = opened.fail.outcome === 'not-run' || req.idempotent;
+        return { type: 'failed', fail: opened.fail, again };
+    }
+    const relayed = yield { type: 'relay', upstream };
+    if (relayed.type === 'answered')
+        return relayed;
+    const fail = failed(relayed, failure('upstream-lost', upstream, 'interrupted'));
+    const again = req.idempotent && relayed.type === 'cut' && !relayed.relayed;
+    return { type: 'failed', fail, again };
+}
+function* attempts(req) {
+    let tried = { excluded: [], dispatched: undefined };
+    for (let count = 0;; count += 1) {
+        const choice = yield { type: 'choose', excluded: tried.excluded };
+        if (choice.type !== 'chosen') {
+            const fail = tried.dispatched ?? failed(choice, failure('upstream-unavailable', 'route'));
+            return { type: 'failed', fail, again: false };
+        }
+        const result = yield* attempt(req, choice.upstream);
+        if (result.type === 'answered' || !result.again)
+            return result;
+        const ran = result.fail.outcome !== 'not-run';
+        tried = {
+            excluded: [...tried.excluded, choice.upstream],
+            dispatched: ran ? result.fail : tried.dispatched,
+        };
+        if (count >= req.retries)
+            return { ...result, fail: tried.dispatched ?? result.fail };
+    }
+}
+/**
+ * Serves one request.
+ * The last frame of the answer may leave only after the outcome "whole": its charge is then durable.
+ * @param req - the request
+ * @returns the procedure, which ends with the outcome
+ */
+export function* serve(req) {
+    const reserved = yield { type: 'reserve', units: req.worstCase };
+    if (reserved.type === 'failed')
+        return { type: 'refused', fail: reserved.fail };
+    if (!req.idempotent) {
+        const claimed = yield { type: 'claim' };
+        if (claimed.type === 'failed') {
+            yield { type: 'release' };
+            return { type: 'refused', fail: claimed.fail };
+        }
+    }
+    const result = yield* attempts(req);
+    if (result.type === 'failed') {
+        if (!req.idempotent && result.fail.outcome === 'not-run')
+            yield { type: 'unclaim' };
+        yield { type: 'release' };
+        return { type: 'refused', fail: result.fail };
+    }
+    const units = Math.min(result.units, req.worstCase);
+    const recorded = yield { type: 'record', units };
+    if (recorded.type === 'failed')
+        return { type: 'refused', fail: recorded.fail };
+    return { type: 'whole', units };
+}
+//# sourceMappingURL=serve.js.map
--- /dev/null
+++ b/dist-c/src/route/messages.js
@@ -0,0 +1,4 @@
+/** Messages between daemons of the route aggregate. */
+/** Schemas of the messages. */
+export const routeMessages = [];
+//# sourceMappingURL=messages.js.map
--- /dev/null
+++ b/dist-c/src/route/pool.js
@@ -0,0 +1,105 @@
+/** The workers of one route, and which of them may take a request now. */
+import { Worker } from './worker.js';
+/** Age at which a report no longer counts, while other workers still report, in milliseconds. */
+const STALE_MS = 2_500;
+/** Mean first-token delay, as a multiple of the pool's, from which a worker counts as slow. */
+const SLOW_FACTOR = 2;
+/** Least share that a slow worker is trusted with. */
+const MIN_SPEED = 0.25;
+/** Keeps the records of the workers. */
+export class Pool {
+    #workers = new Map();
+    #serving = [];
+    #documents = [];
+    #lastReport = Number.NEGATIVE_INFINITY;
+    #meanDelay = 0;
+    /** Workers that the configuration lets take new work. */
+    get serving() {
+        return this.#serving;
+    }
+    /**
+     * Takes the workers from a configuration; records of known workers are kept.
+     * @param documents - every worker of the route
+     */
+    configure(documents) {
+        if (documents === this.#documents)
+            return;
+        this.#documents = documents;
+        const listed = new Set(documents.map(({ name }) => name));
+        documents.forEach(({ name, concurrency }) => {
+            if (this.#workers.get(name)?.capacity === concurrency)
+                return;
+            this.#workers.set(name, new Worker(name, concurrency));
+        });
+        [...this.#workers.values()]
+            .filter(({ name, open }) => open === 0 && !listed.has(name))
+            .forEach(({ name }) => this.#workers.delete(name));
+        this.#serving = documents
+            .filter(({ state }) => state === 'serving')
+            .flatMap(({ name }) => this.#workers.get(name) ?? []);
+    }
+    /**
+     * Gives the record of a worker.
+     * @param name - upstream name
+     * @returns the record; undefined for an unknown worker
+     */
+    worker(name) {
+        return this.#workers.get(name);
+    }
+    /**
+     * Takes note that some worker has reported.
+     * @param now - time in milliseconds
+     */
+    noteReport(now) {
+        this.#lastReport = now;
+        let sum = 0;
+        let count = 0;
+        this.#serving.forEach(({ delayMs }) => {
+            if (delayMs === undefined)
+                return;
+            sum += delayMs;
+            count += 1;
+        });
+        this.#meanDelay = count < 2 ? 0 : sum / count;
+    }
+    /**
+     * Lists the workers that may take a request.
+     * If every worker is ejected or silent, all are tried again rather than none.
+     * @param excluded - workers that earlier attempts have tried
+     * @param now - time in milliseconds
+     * @returns those with room, and the mean load of the healthy ones
+     */
+    candidates(excluded, now) {
+        const trusted = this.#gather(excluded, now, true);
+        return trusted.healthy > 0 ? trusted : this.#gather(excluded, now, false);
+    }
+    #gather(excluded, now, strict) {
+        const candidates = [];
+        let sum = 0;
+        let healthy = 0;
+        for (const worker of this.#serving) {
+            const share = strict ? this.#share(worker, now) : 1;
+            if (share > 0 && !(excluded.length > 0 && excluded.includes(worker.name))) {
+                const load = worker.estimate / (worker.capacity * share);
+                sum += load;
+                healthy += 1;
+                if (load < 1)
+                    candidates.push({ worker, load });
+            }
+        }
+        return { candidates, meanLoad: healthy === 0 ? 0 : sum / healthy, healthy };
+    }
+    #share(worker, now) {
+        const { reportedAt, delayMs } = worker;
+        const silent = reportedAt > 0 && this.#lastReport - reportedAt > STALE_MS;
+        if (silent)
+            return 0;
+        const share = worker.health.share(now);
+        if (delayMs === undefined || delayMs <= this.#meanDelay * SLOW_FACTOR)
+            return share;
+        if (this.#meanDelay === 0)
+            return share;
+        return share * Math.max(MIN_SPEED, (this.#meanDelay * SLOW_FACTOR) / delayMs);
+    }
+}
+//# sourceMappingURL=pool.js.map
--- /dev/null
+++ b/dist-c/src/route/retrybudget.js
@@ -0,0 +1,36 @@
+/** Retry budget of a daemon: failures must not multiply the load. */
+/** Retries that one request pays for; below a tenth, so that the reserve fits in. */
+const RETRIES_PER_REQUEST = 0.08;
+/** Retries that may be saved up, and that a fresh daemon starts with. */
+const RESERVE = 10;
+/** Counts requests against retries. */
+export class RetryBudget {
+    #saved = RESERVE;
+    #requests = 0;
+    #retries = 0;
+    /** Requests so far, without their retries. */
+    get requests() {
+        return this.#requests;
+    }
+    /** Retries so far. */
+    get retries() {
+        return this.#retries;
+    }
+    /** Takes note of a request. */
+    addRequest() {
+        this.#requests += 1;
+        this.#saved = Math.min(RESERVE, this.#saved + RETRIES_PER_REQUEST);
+    }
+    /**
+     * Takes one retry out of the budget.
+     * @returns whether the retry may be made
+     */
+    takeRetry() {
+        if (this.#saved < 1)
+            return false;
+        this.#saved -= 1;
+        this.#retries += 1;
+        return true;
+    }
+}
+//# sourceMappingURL=retrybudget.js.map
--- /dev/null
+++ b/dist-c/src/route/tests/rules.test.js
@@ -0,0 +1,106 @@
+/** Tests of the rules that the scheduler is made of. */
+import test from 'ava';
+import { AffinityPolicy, FairQueue, Health, prefixDigests, Worker, WorkspaceUse, } from '../index.js';
+const TEXT = 'manifest of barge seven, '.repeat(100);
+const DIGEST_CASES = [
+    { title: 'equal prefixes', a: ['w', `${TEXT}one`], b: ['w', `${TEXT}two`], common: 4 },
+    { title: 'different workspaces', a: ['w', TEXT], b: ['v', TEXT], common: 0 },
+    { title: 'a difference in the first block', a: ['w', `x${TEXT}`], b: ['w', TEXT], common: 0 },
+];
+DIGEST_CASES.forEach(({ title, a, b, common }) => {
+    test(`prefixDigests: ${title}`, (t) => {
+        const [first, second] = [a, b].map(([workspace, content]) => prefixDigests(workspace, [{ role: 'user', content }]));
+        const same = (first ?? []).filter((digest, index) => digest === second?.[index]).length;
+        t.is(same, common);
+    });
+});
+test('prefixDigests: a short prompt has one digest, a long one at most 64', (t) => {
+    t.is(prefixDigests('w', [{ role: 'user', content: 'short' }]).length, 1);
+    t.is(prefixDigests('w', [{ role: 'user', content: 'x'.repeat(1_000_000) }]).length, 64);
+});
+const HEALTH_CASES = [
+    { title: 'two failures are forgiven', failures: [0, 1], at: 2, share: 1 },
+    { title: 'three failures eject', failures: [0, 1, 2], at: 3, share: 0 },
+    { title: 'the share returns slowly', failures: [0, 1, 2], at: 7_002, share: 0.55 },
+    { title: 'the share is whole in the end', failures: [0, 1, 2], at: 12_002, share: 1 },
+    {
+        title: 'one failure on return ejects for longer',
+        failures: [0, 1, 2, 2_500],
+        at: 6_400,
+        share: 0,
+    },
+];
+HEALTH_CASES.forEach(({ title, failures, at, share }) => {
+    test(`health: ${title}`, (t) => {
+        const health = new Health();
+        failures.forEach((time) => health.fail(time));
+        t.is(Math.round(health.share(at) * 100) / 100, share);
+    });
+});
+function load(worker, value) {
+    return { worker, load: value };
+}
+test('affinity: the same prompt goes to the same worker until that is over the bound', (t) => {
+    const workers = ['a', 'b', 'c'].map((name) => new Worker(name, 10));
+    const even = workers.map((worker) => load(worker, 0.5));
+    const digests = [17, 18, 19];
+    const one = new AffinityPolicy();
+    const home = one.choose({ candidates: even, meanLoad: 0.5, digests });
+    t.truthy(home);
+    const other = new AffinityPolicy().choose({ candidates: even, meanLoad: 0.5, digests });
+    t.is(home, other, 'another daemon finds the same home');
+    const busy = even.map((entry) => (entry.worker === home ? load(entry.worker, 0.9) : entry));
+    const spilled = one.choose({ candidates: busy, meanLoad: 0.6, digests });
+    t.not(spilled, home);
+    if (spilled)
+        one.noteDispatch(spilled, digests);
+    t.is(one.choose({ candidates: busy, meanLoad: 0.6, digests: [17, 18, 20] }), spilled);
+    const pure = new AffinityPolicy({ bound: Number.POSITIVE_INFINITY });
+    t.is(pure.choose({ candidates: busy, meanLoad: 0.6, digests }), home);
+});
+const FAIR_CASES = [
+    {
+        title: 'workspaces of one class take turns',
+        entries: [
+            ['1', 'normal', 'noisy'],
+            ['2', 'normal', 'noisy'],
+            ['3', 'normal', 'noisy'],
+            ['4', 'normal', 'calm'],
+        ],
+        order: '1 4 2 3',
+    },
+    {
+        title: 'a low class still moves',
+        entries: [
+            ...Array.from({ length: 8 }, (_, n) => [`n${n}`, 'normal', 'w']),
+            ['b0', 'bulk', 'w'],
+            ['b1', 'bulk', 'w'],
+        ],
+        order: 'n0 b0 n1 n2 n3 n4 b1 n5 n6 n7',
+    },
+];
+FAIR_CASES.forEach(({ title, entries, order }) => {
+    test(`fair queue: ${title}`, (t) => {
+        const queue = new FairQueue();
+        entries.forEach(([id, priority, workspace]) => queue.push({ id, priority, workspace }));
+        const seen = [];
+        for (let next = queue.peek(); next; next = queue.peek()) {
+            queue.dispatch(next);
+            seen.push(next.id);
+        }
+        t.is(seen.join(' '), order);
+    });
+});
+const LIMIT_CASES = [
+    { title: 'concurrency is split over the daemons', concurrency: 8, daemons: 4, admitted: 2 },
+    { title: 'a rate allows a burst of two seconds', requestsPerSecond: 4, daemons: 2, admitted: 4 },
+    { title: 'no limit', daemons: 3, admitted: 10 },
+];
+LIMIT_CASES.forEach(({ title, daemons, admitted, ...limits }) => {
+    test(`workspace limits: ${title}`, (t) => {
+        const use = new WorkspaceUse();
+        const delays = Array.from({ length: 10 }, () => use.enter({ workspace: 'w', ...limits }, daemons, 0));
+        t.is(delays.filter((delay) => delay === 0).length, admitted);
+    });
+});
+//# sourceMappingURL=rules.test.js.map
--- /dev/null
+++ b/dist-c/src/route/tests/scheduler.test.js
@@ -0,0 +1,170 @@
+/** Tests of the route scheduler: what is dispatched, what waits, what is refused. */
+import test from 'ava';
+import { LeastOpenPolicy, RetryBudget, RouteScheduler } from '../index.js';
+function submit(id, fields = {}) {
+    const base = { workspace: 'w', priority: 'normal', digests: [], excluded: [] };
+    return { type: 'submit', ticket: { ...base, deadline: 1_000, id, ...fields } };
+}
+function workers(...names) {
+    const documents = names.map((name) => ({ name, state: 'serving', concurrency: 1 }));
+    return { type: 'workers', documents };
+}
+function end(worker, hasFailed = false) {
+    return { type: 'end', worker, failed: hasFailed };
+}
+function text(command) {
+    if (command.type === 'eject')
+        return `eject ${command.worker}`;
+    if (command.type === 'refuse')
+        return `refuse ${command.ticket.id} ${command.code}`;
+    return `${command.ticket.id} to ${command.worker}`;
+}
+const CASES = [
+    {
+        title: 'a request waits for room and goes when it comes',
+        steps: [
+            { at: 0, event: workers('a'), expected: [] },
+            { at: 0, event: submit('1'), expected: ['1 to a'] },
+            { at: 1, event: submit('2'), expected: [] },
+            { at: 2, event: end('a'), expected: ['2 to a'] },
+        ],
+    },
+    {
+        title: 'urgent goes before bulk that came first',
+        steps: [
+            { at: 0, event: workers('a'), expected: [] },
+            { at: 0, event: submit('1'), expected: ['1 to a'] },
+            { at: 1, event: submit('2', { priority: 'bulk' }), expected: [] },
+            { at: 2, event: submit('3', { priority: 'bulk' }), expected: [] },
+            { at: 3, event: submit('4', { priority: 'urgent' }), expected: [] },
+            { at: 4, event: end('a'), expected: ['4 to a'] },
+            { at: 5, event: end('a'), expected: ['2 to a'] },
+        ],
+    },
+    {
+        title: 'a request past its deadline is refused at the next tick',
+        steps: [
+            { at: 0, event: workers('a'), expected: [] },
+            { at: 0, event: submit('1'), expected: ['1 to a'] },
+            { at: 1, event: submit('2', { deadline: 10 }), expected: [] },
+            { at: 9, event: { type: 'tick' }, expected: [] },
+            { at: 10, event: { type: 'tick' }, expected: ['refuse 2 overloaded'] },
+        ],
+    },
+    {
+        title: 'a request that could not be served in time is refused at once',
+        steps: [
+            { at: 0, event: workers('a'), expected: [] },
+            { at: 0, event: submit('1'), expected: ['1 to a'] },
+            { at: 0, event: submit('2'), expected: [] },
+            { at: 0, event: submit('3'), expected: [] },
+            { at: 0, event: submit('4'), expected: [] },
+            { at: 100, event: end('a'), expected: ['2 to a'] },
+            { at: 400, event: end('a'), expected: ['3 to a'] },
+            { at: 400, event: submit('5', { deadline: 800 }), expected: ['refuse 5 overloaded'] },
+            { at: 400, event: submit('6', { deadline: 1_400 }), expected: [] },
+        ],
+    },
+    {
+        title: 'three failures in a row eject a worker',
+        steps: [
+            { at: 0, event: workers('a', 'b'), expected: [] },
+            { at: 0, event: submit('1', { excluded: ['b'] }), expected: ['1 to a'] },
+            { at: 1, event: end('a', true), expected: [] },
+            { at: 1, event: submit('2', { excluded: ['b'] }), expected: ['2 to a'] },
+            { at: 2, event: end('a', true), expected: [] },
+            { at: 2, event: submit('3', { excluded: ['b'] }), expected: ['3 to a'] },
+            { at: 3, event: end('a', true), expected: ['eject a'] },
+            { at: 4, event: submit('4'), expected: ['4 to b'] },
+            { at: 5, event: submit('5', { deadline: 20 }), expected: [] },
+        ],
+    },
+    {
+        title: 'a retry without a worker that is left is refused',
+        steps: [
+            { at: 0, event: workers('a'), expected: [] },
+            {
+                at: 0,
+                event: submit('1', { excluded: ['a'] }),
+                expected: ['refuse 1 upstream-unavailable'],
+            },
+        ],
+    },
+    {
+        title: 'a report of other daemons fills a worker, corrected for what was sent since',
+        steps: [
+            { at: 0, event: workers('a', 'b'), expected: [] },
+            {
+                at: 0,
+                event: { type: 'report', worker: 'a', report: { open: 1, ageMs: 0 } },
+                expected: [],
+            },
+            { at: 1, event: submit('1'), expected: ['1 to b'] },
+            {
+                at: 2,
+                event: { type: 'report', worker: 'b', report: { open: 0, ageMs: 5 } },
+                expected: [],
+            },
+            { at: 3, event: submit('2'), expected: [] },
+            {
+                at: 4,
+                event: { type: 'report', worker: 'a', report: { open: 0, ageMs: 0 } },
+                expected: ['2 to a'],
+            },
+        ],
+    },
+    {
+        title: 'a worker whose reports stop gets no work while others report',
+        steps: [
+            { at: 1, event: workers('a', 'b'), expected: [] },
+            {
+                at: 1,
+                event: { type: 'report', worker: 'a', report: { open: 0, ageMs: 0 } },
+                expected: [],
+            },
+            {
+                at: 4_000,
+                event: { type: 'report', worker: 'b', report: { open: 0, ageMs: 0 } },
+                expected: [],
+            },
+            { at: 4_000, event: submit('1', { deadline: 5_000 }), expected: ['1 to b'] },
+            { at: 4_000, event: submit('2', { deadline: 5_000 }), expected: [] },
+        ],
+    },
+    {
+        title: 'a caller that leaves the queue is not dispatched',
+        steps: [
+            { at: 0, event: workers('a'), expected: [] },
+            { at: 0, event: submit('1'), expected: ['1 to a'] },
+            { at: 1, event: submit('2'), expected: [] },
+            { at: 2, event: { ...submit('2'), type: 'leave' }, expected: [] },
+            { at: 3, event: end('a'), expected: [] },
+        ],
+    },
+];
+CASES.forEach(({ title, steps }) => {
+    test(`scheduler: ${title}`, (t) => {
+        const scheduler = new RouteScheduler(new LeastOpenPolicy(() => 0.99), new RetryBudget());
+        steps.forEach(({ at, event, expected }, index) => {
+            const commands = [...scheduler.handle(event, at)].map(text);
+            t.deepEqual(commands, expected, `step ${index}`);
+        });
+    });
+});
+test('scheduler: retries stay within a tenth of the requests and the reserve', (t) => {
+    const retries = new RetryBudget();
+    const scheduler = new RouteScheduler(new LeastOpenPolicy(() => 0), retries);
+    const run = (event) => [...scheduler.handle(event, 0)].map(text);
+    run(workers('a', 'b'));
+    for (let index = 0; index < 1_000; index += 1) {
+        const first = run(submit(`${index}`))[0] ?? '';
+        const worker = first.slice(-1);
+        run(end(worker));
+        const again = run(submit(`${index}-again`, { excluded: [worker] }))[0] ?? '';
+        if (again.includes(' to '))
+            run(end(again.slice(-1)));
+    }
+    t.is(retries.requests, 1_000);
+    t.true(retries.retries <= 90, String(retries.retries));
+});
+//# sourceMappingURL=scheduler.test.js.map
--- /dev/null
+++ b/dist-c/src/upstream/httporderclient.js
@@ -0,0 +1,64 @@
+/** Client for orders to upstreams over HTTP. */
+import { Agent } from 'undici';
+import { z } from 'zod';
+import { Err, failure, Ok } from '../kernel/index.js';
+import { OrderClient } from './orderclient.js';
+import { wasUnsent } from './unsent.js';
+/** Longest wait for a state or a fencing number, in milliseconds. */
+const READ_MS = 1_500;
+const CONFLICT_STATUS = 409;
+const stateSchema = z.object({
+    open: z.number().int().nullable().default(null),
+    orders: z.array(z.string()).readonly(),
+});
+/** Talks to the orders interface of upstreams over HTTP. */
+export class HttpOrderClient extends OrderClient {
+    #agent = new Agent({ pipelining: 0 });
+    give(url, order, timeoutMs) {
+        return this.#put(url, '/orders', order, timeoutMs);
+    }
+    present(url, fence) {
+        return this.#put(url, '/orders/fence', { fence }, READ_MS);
+    }
+    async state(url) {
+        try {
+            const signal = AbortSignal.timeout(READ_MS);
+            const res = await this.#agent.request({
+                origin: url,
+                method: 'GET',
+                path: '/orders',
+                signal,
+            });
+            return Ok(stateSchema.parse(await res.body.json()));
+        }
+        catch (err) {
+            return Err(failure('upstream-unavailable', `${url}: ${String(err)}`));
+        }
+    }
+    /** Closes the connections. */
+    async close() {
+        await this.#agent.destroy();
+    }
+    async #put(url, path, body, timeoutMs) {
+        try {
+            const res = await this.#agent.request({
+                origin: url,
+                method: 'PUT',
+                path,
+                headers: { 'content-type': 'application/json' },
+                body: JSON.stringify(body),
+                signal: AbortSignal.timeout(timeoutMs),
+            });
+            await res.body.dump();
+            if (res.statusCode < 300)
+                return Ok(undefined);
+            const outcome = res.statusCode === CONFLICT_STATUS ? 'not-run' : 'unknown';
+            return Err(failure('upstream-refused', `${url}: status ${res.statusCode}`, outcome));
+        }
+        catch (err) {
+            const outcome = wasUnsent(err) ? 'not-run' : 'unknown';
+            return Err(failure('outcome-unknown', `${url}: ${String(err)}`, outcome));
+        }
+    }
+}
+//# sourceMappingURL=httporderclient.js.map
--- /dev/null
+++ b/dist-c/src/upstream/httpplainservice.js
@@ -0,0 +1,42 @@
+/** Client of plain services over HTTP. */
+import { Agent } from 'undici';
+import { Err, failure, Ok } from '../kernel/index.js';
+import { PlainService } from './plainservice.js';
+import { wasUnsent } from './unsent.js';
+/** Longest wait for a connection, in milliseconds. */
+const CONNECT_MS = 1_000;
+/** Talks to plain services over HTTP. */
+export class HttpPlainService extends PlainService {
+    // A kept-alive connection that closes under a call would leave its outcome unknown.
+    #agent = new Agent({ pipelining: 0, connect: { timeout: CONNECT_MS } });
+    async call(url, call) {
+        try {
+            const res = await this.#agent.request({
+                origin: url,
+                method: call.method,
+                path: call.path,
+                headers: {
+                    'content-type': call.contentType,
+                    'idempotency-key': call.key,
+                    'x-request-id': call.id,
+                },
+                headersTimeout: call.timeoutMs,
+                bodyTimeout: call.timeoutMs,
+                body: call.body.length > 0 ? call.body : null,
+            });
+            const contentType = String(res.headers['content-type'] ?? 'application/octet-stream');
+            const body = Buffer.from(await res.body.arrayBuffer());
+            return Ok({ status: res.statusCode, contentType, body });
+        }
+        catch (err) {
+            if (wasUnsent(err))
+                return Err(failure('upstream-unavailable', url));
+            return Err(failure('outcome-unknown', `${url}: ${String(err)}`, 'unknown'));
+        }
+    }
+    /** Closes the connections. */
+    async close() {
+        await this.#agent.destroy();
+    }
+}
+//# sourceMappingURL=httpplainservice.js.map
--- /dev/null
+++ b/dist-c/src/upstream/index.js
@@ -0,0 +1,9 @@
+/** Upstreams: model engines and plain services, and their HTTP clients. */
+export * from './httpmodelengine.js';
+export * from './httpplainservice.js';
+export * from './httporderclient.js';
+export * from './modelcall.js';
+export * from './modelengine.js';
+export * from './orderclient.js';
+export * from './plainservice.js';
+//# sourceMappingURL=index.js.map
--- /dev/null
+++ b/dist-c/src/upstream/modelcall.js
@@ -0,0 +1,3 @@
+/** A model request and the stream that answers it, as plain data. */
+export {};
+//# sourceMappingURL=modelcall.js.map
--- /dev/null
+++ b/dist-c/src/upstream/modelengine.js
@@ -0,0 +1,4 @@
+/** Speaks to model engines. */
+export class ModelEngine {
+}
+//# sourceMappingURL=modelengine.js.map
--- /dev/null
+++ b/dist-c/src/upstream/plainservice.js
@@ -0,0 +1,4 @@
+/** Speaks to plain services. */
+export class PlainService {
+}
+//# sourceMappingURL=plainservice.js.map
--- /dev/null
+++ b/dist-c/testbed/fleet.js
@@ -0,0 +1,162 @@
+/** A fleet for tests: stand-ins in this process, daemons as processes of their own. */
+import { mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { FakeInstanceList, FakeModelEngine, FakeObjectStore, FakePlainService, } from '../fakes/index.js';
+import { DaemonProcess } from './daemonprocess.js';
+import { testDocuments } from './documents.js';
+import { freePort } from './ports.js';
+import { waitFor } from './wait.js';
+const HOST = '127.0.0.1';
+/** Stand-ins and daemons of one test. */
+export class Fleet {
+    dir;
+    store;
+    list;
+    engines;
+    service;
+    urls;
+    options;
+    daemons = [];
+    constructor(dir, store, list, engines, service, urls, options) {
+        this.dir = dir;
+        this.store = store;
+        this.list = list;
+        this.engines = engines;
+        this.service = service;
+        this.urls = urls;
+        this.options = options;
+    }
+    /**
+     * Starts a fleet with its configuration in force and its budget paid.
+     * @param options - size and speed
+     * @returns the fleet, once every daemon takes work
+     */
+    static async start(options) {
+        const dir = await mkdtemp(join(tmpdir(), 'comfreyreel-test-'));
+        const ports = { objects: await freePort(), instances: await freePort() };
+        const { random } = options;
+        const storeOptions = { host: HOST, port: ports.objects, writesPerSecond: 400 };
+        const store = await FakeObjectStore.start({
+            ...storeOptions,
+            readsPerSecond: 2_000,
+            ...(random ? { random } : {}),
+        });
+        const list = await FakeInstanceList.start({ host: HOST, port: ports.instances, lagMs: 300 });
+        const enginePorts = await Promise.all(Array.from({ length: options.engines ?? 2 }, () => freePort()));
+        const { firstTokenMs = 20, tokenMs = 5 } = options;
+        const engines = await Promise.all(enginePorts.map((port) => FakeModelEngine.start({ host: HOST, port, firstTokenMs, tokenMs })));
+        const servicePort = await freePort();
+        const service = await FakePlainService.start({ host: HOST, port: servicePort });
+        const urls = {
+            objects: `http://${HOST}:${ports.objects}`,
+            instances: `http://${HOST}:${ports.instances}`,
+            engines: enginePorts.map((port) => `http://${HOST}:${port}`),
+            service: `http://${HOST}:${servicePort}`,
+        };
+        const fleet = new Fleet(dir, store, list, engines, service, urls, options);
+        await fleet.#begin();
+        return fleet;
+    }
+    /**
+     * Gives a daemon.
+     * @param index - position in the order of starting
+     * @returns the daemon
+     */
+    daemon(index) {
+        const found = this.daemons[index];
+        if (!found)
+            throw new Error(`the fleet has no daemon ${index}`);
+        return found;
+    }
+    /**
+     * Adds a daemon and lists it at the platform.
+     * @param name - instance name
+     * @param dataCentre - data centre
+     * @returns the daemon, at once
+     */
+    async addDaemon(name, dataCentre) {
+        const { objects, instances } = this.urls;
+        const objectsFor = this.options.objectsFor ?? ((_, url) => url);
+        const daemon = await DaemonProcess.start({
+            name,
+            dataCentre,
+            objects: objectsFor(name, objects),
+            instances,
+            dir: this.dir,
+            logLevel: this.options.logLevel ?? 'info',
+        });
+        this.daemons.push(daemon);
+        this.list.set(this.daemons.filter(({ child }) => child.running).map(({ listed }) => listed));
+        return daemon;
+    }
+    /**
+     * Stops a daemon gracefully and starts another in its place, at the same addresses.
+     * @param index - position of the daemon
+     * @returns exit code of the old daemon, once the new one takes work; null after a signal
+     */
+    async restart(index) {
+        const old = this.daemon(index);
+        old.child.signal('SIGTERM');
+        const code = await old.child.ended();
+        const { port, peerPort } = old;
+        const next = await DaemonProcess.start({ ...old.options, port, peerPort });
+        this.daemons[index] = next;
+        await next.waitReady();
+        return code;
+    }
+    /**
+     * Publishes documents through the first daemon.
+     * @param documents - what shall be in force
+     */
+    async publish(documents) {
+        const daemon = this.daemon(0);
+        const { revision } = await daemon.operator('status');
+        const operation = `publish-${revision + 1}`;
+        await daemon.order('publish', { operation, author: 'test', base: revision, documents });
+    }
+    /**
+     * Reads the budget "main" through a daemon.
+     * @param index - which daemon answers
+     * @returns the budget
+     */
+    async budget(index = 0) {
+        const found = await this.daemon(index).operator('budgets');
+        const budget = found.find(({ name }) => name === 'main');
+        if (!budget)
+            throw new Error('the budget "main" is missing');
+        return budget;
+    }
+    /** The documents of a test fleet: one workspace, one budget, a model and two services. */
+    get documents() {
+        return testDocuments(this.urls);
+    }
+    /** Ends every process and stand-in and removes the files. */
+    async stop() {
+        this.daemons.forEach(({ child }) => child.signal('SIGKILL'));
+        await Promise.all(this.daemons.map(({ child }) => child.ended()));
+        await Promise.all(this.engines.map((engine) => engine.stop()));
+        await Promise.all([this.store.stop(), this.list.stop(), this.service.stop()]);
+        await rm(this.dir, { recursive: true, force: true });
+    }
+    async #begin() {
+        const centres = this.options.dataCentres ?? ['dc-1', 'dc-2', 'dc-3'];
+        for (let index = 0; index < this.options.daemons; index += 1) {
+            // Daemons join one after the other, so that their order is fixed.
+            // eslint-disable-next-line no-await-in-loop
+            await this.addDaemon(`entry-${index + 1}`, centres[index % centres.length] ?? 'dc-1');
+        }
+        await Promise.all(this.daemons.map((daemon) => daemon.waitHealthy()));
+        await this.publish(this.documents);
+        const { units } = this.options;
+        if (units > 0) {
+            await this.daemon(0).order('topups', { budget: 'main', operation: 'first', units });
+        }
+        await Promise.all(this.daemons.map((daemon) => daemon.waitReady()));
+        await waitFor('the first revision is in force everywhere', async () => {
+            const states = await Promise.all(this.daemons.map((daemon) => daemon.operator('status')));
+            return states.every(({ revision }) => revision >= 1);
+        });
+    }
+}
+//# sourceMappingURL=fleet.js.map
--- /dev/null
+++ b/dist-c/testbed/wait.js
@@ -0,0 +1,26 @@
+/** Waiting for conditions. */
+import { setTimeout as delay } from 'node:timers/promises';
+/** Interval between checks, in milliseconds. */
+const POLL_MS = 20;
+/**
+ * Waits until a condition holds.
+ * @param what - what is waited for, for the error
+ * @param condition - checked again and again; errors count as false
+ * @param timeoutMs - longest wait in milliseconds
+ * @throws Error if the condition does not hold in time
+ */
+export async function waitFor(what, condition, timeoutMs = 15_000) {
+    const deadline = Date.now() + timeoutMs;
+    while (Date.now() < deadline) {
+        // eslint-disable-next-line no-await-in-loop
+        const holds = await Promise.resolve()
+            .then(condition)
+            .catch(() => false);
+        if (holds)
+            return;
+        // eslint-disable-next-line no-await-in-loop
+        await delay(POLL_MS);
+    }
+    throw new Error(`timed out after ${timeoutMs} ms: ${what}`);
+}
+//# sourceMappingURL=wait.js.map
--- a/fakes/orders.ts
+++ b/fakes/orders.ts
@@ -37,6 +37,8 @@
 
   #open = 0;
 
+  #received = 0;
+
   #fence = 0;
 
   #faults: OrderFaults = { checksFencing: false, loseAnswers: false, delayMs: 0 };
@@ -62,6 +64,7 @@
       this.#admits(req.body.fence) ? {} : reply.status(409).send({ error: 'old number' }),
     );
     app.put<{ Body: Omit<GivenOrder, 'at' | 'open'> }>('/orders', async (req, reply) => {
+      this.#received += 1;
       await new Promise((resolve) => {
         setTimeout(resolve, this.#faults.delayMs);
       });
@@ -79,6 +82,11 @@
     return this.#given;
   }
 
+  /** Orders that arrived, also those that were refused or are not carried out yet. */
+  get received(): number {
+    return this.#received;
+  }
+
   /** Requests that arrived, in their sequence. */
   get work(): readonly ArrivedWork[] {
     return this.#work;
--- a/proof/departure.ts
+++ b/proof/departure.ts
@@ -45,6 +45,13 @@
   readonly list: FakeInstanceList;
 }
 
+/** What the upstream is like, and when the executor dies. */
+interface Course {
+  readonly checksFencing: boolean;
+  /** Whether the first order has reached the upstream when its sender dies. */
+  readonly arrived: boolean;
+}
+
 /** The plan runs against an upstream that checks fencing numbers, and one that ignores them. */
 export class DepartureProof extends Proof {
   override readonly name = 'departure';
@@ -54,11 +61,11 @@
   override readonly short = false;
 
   override async run(ctx: ProofContext): Promise<void> {
-    await this.#leave(ctx, true);
-    await this.#leave(ctx, false);
+    await this.#leave(ctx, { checksFencing: true, arrived: false });
+    await this.#leave(ctx, { checksFencing: false, arrived: true });
   }
 
-  async #leave(ctx: ProofContext, checksFencing: boolean): Promise<void> {
+  async #leave(ctx: ProofContext, course: Course): Promise<void> {
     const fleet = await Fleet.start({
       daemons: 3,
       engines: 3,
@@ -67,10 +74,10 @@
     });
     let island: Island | undefined;
     try {
-      await this.#declare(fleet, checksFencing);
+      await this.#declare(fleet, course);
       island = await this.#addIsland(fleet);
       await this.#prepareIsland(fleet, island.daemon);
-      await this.#run(ctx, fleet, island, checksFencing);
+      await this.#run(ctx, fleet, island, course);
     } finally {
       await fleet.stop();
       await Promise.all((island?.relays ?? []).map((relay) => relay.stop()));
@@ -78,12 +85,13 @@
     }
   }
 
-  async #declare(fleet: Fleet, checksFencing: boolean): Promise<void> {
+  async #declare(fleet: Fleet, course: Course): Promise<void> {
+    const { checksFencing, arrived } = course;
     const { documents } = fleet;
     const upstreams = documents.upstreams.map((upstream) =>
       upstream.name === 'engine-1' ? { ...upstream, checksFencing } : upstream,
     );
-    fleet.engines[0]?.orders.setFaults({ checksFencing });
+    fleet.engines[0]?.orders.setFaults({ checksFencing, delayMs: arrived ? 300 : 0 });
     const orders = ['unload', 'stop'] as const;
     const plan = { kind: 'upstream', name: PLAN, upstream: 'engine-1', orders } as const;
     await fleet.publish({ ...documents, upstreams, plans: [plan] });
@@ -143,12 +151,7 @@
     await delay(6_000);
   }
 
-  async #run(
-    ctx: ProofContext,
-    fleet: Fleet,
-    island: Island,
-    checksFencing: boolean,
-  ): Promise<void> {
+  async #run(ctx: ProofContext, fleet: Fleet, island: Island, course: Course): Promise<void> {
     const leaving = fleet.engines[0];
     if (!leaving) throw new Error('the fleet has no engine');
     const urls = fleet.daemons.slice(0, 3).map(({ url }) => url);
@@ -176,7 +179,7 @@
     const acceptedAt = this.#stored(fleet).acceptedAt ?? 0;
     await delay(THAW_MS);
     fleet.daemon(frozen).child.signal('SIGCONT');
-    await this.#killAtIntent(ctx, fleet, leaving);
+    await this.#killExecutor(ctx, fleet, leaving, course);
     await delay(Math.max(0, acceptedAt + LOAD_MS - Date.now()));
     load.running = false;
     await Promise.all(callers);
@@ -186,18 +189,25 @@
     await waitFor('the plan is done', () => this.#stored(fleet).phase === 'done', DONE_MS).catch(
       () => ensure(false, `the plan came no further: ${JSON.stringify(this.#stored(fleet))}`),
     );
-    this.#checkOrders(ctx, leaving, checksFencing);
+    this.#checkOrders(ctx, leaving, course);
   }
 
   #stored(fleet: Fleet): PlanState {
     return fleet.store.peek(`plans/${PLAN}`) as PlanState;
   }
 
-  /** Kills the executor as soon as the store holds its intent to give the first order. */
-  async #killAtIntent(ctx: ProofContext, fleet: Fleet, leaving: FakeModelEngine): Promise<void> {
-    const intended = (): boolean => this.#stored(fleet).orders[0]?.state === 'intended';
+  /** Kills the executor while its first order is on the way, or once it was carried out. */
+  async #killExecutor(
+    ctx: ProofContext,
+    fleet: Fleet,
+    leaving: FakeModelEngine,
+    { arrived }: Course,
+  ): Promise<void> {
+    const { orders } = leaving;
+    const reached = (): boolean =>
+      arrived ? orders.received > 0 : this.#stored(fleet).orders[0]?.state === 'intended';
     const deadline = Date.now() + DONE_MS;
-    while (!intended() && Date.now() < deadline) {
+    while (!reached() && Date.now() < deadline) {
       // The kill must come within the turn that recorded the intent.
       // eslint-disable-next-line no-await-in-loop
       await new Promise((resolve) => {
@@ -209,7 +219,7 @@
     ensure(found !== undefined, `no daemon is the executor ${executor}`);
     found.child.signal('SIGKILL');
     await found.child.ended();
-    ctx.say(`executor killed with ${leaving.orders.given.length} orders given`);
+    ctx.say(`executor killed with ${orders.received} orders on the way`);
   }
 
   #checkWork(ctx: ProofContext, fleet: Fleet, acceptedAt: number): void {
@@ -233,7 +243,7 @@
     ensure(whole === answers.length, `${answers.length - whole} open answers were cut`);
   }
 
-  #checkOrders(ctx: ProofContext, leaving: FakeModelEngine, checksFencing: boolean): void {
+  #checkOrders(ctx: ProofContext, leaving: FakeModelEngine, { checksFencing }: Course): void {
     const { given } = leaving.orders;
     const names = given.map(({ order }) => order).join(', ');
     ctx.say(`${checksFencing ? 'checks' : 'ignores'} fencing: orders given: ${names}`);
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -7,9 +7,11 @@
 import { diffCommand } from './diff.js';
 import { EXIT } from './exits.js';
 import { say } from './output.js';
+import { plansCommand } from './plans.js';
 import { publishCommand } from './publish.js';
 import { statementCommand } from './statement.js';
 import { statusCommand } from './status.js';
+import { timelineCommand } from './timeline.js';
 import { topUpCommand } from './topup.js';
 import { workspacesCommand } from './workspaces.js';
 
@@ -31,6 +33,8 @@
   .command(budgetsCommand)
   .command(topUpCommand)
   .command(statementCommand)
+  .command(plansCommand)
+  .command(timelineCommand)
   .completion('completion', 'print a completion script for the shell')
   .epilogue('exit codes: 0 done, 1 refused, 2 wrong input, 3 no answer or outcome unknown')
   .demandCommand(1, 'name a command; --help lists them')
--- /dev/null
+++ b/src/cli/plans.ts
@@ -0,0 +1,75 @@
+/** The command "plans". */
+import type { CommandModule } from 'yargs';
+import { OperatorClient } from './client.js';
+import { announce, formatTable, report } from './output.js';
+
+import type { PlanAction, PlanAnswer, PlanState } from '../plan/index.js';
+import type { GlobalArgs, Row } from './output.js';
+
+interface ActionArgs extends GlobalArgs {
+  readonly name: string;
+  readonly operation: string;
+}
+
+const ACTIONS: readonly { readonly action: PlanAction; readonly describe: string }[] = [
+  { action: 'start', describe: 'let the upstream or the workspace leave now' },
+  { action: 'pause', describe: 'take no further step for the time being' },
+  { action: 'resume', describe: 'go on with a paused plan' },
+  { action: 'abandon', describe: 'give a plan up, before any order was sent' },
+];
+
+function rowOf(plan: PlanState): Row {
+  const { document, phase, paused, waitsFor, orders, closing } = plan;
+  const given = orders.map(({ order, state }) => `${order}: ${state}`).join(', ');
+  const left = closing ? `${closing.charges} charges, refund ${closing.refund}` : '';
+  return {
+    plan: document.name,
+    leaves: document.kind === 'upstream' ? document.upstream : document.workspace,
+    phase: paused ? `${phase}, paused` : phase,
+    'waits for': waitsFor,
+    result: document.kind === 'upstream' ? given : left,
+  };
+}
+
+function render({ plan, result }: PlanAnswer): string {
+  const table = plan ? formatTable([rowOf(plan)]) : '';
+  return result === 'repeated' ? `already done by this operation\n${table}` : table;
+}
+
+function actionCommand(
+  action: PlanAction,
+  describe: string,
+): CommandModule<GlobalArgs, ActionArgs> {
+  return {
+    command: `${action} <name>`,
+    describe,
+    builder: (args) =>
+      args.positional('name', { type: 'string', demandOption: true }).option('operation', {
+        type: 'string',
+        demandOption: true,
+        describe: 'id of the order; a repeat changes nothing',
+      }),
+    handler: async (argv) => {
+      const { name, operation } = argv;
+      announce(operation);
+      const path = `plans/${encodeURIComponent(name)}`;
+      const answer = await new OperatorClient(argv).post<PlanAnswer>(path, { action, operation });
+      report(argv, answer, render, operation);
+    },
+  };
+}
+
+/** Lists the plans, or changes one. */
+export const plansCommand: CommandModule<GlobalArgs, GlobalArgs> = {
+  command: 'plans',
+  describe: 'list the plans by which upstreams and workspaces leave, or change one',
+  builder: (args) =>
+    ACTIONS.reduce(
+      (cli, { action, describe }) => cli.command(actionCommand(action, describe)),
+      args,
+    ),
+  handler: async (argv) => {
+    const answer = await new OperatorClient(argv).get<readonly PlanState[]>('plans');
+    report(argv, answer, (plans) => formatTable(plans.map(rowOf)));
+  },
+};
--- a/src/daemon/app.module.ts
+++ b/src/daemon/app.module.ts
@@ -8,6 +8,7 @@
 import { OperatorsController } from './operators.controller.js';
 import { PlansController } from './plans.controller.js';
 import { Runtime } from './runtime.js';
+import { TimelineController } from './timeline.controller.js';
 
 /** Binds the HTTP interfaces to the tasks of one daemon. */
 @Module({})
@@ -20,7 +21,13 @@
   static around(runtime: Runtime): DynamicModule {
     return {
       module: AppModule,
-      controllers: [CallersController, HealthController, OperatorsController, PlansController],
+      controllers: [
+        CallersController,
+        HealthController,
+        OperatorsController,
+        PlansController,
+        TimelineController,
+      ],
       providers: [{ provide: Runtime, useValue: runtime }, OperatorGuard],
     };
   }
--- a/src/daemon/operators.controller.ts
+++ b/src/daemon/operators.controller.ts
@@ -9,7 +9,6 @@
 
 import type { ChargeLine } from '../budget/index.js';
 import type { Documents, PublishAnswer, WorkspaceView } from '../config/index.js';
-import type { TimelineEvent } from '../telemetry/index.js';
 import type { BudgetView, PaymentAnswer } from './operations.js';
 
 const publicationSchema = z.strictObject({
@@ -123,13 +122,4 @@
   async statement(@Param('workspace') workspace: string): Promise<readonly ChargeLine[]> {
     return unwrap(await this.runtime.operations.statement(workspace));
   }
-
-  /**
-   * Gives the events that this daemon keeps.
-   * @returns the events, oldest first
-   */
-  @Get('timeline')
-  timeline(): readonly TimelineEvent[] {
-    return this.runtime.recorder.timeline.list();
-  }
 }
--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -24,6 +24,7 @@
 import { Routing } from './routing.js';
 import { OpenWork } from './serving.js';
 import { splitAddress } from './settings.js';
+import { TimelineTask } from './timelinetask.js';
 
 import type { Serving } from './serving.js';
 import type { Settings } from './settings.js';
@@ -59,6 +60,8 @@
 
   readonly plans: PlanOperations;
 
+  readonly timeline: TimelineTask;
+
   readonly network: WsPeerNetwork;
 
   readonly active = new ActiveRequests();
@@ -123,6 +126,7 @@
     const orders = new HttpOrderClient();
     const ctx = { self, store, config, network, follower, work, orders, recorder };
     this.#executor = new PlanExecutor(ctx);
+    this.timeline = new TimelineTask(recorder, network);
     this.plans = new PlanOperations(ctx);
   }
 
--- a/src/link/messages.ts
+++ b/src/link/messages.ts
@@ -7,6 +7,7 @@
 import { planMessages } from '../plan/messages.js';
 import { requestMessages } from '../request/messages.js';
 import { routeMessages } from '../route/messages.js';
+import { telemetryMessages } from '../telemetry/messages.js';
 
 /** Schema of the body of a peer message. */
 export const peerMessageSchema = z.discriminatedUnion('type', [
@@ -16,6 +17,7 @@
   ...planMessages,
   ...requestMessages,
   ...routeMessages,
+  ...telemetryMessages,
 ]);
 
 /** Body of a peer message. */
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -17,6 +17,8 @@
   handoverDelayed: { number: 1006, level: 'warn', text: 'neither store nor peer takes over yet' },
   handoverTaken: { number: 1007, level: 'info', text: 'took over the charges of a stopping peer' },
   handoverDelivered: { number: 1008, level: 'info', text: 'delivered what a peer handed over' },
+  requestReceived: { number: 1101, level: 'debug', text: 'request received' },
+  reservationShort: { number: 1102, level: 'info', text: 'units at hand do not cover a request' },
   requestAdmitted: { number: 2001, level: 'debug', text: 'request admitted' },
   requestDispatched: { number: 2002, level: 'debug', text: 'request dispatched to an upstream' },
   requestAnswered: { number: 2003, level: 'debug', text: 'request answered whole' },
--- a/src/telemetry/index.ts
+++ b/src/telemetry/index.ts
@@ -1,4 +1,5 @@
 /** Telemetry: event catalogue, recorder and time line. */
 export * from './events.js';
+export * from './query.js';
 export * from './recorder.js';
 export * from './timeline.js';
--- /dev/null
+++ b/src/telemetry/messages.ts
@@ -0,0 +1,43 @@
+/** Messages between daemons of the time line. */
+import { z } from 'zod';
+
+import { EVENTS } from './events.js';
+import { timelineQuerySchema } from './query.js';
+
+import type { EventName } from './events.js';
+
+const stampSchema = z.object({ wall: z.number(), count: z.number() }).readonly();
+
+const subjectSchema = z
+  .object({
+    request: z.string().optional(),
+    budget: z.string().optional(),
+    plan: z.string().optional(),
+    peer: z.string().optional(),
+    upstream: z.string().optional(),
+    detail: z.string().optional(),
+  })
+  .readonly();
+
+const eventSchema = z
+  .object({
+    stamp: stampSchema,
+    source: z.string(),
+    number: z.number().int(),
+    name: z.custom<EventName>((name) => typeof name === 'string' && name in EVENTS),
+    subject: subjectSchema,
+  })
+  .readonly();
+
+/** A daemon asks a peer for its events. */
+export const readTimelineSchema = z
+  .object({ type: z.literal('read-timeline'), query: timelineQuerySchema })
+  .readonly();
+
+/** The peer's events, oldest first. */
+export const timelineReadSchema = z
+  .object({ type: z.literal('timeline-read'), events: z.array(eventSchema).readonly() })
+  .readonly();
+
+/** Messages of the time line. */
+export const telemetryMessages = [readTimelineSchema, timelineReadSchema] as const;
