--- a/dist-b/src/platform/instancelist.js
+++ /dev/null
@@ -1,4 +0,0 @@
-/** Lists live and leaving instances. */
-export class InstanceList {
-}
-//# sourceMappingURL=instancelist.js.map
--- a/dist-b/src/upstream/modelcall.js
+++ /dev/null
@@ -1,3 +0,0 @@
-/** A model request and the stream that answers it, as plain data. */
-export {};
-//# sourceMappingURL=modelcall.js.map
--- a/dist-c/src/config/messages.js
+++ /dev/null
@@ -1,4 +0,0 @@
-/** Messages between daemons of the config aggregate. */
-/** Schemas of the messages. */
-export const configMessages = [];
-//# sourceMappingURL=messages.js.map
--- a/dist-c/src/fleet/index.js
+++ /dev/null
@@ -1,3 +0,0 @@
-/** Fleet aggregate: instances, backups and handover. */
-export * from './messages.js';
-//# sourceMappingURL=index.js.map
--- a/dist-c/src/platform/objectstore.js
+++ /dev/null
@@ -1,4 +0,0 @@
-/** Versioned objects with conditional updates and watches. */
-export class ObjectStore {
-}
-//# sourceMappingURL=objectstore.js.map
--- a/dist-c/src/upstream/modelengine.js
+++ /dev/null
@@ -1,4 +0,0 @@
-/** Speaks to model engines. */
-export class ModelEngine {
-}
-//# sourceMappingURL=modelengine.js.map
--- a/dist-c/src/upstream/plainservice.js
+++ /dev/null
@@ -1,4 +0,0 @@
-/** Speaks to plain services. */
-export class PlainService {
-}
-//# sourceMappingURL=plainservice.js.map
--- a/proof/catalogue.ts
+++ b/proof/catalogue.ts
@@ -1,6 +1,10 @@
 /** Every proof, in the order in which they run. */
 import { DepartureProof } from './departure.js';
 import { GracefulStopProof } from './gracefulstop.js';
+import { AtMostOnceProof } from './atmostonce.js';
+import { NotRunProof } from './notrun.js';
+import { BilledOnceProof } from './billedonce.js';
+import { ConfigNeverRevertsProof } from './configneverreverts.js';
 import { OwnAnswerProof } from './ownanswer.js';
 
 import type { Proof } from './proof.js';
@@ -10,4 +14,8 @@
   new OwnAnswerProof(),
   new GracefulStopProof(),
   new DepartureProof(),
+  new NotRunProof(),
+  new AtMostOnceProof(),
+  new BilledOnceProof(),
+  new ConfigNeverRevertsProof(),
 ];
--- a/proof/gracefulstop.ts
+++ b/proof/gracefulstop.ts
@@ -20,6 +20,9 @@
 /** Delay before a caller tries another instance after a refusal, in milliseconds. */
 const REPEAT_MS = 100;
 
+/** Length of the outage, longer than the open answers, in milliseconds. */
+const OUTAGE_MS = 9_000;
+
 /** Attempts of a caller for one request. */
 const ATTEMPTS = 300;
 
@@ -90,8 +93,10 @@
     const old = fleet.daemon(index);
     fleet.store.setFaults({ outage: true });
     old.child.signal('SIGTERM');
-    const code = await old.child.ended();
+    await delay(OUTAGE_MS);
+    ensure(old.child.running, 'a daemon left while others counted on it as their backup');
     fleet.store.setFaults({ outage: false });
+    const code = await old.child.ended();
     await fleet.restart(index);
     return code;
   }
--- a/src/daemon/app.module.ts
+++ b/src/daemon/app.module.ts
@@ -4,6 +4,7 @@
 import type { DynamicModule } from '@nestjs/common';
 import { CallersController } from './callers.controller.js';
 import { HealthController } from './health.controller.js';
+import { HeldController } from './held.controller.js';
 import { OperatorGuard } from './operator.guard.js';
 import { OperatorsController } from './operators.controller.js';
 import { PlansController } from './plans.controller.js';
@@ -24,6 +25,7 @@
       controllers: [
         CallersController,
         HealthController,
+        HeldController,
         OperatorsController,
         PlansController,
         TimelineController,
--- a/src/daemon/handover.ts
+++ b/src/daemon/handover.ts
@@ -1,45 +1,44 @@
-/** Hands over what a stopping daemon owes the store, and delivers what others handed over. */
+/** Ends a daemon's debts to the store, and keeps the charge lines that stopping peers leave. */
 import { setTimeout as delay } from 'node:timers/promises';
 
-import { parseShard, acceptReturns, shardKey, shardOf } from '../budget/index.js';
 import { rendezvous } from '../kernel/index.js';
-import { updateObject } from '../platform/index.js';
 import { deliverLines } from './delivery.js';
 
-import type { UnitReturn } from '../budget/index.js';
 import type { Incarnation } from '../kernel/index.js';
 import type { PeerNetwork } from '../link/index.js';
-import type { HandOver } from '../plan/messages.js';
+import type { HandOver } from '../plan/index.js';
 import type { ObjectStore } from '../platform/index.js';
 import type { Recorder } from '../telemetry/index.js';
-import type { BudgetTask } from './budgettask.js';
 import type { Charges } from './charges.js';
-import type { ConfigTask } from './configtask.js';
 
 /** Interval between deliveries of what was taken over, in milliseconds. */
 const DELIVER_MS = 1_000;
 
-/** Delay before a stopping daemon tries the store and its peers again, in milliseconds. */
-const RETRY_MS = 250;
+/** Delay before a stopping daemon tries the store again, in milliseconds. */
+const RETRY_MS = 500;
 
 /** Longest wait for a peer that takes over, in milliseconds. */
 const HAND_OVER_MS = 1_000;
 
-/** Peers that take over the same debt, so that one of them may be lost. */
+/** Peers that take over the same lines, so that one of them may be lost. */
 const HEIRS = 2;
 
+/** Object that is read to find out whether the store answers. */
+const PROBE_KEY = 'probe';
+
+/** Attempts to leave while the store answers; what is left then is recovered by others. */
+const MAX_REFUSALS = 6;
+
 /** What the handover needs. */
 export interface HandoverContext {
   readonly self: Incarnation;
   readonly store: ObjectStore;
-  readonly budgets: BudgetTask;
   readonly charges: Charges;
-  readonly config: ConfigTask;
   readonly network: PeerNetwork;
   readonly recorder: Recorder;
 }
 
-/** Owns the debts to the store that this daemon took over. */
+/** Owns the lines that this daemon took over. */
 export class Handover {
   #taken: readonly HandOver[] = [];
 
@@ -51,7 +50,7 @@
 
   /**
    * Creates the task and answers peers that stop.
-   * @param ctx - store, budgets, charges and peers
+   * @param ctx - store, charges and peers
    */
   constructor(private readonly ctx: HandoverContext) {
     ctx.network.handle('hand-over', (debt, from) => {
@@ -69,65 +68,41 @@
     }, DELIVER_MS);
   }
 
-  /** Settles every debt of this daemon with the store, or else with peers. */
+  /**
+   * Settles with the store. During an outage the lines go to peers, and the daemon stays: only the
+   * store can name another backup for the daemons whose copies it keeps.
+   */
   async run(): Promise<void> {
-    const { charges, recorder } = this.ctx;
+    const { charges, store, recorder } = this.ctx;
     this.#closed = true;
     clearInterval(this.#timer);
-    const returns = await this.#release();
-    for (;;) {
+    for (let refusals = 0; refusals < MAX_REFUSALS;) {
       /* eslint-disable no-await-in-loop */
-      const settled = (await charges.flush()) && (await this.#giveBack(returns));
+      const left = await charges.leave();
       await this.#deliverTaken();
-      if (settled && this.#taken.length === 0) {
-        recorder.record('handoverDone', { detail: 'store' });
-        return;
-      }
-      if (await this.#toPeers(returns)) return;
-      recorder.record('handoverDelayed');
+      if (left && this.#taken.length === 0) break;
+      const probe = await store.read(PROBE_KEY);
+      if (probe.ok) refusals += 1;
+      else if (charges.pending.length + this.#taken.length > 0) await this.#toPeers();
+      recorder.record('handoverDelayed', { detail: probe.ok ? 'refused' : probe.val.text });
       await delay(RETRY_MS);
       /* eslint-enable no-await-in-loop */
     }
+    recorder.record('handoverDone');
   }
 
-  async #release(): Promise<readonly UnitReturn[]> {
-    const { budgets, self } = this.ctx;
-    const replies = await Promise.all(
-      budgets.names.map((budget) => budgets.ask({ type: 'release', budget })),
-    );
-    return replies
-      .map(({ escrow }) => ({ holder: self, budget: escrow.budget, returned: escrow.returned }))
-      .filter(({ returned }) => returned > 0);
-  }
-
-  async #giveBack(returns: readonly UnitReturn[]): Promise<boolean> {
-    const shards = this.ctx.config.current?.manifest.budgetShards ?? 1;
-    const numbers = new Set(returns.map(({ budget }) => shardOf(budget, shards)));
-    const updates = [...numbers].map((shard) => {
-      const own = returns.filter(({ budget }) => shardOf(budget, shards) === shard);
-      const kind = { key: shardKey(shard), parse: parseShard };
-      return updateObject(this.ctx.store, kind, (value) => acceptReturns(value, own));
-    });
-    const results = await Promise.all(updates);
-    return results.every(({ ok }) => ok);
-  }
-
-  async #toPeers(returns: readonly UnitReturn[]): Promise<boolean> {
+  async #toPeers(): Promise<void> {
     const { self, charges, network } = this.ctx;
-    const own: HandOver = { type: 'hand-over', holder: self, charges: charges.unflushed, returns };
+    const own: HandOver = { type: 'hand-over', holder: self, charges: charges.pending };
     const peers = network.peers().filter(({ state }) => state === 'live');
-    const order = rendezvous(
-      self,
-      peers.map(({ name }) => name),
-    );
+    const names = peers.map(({ name }) => name);
+    const order = rendezvous(self, names);
     let heirs = 0;
     for (let index = 0; index < order.length && heirs < HEIRS; index += 1) {
       // The next peer is asked only if the one before did not take over.
       // eslint-disable-next-line no-await-in-loop
       if (await this.#offer(order[index] ?? '', [own, ...this.#taken])) heirs += 1;
     }
-    if (heirs > 0) this.ctx.recorder.record('handoverDone', { detail: `${heirs} peers` });
-    return heirs > 0;
   }
 
   async #offer(to: string, debts: readonly HandOver[]): Promise<boolean> {
@@ -147,19 +122,23 @@
   }
 
   async #deliverAll(): Promise<void> {
-    const { store, recorder } = this.ctx;
-    const settled = await Promise.all(
-      this.#taken.map(async ({ holder, charges, returns }) => {
-        const sent = charges.map(({ shard, lines }) =>
-          deliverLines(store, { holder, shard, lines }),
-        );
-        const delivered = (await Promise.all(sent)).every(Boolean);
-        return delivered && (await this.#giveBack(returns)) ? holder : undefined;
-      }),
+    const debts = this.#taken;
+    const done = await Promise.all(debts.map((debt) => this.#deliver(debt)));
+    const settled = debts.filter((_, index) => done[index]);
+    this.#taken = this.#taken.filter((debt) => !settled.includes(debt));
+    settled.forEach(({ holder }) =>
+      this.ctx.recorder.record('handoverDelivered', { peer: holder }),
+    );
+  }
+
+  /** Delivers in the holder's name; once a recoverer has fenced the holder, that one delivers. */
+  async #deliver({ holder, charges }: HandOver): Promise<boolean> {
+    const { store } = this.ctx;
+    const answers = await Promise.all(
+      charges.map(({ shard, settled, lines }) =>
+        deliverLines(store, { shard, holder, by: holder, settled, lines }),
+      ),
     );
-    this.#taken = this.#taken.filter(({ holder }) => !settled.includes(holder));
-    settled
-      .filter((holder) => holder !== undefined)
-      .forEach((holder) => recorder.record('handoverDelivered', { peer: holder }));
+    return answers.every(({ ok }) => ok);
   }
 }
--- a/src/daemon/operations.ts
+++ b/src/daemon/operations.ts
@@ -1,20 +1,11 @@
 /** What operators may read and order, carried out against the store. */
-import {
-  parseShard,
-  segmentPrefix,
-  segmentSchema,
-  shardKey,
-  shardOf,
-  spentOf,
-  topUp,
-  unallocated,
-} from '../budget/index.js';
-import { makePiece, MANIFEST_KEY, parseManifest, pieceKey, publish } from '../config/index.js';
+import { parseShard, shardKey, shardOf, spentOf, topUp, unallocated } from '../budget/index.js';
 import { Err, failure, Ok } from '../kernel/index.js';
 import { updateObject } from '../platform/index.js';
+import { readStatement } from './statements.js';
 
 import type { BudgetShard, ChargeLine, TopUp } from '../budget/index.js';
-import type { Documents, Manifest, PublishAnswer } from '../config/index.js';
+import type { Manifest } from '../config/index.js';
 import type { Failure, Result } from '../kernel/index.js';
 import type { ObjectStore } from '../platform/index.js';
 import type { ConfigTask } from './configtask.js';
@@ -31,14 +22,6 @@
   readonly left: number;
 }
 
-/** A publication, as the command-line tool sends it. */
-export interface Publication {
-  readonly operation: string;
-  readonly author: string;
-  readonly base: number;
-  readonly documents: Documents;
-}
-
 /** A payment, as the command-line tool sends it. */
 export interface Payment {
   readonly budget: string;
@@ -73,25 +56,6 @@
     private readonly config: ConfigTask,
   ) {}
 
-  /**
-   * Puts documents in force as a new revision.
-   * @param ask - the publication
-   * @returns the manifest in force and whether this publication made it
-   */
-  async publish(ask: Publication): Promise<Result<PublishAnswer, Failure>> {
-    const piece = makePiece(ask.documents);
-    const stored = await this.store.write(pieceKey(piece.digest), piece.documents, 0);
-    if (stored.err && stored.val.problem !== 'conflict') {
-      return Err(failure('store-unavailable', stored.val.text));
-    }
-    const kind = { key: MANIFEST_KEY, parse: parseManifest };
-    const request = { ...ask, at: Date.now(), pieces: [piece.digest] };
-    const done = await updateObject(this.store, kind, (manifest) => publish(manifest, request));
-    if (done.err) return Err(failure('store-unavailable', done.val.text, 'unknown'));
-    await this.config.refresh();
-    return Ok(done.val);
-  }
-
   /**
    * Adds a payment to a budget.
    * @param ask - the payment
@@ -142,14 +106,13 @@
     const manifest = this.#manifest();
     const lines: ChargeLine[] = [];
     for (let shard = 0; shard < manifest.budgetShards; shard += 1) {
-      // Segments are read shard by shard to stay inside the read rate of the store.
+      // Pages are read shard by shard to stay inside the read rate of the store.
       // eslint-disable-next-line no-await-in-loop
-      const found = await this.#settledLines(shard);
-      if (found.err) return found;
+      const found = await readStatement(this.store, shard);
+      if (found.err) return Err(failure('store-unavailable', found.val.text));
       lines.push(...found.val.filter((line) => line.workspace === workspace));
     }
-    const unique = new Map(lines.map((line) => [line.key, line]));
-    return Ok([...unique.values()].sort((a, b) => a.at - b.at));
+    return Ok(lines.sort((a, b) => a.at - b.at));
   }
 
   #manifest(): Pick<Manifest, 'budgetShards'> {
@@ -163,17 +126,4 @@
     if (bad?.err) return Err(failure('store-unavailable', bad.val.text));
     return Ok(found.flatMap((result) => (result.ok ? [parseShard(result.val.value)] : [])));
   }
-
-  async #settledLines(shard: number): Promise<Result<readonly ChargeLine[], Failure>> {
-    const root = await this.store.read(shardKey(shard));
-    const listed = await this.store.list(segmentPrefix(shard));
-    if (root.err || listed.err) return Err(failure('store-unavailable', `shard ${shard}`));
-    const { holders } = parseShard(root.val.value);
-    const marks = new Map(holders.map(({ holder, settled }) => [holder, settled]));
-    const segments = await Promise.all(listed.val.map(({ key }) => this.store.read(key)));
-    const lines = segments.flatMap((found) =>
-      found.ok ? segmentSchema.parse(found.val.value).lines : [],
-    );
-    return Ok(lines.filter((line) => line.sequence <= (marks.get(line.holder) ?? 0)));
-  }
 }
--- a/src/daemon/planwork.ts
+++ b/src/daemon/planwork.ts
@@ -81,7 +81,7 @@
     const open = active.of(workspace);
     if (open > 0) return open;
     await charges.flush();
-    const unsettled = charges.unflushed.some(({ lines }) =>
+    const unsettled = charges.pending.some(({ lines }) =>
       lines.some((line) => line.workspace === workspace),
     );
     return unsettled ? 1 : 0;
--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -21,8 +21,10 @@
 import { PlanFollower } from './planfollower.js';
 import { PlanOperations } from './planoperations.js';
 import { PlanWork } from './planwork.js';
+import { Publishing } from './publishing.js';
 import { Routing } from './routing.js';
 import { OpenWork } from './serving.js';
+import { ShardCare } from './shardcare.js';
 import { splitAddress } from './settings.js';
 import { TimelineTask } from './timelinetask.js';
 
@@ -62,6 +64,8 @@
 
   readonly timeline: TimelineTask;
 
+  readonly publishing: Publishing;
+
   readonly network: WsPeerNetwork;
 
   readonly active = new ActiveRequests();
@@ -72,6 +76,15 @@
 
   readonly #directory: Directory;
 
+  readonly #care: ShardCare;
+
+  #fenced: () => void = () => undefined;
+
+  /** Settles when this incarnation may not go on, because another daemon took its place. */
+  readonly fenced = new Promise<void>((resolve) => {
+    this.#fenced = resolve;
+  });
+
   #phase: Phase = 'starting';
 
   /**
@@ -91,15 +104,24 @@
       directory: this.#directory,
       recorder,
     });
-    const config = new ConfigTask(store, recorder);
+    const { network } = this;
+    const { dataCentre } = settings;
+    const config = new ConfigTask({ self, dataCentre, store, network, recorder });
     const budgets = new BudgetTask();
     const backups = new Backups(self, settings.dataCentre, this.network);
-    const backup = (): string | null => backups.choice ?? null;
-    const { network } = this;
-    const { instance, dataCentre } = settings;
+    const { instance } = settings;
     const plans = new PlanFollower({ instance, dataCentre, store, network, recorder });
     const mayReceive = (upstream: string): boolean => plans.mayReceive(upstream);
     const daemons = (): number => this.network.peers().length + 1;
+    const charges = new Charges({
+      self,
+      store,
+      backups,
+      config,
+      recorder,
+      onFenced: () => this.#fenced(),
+    });
+    this.#care = new ShardCare({ self, store, backups, network, config, recorder });
     this.serving = {
       self,
       plans,
@@ -107,18 +129,18 @@
       store,
       config,
       budgets,
-      grants: new Grants({ self, store, budgets, config, recorder, backup }),
       claims: new Claims(self, store),
       keys: new KeyRegistry(self, this.network),
-      charges: new Charges({ self, store, backups, config, recorder }),
       routing: new Routing({ config, recorder, random: Math.random, daemons, mayReceive }),
+      grants: new Grants({ self, store, budgets, config, recorder, charges }),
+      charges,
       engine: new HttpModelEngine(),
       service: new HttpPlainService(),
       recorder,
       open: new OpenWork(),
     };
-    const { charges, open } = this.serving;
-    this.#handover = new Handover({ self, store, budgets, charges, config, network, recorder });
+    const { open } = this.serving;
+    this.#handover = new Handover({ self, store, charges, network, recorder });
     this.operations = new Operations(store, config);
     const { active, operations } = this;
     const follower = plans;
@@ -128,12 +150,14 @@
     this.#executor = new PlanExecutor(ctx);
     this.timeline = new TimelineTask(recorder, network);
     this.plans = new PlanOperations(ctx);
+    this.publishing = new Publishing({ store, config, recorder, clock: new SystemClock() });
   }
 
   /** Whether the daemon takes new work: it serves and has a configuration. */
   get ready(): boolean {
-    const { config, plans } = this.serving;
-    return this.#phase === 'serving' && config.current !== undefined && plans.loaded;
+    const { charges, config, plans } = this.serving;
+    const knows = config.current !== undefined && plans.loaded;
+    return this.#phase === 'serving' && knows && !charges.isFenced;
   }
 
   /** Whether a graceful stop has begun. */
@@ -148,6 +172,7 @@
     this.serving.charges.start();
     this.#handover.start();
     this.serving.routing.start();
+    this.#care.start();
     void this.serving.config.run();
     this.serving.plans.start();
     this.#executor.start();
@@ -164,11 +189,11 @@
 
   /** Delivers what is left and closes the links, once no request is open. */
   async finishStop(): Promise<void> {
-    const { charges, config } = this.serving;
-    charges.stop();
+    const { config } = this.serving;
     this.serving.routing.stop();
-    await this.#handover.run();
+    this.#care.stop();
     await this.serving.keys.handOver();
+    await this.#handover.run();
     config.stop();
     this.serving.plans.stop();
     this.#directory.stop();
--- a/src/plan/messages.ts
+++ b/src/plan/messages.ts
@@ -4,27 +4,26 @@
 import { chargeLineSchema } from '../budget/index.js';
 import { planStateSchema } from './state.js';
 
-const shardLinesSchema = z
-  .object({ shard: z.number().int(), lines: z.array(chargeLineSchema).readonly() })
-  .readonly();
-
-const unitReturnSchema = z
-  .object({ holder: z.string(), budget: z.string(), returned: z.number().int() })
+const pendingLinesSchema = z
+  .object({
+    shard: z.number().int(),
+    /** Highest sequence that the store holds. */
+    settled: z.number().int(),
+    /** Every later line, without gaps. */
+    lines: z.array(chargeLineSchema).readonly(),
+  })
   .readonly();
 
-/** A daemon that stops during an outage of the store leaves what it owes to a peer. */
+/** A daemon that stops during an outage of the store leaves its lines to a peer. */
 export const handOverSchema = z
   .object({
     type: z.literal('hand-over'),
     holder: z.string(),
-    /** Every line that the store does not hold, without gaps. */
-    charges: z.array(shardLinesSchema).readonly(),
-    /** Counters of units that the holder will not use any more. */
-    returns: z.array(unitReturnSchema).readonly(),
+    charges: z.array(pendingLinesSchema).readonly(),
   })
   .readonly();
 
-/** The peer has taken over and will deliver to the store. */
+/** The peer keeps the lines and delivers them once the store answers. */
 export const handedOverSchema = z
   .object({ type: z.literal('handed-over'), accepted: z.boolean() })
   .readonly();
@@ -75,5 +74,8 @@
   planSurveyedSchema,
 ] as const;
 
+/** Charge lines of one shard that the store does not hold. */
+export type PendingLines = z.infer<typeof pendingLinesSchema>;
+
 /** What a stopping daemon leaves to a peer. */
 export type HandOver = z.infer<typeof handOverSchema>;
