--- a/proof/catalogue.ts
+++ b/proof/catalogue.ts
@@ -1,4 +1,6 @@
 /** Every proof, in the order in which they run. */
+import { DepartureProof } from './departure.js';
+import { GracefulStopProof } from './gracefulstop.js';
 import { AtMostOnceProof } from './atmostonce.js';
 import { NotRunProof } from './notrun.js';
 import { BilledOnceProof } from './billedonce.js';
@@ -10,6 +12,8 @@
 /** The proofs. */
 export const PROOFS: readonly Proof[] = [
   new OwnAnswerProof(),
+  new GracefulStopProof(),
+  new DepartureProof(),
   new NotRunProof(),
   new AtMostOnceProof(),
   new BilledOnceProof(),
--- a/src/config/crosscheck.ts
+++ b/src/config/crosscheck.ts
@@ -2,6 +2,7 @@
 import { suggest } from '../kernel/index.js';
 import { KIND_NAMES } from './entries.js';
 
+import type { PlanDocument } from '../plan/document.js';
 import type { DocumentKind } from './difference.js';
 import type { Route, UpstreamDocument, Workspace } from './documents.js';
 import type { Entry } from './entries.js';
@@ -142,6 +143,13 @@
   return checkReference(entry, 'route', index.missing('routes', route));
 }
 
+function checkPlan(entry: Entry, plan: PlanDocument, index: Index): readonly Finding[] {
+  if (plan.kind === 'upstream') {
+    return checkReference(entry, 'upstream', index.missing('upstreams', plan.upstream));
+  }
+  return checkReference(entry, 'workspace', index.missing('workspaces', plan.workspace));
+}
+
 function checkEntry(entry: Entry, index: Index): readonly Finding[] {
   switch (entry.kind) {
     case 'workspaces':
@@ -152,8 +160,10 @@
     }
     case 'routes':
       return checkRoute(entry, entry.document);
-    default:
+    case 'upstreams':
       return checkUpstream(entry, entry.document, index);
+    default:
+      return checkPlan(entry, entry.document, index);
   }
 }
 
--- a/src/daemon/routing.ts
+++ b/src/daemon/routing.ts
@@ -25,6 +25,8 @@
   readonly random: () => number;
   /** Live daemons of the fleet, this one included. */
   readonly daemons: () => number;
+  /** Whether an upstream may receive new work, by the plans. */
+  readonly mayReceive: (upstream: string) => boolean;
 }
 
 /** A request that asks for an upstream. */
@@ -113,7 +115,7 @@
    */
   async place(ask: PlaceRequest): Promise<Result<UpstreamDocument, Failure>> {
     const { route, excluded, digests, id } = ask;
-    const documents = this.ctx.config.current?.upstreams(route.name) ?? [];
+    const documents = this.#upstreams(route);
     const lane = this.#lane(route);
     const { priority, queueMs } = route;
     const deadline = performance.now() + queueMs;
@@ -165,9 +167,13 @@
     this.#apply(this.#lane(route), { type: 'report', worker, report });
   }
 
+  #upstreams(route: Route): readonly UpstreamDocument[] {
+    const published = this.ctx.config.current?.upstreams(route.name) ?? [];
+    return published.filter(({ name }) => this.ctx.mayReceive(name));
+  }
+
   #current(route: Route, name: string): UpstreamDocument | undefined {
-    const upstreams = this.ctx.config.current?.upstreams(route.name) ?? [];
-    return upstreams.find((upstream) => upstream.name === name);
+    return this.#upstreams(route).find((upstream) => upstream.name === name);
   }
 
   #lane(route: Route): Lane {
