--- a/bench/catalogue.ts
+++ b/bench/catalogue.ts
@@ -1,4 +1,5 @@
 /** Every benchmark group, in the order in which they run. */
+import { ConfigBench } from './config.js';
 import { DurabilityBench } from './durability.js';
 import { PathBench } from './path.js';
 import { RouteBench } from './route.js';
@@ -9,5 +10,6 @@
 export const GROUPS: readonly BenchGroup[] = [
   new PathBench(),
   new RouteBench(),
+  new ConfigBench(),
   new DurabilityBench(),
 ];
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -8,9 +8,11 @@
 import { EXIT } from './exits.js';
 import { heldCommand } from './held.js';
 import { say } from './output.js';
+import { plansCommand } from './plans.js';
 import { publishCommand } from './publish.js';
 import { statementCommand } from './statement.js';
 import { statusCommand } from './status.js';
+import { timelineCommand } from './timeline.js';
 import { topUpCommand } from './topup.js';
 import { workspacesCommand } from './workspaces.js';
 
@@ -32,6 +34,8 @@
   .command(budgetsCommand)
   .command(topUpCommand)
   .command(statementCommand)
+  .command(plansCommand)
+  .command(timelineCommand)
   .command(heldCommand)
   .completion('completion', 'print a completion script for the shell')
   .epilogue('exit codes: 0 done, 1 refused, 2 wrong input, 3 no answer or outcome unknown')
--- a/src/daemon/outbox.ts
+++ b/src/daemon/outbox.ts
@@ -30,6 +30,7 @@
 
 import type { BudgetShard, EntryAnswer } from '../budget/index.js';
 import type { Charge, Commitment, HolderState } from '../fleet/index.js';
+import type { PendingLines } from '../plan/index.js';
 import type { Incarnation, Result } from '../kernel/index.js';
 import type { Change, ObjectStore, StoreError } from '../platform/index.js';
 import type { Recorder } from '../telemetry/index.js';
@@ -87,6 +88,12 @@
     return this.#state.lines.length;
   }
 
+  /** Lines that the store does not hold, and how far it does. */
+  get pending(): PendingLines {
+    const { settled, lines } = this.#state;
+    return { shard: this.shard, settled, lines };
+  }
+
   /** Units of reservations that have not ended. */
   get open(): number {
     return this.#state.exposures.reduce(
