A standby on record: a cut data centre goes on without the store

Cause: the backup is in another data centre, so a data centre that is cut off from the others and from the store could make no charge durable and refused all work as no-durability; and a holder that was merely cut off was claimed, so that it had to end after the cut. Now a second daemon, first in the same data centre, is on record as well. It takes the copies while the backup does not answer; a recoverer has to fence both before it frees anything, and claims a holder only while both answer. A silent holder whose copies cannot be asked for stays active with the cause on its entry, shown by 'held'; its own next write clears the cause. Ruled out: copying always to both (twice the traffic for a case that is rare), and the backup in the same data centre alone (lines die with the data centre).

--- a/src/budget/recovery.ts
+++ b/src/budget/recovery.ts
@@ -7,7 +7,7 @@
 
 /** Why units stay held. */
 export const HOLD_CAUSES = {
-  fencing: 'the holder is being recovered; its backup has not answered yet',
+  fencing: 'the holder is silent, and so is a daemon that may have its copies',
   noBackup: 'the holder had no backup; what it used is unknown',
   copiesLost: 'the backup has lost its copies; what the holder used is unknown',
   open: 'requests that were open when the holder stopped, and its window ahead of the backup',
@@ -65,7 +65,7 @@
   if (entry.state === 'recovering' && entry.recoverer === by) {
     return { kind: 'keep', outcome: { entry, mine: true } };
   }
-  const cause = entry.backup === null ? HOLD_CAUSES.noBackup : HOLD_CAUSES.fencing;
+  const cause = HOLD_CAUSES.fencing;
   const next: HolderEntry = { ...entry, state: 'recovering', recoverer: by, cause };
   return { kind: 'write', value: withEntry(shard, next), outcome: { entry: next, mine: true } };
 }
@@ -109,22 +109,24 @@
 }
 
 /**
- * Records why a recovery cannot go on; the units stay held.
+ * Records why a silent holder cannot be recovered now; its units stay held. An active holder
+ * stays active: it may only be cut off, and nothing of it has been fenced.
  * @param shard - shard in force
- * @param ask - holder, its recoverer and the cause
+ * @param holder - the holder
+ * @param cause - why its units stay held
  * @returns the change and the entry that is then in force
  */
 export function noteCause(
   shard: BudgetShard,
-  ask: { readonly holder: string; readonly by: string; readonly cause: string },
+  holder: string,
+  cause: string,
 ): Change<BudgetShard, RecoveryAnswer> {
-  const entry = entryOf(shard, ask.holder);
-  const mine = entry?.state === 'recovering' && entry.recoverer === ask.by;
-  if (!entry || !mine || entry.cause === ask.cause) {
-    return { kind: 'keep', outcome: { entry, mine } };
+  const entry = entryOf(shard, holder);
+  if (!entry || entry.state === 'ended' || entry.cause === cause) {
+    return { kind: 'keep', outcome: { entry, mine: true } };
   }
-  const next = { ...entry, cause: ask.cause };
-  return { kind: 'write', value: withEntry(shard, next), outcome: { entry: next, mine } };
+  const next = { ...entry, cause };
+  return { kind: 'write', value: withEntry(shard, next), outcome: { entry: next, mine: true } };
 }
 
 /**
@@ -164,8 +166,12 @@
   readonly recoverer: string | null;
 }
 
+function seemsStopped(entry: HolderEntry): boolean {
+  return entry.state !== 'active' || entry.cause !== '';
+}
+
 /**
- * Lists the units that are held under holders that have stopped.
+ * Lists the units that are held under holders that have stopped or are silent.
  * @param shard - shard in force
  * @returns one entry for each holder and budget with held units
  */
@@ -174,7 +180,7 @@
     budget.rows.flatMap((row) => {
       const entry = entryOf(shard, row.holder);
       const units = heldIn(row);
-      if (!entry || entry.state === 'active' || units === 0) return [];
+      if (!entry || !seemsStopped(entry) || units === 0) return [];
       const { holder, state, cause, backup, recoverer } = entry;
       return [{ holder, budget: budget.name, units, state, cause, backup, recoverer }];
     }),
@@ -228,8 +234,9 @@
   const entry = entryOf(shard, ask.holder);
   const row = budget?.rows.find(({ holder }) => holder === ask.holder);
   const known = budget !== undefined && entry !== undefined && row !== undefined;
-  if (!known || entry.state === 'active') {
-    const outcome = { known, active: entry?.state === 'active', units: 0, repeated: false };
+  if (!known || !seemsStopped(entry)) {
+    const active = entry !== undefined && !seemsStopped(entry);
+    const outcome = { known, active, units: 0, repeated: false };
     return { kind: 'keep', outcome };
   }
   const units = heldIn(row);
--- a/src/budget/settlement.ts
+++ b/src/budget/settlement.ts
@@ -11,6 +11,8 @@
   readonly settled: number;
   /** Backup on record. */
   readonly backup: string | null;
+  /** Standby on record. */
+  readonly standby: string | null;
   /** The writer has no right to the entry any more. */
   readonly fenced: boolean;
 }
@@ -57,13 +59,16 @@
 }
 
 function answer(entry: HolderEntry | undefined, fenced: boolean): EntryAnswer {
-  return { settled: entry?.settled ?? 0, backup: entry?.backup ?? null, fenced };
+  const { settled = 0, backup = null, standby = null } = entry ?? {};
+  return { settled, backup, standby, fenced };
 }
 
 /** What a holder records of its backup. */
 export interface BackupRecord {
   readonly holder: string;
   readonly backup: string | null;
+  /** Takes copies while the backup does not answer. */
+  readonly standby?: string | null;
   /** The holder has joined before: a missing entry means that it was closed. */
   readonly joined: boolean;
 }
@@ -79,16 +84,19 @@
   shard: BudgetShard,
   ask: BackupRecord,
 ): Change<BudgetShard, EntryAnswer> {
+  const { backup, standby = null } = ask;
   const entry = entryOf(shard, ask.holder);
   if (!entry && ask.joined) return { kind: 'keep', outcome: answer(entry, true) };
   if (!entry) {
-    const made = newHolder(ask.holder, ask.backup);
+    const made = { ...newHolder(ask.holder, backup), standby };
     const value = { ...shard, holders: [...shard.holders, made] };
     return { kind: 'write', value, outcome: answer(made, false) };
   }
   if (entry.state !== 'active') return { kind: 'keep', outcome: answer(entry, true) };
-  if (entry.backup === ask.backup) return { kind: 'keep', outcome: answer(entry, false) };
-  const next = { ...entry, backup: ask.backup };
+  if (entry.backup === backup && entry.standby === standby) {
+    return { kind: 'keep', outcome: answer(entry, false) };
+  }
+  const next = { ...entry, backup, standby, cause: '' };
   return { kind: 'write', value: withEntry(shard, next), outcome: answer(next, false) };
 }
 
@@ -101,7 +109,7 @@
 export function recordBeat(shard: BudgetShard, holder: string): Change<BudgetShard, EntryAnswer> {
   const entry = entryOf(shard, holder);
   if (!entry || entry.state !== 'active') return { kind: 'keep', outcome: answer(entry, true) };
-  const next = { ...entry, beat: entry.beat + 1 };
+  const next = { ...entry, beat: entry.beat + 1, cause: '' };
   return { kind: 'write', value: withEntry(shard, next), outcome: answer(next, false) };
 }
 
@@ -156,7 +164,9 @@
   const fresh = lines.filter(({ sequence }) => sequence > entry.settled);
   const last = fresh.at(-1);
   if (!last) return { kind: 'keep', outcome: answer(entry, false) };
-  const next = { ...entry, settled: last.sequence };
+  // A holder that writes by itself has not stopped.
+  const cause = entry.state === 'active' ? '' : entry.cause;
+  const next = { ...entry, settled: last.sequence, cause };
   const budgets = shard.budgets.map((budget) => chargeRow(budget, holder, fresh));
   const charged = { ...shard, budgets };
   return { kind: 'write', value: withEntry(charged, next), outcome: answer(next, false) };
--- a/src/budget/shard.ts
+++ b/src/budget/shard.ts
@@ -68,6 +68,8 @@
     holder: z.string(),
     /** Incarnation that keeps the copies of this holder; null before the first. */
     backup: z.string().nullable(),
+    /** Incarnation that takes copies while the backup does not answer; null for none. */
+    standby: z.string().nullable().default(null),
     /** Highest sequence whose charge line counts. */
     settled: z.number().int().nonnegative(),
     /** "recovering": only the recoverer may settle lines; "ended": nobody may. */
@@ -91,7 +93,16 @@
  * @returns an active entry without settled lines
  */
 export function newHolder(holder: string, backup: string | null): HolderEntry {
-  return { holder, backup, settled: 0, state: 'active', recoverer: null, cause: '', beat: 0 };
+  return {
+    holder,
+    backup,
+    standby: null,
+    settled: 0,
+    state: 'active',
+    recoverer: null,
+    cause: '',
+    beat: 0,
+  };
 }
 
 /** Schema of a shard object. */
--- a/src/daemon/backups.ts
+++ b/src/daemon/backups.ts
@@ -5,12 +5,13 @@
   keepBatch,
   NO_COPIES,
   shardCarers,
+  standbyCandidates,
   WINDOW_UNITS,
 } from '../fleet/index.js';
 import { instanceOf } from '../kernel/index.js';
 
 import type { Copies, CopyBatch, CopyVerdict, Handover } from '../fleet/index.js';
-import type { Incarnation } from '../kernel/index.js';
+import type { Incarnation, InstanceName } from '../kernel/index.js';
 import type { PeerNetwork } from '../link/index.js';
 
 /** Longest wait for a backup's acknowledgement, in milliseconds. */
@@ -64,12 +65,30 @@
   }
 
   /**
-   * Looks for a daemon that can back up this one.
+   * Looks for a daemon that can back up this one: first in other data centres.
    * @param excluded - incarnations that did not answer
    * @returns an incarnation that answers now; null if there is none
    */
-  async choose(excluded: readonly Incarnation[] = []): Promise<Incarnation | null> {
-    const names = backupCandidates(this.self, this.dataCentre, this.network.peers());
+  choose(excluded: readonly Incarnation[] = []): Promise<Incarnation | null> {
+    const { self, dataCentre, network } = this;
+    return this.#firstOf(backupCandidates(self, dataCentre, network.peers()), excluded);
+  }
+
+  /**
+   * Looks for a daemon that takes copies while the backup does not answer: first in the same
+   * data centre, which a cut between data centres leaves together.
+   * @param excluded - the backup, and incarnations that did not answer
+   * @returns an incarnation that answers now; null if there is none
+   */
+  chooseStandby(excluded: readonly Incarnation[]): Promise<Incarnation | null> {
+    const { self, dataCentre, network } = this;
+    return this.#firstOf(standbyCandidates(self, dataCentre, network.peers()), excluded);
+  }
+
+  async #firstOf(
+    names: readonly InstanceName[],
+    excluded: readonly Incarnation[],
+  ): Promise<Incarnation | null> {
     for (const name of names.slice(0, MAX_CANDIDATES)) {
       // The better candidate is asked first.
       // eslint-disable-next-line no-await-in-loop
--- a/src/daemon/charges.ts
+++ b/src/daemon/charges.ts
@@ -166,19 +166,19 @@
     const { backups, self } = this.ctx;
     this.#cares += 1;
     const isBeatDue = this.#cares % BEAT_CARES === 0;
-    const holding = new Set(outboxes.flatMap(({ backup }) => (backup === null ? [] : [backup])));
-    const silent = new Set<string>();
+    const holding = new Set(outboxes.flatMap(({ keepers }) => keepers));
+    const there = new Set<string>();
     await Promise.all(
-      [...holding].map(async (backup) => {
-        // A query also tells the backup that this holder lives.
-        if (!(await backups.isThere(backup, self))) silent.add(backup);
+      [...holding].map(async (keeper) => {
+        // A query also tells the other daemon that this holder lives.
+        if (await backups.isThere(keeper, self)) there.add(keeper);
       }),
     );
     await Promise.all(
       outboxes.map(async (outbox) => {
-        const isSilent = outbox.backup === null || silent.has(outbox.backup);
-        if (isSilent && outbox.unflushed === 0) await outbox.probe();
-        await outbox.maintain(isSilent);
+        const isAlone = outbox.backup === null || !there.has(outbox.backup);
+        if (isAlone && outbox.unflushed === 0) await outbox.probe();
+        await outbox.maintain((keeper) => there.has(keeper));
         const isSeen = !isBeatDue || (await backups.reachesCarers(outbox.shard, self));
         if (!isSeen) await outbox.beat();
       }),
--- a/src/daemon/delivery.ts
+++ b/src/daemon/delivery.ts
@@ -54,7 +54,7 @@
 ): Promise<Result<EntryAnswer, StoreError>> {
   const { shard, holder, by } = job;
   const kind = { key: shardKey(shard), parse: parseShard };
-  let last: EntryAnswer = { settled: job.settled, backup: null, fenced: false };
+  let last: EntryAnswer = { settled: job.settled, backup: null, standby: null, fenced: false };
   for (;;) {
     const from = last.settled;
     const rest = takeLines(
--- /dev/null
+++ b/src/daemon/keepers.ts
@@ -0,0 +1,43 @@
+/** Chooses the daemons that should be on record as backup and standby of a holder. */
+import type { Incarnation } from '../kernel/index.js';
+import type { Backups } from './backups.js';
+
+/** Daemons that are on record. */
+export interface KeepersOnRecord {
+  readonly keepers: readonly Incarnation[];
+  /** The one of them that is the backup; null for none. */
+  readonly preferred: Incarnation | null;
+}
+
+/** Daemons that should be on record. */
+export interface KeeperPair {
+  readonly backup: Incarnation | null;
+  readonly standby: Incarnation | null;
+  /** Whether just these are on record already. */
+  readonly isOnRecord: boolean;
+}
+
+/**
+ * Keeps those on record that answer, and looks for others in the place of those that do not.
+ * @param backups - asks the candidates
+ * @param onRecord - daemons on record
+ * @param isThere - whether an incarnation answered just now
+ * @returns the daemons that should be on record
+ */
+export async function chooseKeepers(
+  backups: Backups,
+  { keepers, preferred }: KeepersOnRecord,
+  isThere: (keeper: Incarnation) => boolean,
+): Promise<KeeperPair> {
+  const gone = keepers.filter((keeper) => !isThere(keeper));
+  const isPreferredThere = preferred !== null && isThere(preferred);
+  const kept = keepers.find((keeper) => keeper !== preferred && isThere(keeper)) ?? null;
+  const taken = kept === null ? gone : [...gone, kept];
+  const backup = (isPreferredThere ? preferred : await backups.choose(taken)) ?? kept;
+  const excluded = backup === null ? gone : [...gone, backup];
+  const isKept = kept !== null && kept !== backup;
+  const standby = isKept ? kept : await backups.chooseStandby(excluded);
+  const pair = [backup, standby].filter((keeper) => keeper !== null);
+  const isSame = pair.length === keepers.length && pair.every((keeper) => keepers.includes(keeper));
+  return { backup, standby, isOnRecord: isSame && backup === preferred };
+}
--- a/src/daemon/outbox.ts
+++ b/src/daemon/outbox.ts
@@ -22,11 +22,13 @@
   isHeld,
   mayProceed,
   newHolderState,
+  switchBackup,
   unacknowledged,
   WINDOW_UNITS,
 } from '../fleet/index.js';
 import { updateObject } from '../platform/index.js';
 import { deliverLines } from './delivery.js';
+import { chooseKeepers } from './keepers.js';
 
 import type { BudgetShard, EntryAnswer } from '../budget/index.js';
 import type { Charge, Commitment, HolderState } from '../fleet/index.js';
@@ -67,6 +69,9 @@
 
   #delivering: Promise<boolean> | undefined;
 
+  /** Backup on record, in another data centre where there is one. */
+  #preferred: Incarnation | null = null;
+
   #backupFailures = 0;
 
   #storeFailures = 0;
@@ -102,11 +107,16 @@
     );
   }
 
-  /** Backup on record; null for none. */
+  /** Daemon that takes the copies now; null for none. */
   get backup(): Incarnation | null {
     return this.#state.backup;
   }
 
+  /** Daemons on record that may have copies. */
+  get keepers(): readonly Incarnation[] {
+    return [this.#state.backup, this.#state.standby].filter((keeper) => keeper !== null);
+  }
+
   /** Whether a line that was recorded now would soon be held by a second daemon or the store. */
   get isDurable(): boolean {
     if (this.#state.isFenced) return false;
@@ -135,8 +145,8 @@
     const { budget } = change;
     this.#state = commit(this.#state, change);
     for (;;) {
-      if (!this.isDurable) return false;
-      if (mayProceed(this.#state, budget)) {
+      if (this.#state.isFenced) return false;
+      if (this.isDurable && mayProceed(this.#state, budget)) {
         // Copying early keeps admission from waiting.
         const ahead = unacknowledged(this.#state, budget);
         if (ahead > WINDOW_UNITS * EARLY_COPY_SHARE) void this.#copySoon();
@@ -193,28 +203,41 @@
   }
 
   /**
-   * Replaces a backup that does not answer, or finds the first one.
-   * @param isSilent - whether the backup on record gave no sign of life just now
+   * Goes over to the standby while the backup does not answer, and puts others on record in the
+   * place of those that are gone.
+   * @param isThere - whether an incarnation answered just now
    */
-  async maintain(isSilent: boolean): Promise<void> {
-    const isSound = !isSilent && this.#backupFailures === 0 && !this.#state.isChanging;
-    if (!this.#joined || this.#state.isFenced || isSound) return;
-    if (this.backup !== null && !this.#state.isChanging && (await this.#copySoon())) return;
-    const candidate = await this.ctx.backups.choose(this.backup === null ? [] : [this.backup]);
-    if (candidate !== null) await this.#changeTo(candidate);
+  async maintain(isThere: (keeper: Incarnation) => boolean): Promise<void> {
+    if (!this.#joined || this.#state.isFenced) return;
+    const { backup, standby } = this.#state;
+    const isBackupThere = backup !== null && isThere(backup);
+    const isBetterThere = standby !== null && standby === this.#preferred && isThere(standby);
+    if (isBetterThere || (!isBackupThere && standby !== null)) {
+      this.#state = switchBackup(this.#state);
+    }
+    const isSound = isBackupThere && this.backup === backup && this.#backupFailures === 0;
+    if (!isSound) await this.#copySoon();
+    const { keepers } = this;
+    const onRecord = { keepers, preferred: this.#preferred };
+    const pair = await chooseKeepers(this.ctx.backups, onRecord, isThere);
+    if (pair.backup === null || (pair.isOnRecord && !this.#state.isChanging)) return;
+    // While the store is away the record cannot change, and the standby has to do.
+    await this.probe();
+    if (this.#storeFailures === 0) await this.#changeTo(pair.backup, pair.standby);
   }
 
-  async #changeTo(candidate: Incarnation): Promise<void> {
+  async #changeTo(candidate: Incarnation, standby: Incarnation | null): Promise<void> {
     const { backups, self, recorder } = this.ctx;
     const wasChanging = this.#state.isChanging;
     this.#state = beginChange(this.#state);
-    const batch = copyBatch(this.#state, candidate);
+    // Everything that the store does not hold goes to the new backup, known or not.
+    const batch = copyBatch({ ...this.#state, backup: null }, candidate);
     const answer = await backups.send(batch);
     if (answer?.verdict !== 'kept') {
       if (!wasChanging) this.#state = cancelChange(this.#state);
       return;
     }
-    const ask = { holder: self, backup: candidate, joined: true };
+    const ask = { holder: self, backup: candidate, standby, joined: true };
     const done = await this.#update((shard) => recordBackup(shard, ask));
     if (done.err) {
       // After a lost answer the new backup may be on record.
@@ -222,7 +245,9 @@
       return;
     }
     if (!this.#check(done.val)) return;
-    this.#state = applyBackup(this.#state, batch, answer.through);
+    const { through } = answer;
+    this.#state = applyBackup(this.#state, batch, { through, standby });
+    this.#preferred = candidate;
     this.#backupFailures = 0;
     recorder.record('backupChanged', { peer: candidate, detail: `shard ${this.shard}` });
   }
@@ -255,7 +280,9 @@
     const lent = (budget: string): number => exposureOf(this.#state.exposures, budget).passed;
     const done = await this.#update((shard) => concede(shard, self, lent));
     if (done.err) return false;
-    if (this.backup) await backups.fenceAt(this.backup, self, this.shard, true);
+    await Promise.all(
+      this.keepers.map((keeper) => backups.fenceAt(keeper, self, this.shard, true)),
+    );
     return done.val.mine;
   }
 
@@ -267,11 +294,14 @@
   }
 
   async #join(): Promise<boolean> {
-    const backup = await this.ctx.backups.choose();
-    const ask = { holder: this.ctx.self, backup, joined: false };
+    const { backups, self } = this.ctx;
+    const backup = await backups.choose();
+    const standby = backup === null ? null : await backups.chooseStandby([backup]);
+    const ask = { holder: self, backup, standby, joined: false };
     const done = await this.#update((shard) => recordBackup(shard, ask));
     if (done.err || !this.#check(done.val)) return false;
-    this.#state = { ...this.#state, backup: done.val.backup };
+    this.#state = { ...this.#state, backup: done.val.backup, standby: done.val.standby };
+    this.#preferred = done.val.backup;
     return true;
   }
 
@@ -299,6 +329,8 @@
     const isOnRecord = batch.backup === this.backup && !this.#state.isChanging;
     const isKept = answer?.verdict === 'kept' && isOnRecord;
     this.#backupFailures = isKept ? 0 : this.#backupFailures + 1;
+    // The standby is on record as well: what it keeps will be found.
+    if (!isKept && isOnRecord) this.#state = switchBackup(this.#state);
     return isKept;
   }
 
--- a/src/daemon/recovering.ts
+++ b/src/daemon/recovering.ts
@@ -1,7 +1,7 @@
 /** Performs the recovery of one holder in one shard. */
 import { claimRecovery, finishRecovery, noteCause, parseShard, shardKey } from '../budget/index.js';
 import { recover } from '../fleet/index.js';
-import { drive } from '../kernel/index.js';
+import { drive, instanceOf } from '../kernel/index.js';
 import { updateObject } from '../platform/index.js';
 import { deliverLines } from './delivery.js';
 
@@ -43,7 +43,9 @@
       case 'claim':
         return this.#claim();
       case 'fence':
-        return this.#fence(command.backup);
+        return this.#fence(command.keeper);
+      case 'probe':
+        return this.#probe(command.keepers);
       case 'deliver': {
         const { settled, lines } = command;
         const done = await deliverLines(ctx.store, { shard, holder, by, settled, lines });
@@ -54,11 +56,15 @@
         return eventOf(await updateObject(ctx.store, this.#kind, (v) => finishRecovery(v, ask)));
       }
       case 'note': {
-        const ask = { holder, by, cause: command.cause };
-        return eventOf(await updateObject(ctx.store, this.#kind, (v) => noteCause(v, ask)));
+        const { cause } = command;
+        return eventOf(
+          await updateObject(ctx.store, this.#kind, (v) => noteCause(v, holder, cause)),
+        );
       }
       default:
-        await ctx.backups.fenceAt(command.backup, holder, shard, true);
+        await Promise.all(
+          command.keepers.map((keeper) => ctx.backups.fenceAt(keeper, holder, shard, true)),
+        );
         return { type: 'done' };
     }
   }
@@ -72,6 +78,19 @@
     return entry ? { type: 'claimed', entry } : { type: 'failed' };
   }
 
+  async #probe(keepers: readonly Incarnation[]): Promise<RecoveryEvent> {
+    const { backups, self } = this.ctx;
+    const others = keepers.filter((keeper) => keeper !== self);
+    const seen = await Promise.all(
+      others.map(async (keeper) => {
+        const answer = await backups.query(instanceOf(keeper), self);
+        return { keeper, self: answer?.self };
+      }),
+    );
+    if (seen.some((answer) => answer.self === undefined)) return { type: 'silent' };
+    return { type: seen.every((answer) => answer.self === answer.keeper) ? 'done' : 'gone' };
+  }
+
   async #fence(backup: Incarnation): Promise<RecoveryEvent> {
     const { ctx, holder, shard } = this;
     const handover = await ctx.backups.fenceAt(backup, holder, shard, false);
@@ -94,10 +113,10 @@
 ): Promise<RecoveryOutcome> {
   const { recorder } = ctx;
   const subject = { peer: entry.holder, detail: `shard ${shard}` };
-  if (entry.state === 'active') recorder.record('recoveryBegun', subject);
+  if (entry.cause === '') recorder.record('recoveryBegun', subject);
   const run = new RecoveryRun(ctx, shard, entry.holder);
-  const outcome = await drive(recover(), (command) => run.perform(command));
+  const outcome = await drive(recover(entry), (command) => run.perform(command));
   if (outcome === 'ended') recorder.record('recoveryEnded', subject);
-  if (outcome === 'held' && entry.state === 'active') recorder.record('recoveryHeld', subject);
+  if (outcome === 'held' && entry.cause === '') recorder.record('recoveryHeld', subject);
   return outcome;
 }
--- a/src/daemon/shardcare.ts
+++ b/src/daemon/shardcare.ts
@@ -137,7 +137,8 @@
       this.#suspicions.delete(slot);
       return false;
     }
-    const state = JSON.stringify(entry);
+    // What others note about the holder is no sign of life.
+    const state = JSON.stringify({ ...entry, cause: '' });
     const known = this.#suspicions.get(slot);
     if (known?.entry !== state) {
       // A changed entry is a sign of life of a holder that no link reaches.
@@ -145,16 +146,18 @@
       return false;
     }
     if (performance.now() - known.since < SUSPECT_MS) return false;
-    return watched !== entry.holder || !(await this.#isHeardByBackup(entry));
+    if (watched !== entry.holder) return true;
+    const keepers = [entry.backup, entry.standby].filter((keeper) => keeper !== null);
+    const heard = await Promise.all(keepers.map((keeper) => this.#isHeardBy(keeper, entry.holder)));
+    return !heard.includes(true);
   }
 
-  async #isHeardByBackup({ holder, backup }: HolderEntry): Promise<boolean> {
+  async #isHeardBy(keeper: Incarnation, holder: Incarnation): Promise<boolean> {
     const { backups, self } = this.ctx;
-    if (backup === null) return false;
     const silentMs =
-      backup === self
+      keeper === self
         ? backups.silentMs(holder)
-        : ((await backups.query(instanceOf(backup), holder))?.silentMs ?? null);
+        : ((await backups.query(instanceOf(keeper), holder))?.silentMs ?? null);
     return silentMs !== null && silentMs < SUSPECT_MS;
   }
 
--- a/src/daemon/tests/charges.test.ts
+++ b/src/daemon/tests/charges.test.ts
@@ -137,3 +137,24 @@
   t.is(bed.fenced.length, 1);
   t.false(await bed.charges.admit(RESERVATION, WAIT_MS));
 });
+
+test('cut off with its standby, a holder goes on while the store is away', async (t) => {
+  const bed = await makeBed();
+  const near = new LocalNetwork('near~1', 'dc-1', 1);
+  const standby = new Backups('near~1', 'dc-1', near);
+  bed.network.connect(near);
+  await bed.charges.care();
+  const { backup, standby: recorded } = shard(bed).holders[0] ?? {};
+  t.deepEqual({ backup, recorded }, { backup: 'peer~1', recorded: 'near~1' });
+  t.true(await bed.charges.record(charge('a'), 0));
+  bed.store.mode = 'away';
+  bed.network.cutOff.add('peer');
+  t.true(await bed.charges.admit(RESERVATION, 1_000));
+  t.true(await bed.charges.record(charge('b'), 10));
+  await bed.charges.care();
+  t.true(await bed.charges.admit(RESERVATION, WAIT_MS));
+  const kept = (backups: Backups): readonly string[] =>
+    backups.fenceHere(SELF, 0, false).lines.map(({ key }) => key);
+  t.deepEqual(kept(standby), ['a', 'b']);
+  t.deepEqual(kept(bed.peer), ['a']);
+});
--- a/src/fleet/holder.ts
+++ b/src/fleet/holder.ts
@@ -13,13 +13,15 @@
 export interface HolderState {
   readonly self: Incarnation;
   readonly shard: number;
-  /** Backup on record in the shard; null for none. */
+  /** Daemon on record that takes the copies now; null for none. */
   readonly backup: Incarnation | null;
+  /** The other daemon on record, which takes the copies when the first does not answer. */
+  readonly standby: Incarnation | null;
   /** Sequence of the next line. */
   readonly next: number;
   /** Highest sequence that the store holds. */
   readonly settled: number;
-  /** Highest sequence that the backup on record has acknowledged. */
+  /** Highest sequence that the daemon that takes the copies now has acknowledged. */
   readonly acknowledged: number;
   /** Lines that the store does not hold. */
   readonly lines: readonly ChargeLine[];
@@ -43,6 +45,7 @@
     self,
     shard,
     backup: null,
+    standby: null,
     next: 1,
     settled: 0,
     acknowledged: 0,
@@ -221,17 +224,34 @@
   return { ...state, isChanging: false };
 }
 
+/**
+ * Lets the other daemon on record take the copies. Both are on record, so a recoverer fences
+ * both, and no update of the shard is needed. What the other one holds is not known here.
+ * @param state - state of the holder
+ * @returns the state in which everything that is not settled is copied again
+ */
+export function switchBackup(state: HolderState): HolderState {
+  if (state.standby === null || state.isChanging) return state;
+  const { backup, standby, settled } = state;
+  return { ...state, backup: standby, standby: backup, acknowledged: settled, copied: [] };
+}
+
 /**
  * Takes note of another backup on record, which has kept everything that was sent to it.
  * @param state - state of the holder
  * @param batch - message that the new backup has kept
- * @param through - highest sequence that it holds
+ * @param kept - its answer, and the standby that is on record with it
  * @returns the state with the new backup
  */
-export function applyBackup(state: HolderState, batch: CopyBatch, through: number): HolderState {
+export function applyBackup(
+  state: HolderState,
+  batch: CopyBatch,
+  { through, standby }: { readonly through: number; readonly standby: Incarnation | null },
+): HolderState {
   return {
     ...state,
     backup: batch.backup,
+    standby,
     acknowledged: through,
     copied: batch.exposures,
     isChanging: false,
--- a/src/fleet/placement.ts
+++ b/src/fleet/placement.ts
@@ -4,6 +4,19 @@
 import type { Incarnation, InstanceName } from '../kernel/index.js';
 import type { Instance } from '../platform/index.js';
 
+interface Placed {
+  readonly away: readonly InstanceName[];
+  readonly near: readonly InstanceName[];
+}
+
+function placed(self: Incarnation, dataCentre: string, peers: readonly Instance[]): Placed {
+  const live = peers.filter(({ state }) => state === 'live');
+  const away = live.filter((peer) => peer.dataCentre !== dataCentre).map(({ name }) => name);
+  const near = live.filter((peer) => peer.dataCentre === dataCentre).map(({ name }) => name);
+  const own = instanceOf(self);
+  return { away: rendezvous(own, away), near: rendezvous(own, near) };
+}
+
 /**
  * Orders the candidates for a backup: other data centres come first.
  * @param self - incarnation that needs a backup
@@ -16,11 +29,24 @@
   dataCentre: string,
   peers: readonly Instance[],
 ): readonly InstanceName[] {
-  const live = peers.filter(({ state }) => state === 'live');
-  const away = live.filter((peer) => peer.dataCentre !== dataCentre).map(({ name }) => name);
-  const near = live.filter((peer) => peer.dataCentre === dataCentre).map(({ name }) => name);
-  const own = instanceOf(self);
-  return [...rendezvous(own, away), ...rendezvous(own, near)];
+  const { away, near } = placed(self, dataCentre, peers);
+  return [...away, ...near];
+}
+
+/**
+ * Orders the candidates for a standby: the same data centre comes first.
+ * @param self - incarnation that needs a standby
+ * @param dataCentre - its data centre
+ * @param peers - the other instances
+ * @returns the candidates, the best first
+ */
+export function standbyCandidates(
+  self: Incarnation,
+  dataCentre: string,
+  peers: readonly Instance[],
+): readonly InstanceName[] {
+  const { away, near } = placed(self, dataCentre, peers);
+  return [...near, ...away];
 }
 
 /**
--- a/src/fleet/recovery.ts
+++ b/src/fleet/recovery.ts
@@ -1,6 +1,7 @@
 /** Decides the recovery of a holder that seems to have stopped. */
 import type { z } from 'zod';
 import { HOLD_CAUSES } from '../budget/index.js';
+import { mergeExposures } from './copies.js';
 
 import type { ChargeLine, FencedState, HolderEntry } from '../budget/index.js';
 import type { Procedure } from '../kernel/index.js';
@@ -11,12 +12,13 @@
 
 /** What the procedure asks to be done. */
 export type RecoveryCommand =
+  | { readonly type: 'probe'; readonly keepers: readonly string[] }
   | { readonly type: 'claim' }
-  | { readonly type: 'fence'; readonly backup: string }
+  | { readonly type: 'fence'; readonly keeper: string }
   | { readonly type: 'deliver'; readonly settled: number; readonly lines: readonly ChargeLine[] }
   | { readonly type: 'finish'; readonly known: FencedState }
   | { readonly type: 'note'; readonly cause: string }
-  | { readonly type: 'forget'; readonly backup: string };
+  | { readonly type: 'forget'; readonly keepers: readonly string[] };
 
 /** What came of a command. */
 export type RecoveryEvent =
@@ -32,29 +34,63 @@
 
 type Recovering<Outcome> = Procedure<RecoveryCommand, RecoveryEvent, Outcome>;
 
-function* hold(cause: string): Recovering<RecoveryOutcome> {
+function keepersOf({ backup, standby }: HolderEntry): readonly string[] {
+  return [backup, standby].filter((keeper) => keeper !== null);
+}
+
+function* hold(event: RecoveryEvent): Recovering<RecoveryOutcome> {
+  const cause = event.type === 'gone' ? HOLD_CAUSES.copiesLost : HOLD_CAUSES.fencing;
   yield { type: 'note', cause };
   return 'held';
 }
 
+function merge(a: Handover, b: Handover): Handover {
+  const known = new Set(a.lines.map(({ sequence }) => sequence));
+  const more = b.lines.filter(({ sequence }) => !known.has(sequence));
+  return {
+    ...a,
+    lines: [...a.lines, ...more].sort((x, y) => x.sequence - y.sequence),
+    exposures: mergeExposures(a.exposures, b.exposures),
+    window: Math.max(a.window, b.window),
+  };
+}
+
+const NOTHING: Handover = {
+  type: 'holder-fenced',
+  isBackup: true,
+  lines: [],
+  exposures: [],
+  window: 0,
+};
+
 /**
- * Recovers one holder: fences it in the store and at its backup, settles what the backup
- * holds, and only then frees what is proved unused.
+ * Recovers one holder: fences it in the store and wherever its copies may be, settles what is
+ * there, and only then frees what is proved unused. A holder is claimed only while every daemon
+ * that may have its copies answers; so one that is merely cut off goes on afterwards.
+ * @param entry - the holder's entry as it was read
  * @returns the procedure, which ends with the outcome
  */
-export function* recover(): Recovering<RecoveryOutcome> {
+export function* recover(entry: HolderEntry): Recovering<RecoveryOutcome> {
+  if (keepersOf(entry).length === 0) {
+    yield { type: 'note', cause: HOLD_CAUSES.noBackup };
+    return 'held';
+  }
+  const probed = yield { type: 'probe', keepers: keepersOf(entry) };
+  if (probed.type !== 'done') return yield* hold(probed);
   const claimed = yield { type: 'claim' };
   if (claimed.type !== 'claimed') return 'failed';
-  const { backup, settled } = claimed.entry;
-  if (backup === null) return yield* hold(HOLD_CAUSES.noBackup);
-  const fenced = yield { type: 'fence', backup };
-  if (fenced.type === 'gone') return yield* hold(HOLD_CAUSES.copiesLost);
-  if (fenced.type !== 'handed') return yield* hold(HOLD_CAUSES.fencing);
-  const { lines, exposures, window } = fenced.handover;
-  const delivered = yield { type: 'deliver', settled, lines };
+  const keepers = keepersOf(claimed.entry);
+  let known = NOTHING;
+  for (const keeper of keepers) {
+    const fenced = yield { type: 'fence', keeper };
+    if (fenced.type !== 'handed') return yield* hold(fenced);
+    known = merge(known, fenced.handover);
+  }
+  const { lines, exposures, window } = known;
+  const delivered = yield { type: 'deliver', settled: claimed.entry.settled, lines };
   if (delivered.type !== 'done') return 'failed';
   const finished = yield { type: 'finish', known: { exposures, window } };
   if (finished.type !== 'done') return 'failed';
-  yield { type: 'forget', backup };
+  yield { type: 'forget', keepers };
   return 'ended';
 }
--- a/testbed/localnetwork.ts
+++ b/testbed/localnetwork.ts
@@ -25,6 +25,9 @@
   /** Requests of each type that this daemon has sent. */
   readonly sent: PeerMessageType[] = [];
 
+  /** Instances that requests of this daemon do not reach. */
+  readonly cutOff = new Set<InstanceName>();
+
   /** Whether requests of this daemon reach nobody. */
   isCut = false;
 
@@ -54,7 +57,7 @@
     req: PeerRequest<Reply>,
   ): Promise<Result<PeerMessageOf<Reply>, Failure>> {
     this.sent.push(req.body.type);
-    if (this.isCut) return Err(failure('peer-unreachable', req.to));
+    if (this.isCut || this.cutOff.has(req.to)) return Err(failure('peer-unreachable', req.to));
     const peer = this.#peers.find(({ self }) => instanceOf(self) === req.to);
     await delay(this.oneWayMs);
     const reply = await peer?.answer(req.body, this.self);
