--- a/src/config/tests/servicefile.test.ts
+++ b/src/config/tests/servicefile.test.ts
@@ -1,3 +1,5 @@
+import { readFile } from 'node:fs/promises';
+
 import test from 'ava';
 
 import { formatProblem } from '../../kernel/index.js';
@@ -92,3 +94,11 @@
   const read = readServiceFiles([{ file: 'a.yaml', content: Buffer.from(text) }]);
   t.deepEqual(read.ok ? read.val.budgets : read.val, [{ name: 'main', workspace: 'shop' }]);
 });
+
+const PAGE = new URL('../../../../docs/operations/publishing.md', import.meta.url);
+
+test('the example of docs/operations/publishing.md is correct', async (t) => {
+  const page = await readFile(PAGE, 'utf8');
+  const example = /```yaml\n([^`]+)```/.exec(page)?.[1] ?? '';
+  t.deepEqual(problemsOf([{ file: 'example.yaml', content: Buffer.from(example) }]), []);
+});
