--- a/src/cli/tests/commands.test.ts
+++ b/src/cli/tests/commands.test.ts
@@ -5,18 +5,31 @@
 import test from 'ava';
 import { stringify } from 'yaml';
 
+import type { ExecutionContext } from 'ava';
 import { runCli } from '../../../testbed/cli.js';
 import { Fleet } from '../../../testbed/fleet.js';
 
+
 const UNREACHABLE = 'http://127.0.0.1:9';
 
-test('an operator publishes, pays and repeats both safely', async (t) => {
-  const fleet = await Fleet.start({ daemons: 1, units: 100 });
+/** A fleet and a directory for service files. */
+interface Desk {
+  readonly fleet: Fleet;
+  readonly dir: string;
+}
+
+async function start(t: ExecutionContext, daemons: number): Promise<Desk> {
+  const fleet = await Fleet.start({ daemons, units: 100 });
   const dir = await mkdtemp(join(tmpdir(), 'comfreyreel-cli-'));
   t.teardown(async () => {
     await fleet.stop();
     await rm(dir, { recursive: true, force: true });
   });
+  return { fleet, dir };
+}
+
+test('an operator publishes, pays and repeats both safely', async (t) => {
+  const { fleet, dir } = await start(t, 1);
   const { documents } = fleet;
   const { url } = fleet.daemon(0);
   const file = join(dir, 'shop.comfreyreel.yaml');
@@ -57,12 +70,7 @@
 });
 
 test('an operator who comes second learns whose change came first; --wait names the rest', async (t) => {
-  const fleet = await Fleet.start({ daemons: 2, units: 0 });
-  const dir = await mkdtemp(join(tmpdir(), 'comfreyreel-cli-'));
-  t.teardown(async () => {
-    await fleet.stop();
-    await rm(dir, { recursive: true, force: true });
-  });
+  const { fleet, dir } = await start(t, 2);
   const { documents } = fleet;
   const { url } = fleet.daemon(0);
   const file = join(dir, 'shop.comfreyreel.yaml');
--- a/src/config/tests/spread.test.ts
+++ b/src/config/tests/spread.test.ts
@@ -83,6 +83,14 @@
   readonly outcome: string;
 }
 
+const OLD_AND_NEW: CatchUpEvent = {
+  type: 'revisions',
+  found: [
+    { peer: 'old', revision: 6 },
+    { peer: 'new', revision: 7 },
+  ],
+};
+
 const RUNS: readonly Run[] = [
   {
     title: 'the store answers',
@@ -112,13 +120,7 @@
     title: 'an outage: the highest revision of the peers counts',
     events: [
       { type: 'no-answer' },
-      {
-        type: 'revisions',
-        found: [
-          { peer: 'old', revision: 6 },
-          { peer: 'new', revision: 7 },
-        ],
-      },
+      OLD_AND_NEW,
       { type: 'manifest', manifest: MANIFEST },
       { type: 'applied', whole: true },
     ],
@@ -127,17 +129,7 @@
   },
   {
     title: 'an outage: an older revision is not taken when the highest cannot be had',
-    events: [
-      { type: 'no-answer' },
-      {
-        type: 'revisions',
-        found: [
-          { peer: 'old', revision: 6 },
-          { peer: 'new', revision: 7 },
-        ],
-      },
-      { type: 'no-answer' },
-    ],
+    events: [{ type: 'no-answer' }, OLD_AND_NEW, { type: 'no-answer' }],
     commands: ['read-store', 'ask-peers', 'ask-manifest new'],
     outcome: 'nothing',
   },
--- a/src/daemon/configfollower.ts
+++ b/src/daemon/configfollower.ts
@@ -4,8 +4,10 @@
 
 import { catchUp, MANIFEST_KEY, sourcesOf, watchersOf } from '../config/index.js';
 import { drive } from '../kernel/index.js';
+import { PIECES_PER_ANSWER } from './pieceloader.js';
 
-import type { CatchUpCommand, CatchUpEvent } from '../config/index.js';
+import type { CatchUpCommand, CatchUpEvent, Manifest } from '../config/index.js';
+import type { InstanceName } from '../kernel/index.js';
 import type { ConfigContext, ConfigTask } from './configtask.js';
 import type { ConfigSpread } from './configspread.js';
 
@@ -71,7 +73,8 @@
       return { type: 'revisions', found: await this.spread.askElders() };
     }
     if (command.type === 'apply') {
-      const whole = await this.config.apply(command.manifest, command.from);
+      const from = command.from ?? this.#pieceSource(command.manifest);
+      const whole = await this.config.apply(command.manifest, from);
       return { type: 'applied', whole };
     }
     if (command.type === 'ask-manifest') {
@@ -82,6 +85,13 @@
     return found.ok ? { type: 'stored', manifest: found.val.manifest } : { type: 'no-answer' };
   }
 
+  /** Names a peer that spares the store the reads of a large revision; null for a small one. */
+  #pieceSource({ pieces }: Manifest): InstanceName | null {
+    if (pieces.length <= PIECES_PER_ANSWER) return null;
+    const sources = sourcesOf(this.spread.place, this.ctx.network.peers(), this.#round);
+    return sources[0] ?? null;
+  }
+
   /** One step of a daemon that has caught up; gives the delay before the next. */
   async #follow(): Promise<number> {
     const peers = this.ctx.network.peers();
