--- a/bench/catalogue.ts
+++ b/bench/catalogue.ts
@@ -1,5 +1,6 @@
 /** Every benchmark group, in the order in which they run. */
 import { ConfigBench } from './config.js';
+import { DurabilityBench } from './durability.js';
 import { PathBench } from './path.js';
 import { RouteBench } from './route.js';
 
@@ -8,7 +9,7 @@
 /** The groups. */
 export const GROUPS: readonly BenchGroup[] = [
   new PathBench(),
-  // One a line, so that branches add without conflicts.
   new RouteBench(),
   new ConfigBench(),
+  new DurabilityBench(),
 ];
