--- a/src/cli/exits.ts
+++ b/src/cli/exits.ts
@@ -16,7 +16,12 @@
 /** An exit code. */
 export type Exit = (typeof EXIT)[keyof typeof EXIT];
 
-const INPUT_CODES: readonly string[] = ['invalid', 'malformed-request', 'body-too-large'];
+const INPUT_CODES: readonly string[] = [
+  'invalid',
+  'removal',
+  'malformed-request',
+  'body-too-large',
+];
 const UNKNOWN_CODES: readonly string[] = ['store-unavailable', 'not-ready', 'outcome-unknown'];
 
 /**
--- a/src/cli/publish.ts
+++ b/src/cli/publish.ts
@@ -26,6 +26,7 @@
 interface PublishArgs extends DirArgs {
   readonly base: number | undefined;
   readonly operation: string;
+  readonly remove: boolean;
   readonly wait: boolean;
   readonly waitSeconds: number;
   readonly budgetShards: number | undefined;
@@ -84,7 +85,13 @@
   const { operation, budgetShards } = argv;
   announce(operation);
   const author = userInfo().username;
-  const order = { operation, author, base: argv.base ?? revision, budgetShards };
+  const order = {
+    operation,
+    author,
+    base: argv.base ?? revision,
+    budgetShards,
+    keep: !argv.remove,
+  };
   const answer = await send(client, order, before, documents);
   if (answer.err) printFailure(argv, answer.val, operation);
   else if (argv.wait) await awaitRollout(argv, client, answer.val, render);
@@ -105,6 +112,11 @@
         defaultDescription: 'a random id',
         describe: 'operation id; running again with the same id is safe',
       })
+      .option('remove', {
+        type: 'boolean',
+        default: false,
+        describe: 'remove what is in force and stands in no service file',
+      })
       .option('wait', {
         type: 'boolean',
         default: false,
--- a/src/cli/tests/commands.test.ts
+++ b/src/cli/tests/commands.test.ts
@@ -9,7 +9,6 @@
 import { runCli } from '../../../testbed/cli.js';
 import { Fleet } from '../../../testbed/fleet.js';
 
-
 const UNREACHABLE = 'http://127.0.0.1:9';
 
 /** A fleet and a directory for service files. */
@@ -96,7 +95,10 @@
   t.regex(reused.stderr, /this operation id was used for another order/);
 
   fleet.daemon(1).child.signal('SIGSTOP');
-  const wait = ['--base', '2', '--operation', 'three', '--wait', '--wait-seconds', '1'];
+  const removing = await runCli(['publish', dir, '--url', url, '--base', '2']);
+  t.is(removing.code, 2);
+  t.regex(removing.stderr, /would remove what is in force: budgets spare; name every directory/);
+  const wait = ['--remove', '--base', '2', '--operation', 'three', '--wait', '--wait-seconds', '1'];
   const third = await runCli(['publish', dir, '--url', url, ...wait]);
   t.is(third.code, 3);
   t.regex(third.stdout, /^published: revision 3, in force at 1 daemons\n$/);
@@ -122,6 +124,23 @@
   t.is((await fleet.daemon(0).operator<{ revision: number }>('status')).revision, 1);
 });
 
+test('check prints every problem, as JSON where asked', async (t) => {
+  const dir = await mkdtemp(join(tmpdir(), 'comfreyreel-cli-'));
+  t.teardown(() => rm(dir, { recursive: true, force: true }));
+  const empty = await runCli(['check', dir]);
+  t.is(empty.code, 2);
+  t.true(empty.stderr.includes('there is no file that ends in .comfreyreel.yaml'));
+  const file = join(dir, 'a.comfreyreel.yaml');
+  await writeFile(file, 'budgets:\n  - { name: A, workspac: b }\n');
+  const found = await runCli(['check', dir, '--json']);
+  t.is(found.code, 2);
+  const { problems } = JSON.parse(found.stdout) as { readonly problems: readonly object[] };
+  t.is(problems.length, 3);
+  t.like(problems.at(-1), { file, line: 2, column: 16, text: 'unknown field "workspac"' });
+  const absent = await runCli(['check', join(dir, 'none')]);
+  t.deepEqual([absent.code, absent.stderr.includes('cannot be read: ENOENT')], [2, true]);
+});
+
 const EXITS = [
   { title: 'no daemon', args: ['status', '--url', UNREACHABLE], code: 3 },
   {
--- a/src/config/publication.ts
+++ b/src/config/publication.ts
@@ -12,6 +12,9 @@
 /** Longest summary of a publication, in characters. */
 const MAX_SUMMARY = 100;
 
+/** Documents that a summary or a refusal names. */
+const MAX_NAMES = 3;
+
 /** Schema of a publication, as the command-line tool sends it. */
 export const publicationOrderSchema = z
   .strictObject({
@@ -23,6 +26,8 @@
     documents: documentsSchema.optional(),
     /** Digests of the pieces, each in force already or sent before. */
     digests: z.array(z.string()).readonly().optional(),
+    /** Whether a publication that removes documents is refused. */
+    keep: z.boolean().optional(),
     /** Budget shards of the first publication; fixed from then on. */
     budgetShards: z.number().int().positive().max(4_096).optional(),
   })
@@ -48,11 +53,25 @@
 export function summarize(before: Documents, after: Documents): string {
   const differences = compareDocuments(before, after);
   const names = differences.map(({ change, kind, name }) => `${change} ${kind} ${name}`);
-  const text = names.slice(0, 3).join(', ');
-  const more = names.length > 3 ? ` and ${names.length - 3} more` : '';
+  const text = names.slice(0, MAX_NAMES).join(', ');
+  const more = names.length > MAX_NAMES ? ` and ${names.length - MAX_NAMES} more` : '';
   return `${text.slice(0, MAX_SUMMARY)}${more}`;
 }
 
+/**
+ * Refuses a publication that removes documents, such as one of a directory too few.
+ * @param before - documents in force
+ * @param after - documents to publish
+ * @returns the failure; undefined if nothing is removed
+ */
+export function removalOf(before: Documents, after: Documents): Failure | undefined {
+  const removed = compareDocuments(before, after).filter(({ change }) => change === 'removed');
+  if (removed.length === 0) return undefined;
+  const names = removed.slice(0, MAX_NAMES).map(({ kind, name }) => `${kind} ${name}`);
+  const more = removed.length > MAX_NAMES ? ` and ${removed.length - MAX_NAMES} more` : '';
+  return failure('removal', `${names.join(', ')}${more}`);
+}
+
 function describe({ revision, author, at, operation, summary }: PublicationRecord): string {
   const when = new Date(at).toISOString();
   return `revision ${revision} by ${author} at ${when} (operation ${operation}: ${summary})`;
--- a/src/daemon/operations.ts
+++ b/src/daemon/operations.ts
@@ -1,27 +1,17 @@
 /** What operators may read and order, carried out against the store. */
-import { parseShard, shardKey, shardOf, spentOf, topUp, unallocated } from '../budget/index.js';
+import { parseShard, shardKey, shardOf, topUp } from '../budget/index.js';
 import { Err, failure, Ok } from '../kernel/index.js';
 import { updateObject } from '../platform/index.js';
+import { viewBudgets } from './budgetview.js';
 import { readStatement } from './statements.js';
 
 import type { BudgetShard, ChargeLine, TopUp } from '../budget/index.js';
 import type { Manifest } from '../config/index.js';
 import type { Failure, Result } from '../kernel/index.js';
 import type { ObjectStore } from '../platform/index.js';
+import type { BudgetView } from './budgetview.js';
 import type { ConfigTask } from './configtask.js';
 
-/** A budget as operators see it. */
-export interface BudgetView {
-  readonly name: string;
-  readonly workspace: string;
-  readonly paid: number;
-  readonly spent: number;
-  /** Units that daemons hold and have not spent. */
-  readonly granted: number;
-  /** Units that no daemon holds. */
-  readonly left: number;
-}
-
 /** A payment, as the command-line tool sends it. */
 export interface Payment {
   readonly budget: string;
@@ -84,17 +74,9 @@
    * @returns every budget with its counters
    */
   async budgets(): Promise<Result<readonly BudgetView[], Failure>> {
+    const published = this.config.current?.documents.budgets ?? [];
     const shards = await this.#shards();
-    return shards.map((values) =>
-      values.flatMap((shard) =>
-        shard.budgets.map((budget) => {
-          const left = unallocated(budget);
-          const spent = spentOf(budget);
-          const { name, workspace, paid } = budget;
-          return { name, workspace, paid, spent, granted: paid - left - spent, left };
-        }),
-      ),
-    );
+    return shards.map((values) => viewBudgets(published, values));
   }
 
   /**
--- a/src/daemon/operators.controller.ts
+++ b/src/daemon/operators.controller.ts
@@ -17,7 +17,8 @@
 import type { Failure, Result } from '../kernel/index.js';
 import type { RolloutView } from './configspread.js';
 import type { TimelineEvent } from '../telemetry/index.js';
-import type { BudgetView, PaymentAnswer } from './operations.js';
+import type { BudgetView } from './budgetview.js';
+import type { PaymentAnswer } from './operations.js';
 
 /** Pieces that a publication will name. */
 const stagingSchema = z.strictObject({ parts: z.array(documentsSchema).readonly() });
--- a/src/daemon/publishing.ts
+++ b/src/daemon/publishing.ts
@@ -14,6 +14,7 @@
   pieceKey,
   publish,
   refusalOf,
+  removalOf,
   shardsFor,
   summarize,
   documentsSchema,
@@ -111,6 +112,8 @@
     const request = this.#request(order, documents.val, pieces);
     const early = publish(read.val, request);
     if (early.kind === 'keep') return Publishing.#conclude(early.outcome, order);
+    const removal = removalOf(this.ctx.config.current?.documents ?? EMPTY_DOCUMENTS, documents.val);
+    if (order.keep && removal) return Err(removal);
     const refs = await this.#store(read.val, pieces);
     if (refs.err) return refs;
     return this.#putInForce(read.val, { ...request, pieces: refs.val }, order);
--- a/src/kernel/failure.ts
+++ b/src/kernel/failure.ts
@@ -129,6 +129,11 @@
     text: 'this operation id was used for another order',
     remedy: 'use a new operation id for a new order',
   },
+  removal: {
+    status: 422,
+    text: 'the publication would remove what is in force',
+    remedy: 'name every directory with service files, or pass --remove',
+  },
   invalid: {
     status: 422,
     text: 'the input is not valid',
--- a/testbed/fleet.ts
+++ b/testbed/fleet.ts
@@ -15,7 +15,7 @@
 import { waitFor } from './wait.js';
 
 import type { Documents } from '../src/config/index.js';
-import type { BudgetView } from '../src/daemon/operations.js';
+import type { BudgetView } from '../src/daemon/budgetview.js';
 import type { FleetUrls } from './documents.js';
 
 const HOST = '127.0.0.1';
