--- a/src/config/difference.ts
+++ b/src/config/difference.ts
@@ -2,7 +2,7 @@
 import type { Documents } from './documents.js';
 
 /** Kinds of documents, in the order in which they are listed. */
-export const DOCUMENT_KINDS = ['workspaces', 'budgets', 'routes', 'upstreams'] as const;
+export const DOCUMENT_KINDS = ['workspaces', 'budgets', 'routes', 'upstreams', 'plans'] as const;
 
 /** A kind of documents, as service files name it. */
 export type DocumentKind = (typeof DOCUMENT_KINDS)[number];
--- a/src/config/tests/pieces.test.ts
+++ b/src/config/tests/pieces.test.ts
@@ -75,7 +75,7 @@
     state: 'open' as const,
     keys: index < 40 ? keys : [],
   }));
-  const pieces = cutDocuments({ workspaces, budgets: [], routes: [], upstreams: [] });
+  const pieces = cutDocuments({ workspaces, budgets: [], routes: [], upstreams: [], plans: [] });
   const sizes = pieces.map((piece) => bytesOf(piece.documents));
   t.true(Math.max(...sizes) <= MAX_PIECE_BYTES);
   t.true(pieces.some(({ slot }) => slot.includes('.')));
--- a/src/daemon/charges.ts
+++ b/src/daemon/charges.ts
@@ -5,6 +5,7 @@
 import { Outbox } from './outbox.js';
 
 import type { Charge } from '../fleet/index.js';
+import type { PendingLines } from '../plan/index.js';
 import type { ConfigTask } from './configtask.js';
 import type { OutboxContext } from './outbox.js';
 
@@ -184,6 +185,13 @@
     );
   }
 
+  /** Lines that the store does not hold, for each shard that has some. */
+  get pending(): readonly PendingLines[] {
+    return [...this.#outboxes.values()]
+      .map(({ pending }) => pending)
+      .filter(({ lines }) => lines.length > 0);
+  }
+
   /** Ends the deliveries at intervals. */
   stop(): void {
     this.#isStopped = true;
--- a/src/daemon/requestrun.ts
+++ b/src/daemon/requestrun.ts
@@ -148,12 +148,17 @@
   }
 
   async #dispatch(): Promise<ServeEvent> {
-    const { serving, key } = this.input;
+    const { serving, key, route, tenant } = this.input;
     const upstream = this.#upstream;
     if (!upstream) return { type: 'failed', fail: failure('upstream-unavailable', 'route') };
+    // The choice may be old by now: the daemon may have been paused or have queued the request.
+    if (!serving.plans.mayReceive(upstream.name)) {
+      serving.routing.end(route, upstream.name, tenant.workspace.name, false);
+      return { type: 'failed', fail: failure('upstream-unavailable', `${upstream.name} leaves`) };
+    }
     this.#attempts += 1;
     if (this.input.keyGiven) {
-      const workspace = this.input.tenant.workspace.name;
+      const workspace = tenant.workspace.name;
       void serving.keys.note({ workspace, key }, 'running', upstream.name);
     }
     serving.open.add(upstream.name, 1);
--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -9,6 +9,7 @@
 import type { ObjectStore } from '../platform/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { ModelEngine, PlainService } from '../upstream/index.js';
+import type { PlanFollower } from './planfollower.js';
 import type { Routing } from './routing.js';
 import type { Settings } from './settings.js';
 
@@ -21,6 +22,7 @@
   readonly budgets: BudgetTask;
   readonly grants: Grants;
   readonly charges: Charges;
+  readonly plans: PlanFollower;
   readonly claims: Claims;
   readonly keys: KeyRegistry;
   readonly routing: Routing;
