Benchmark of budgets: seeded schedules at both users' sizes beside two baselines

Causes found by budget: (1) traffic that rises while the side is cut off, by 1.38 from the smoothed rate before, so that plentiful budgets ran dry after 27 minutes; grants now allow for growth by half. (3) The rest are payments made on the other side during the cut: the smaller side cannot know of them.

--- /dev/null
+++ b/bench/budgetschedule.ts
@@ -0,0 +1,218 @@
+/** Seeded schedules of requests, payments and faults at both users' sizes. */
+import { MINUTE_MS, SECOND_MS } from '../src/kernel/index.js';
+import { seededRandom } from '../testbed/seed.js';
+
+/** Length of a schedule, in milliseconds. */
+export const SCHEDULE_MS = 150 * MINUTE_MS;
+
+/** When the partition begins, in milliseconds. */
+export const CUT_FROM_MS = 60 * MINUTE_MS;
+
+/** When the partition ends, in milliseconds. */
+export const CUT_TO_MS = 90 * MINUTE_MS;
+
+/** Interval between background work, in milliseconds. */
+const TICK_MS = 10 * SECOND_MS;
+
+/** Time from a death to the replacement and the takeover, in milliseconds. */
+const TAKEOVER_MS = 30 * SECOND_MS;
+
+/** Data centres of the eight entries: three, three and two. */
+export const ENTRY_CENTRES = [0, 1, 2, 0, 1, 2, 0, 1] as const;
+
+/** Data centre that the partition cuts off; it has two entries. */
+export const CUT_CENTRE = 2;
+
+/** Shares of the traffic of ten workspaces: a few are large. */
+const WORKSPACE_SHARES = [0.28, 0.22, 0.15, 0.05, 0.05, 0.05, 0.05, 0.05, 0.05, 0.05] as const;
+
+/** Share of a workspace's callers that are near its own data centre. */
+const HOME_SHARE = 0.6;
+
+/** What a user's traffic looks like. */
+export interface UserSize {
+  readonly name: string;
+  readonly requestsPerSecond: number;
+  /** Largest prompt, in bytes. */
+  readonly promptBytes: number;
+  readonly outputLimit: number;
+  /** Longest answer, in milliseconds. */
+  readonly answerMs: number;
+}
+
+/** The two users. */
+export const USERS: readonly UserSize[] = [
+  {
+    name: 'sava',
+    requestsPerSecond: 6,
+    promptBytes: 2_400,
+    outputLimit: 1_024,
+    answerMs: 20_000,
+  },
+  {
+    name: 'chikugo',
+    requestsPerSecond: 9,
+    promptBytes: 900,
+    outputLimit: 512,
+    answerMs: 9_000,
+  },
+];
+
+/** Which faults a schedule has. */
+export type FaultKind = 'calm' | 'partition' | 'deaths';
+
+/** A workspace with its one budget. */
+export interface BenchBudget {
+  readonly name: string;
+  readonly share: number;
+  readonly home: number;
+  readonly paid: number;
+}
+
+/** One request. */
+export interface BenchRequest {
+  readonly id: number;
+  readonly budget: number;
+  readonly centre: number;
+  /** Chooses the entry within the data centre. */
+  readonly pick: number;
+  readonly worstCase: number;
+  readonly used: number;
+}
+
+/** One event of a schedule. */
+export type BenchEvent =
+  | { readonly type: 'arrive' | 'finish'; readonly at: number; readonly req: BenchRequest }
+  | { readonly type: 'tick'; readonly at: number }
+  | { readonly type: 'topUp'; readonly at: number; readonly budget: number; readonly units: number }
+  | { readonly type: 'cut' | 'heal'; readonly at: number }
+  | { readonly type: 'die' | 'recover'; readonly at: number; readonly entry: number };
+
+/** A whole schedule. */
+export interface BenchSchedule {
+  readonly user: UserSize;
+  readonly faults: FaultKind;
+  readonly budgets: readonly BenchBudget[];
+  readonly events: readonly BenchEvent[];
+}
+
+/** Budget as a multiple of the use that is expected; topped-up ones get the rest later. */
+const PAID_FACTORS = [6, 0.7, 3, 4, 0.6, 0.5, 4, 1.4, 0.5, 4] as const;
+
+/** Budgets that are topped up, with the payment as a multiple of the expected use. */
+const TOP_UPS = [
+  { budget: 5, factor: 1 },
+  { budget: 8, factor: 0.4 },
+] as const;
+
+function meanUnits(user: UserSize): number {
+  const prompt = (user.promptBytes * 0.55) / 4;
+  return prompt + user.outputLimit * 0.45;
+}
+
+function makeRequest(
+  user: UserSize,
+  id: number,
+  random: () => number,
+  budgets: readonly BenchBudget[],
+): BenchRequest {
+  const chosen = random();
+  let sum = 0;
+  const found = budgets.findIndex(({ share }) => {
+    sum += share;
+    return chosen < sum;
+  });
+  const budget = found < 0 ? budgets.length - 1 : found;
+  const home = budgets[budget]?.home ?? 0;
+  const away = random() < HOME_SHARE ? 0 : 1 + Math.floor(random() * 2);
+  const prompt = Math.floor(user.promptBytes * (0.1 + 0.9 * random()));
+  const output = Math.floor(user.outputLimit * random() * 0.9) + 1;
+  return {
+    id,
+    budget,
+    centre: (home + away) % 3,
+    pick: random(),
+    worstCase: prompt + user.outputLimit,
+    used: Math.ceil(prompt / 4) + output,
+  };
+}
+
+function traffic(
+  user: UserSize,
+  random: () => number,
+  budgets: readonly BenchBudget[],
+): readonly BenchEvent[] {
+  const events: BenchEvent[] = [];
+  let at = 0;
+  for (let id = 0; at < SCHEDULE_MS; id += 1) {
+    // Traffic rises and falls by a third over an hour.
+    const wave = 1 + Math.sin((at / (60 * MINUTE_MS)) * 2 * Math.PI) / 3;
+    at += (-Math.log(1 - random()) / (user.requestsPerSecond * wave)) * SECOND_MS;
+    const req = makeRequest(user, id, random, budgets);
+    events.push({ type: 'arrive', at, req });
+    events.push({ type: 'finish', at: at + user.answerMs * (0.2 + 0.8 * random()), req });
+  }
+  return events;
+}
+
+function faultEvents(faults: FaultKind, random: () => number): readonly BenchEvent[] {
+  if (faults === 'partition') {
+    return [
+      { type: 'cut', at: CUT_FROM_MS },
+      { type: 'heal', at: CUT_TO_MS },
+    ];
+  }
+  if (faults === 'calm') return [];
+  return [30, 55, 80, 110].flatMap((minute): readonly BenchEvent[] => {
+    const at = minute * MINUTE_MS + random() * MINUTE_MS;
+    const entry = Math.floor(random() * ENTRY_CENTRES.length);
+    return [
+      { type: 'die', at, entry },
+      { type: 'recover', at: at + TAKEOVER_MS, entry },
+    ];
+  });
+}
+
+function payments(
+  expected: readonly number[],
+  faults: FaultKind,
+  random: () => number,
+): readonly BenchEvent[] {
+  return TOP_UPS.map(({ budget, factor }) => {
+    // In a partition the payment reaches the larger side while the smaller one is cut off.
+    const from = faults === 'partition' ? CUT_FROM_MS : SCHEDULE_MS / 4;
+    const at = from + random() * (CUT_TO_MS - CUT_FROM_MS);
+    const units = Math.ceil((expected[budget] ?? 0) * factor);
+    return { type: 'topUp', at, budget, units } as const;
+  });
+}
+
+/**
+ * Makes a schedule.
+ * @param user - whose traffic
+ * @param faults - which faults
+ * @param seed - seed of the run
+ * @returns the events in the order of their time
+ */
+export function makeSchedule(user: UserSize, faults: FaultKind, seed: number): BenchSchedule {
+  const random = seededRandom(seed);
+  const total = user.requestsPerSecond * (SCHEDULE_MS / SECOND_MS) * meanUnits(user);
+  const expected = WORKSPACE_SHARES.map((share) => share * total);
+  const budgets = WORKSPACE_SHARES.map((share, index) => ({
+    name: `budget-${index}`,
+    share,
+    home: index % 3,
+    paid: Math.ceil((expected[index] ?? 0) * (PAID_FACTORS[index] ?? 1)),
+  }));
+  const ticks = Array.from({ length: SCHEDULE_MS / TICK_MS }, (_, index) => ({
+    type: 'tick' as const,
+    at: index * TICK_MS,
+  }));
+  const events = [
+    ...traffic(user, random, budgets),
+    ...faultEvents(faults, random),
+    ...payments(expected, faults, random),
+    ...ticks,
+  ];
+  return { user, faults, budgets, events: events.sort((a, b) => a.at - b.at) };
+}
--- /dev/null
+++ b/bench/budgetwriteeach.ts
@@ -0,0 +1,66 @@
+/** Baseline of the budgets: a conditional write for each request. */
+import { BudgetPolicy } from './budgetpolicy.js';
+
+import type { Verdict } from './budgetpolicy.js';
+import type { BenchBudget, BenchRequest } from './budgetschedule.js';
+
+/** Writes a second that the store takes for the whole fleet. */
+const WRITES_PER_SECOND = 400;
+
+/** Baseline: one conditional write at the store reserves for each request, another settles. */
+export class WritePerRequest extends BudgetPolicy {
+  readonly #left: number[];
+
+  #second = 0;
+
+  #writes = 0;
+
+  /**
+   * Opens the budgets.
+   * @param budgets - budgets as paid at the beginning
+   */
+  constructor(budgets: readonly BenchBudget[]) {
+    super(budgets);
+    this.#left = budgets.map(({ paid }) => paid);
+  }
+
+  override admit(entry: number, { budget, worstCase }: BenchRequest, now: number): Verdict {
+    if (this.isCutOff(entry) || !this.#write(now)) return 'unreachable';
+    const left = this.#left[budget] ?? 0;
+    if (left < worstCase) return 'exhausted';
+    this.#left[budget] = left - worstCase;
+    return 'admitted';
+  }
+
+  override settle(_entry: number, req: BenchRequest, now: number): void {
+    this.#write(now);
+    this.#left[req.budget] = (this.#left[req.budget] ?? 0) + req.worstCase - req.used;
+  }
+
+  override topUp(budget: number, units: number): void {
+    this.#left[budget] = (this.#left[budget] ?? 0) + units;
+  }
+
+  override die(_entry: number, open: readonly BenchRequest[]): readonly number[] {
+    return this.budgets.map((_, budget) =>
+      open
+        .filter((req) => req.budget === budget)
+        .reduce((sum, { worstCase }) => sum + worstCase, 0),
+    );
+  }
+
+  override recover(): readonly number[] {
+    return this.budgets.map(() => 0);
+  }
+
+  #write(now: number): boolean {
+    const second = Math.floor(now / 1_000);
+    if (second !== this.#second) {
+      this.#second = second;
+      this.#writes = 0;
+    }
+    this.#writes += 1;
+    this.storeCalls += 2;
+    return this.#writes <= WRITES_PER_SECOND;
+  }
+}
--- a/bench/catalogue.ts
+++ b/bench/catalogue.ts
@@ -1,5 +1,7 @@
 /** Every benchmark group, in the order in which they run. */
+import { BudgetBench } from './budget.js';
+
 import type { BenchGroup } from './figure.js';
 
 /** The groups. */
-export const GROUPS: readonly BenchGroup[] = [];
+export const GROUPS: readonly BenchGroup[] = [new BudgetBench()];
--- a/src/budget/admit.ts
+++ b/src/budget/admit.ts
@@ -13,17 +13,28 @@
 /** What the procedure asks to be done. */
 export type AdmitCommand =
   | { readonly type: 'reserve'; readonly units: number }
-  /** Draws in the background; nothing waits for it. */
+  /** Begins a refill in the background; nothing waits for it. */
   | { readonly type: 'prefetch' }
+  /** Asks for the units that the holder lacks in the background. */
+  | { readonly type: 'measure' }
   | { readonly type: 'draw'; readonly missing: number }
   /** Lists the holders that may have units, the likeliest first. */
   | { readonly type: 'holders' }
-  | { readonly type: 'borrow'; readonly holder: string; readonly missing: number };
+  | {
+      readonly type: 'borrow';
+      readonly holder: string;
+      /** Units that the waiting request lacks; 0 in the background. */
+      readonly missing: number;
+      /** Units that the holder would like to keep ready besides. */
+      readonly wanted: number;
+    };
 
 /** What came of a command. */
 export type AdmitEvent =
   | { readonly type: 'reserved'; readonly low: boolean }
   | { readonly type: 'short'; readonly missing: number }
+  /** Units up to the target of the holder, once it runs low; 0 before. */
+  | { readonly type: 'lacking'; readonly units: number }
   | { readonly type: 'started' }
   /** The store answered; "left" is what it can still grant. */
   | { readonly type: 'drawn'; readonly left: number }
@@ -43,6 +54,9 @@
 /** Rounds through the store and the holders before a refusal. */
 const MAX_ROUNDS = 4;
 
+/** Holders that one refill asks: those that hold most. */
+const REFILL_HOLDERS = 3;
+
 /** What one round through the store and the holders found. */
 interface Round {
   readonly admitted: boolean;
@@ -69,7 +83,7 @@
 function* askHolder(req: AdmitRequest, holder: string, round: Round): Admitting<Round> {
   const missing = yield* reserveUnits(req);
   if (missing === 0) return { ...round, admitted: true };
-  const event = yield { type: 'borrow', holder, missing };
+  const event = yield { type: 'borrow', holder, missing, wanted: 0 };
   if (event.type === 'late') return { ...round, late: true };
   if (event.type !== 'lent') return { ...round, complete: false };
   return { ...round, seen: round.seen + event.left, obtained: round.obtained + event.units };
@@ -124,3 +138,25 @@
   }
   return refuse(req, { ...round, complete: false });
 }
+
+function* measure(): Admitting<number> {
+  const event = yield { type: 'measure' };
+  return event.type === 'lacking' ? event.units : 0;
+}
+
+/**
+ * Draws before requests have to wait. Where the store has too little left, holders that have more
+ * than their part of the budget are asked for what exceeds it.
+ * @returns the procedure; it ends without an outcome
+ */
+export function* refill(): Admitting<void> {
+  yield { type: 'draw', missing: 0 };
+  let wanted = yield* measure();
+  if (wanted === 0) return;
+  const listed = yield { type: 'holders' };
+  const holders = listed.type === 'holders' ? listed.holders.slice(0, REFILL_HOLDERS) : [];
+  for (let index = 0; index < holders.length && wanted > 0; index += 1) {
+    yield { type: 'borrow', holder: holders[index] ?? '', missing: 0, wanted };
+    wanted = yield* measure();
+  }
+}
--- a/src/budget/draw.ts
+++ b/src/budget/draw.ts
@@ -37,8 +37,7 @@
   readonly granted: number;
   /** Units that no row holds. */
   readonly left: number;
-  /** Units that the holder should keep available. */
-  readonly target: number;
+  readonly outlook: BudgetOutlook;
   /** Loans to this holder that the store knows. */
   readonly loans: readonly PeerCounter[];
   readonly others: readonly HolderView[];
@@ -50,7 +49,7 @@
   known: false,
   granted: 0,
   left: 0,
-  target: 0,
+  outlook: { unspent: 0, totalRate: 0 },
   loans: [],
   others: [],
   reported: true,
@@ -59,7 +58,7 @@
 function outlookOf(budget: BudgetRecord, ask: DrawRequest): BudgetOutlook {
   const others = budget.rows.filter(({ holder }) => holder !== ask.report.holder);
   const rate = others.reduce((sum, row) => sum + (row.demand ?? 0), ask.demand.rate);
-  return { paid: budget.paid, unspent: budget.paid - spentOf(budget), totalRate: rate };
+  return { unspent: budget.paid - spentOf(budget), totalRate: rate };
 }
 
 function othersOf(budget: BudgetRecord, holder: string): readonly HolderView[] {
@@ -106,8 +105,8 @@
   const reported = applyReport(shard, report);
   const budget = reported.budgets.find(({ name }) => name === report.budget);
   if (!budget) return { kind: 'keep', outcome: UNKNOWN };
-  const target = targetUnits(ask.demand, outlookOf(budget, ask));
-  const wanted = Math.max(ask.missing, target - ask.available);
+  const outlook = outlookOf(budget, ask);
+  const wanted = Math.max(ask.missing, targetUnits(ask.demand, outlook) - ask.available);
   const asked = { ...report, granted: ask.granted, needed: 1, wanted };
   const change = wanted > 0 ? grant(reported, asked) : undefined;
   const { granted, left } = change?.outcome ?? {
@@ -118,7 +117,7 @@
     known: true,
     granted,
     left,
-    target,
+    outlook,
     loans: loansTo(budget, report.holder),
     others: othersOf(budget, report.holder),
     reported: isReported(budget, report),
--- a/src/budget/index.ts
+++ b/src/budget/index.ts
@@ -4,6 +4,7 @@
 export * from './demand.js';
 export * from './draw.js';
 export * from './escrow.js';
+export * from './holding.js';
 export * from './ledger.js';
 export * from './lending.js';
 export * from './messages.js';
--- a/src/budget/messages.ts
+++ b/src/budget/messages.ts
@@ -3,13 +3,17 @@
 
 import { peerCounterSchema } from './escrow.js';
 
-/** A holder that is about to refuse a request asks another holder for units. */
+/** A holder that runs low or is about to refuse a request asks another holder for units. */
 export const borrowSchema = z
   .object({
     type: z.literal('borrow'),
     budget: z.string(),
-    /** Units that the waiting request lacks. */
-    missing: z.number().int().positive(),
+    /** Units that the waiting request lacks; 0 in the background. */
+    missing: z.number().int().nonnegative(),
+    /** Units that the borrower would like to keep ready besides. */
+    wanted: z.number().int().nonnegative(),
+    /** What the store last showed the borrower of the budget. */
+    outlook: z.object({ unspent: z.number(), totalRate: z.number() }).readonly(),
     /** Lender's counter for the borrower, as the borrower knows it. */
     known: z.number().int().nonnegative(),
   })
--- a/src/budget/sizing.ts
+++ b/src/budget/sizing.ts
@@ -4,27 +4,26 @@
 /** Time that a holder can go on serving alone, in seconds. */
 export const ALONE_SECONDS = 1_800;
 
+/** Multiple of the present use that may come while serving alone: traffic rises and falls. */
+const GROWTH = 1.5;
+
 /** Deviations of the expected use that are kept on top of it. */
 const DEVIATIONS = 3;
 
 /** Largest worst cases that are kept on top, so that a burst does not wait. */
 const BURST_REQUESTS = 4;
 
-/** Share of what was paid below which grants shrink. */
-const SHRINK_BELOW = 0.2;
-
-/** Share of its fair part that a holder keeps once grants shrink. */
-const SHRUNK_PART = 0.5;
+/** Multiple of the units for serving alone that a draw fills up to. */
+const FILL = 4 / 3;
 
-/** Share of the target below which more is drawn in the background. */
-const LOW_WATER = 0.5;
+/** Share of the target below which more is drawn in the background: what serving alone takes. */
+const LOW_WATER = 1 / FILL;
 
 /** Multiple of the target above which units are idle. */
 const IDLE_ABOVE = 2;
 
-/** What sizing needs to know of a budget. */
+/** What sizing needs to know of a budget, as the store last showed it. */
 export interface BudgetOutlook {
-  readonly paid: number;
   /** Units that are not spent, wherever they are held. */
   readonly unspent: number;
   /** Demand of all holders together, in units a second, this one included. */
@@ -37,30 +36,37 @@
  * @returns units: expected use, its deviation, and a burst
  */
 export function aloneReserve(demand: DemandRate): number {
-  const expected = demand.rate * ALONE_SECONDS;
+  const expected = demand.rate * ALONE_SECONDS * GROWTH;
   const deviation = Math.sqrt(2 * expected * demand.typical);
   return Math.ceil(expected + DEVIATIONS * deviation + BURST_REQUESTS * demand.largest);
 }
 
+/**
+ * Gives the units that a draw fills up to while the budget has plenty.
+ * @param demand - demand of the holder
+ * @returns units
+ */
+export function fullTarget(demand: DemandRate): number {
+  return Math.ceil(aloneReserve(demand) * FILL);
+}
+
 /**
  * Gives the units that a holder should have available.
- * Near the end of a budget, a part of what is left stays unallocated or with busier holders.
+ * Towards the end of a budget that is its part of what is left, by demand.
  * @param demand - its demand
  * @param outlook - the budget as the store last showed it
  * @returns units
  */
 export function targetUnits(demand: DemandRate, outlook: BudgetOutlook): number {
   const share = outlook.totalRate > 0 ? Math.min(1, demand.rate / outlook.totalRate) : 1;
-  const shrunk = outlook.unspent < outlook.paid * SHRINK_BELOW;
-  const fair = outlook.unspent * share * (shrunk ? SHRUNK_PART : 1);
-  return Math.floor(Math.min(aloneReserve(demand), fair));
+  return Math.floor(Math.min(fullTarget(demand), outlook.unspent * share));
 }
 
 /**
  * Says whether more should be drawn in the background.
  * @param availableUnits - what the holder can still reserve
  * @param target - units that it should have
- * @returns true below half of the target
+ * @returns true once a draw is worth its call
  */
 export function isLow(availableUnits: number, target: number): boolean {
   return availableUnits < target * LOW_WATER;
--- a/src/budget/tests/model.ts
+++ b/src/budget/tests/model.ts
@@ -22,6 +22,7 @@
 
 const BUDGET = 'b';
 const DEMAND = { rate: 0.01, typical: 10, largest: 10 };
+const OUTLOOK = { unspent: 100, totalRate: 0.04 };
 
 /** What a backup knows of a holder. */
 interface Copy {
@@ -136,7 +137,8 @@
 function lendTo(world: World, lender: Holder, borrower: Holder, missing: number): World {
   if (lender.name === borrower.name) return world;
   const known = counterOf(borrower.escrow.borrowed, lender.name);
-  const loan = lend(lender.escrow, { borrower: borrower.name, missing, known });
+  const ask = { borrower: borrower.name, missing, wanted: 0, known, outlook: OUTLOOK };
+  const loan = lend(lender.escrow, DEMAND, ask);
   // The backup acknowledges before the borrower hears of the loan.
   const passed = raiseCounter(lender.copy.passed, { peer: borrower.name, units: loan.passed });
   const next = { ...lender, escrow: loan.escrow, copy: { ...lender.copy, passed } };
@@ -192,7 +194,7 @@
   const next = { ...world, shard };
   const row = rowOf(budgetOf(next), holder.name);
   const complete = known.every(({ to, units }) => counterOf(row.passed ?? [], to) >= units);
-  const unsettled = holder.copy.lines.length > (settled.outcome);
+  const unsettled = holder.copy.lines.length > settled.outcome;
   if (!complete || unsettled) return next;
   const freed = withRow(budgetOf(next), { ...row, returned: row.granted - row.spent });
   return put({ ...next, shard: replaceBudget(shard, freed) }, { ...holder, fenced: true });
