Daemons admit through the budget rules: background refill, loans between daemons, idle returns

Before: a draw of eight times the need, waited for by the request; no loan, no return. A loan is usable once the lender's backup has acknowledged it (copy-counters); the fleet's own copies take this over through the hook BeforePass.

--- a/src/budget/messages.ts
+++ b/src/budget/messages.ts
@@ -1,8 +1,6 @@
 /** Messages between daemons of the budget aggregate. */
 import { z } from 'zod';
 
-import { peerCounterSchema } from './escrow.js';
-
 /** A holder that runs low or is about to refuse a request asks another holder for units. */
 export const borrowSchema = z
   .object({
@@ -23,11 +21,13 @@
 export const lentSchema = z
   .object({
     type: z.literal('lent'),
+    /** Incarnation that lends. */
+    lender: z.string(),
     passed: z.number().int().nonnegative(),
     /** Units that the lender still has available. */
     left: z.number().int(),
     /** Whether the counter may be used: the lender's backup knows it. */
-    durable: z.boolean(),
+    isDurable: z.boolean(),
   })
   .readonly();
 
@@ -37,7 +37,8 @@
     type: z.literal('copy-counters'),
     holder: z.string(),
     budget: z.string(),
-    passed: z.array(peerCounterSchema).readonly(),
+    /** Units lent in all. */
+    passed: z.number().int().nonnegative(),
   })
   .readonly();
 
--- a/src/daemon/budgettask.ts
+++ b/src/daemon/budgettask.ts
@@ -1,14 +1,30 @@
-/** Owns the escrows of one daemon. */
+/** Owns the holdings of one daemon. */
 import {
   available,
-  emptyEscrow,
+  emptyHolding,
+  lackingUnits,
+  lend,
+  demandAt,
+  needsDraw,
+  receiveDraw,
   receiveGrant,
-  reserve,
-  settleReservation,
+  receiveLoan,
+  reserveIn,
+  returnIdle,
+  settleIn,
+  withEscrow,
 } from '../budget/index.js';
 import { Task } from '../kernel/index.js';
 
-import type { Escrow } from '../budget/index.js';
+import type {
+  DrawAnswer,
+  DrawRequest,
+  Escrow,
+  Holding,
+  LoanRequest,
+  PeerCounter,
+} from '../budget/index.js';
+import type { Clock } from '../kernel/index.js';
 
 /** What the task is asked. */
 export type BudgetMessage =
@@ -20,36 +36,94 @@
       readonly used: number;
     }
   | { readonly type: 'receive'; readonly budget: string; readonly granted: number }
+  | {
+      readonly type: 'drawn';
+      readonly budget: string;
+      readonly asked: DrawRequest;
+      readonly answer: DrawAnswer;
+    }
+  | { readonly type: 'lend'; readonly budget: string; readonly ask: LoanRequest }
+  | { readonly type: 'loan'; readonly budget: string; readonly loan: PeerCounter }
+  | { readonly type: 'return-idle'; readonly budget: string }
   | { readonly type: 'read'; readonly budget: string };
 
-/** The escrow after a message, and whether a reservation fitted. */
+/** The holding after a message, and whether a reservation fitted. */
 export interface BudgetReply {
+  readonly holding: Holding;
   readonly escrow: Escrow;
   readonly available: number;
   readonly accepted: boolean;
+  /** Whether a background draw is due. */
+  readonly low: boolean;
+  /** Units up to the target, once the holding runs low. */
+  readonly lacking: number;
 }
 
-/** Keeps one escrow for each budget that this daemon has used. */
+/** Keeps one holding for each budget that this daemon has used. */
 export class BudgetTask extends Task<BudgetMessage, BudgetReply> {
-  readonly #escrows = new Map<string, Escrow>();
+  readonly #holdings = new Map<string, Holding>();
+
+  /**
+   * Creates the task.
+   * @param clock - time of the demand
+   */
+  constructor(private readonly clock: Clock) {
+    super();
+  }
+
+  /** Budgets that this daemon has used. */
+  get budgets(): readonly string[] {
+    return [...this.#holdings.keys()];
+  }
 
   protected override handle(message: BudgetMessage): BudgetReply {
-    const escrow = this.#escrows.get(message.budget) ?? emptyEscrow(message.budget);
-    if (message.type === 'read') return this.#reply(escrow, true);
-    if (message.type === 'receive') return this.#keep(receiveGrant(escrow, message.granted));
-    if (message.type === 'settle') {
-      return this.#keep(settleReservation(escrow, message.reserved, message.used));
+    const now = this.clock.now();
+    const holding = this.#holdings.get(message.budget) ?? emptyHolding(message.budget, now);
+    if (message.type === 'read') return this.#reply(holding, true);
+    if (message.type === 'reserve') {
+      const result = reserveIn(holding, message.units, now);
+      return this.#keep(result.holding, result.accepted);
+    }
+    return this.#keep(BudgetTask.#change(holding, message, now), true);
+  }
+
+  static #change(
+    holding: Holding,
+    message: Exclude<BudgetMessage, { readonly type: 'read' | 'reserve' }>,
+    now: number,
+  ): Holding {
+    const { escrow } = holding;
+    switch (message.type) {
+      case 'settle':
+        return settleIn(holding, message.reserved, message.used, now);
+      case 'receive':
+        return { ...holding, escrow: receiveGrant(escrow, message.granted) };
+      case 'drawn':
+        return receiveDraw(holding, message.asked, message.answer, now);
+      case 'lend':
+        return withEscrow(holding, lend(escrow, demandAt(holding.demand, now), message.ask).escrow);
+      case 'loan':
+        return withEscrow(holding, receiveLoan(escrow, message.loan));
+      default:
+        return returnIdle(holding, now);
     }
-    const reserved = reserve(escrow, message.units);
-    return reserved.ok ? this.#keep(reserved.val) : this.#reply(escrow, false);
   }
 
-  #keep(escrow: Escrow): BudgetReply {
-    this.#escrows.set(escrow.budget, escrow);
-    return this.#reply(escrow, true);
+  #keep(holding: Holding, accepted: boolean): BudgetReply {
+    this.#holdings.set(holding.escrow.budget, holding);
+    return this.#reply(holding, accepted);
   }
 
-  #reply(escrow: Escrow, accepted: boolean): BudgetReply {
-    return { escrow, available: available(escrow), accepted };
+  #reply(holding: Holding, accepted: boolean): BudgetReply {
+    const now = this.clock.now();
+    const { escrow } = holding;
+    return {
+      holding,
+      escrow,
+      available: available(escrow),
+      accepted,
+      low: needsDraw(holding, now),
+      lacking: lackingUnits(holding, now),
+    };
   }
 }
--- a/src/daemon/grants.ts
+++ b/src/daemon/grants.ts
@@ -1,16 +1,23 @@
-/** Draws grants from the store, one draw at a time for each budget. */
-import { grant, parseShard, shardKey, shardOf } from '../budget/index.js';
-import { failure } from '../kernel/index.js';
+/** Draws grants from the store and reports loans and returns, one call at a time for each budget. */
+import { drawRequest, drawUnits, parseShard, shardKey, shardOf } from '../budget/index.js';
+import { SECOND_MS } from '../kernel/index.js';
 import { updateObject } from '../platform/index.js';
 
-import type { Failure, Incarnation } from '../kernel/index.js';
+import type { DrawAnswer } from '../budget/index.js';
+import type { Clock, Incarnation } from '../kernel/index.js';
 import type { ObjectStore } from '../platform/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { BudgetTask } from './budgettask.js';
 import type { ConfigTask } from './configtask.js';
 
-/** Times the needed units that one draw asks for. */
-const DRAW_FACTOR = 8;
+/** Time after a failed call in which requests do not wait for the store, in milliseconds. */
+const AWAY_MS = 1_000;
+
+/** Interval at which loans and returns that the store does not know are reported, in milliseconds. */
+const REPORT_MS = 2 * SECOND_MS;
+
+/** Reports between two looks for idle units. */
+const IDLE_REPORTS = 15;
 
 /** What a grant drawer needs. */
 export interface GrantContext {
@@ -19,55 +26,90 @@
   readonly budgets: BudgetTask;
   readonly config: ConfigTask;
   readonly recorder: Recorder;
+  readonly clock: Clock;
   /** Backup that is recorded with the holder. */
   readonly backup: () => string | null;
 }
 
-/** Draws units for the escrows. */
+/** Draws units for the holdings. */
 export class Grants {
-  readonly #running = new Map<string, Promise<Failure | undefined>>();
+  readonly #running = new Map<string, Promise<DrawAnswer | undefined>>();
+
+  #awayUntil = 0;
+
+  #timer: NodeJS.Timeout | undefined;
+
+  #reports = 0;
 
   /**
    * Creates the drawer.
-   * @param ctx - store, escrows and identity
+   * @param ctx - store, holdings and identity
    */
   constructor(private readonly ctx: GrantContext) {}
 
+  /** Begins to report at intervals. */
+  start(): void {
+    this.#timer = setInterval(() => {
+      void this.report();
+    }, REPORT_MS);
+  }
+
+  /** Ends the reports at intervals. */
+  stop(): void {
+    clearInterval(this.#timer);
+  }
+
+  /** Whether the last call to the store failed a moment ago. */
+  get isStoreAway(): boolean {
+    return this.ctx.clock.now() < this.#awayUntil;
+  }
+
   /**
    * Draws units for a budget; calls that come while a draw runs share it.
    * @param budget - budget name
-   * @param needed - least units that are of use
-   * @returns why nothing was drawn; undefined after a draw
+   * @param missing - units that a waiting request lacks; 0 in the background
+   * @returns what the store showed; undefined if it did not answer
    */
-  draw(budget: string, needed: number): Promise<Failure | undefined> {
+  draw(budget: string, missing: number): Promise<DrawAnswer | undefined> {
     const running = this.#running.get(budget);
     if (running) return running;
-    const draw = this.#draw(budget, needed).finally(() => this.#running.delete(budget));
+    const draw = this.#draw(budget, missing).finally(() => this.#running.delete(budget));
     this.#running.set(budget, draw);
     return draw;
   }
 
-  async #draw(budget: string, needed: number): Promise<Failure | undefined> {
-    const { self, store, budgets, config, recorder } = this.ctx;
+  /** Gives up idle units, and tells the store of every loan and return that it does not know. */
+  async report(): Promise<void> {
+    const { budgets } = this.ctx;
+    this.#reports += 1;
+    const isIdleDue = this.#reports % IDLE_REPORTS === 0;
+    await Promise.all(
+      budgets.budgets.map(async (budget) => {
+        if (isIdleDue) await budgets.ask({ type: 'return-idle', budget });
+        const { holding } = await budgets.ask({ type: 'read', budget });
+        if (!holding.reported) await this.draw(budget, 0);
+      }),
+    );
+  }
+
+  async #draw(budget: string, missing: number): Promise<DrawAnswer | undefined> {
+    const { self, store, budgets, config, recorder, clock } = this.ctx;
     const shards = config.current?.manifest.budgetShards ?? 1;
-    const { escrow } = await budgets.ask({ type: 'read', budget });
-    const ask = {
-      holder: self,
-      backup: this.ctx.backup(),
-      budget,
-      granted: escrow.granted,
-      needed,
-      wanted: needed * DRAW_FACTOR,
-    };
+    const { holding, escrow } = await budgets.ask({ type: 'read', budget });
+    const identity = { holder: self, backup: this.ctx.backup() };
+    const asked = drawRequest(holding, identity, missing, clock.now());
     const kind = { key: shardKey(shardOf(budget, shards)), parse: parseShard };
-    const answer = await updateObject(store, kind, (shard) => grant(shard, ask));
-    if (answer.err) return failure('budget-unreachable', budget);
-    await budgets.ask({ type: 'receive', budget, granted: answer.val.granted });
-    if (answer.val.granted > escrow.granted) {
-      recorder.record('grantDrawn', { budget, detail: String(answer.val.granted) });
+    const result = await updateObject(store, kind, (shard) => drawUnits(shard, asked));
+    if (result.err) {
+      this.#awayUntil = clock.now() + AWAY_MS;
       return undefined;
     }
-    recorder.record('grantRefused', { budget, detail: `${answer.val.left} left` });
-    return failure('budget-exhausted', budget);
+    this.#awayUntil = 0;
+    const answer = result.val;
+    await budgets.ask({ type: 'drawn', budget, asked, answer });
+    const detail = `${answer.granted} in all, ${answer.left} left`;
+    if (answer.granted > escrow.granted) recorder.record('grantDrawn', { budget, detail });
+    else if (missing > 0) recorder.record('grantRefused', { budget, detail });
+    return answer;
   }
 }
--- /dev/null
+++ b/src/daemon/lending.ts
@@ -0,0 +1,114 @@
+/** Lends units to other daemons and borrows from them. */
+import { counterOf, totalOf } from '../budget/index.js';
+import { instanceOf } from '../kernel/index.js';
+
+import type { Incarnation, InstanceName } from '../kernel/index.js';
+import type { PeerMessageOf, PeerNetwork } from '../link/index.js';
+import type { Recorder } from '../telemetry/index.js';
+import type { BudgetTask } from './budgettask.js';
+
+/** Longest wait for one peer, its own copy to a backup included, in milliseconds. */
+const BORROW_TIMEOUT_MS = 600;
+
+/** Time after a failure in which a peer is not asked again, in milliseconds. */
+const SUSPECT_MS = 3_000;
+
+/** Longest wait until the backup knows of a loan, in milliseconds. */
+const COPY_MS = 400;
+
+/**
+ * Makes loans durable: the backup of this daemon must know of them, or a recovery of this
+ * daemon would give the lent units away again.
+ * @param budget - budget name
+ * @param passed - units lent in all
+ * @param waitMs - longest wait in milliseconds
+ * @returns whether the loans may be used
+ */
+export type BeforePass = (budget: string, passed: number, waitMs: number) => Promise<boolean>;
+
+/** What lending needs. */
+export interface LendingContext {
+  readonly self: Incarnation;
+  readonly network: PeerNetwork;
+  readonly budgets: BudgetTask;
+  readonly recorder: Recorder;
+  readonly beforePass: BeforePass;
+}
+
+/** What a borrower asks of one holder. */
+export interface BorrowAsk {
+  readonly budget: string;
+  readonly missing: number;
+  readonly wanted: number;
+  /** Longest wait in milliseconds. */
+  readonly waitMs: number;
+}
+
+/** What a holder answered. */
+export interface Borrowed {
+  readonly units: number;
+  /** Units that the holder still has. */
+  readonly left: number;
+}
+
+/** Speaks with the other holders. */
+export class Lending {
+  readonly #suspects = new Map<InstanceName, number>();
+
+  /**
+   * Answers borrowers.
+   * @param ctx - links, holdings and the hook before a loan
+   */
+  constructor(private readonly ctx: LendingContext) {
+    ctx.network.handle('borrow', (message, from) => this.#lend(message, from));
+  }
+
+  /**
+   * Borrows from an instance.
+   * @param instance - instance name
+   * @param ask - what is needed
+   * @returns what it lent; undefined if it did not answer or may not lend now
+   */
+  async borrow(instance: InstanceName, ask: BorrowAsk): Promise<Borrowed | undefined> {
+    if ((this.#suspects.get(instance) ?? 0) > performance.now()) return undefined;
+    const { network, budgets, recorder } = this.ctx;
+    const { budget, missing, wanted } = ask;
+    const { escrow, holding } = await budgets.ask({ type: 'read', budget });
+    const known = counterOf(escrow.borrowed, network.incarnationOf(instance) ?? '');
+    const answer = await network.request({
+      to: instance,
+      body: { type: 'borrow', budget, missing, wanted, known, outlook: holding.outlook },
+      reply: 'lent',
+      timeoutMs: Math.max(1, Math.min(BORROW_TIMEOUT_MS, ask.waitMs)),
+    });
+    if (answer.err) {
+      this.#suspects.set(instance, performance.now() + SUSPECT_MS);
+      return undefined;
+    }
+    const { lender, passed, left, isDurable } = answer.val;
+    if (!isDurable || instanceOf(lender) !== instance) return undefined;
+    const units = Math.max(0, passed - counterOf(escrow.borrowed, lender));
+    if (units > 0) {
+      await budgets.ask({ type: 'loan', budget, loan: { peer: lender, units: passed } });
+      recorder.record('unitsBorrowed', { budget, peer: lender, detail: `${units} units` });
+    }
+    return { units, left };
+  }
+
+  async #lend(message: PeerMessageOf<'borrow'>, from: Incarnation): Promise<PeerMessageOf<'lent'>> {
+    const { self, budgets, recorder, beforePass } = this.ctx;
+    const { budget, missing, wanted, known, outlook } = message;
+    const before = await budgets.ask({ type: 'read', budget });
+    const ask = { borrower: from, missing, wanted, known, outlook };
+    const after = await budgets.ask({ type: 'lend', budget, ask });
+    const passed = counterOf(after.escrow.passed, from);
+    const lent = passed - counterOf(before.escrow.passed, from);
+    const isNews = passed > known;
+    const isDurable = !isNews || (await beforePass(budget, totalOf(after.escrow.passed), COPY_MS));
+    if (lent > 0) {
+      const detail = `${lent} units${isDurable ? '' : ', not usable yet'}`;
+      recorder.record('unitsLent', { budget, peer: from, detail });
+    }
+    return { type: 'lent', lender: self, passed, left: after.available, isDurable };
+  }
+}
--- a/src/daemon/requestrun.ts
+++ b/src/daemon/requestrun.ts
@@ -92,24 +92,13 @@
 
   async #reserve(units: number): Promise<ServeEvent> {
     const { serving, tenant } = this.input;
-    const deadline = Date.now() + serving.settings.limits.admissionMs;
-    for (;;) {
-      const { budget } = tenant;
-      // Each round depends on the one before.
-      // eslint-disable-next-line no-await-in-loop
-      const { accepted } = await serving.budgets.ask({ type: 'reserve', budget, units });
-      if (accepted) {
-        this.#reserved = units;
-        serving.recorder.record('requestAdmitted', { request: this.input.key, budget });
-        return { type: 'done' };
-      }
-      // eslint-disable-next-line no-await-in-loop
-      const fail = await serving.grants.draw(budget, units);
-      if (fail) return { type: 'failed', fail };
-      if (Date.now() > deadline) {
-        return { type: 'failed', fail: failure('budget-unreachable', budget) };
-      }
-    }
+    const { budget } = tenant;
+    const waitMs = serving.settings.limits.admissionMs;
+    const admitted = await serving.admission.admit({ budget, units, waitMs });
+    if (admitted.err) return { type: 'failed', fail: admitted.val };
+    this.#reserved = units;
+    serving.recorder.record('requestAdmitted', { request: this.input.key, budget });
+    return { type: 'done' };
   }
 
   async #claim(): Promise<ServeEvent> {
--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -7,6 +7,7 @@
 import { HttpInstanceList, HttpObjectStore } from '../platform/index.js';
 import { Recorder } from '../telemetry/index.js';
 import { HttpModelEngine, HttpPlainService } from '../upstream/index.js';
+import { Admission } from './admission.js';
 import { Backups } from './backups.js';
 import { BudgetTask } from './budgettask.js';
 import { Charges } from './charges.js';
@@ -14,6 +15,8 @@
 import { ConfigTask } from './configtask.js';
 import { Grants } from './grants.js';
 import { KeyRegistry } from './keyregistry.js';
+import { Lending } from './lending.js';
+import { LoanCopies } from './loancopies.js';
 import { Operations } from './operations.js';
 import { Routing } from './routing.js';
 import { OpenWork } from './serving.js';
@@ -75,9 +78,15 @@
       recorder,
     });
     const config = new ConfigTask(store, recorder);
-    const budgets = new BudgetTask();
+    const clock = new SystemClock();
+    const budgets = new BudgetTask(clock);
     const backups = new Backups(self, settings.dataCentre, this.network);
     const backup = (): string | null => backups.choice ?? null;
+    const { network } = this;
+    const grants = new Grants({ self, store, budgets, config, recorder, clock, backup });
+    const copies = new LoanCopies(self, network, backups);
+    const beforePass = copies.copy.bind(copies);
+    const lending = new Lending({ self, network, budgets, recorder, beforePass });
     const daemons = (): number => this.network.peers().length + 1;
     this.serving = {
       self,
@@ -85,7 +94,8 @@
       store,
       config,
       budgets,
-      grants: new Grants({ self, store, budgets, config, recorder, backup }),
+      grants,
+      admission: new Admission({ budgets, grants, lending, network }),
       claims: new Claims(self, store),
       keys: new KeyRegistry(self, this.network),
       charges: new Charges({ self, store, backups, config, recorder }),
@@ -108,6 +118,7 @@
     await this.#directory.start();
     this.network.start();
     this.serving.charges.start();
+    this.serving.grants.start();
     this.serving.routing.start();
     void this.serving.config.run();
     this.#phase = 'serving';
@@ -124,6 +135,7 @@
   async finishStop(): Promise<void> {
     const { charges, config } = this.serving;
     charges.stop();
+    this.serving.grants.stop();
     this.serving.routing.stop();
     await charges.flush();
     await this.serving.keys.handOver();
--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -1,4 +1,5 @@
 /** What the runs of requests share. */
+import type { Admission } from './admission.js';
 import type { ConfigTask } from './configtask.js';
 import type { BudgetTask } from './budgettask.js';
 import type { Charges } from './charges.js';
@@ -20,6 +21,7 @@
   readonly config: ConfigTask;
   readonly budgets: BudgetTask;
   readonly grants: Grants;
+  readonly admission: Admission;
   readonly charges: Charges;
   readonly claims: Claims;
   readonly keys: KeyRegistry;
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -20,6 +20,8 @@
   requestCut: { number: 2005, level: 'warn', text: 'answer cut before its end' },
   grantDrawn: { number: 3001, level: 'info', text: 'units drawn from the store' },
   grantRefused: { number: 3002, level: 'info', text: 'the store had no units left to grant' },
+  unitsLent: { number: 3006, level: 'info', text: 'units lent to another daemon' },
+  unitsBorrowed: { number: 3007, level: 'info', text: 'units borrowed from another daemon' },
   chargeCopied: { number: 3003, level: 'debug', text: 'charge line copied to the backup' },
   chargesDelivered: { number: 3004, level: 'info', text: 'charge lines delivered to the store' },
   chargesDelayed: { number: 3005, level: 'warn', text: 'charge lines could not be delivered yet' },
