Proof no-overspend: six daemons, a cut with a payment on one side, two kills, loans

Also with a fifth of the store's write answers lost. The proof reads every version of the shard, the callers' answers, the engines' own counts and the billed lines. The test bed can cut a side off: testbed/partition.ts relays the store and every peer link between the sides.

--- a/proof/catalogue.ts
+++ b/proof/catalogue.ts
@@ -1,6 +1,7 @@
 /** Every proof, in the order in which they run. */
 import { AtMostOnceProof } from './atmostonce.js';
 import { NotRunProof } from './notrun.js';
+import { NoOverspendProof } from './nooverspend.js';
 import { OwnAnswerProof } from './ownanswer.js';
 
 import type { Proof } from './proof.js';
@@ -10,4 +11,6 @@
   new OwnAnswerProof(),
   new NotRunProof(),
   new AtMostOnceProof(),
+  new NoOverspendProof('no-overspend', 0),
+  new NoOverspendProof('no-overspend-lost-answers', 0.2),
 ];
--- a/testbed/fleet.ts
+++ b/testbed/fleet.ts
@@ -11,12 +11,14 @@
 } from '../fakes/index.js';
 import { DaemonProcess } from './daemonprocess.js';
 import { testDocuments } from './documents.js';
+import { Partition } from './partition.js';
 import { freePort } from './ports.js';
 import { waitFor } from './wait.js';
 
 import type { Documents } from '../src/config/index.js';
 import type { BudgetView } from '../src/daemon/operations.js';
 import type { FleetUrls } from './documents.js';
+import type { RelayMode } from './relay.js';
 
 const HOST = '127.0.0.1';
 
@@ -34,6 +36,8 @@
   readonly logLevel?: string;
   /** Base address of the object API for one daemon; default the stand-in itself. */
   readonly objectsFor?: (daemon: string, objects: string) => string;
+  /** Daemons that a partition can cut off; absent for none. */
+  readonly cutOff?: readonly string[];
 }
 
 /** Stand-ins and daemons of one test. */
@@ -48,6 +52,7 @@
     readonly service: FakePlainService,
     readonly urls: FleetUrls,
     private readonly options: FleetOptions,
+    private readonly cut: Partition | undefined,
   ) {}
 
   /**
@@ -81,7 +86,9 @@
       engines: enginePorts.map((port) => `http://${HOST}:${port}`),
       service: `http://${HOST}:${servicePort}`,
     };
-    const fleet = new Fleet(dir, store, list, engines, service, urls, options);
+    const { cutOff } = options;
+    const cut = cutOff ? await Partition.start(cutOff, ports.objects) : undefined;
+    const fleet = new Fleet(dir, store, list, engines, service, urls, options, cut);
     await fleet.#begin();
     return fleet;
   }
@@ -106,19 +113,34 @@
   async addDaemon(name: string, dataCentre: string): Promise<DaemonProcess> {
     const { objects, instances } = this.urls;
     const objectsFor = this.options.objectsFor ?? ((_: string, url: string): string => url);
+    const { cut } = this;
     const daemon = await DaemonProcess.start({
       name,
       dataCentre,
-      objects: objectsFor(name, objects),
-      instances,
+      objects: cut?.objectsFor(name, objects) ?? objectsFor(name, objects),
+      instances: cut?.instancesFor(name, instances) ?? instances,
       dir: this.dir,
       logLevel: this.options.logLevel ?? 'info',
     });
     this.daemons.push(daemon);
-    this.list.set(this.daemons.filter(({ child }) => child.running).map(({ listed }) => listed));
+    await this.relist();
     return daemon;
   }
 
+  /** Lists the daemons that run, as the platform notices it. */
+  async relist(): Promise<void> {
+    const listed = this.daemons.filter(({ child }) => child.running).map((daemon) => daemon.listed);
+    this.list.set(this.cut ? await this.cut.relist(listed) : listed);
+  }
+
+  /**
+   * Switches the connections between the sides of the partition.
+   * @param mode - cut, silent or pass
+   */
+  setPartition(mode: RelayMode): void {
+    this.cut?.set(mode);
+  }
+
   /**
    * Publishes documents through the first daemon.
    * @param documents - what shall be in force
@@ -153,6 +175,7 @@
     await Promise.all(this.daemons.map(({ child }) => child.ended()));
     await Promise.all(this.engines.map((engine) => engine.stop()));
     await Promise.all([this.store.stop(), this.list.stop(), this.service.stop()]);
+    await this.cut?.stop();
     await rm(this.dir, { recursive: true, force: true });
   }
 
