--- a/bench/budgetescrow.ts
+++ b/bench/budgetescrow.ts
@@ -14,6 +14,7 @@
   parseShard,
   receiveDraw,
   receiveLoan,
+  recordBackup,
   refill,
   replaceBudget,
   reserveIn,
@@ -211,7 +212,10 @@
   #draw(entry: Entry, budget: number, missing: number, now: number): AdmitEvent {
     if (this.isCutOff(entry.slot)) return { type: 'unreachable' };
     const holding = this.#holding(entry, budget, now);
-    const asked = drawRequest(holding, { holder: entry.holder, backup: null }, missing, now);
+    const asked = drawRequest(holding, entry.holder, missing, now);
+    const ask = { holder: entry.holder, backup: null, joined: false };
+    const joined = recordBackup(this.#shard(budget), ask);
+    if (joined.kind === 'write') this.#shards[budget] = joined.value;
     const change = drawUnits(this.#shard(budget), asked);
     this.storeCalls += change.kind === 'write' ? 2 : 1;
     if (change.kind === 'write') this.#shards[budget] = change.value;
--- a/proof/catalogue.ts
+++ b/proof/catalogue.ts
@@ -2,6 +2,7 @@
 import { AtMostOnceProof } from './atmostonce.js';
 import { NotRunProof } from './notrun.js';
 import { NoOverspendProof } from './nooverspend.js';
+import { BilledOnceProof } from './billedonce.js';
 import { OwnAnswerProof } from './ownanswer.js';
 
 import type { Proof } from './proof.js';
@@ -13,4 +14,5 @@
   new AtMostOnceProof(),
   new NoOverspendProof('no-overspend', 0),
   new NoOverspendProof('no-overspend-lost-answers', 0.2),
+  new BilledOnceProof(),
 ];
--- a/src/budget/draw.ts
+++ b/src/budget/draw.ts
@@ -1,6 +1,7 @@
 /** Draws: one conditional update reports a holder's counters and grants it more. */
 import { totalOf } from './escrow.js';
 import { grant, rowOf, spentOf, unallocated } from './ledger.js';
+import { entryOf } from './settlement.js';
 import { targetUnits } from './sizing.js';
 import { applyReport } from './transfer.js';
 
@@ -33,6 +34,8 @@
 /** What the store shows after a draw. */
 export interface DrawAnswer {
   readonly known: boolean;
+  /** The holder may use none of its rows any more. */
+  readonly isFenced: boolean;
   /** Units that the holder has drawn in all. */
   readonly granted: number;
   /** Units that no row holds. */
@@ -47,6 +50,7 @@
 
 const UNKNOWN: DrawAnswer = {
   known: false,
+  isFenced: false,
   granted: 0,
   left: 0,
   outlook: { unspent: 0, totalRate: 0 },
@@ -94,7 +98,8 @@
 }
 
 /**
- * Reports a holder's counters and grants it what it needs, as far as units are left.
+ * Reports a holder's counters and grants it what it needs, as far as units are left. The holder must
+ * have joined the shard: without an active entry it has been fenced.
  * A waiting request gets whatever is left, also less than it lacks: peers may have the rest.
  * @param shard - shard in force
  * @param ask - counters, demand and need of the holder
@@ -102,12 +107,16 @@
  */
 export function drawUnits(shard: BudgetShard, ask: DrawRequest): Change<BudgetShard, DrawAnswer> {
   const { report } = ask;
+  if (entryOf(shard, report.holder)?.state !== 'active') {
+    return { kind: 'keep', outcome: { ...UNKNOWN, isFenced: true } };
+  }
   const reported = applyReport(shard, report);
   const budget = reported.budgets.find(({ name }) => name === report.budget);
   if (!budget) return { kind: 'keep', outcome: UNKNOWN };
   const outlook = outlookOf(budget, ask);
   const wanted = Math.max(ask.missing, targetUnits(ask.demand, outlook) - ask.available);
-  const asked = { ...report, granted: ask.granted, needed: 1, wanted };
+  const { granted: drawn } = ask;
+  const asked = { ...report, backup: null, entered: true, granted: drawn, needed: 1, wanted };
   const change = wanted > 0 ? grant(reported, asked) : undefined;
   const { granted, left } = change?.outcome ?? {
     granted: ask.granted,
@@ -115,6 +124,7 @@
   };
   const outcome: DrawAnswer = {
     known: true,
+    isFenced: false,
     granted,
     left,
     outlook,
--- a/src/budget/holding.ts
+++ b/src/budget/holding.ts
@@ -100,20 +100,20 @@
 /**
  * Builds what a holder asks of the store.
  * @param holding - the holding
- * @param self - incarnation of the holder and its backup
+ * @param self - incarnation of the holder
  * @param missing - units that a waiting request lacks; 0 in the background
  * @param now - milliseconds
  * @returns the request
  */
 export function drawRequest(
   holding: Holding,
-  self: { readonly holder: string; readonly backup: string | null },
+  self: string,
   missing: number,
   now: number,
 ): DrawRequest {
   const { budget, borrowed, passed, returned, granted } = holding.escrow;
   const demand = demandAt(holding.demand, now);
-  const report = { ...self, budget, borrowed, passed, returned, demand: demand.rate };
+  const report = { holder: self, budget, borrowed, passed, returned, demand: demand.rate };
   return { report, granted, available: available(holding.escrow), missing, demand };
 }
 
--- a/src/budget/messages.ts
+++ b/src/budget/messages.ts
@@ -31,26 +31,5 @@
   })
   .readonly();
 
-/** A lender hands its loans to its backup before the borrower may use them. */
-export const copyCountersSchema = z
-  .object({
-    type: z.literal('copy-counters'),
-    holder: z.string(),
-    budget: z.string(),
-    /** Units lent in all. */
-    passed: z.number().int().nonnegative(),
-  })
-  .readonly();
-
-/** The backup keeps the loans, or refuses a holder that it has fenced. */
-export const countersCopiedSchema = z
-  .object({ type: z.literal('counters-copied'), accepted: z.boolean() })
-  .readonly();
-
 /** Schemas of the messages. */
-export const budgetMessages = [
-  borrowSchema,
-  lentSchema,
-  copyCountersSchema,
-  countersCopiedSchema,
-] as const;
+export const budgetMessages = [borrowSchema, lentSchema] as const;
--- a/src/daemon/grants.ts
+++ b/src/daemon/grants.ts
@@ -8,6 +8,7 @@
 import type { ObjectStore } from '../platform/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { BudgetTask } from './budgettask.js';
+import type { Charges } from './charges.js';
 import type { ConfigTask } from './configtask.js';
 
 /** Time after a failed call in which requests do not wait for the store, in milliseconds. */
@@ -27,8 +28,8 @@
   readonly config: ConfigTask;
   readonly recorder: Recorder;
   readonly clock: Clock;
-  /** Backup that is recorded with the holder. */
-  readonly backup: () => string | null;
+  /** Joins shards on behalf of this holder. */
+  readonly charges: Charges;
 }
 
 /** Draws units for the holdings. */
@@ -93,23 +94,25 @@
   }
 
   async #draw(budget: string, missing: number): Promise<DrawAnswer | undefined> {
-    const { self, store, budgets, config, recorder, clock } = this.ctx;
+    const { self, store, budgets, config, recorder, clock, charges } = this.ctx;
+    if (!(await charges.join(budget))) return this.#storeFailed();
     const shards = config.current?.manifest.budgetShards ?? 1;
     const { holding, escrow } = await budgets.ask({ type: 'read', budget });
-    const identity = { holder: self, backup: this.ctx.backup() };
-    const asked = drawRequest(holding, identity, missing, clock.now());
+    const asked = drawRequest(holding, self, missing, clock.now());
     const kind = { key: shardKey(shardOf(budget, shards)), parse: parseShard };
     const result = await updateObject(store, kind, (shard) => drawUnits(shard, asked));
-    if (result.err) {
-      this.#awayUntil = clock.now() + AWAY_MS;
-      return undefined;
-    }
+    if (result.err) return this.#storeFailed();
     this.#awayUntil = 0;
     const answer = result.val;
+    if (answer.isFenced) return undefined;
     await budgets.ask({ type: 'drawn', budget, asked, answer });
     const detail = `${answer.granted} in all, ${answer.left} left`;
     if (answer.granted > escrow.granted) recorder.record('grantDrawn', { budget, detail });
     else if (missing > 0) recorder.record('grantRefused', { budget, detail });
     return answer;
   }
+
+  #storeFailed(): undefined {
+    this.#awayUntil = this.ctx.clock.now() + AWAY_MS;
+  }
 }
--- a/src/daemon/requestrun.ts
+++ b/src/daemon/requestrun.ts
@@ -94,13 +94,21 @@
     const { serving, tenant } = this.input;
     const { budget } = tenant;
     const waitMs = serving.settings.limits.admissionMs;
+    const deadline = performance.now() + waitMs;
     const admitted = await serving.admission.admit({ budget, units, waitMs });
     if (admitted.err) return { type: 'failed', fail: admitted.val };
     this.#reserved = units;
+    const isKept = await serving.charges.admit({ budget, units }, deadline - performance.now());
+    if (!isKept) return this.#refuseUndurable();
     serving.recorder.record('requestAdmitted', { request: this.input.key, budget });
     return { type: 'done' };
   }
 
+  async #refuseUndurable(): Promise<ServeEvent> {
+    await this.#release();
+    return { type: 'failed', fail: failure('no-durability', this.input.tenant.budget) };
+  }
+
   async #claim(): Promise<ServeEvent> {
     const { serving, tenant, key } = this.input;
     const made = await serving.claims.acquire({ workspace: tenant.workspace.name, key });
@@ -160,7 +168,7 @@
     this.#leave();
     await serving.budgets.ask({ type: 'settle', budget, reserved: this.#reserved, used: units });
     const charge = { key, workspace: workspace.name, budget, units };
-    if (await serving.charges.record(charge)) return { type: 'done' };
+    if (await serving.charges.record(charge, this.#reserved)) return { type: 'done' };
     return { type: 'failed', fail: failure('no-durability', `key ${key}`, 'interrupted') };
   }
 
@@ -168,6 +176,7 @@
     const { serving, tenant } = this.input;
     this.#leave();
     const { budget } = tenant;
+    serving.charges.release({ budget, units: this.#reserved });
     await serving.budgets.ask({ type: 'settle', budget, reserved: this.#reserved, used: 0 });
     return { type: 'done' };
   }
--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -16,10 +16,10 @@
 import { Grants } from './grants.js';
 import { KeyRegistry } from './keyregistry.js';
 import { Lending } from './lending.js';
-import { LoanCopies } from './loancopies.js';
 import { Operations } from './operations.js';
 import { Routing } from './routing.js';
 import { OpenWork } from './serving.js';
+import { ShardCare } from './shardcare.js';
 import { splitAddress } from './settings.js';
 
 import type { Serving } from './serving.js';
@@ -58,6 +58,15 @@
 
   readonly #directory: Directory;
 
+  readonly #care: ShardCare;
+
+  #fenced: () => void = () => undefined;
+
+  /** Settles when this incarnation may not go on, because another daemon took its place. */
+  readonly fenced = new Promise<void>((resolve) => {
+    this.#fenced = resolve;
+  });
+
   #phase: Phase = 'starting';
 
   /**
@@ -81,13 +90,20 @@
     const clock = new SystemClock();
     const budgets = new BudgetTask(clock);
     const backups = new Backups(self, settings.dataCentre, this.network);
-    const backup = (): string | null => backups.choice ?? null;
+    const daemons = (): number => this.network.peers().length + 1;
+    const charges = new Charges({
+      self,
+      store,
+      backups,
+      config,
+      recorder,
+      onFenced: () => this.#fenced(),
+    });
     const { network } = this;
-    const grants = new Grants({ self, store, budgets, config, recorder, clock, backup });
-    const copies = new LoanCopies(self, network, backups);
-    const beforePass = copies.copy.bind(copies);
+    const grants = new Grants({ self, store, budgets, config, recorder, clock, charges });
+    const beforePass = charges.lend.bind(charges);
     const lending = new Lending({ self, network, budgets, recorder, beforePass });
-    const daemons = (): number => this.network.peers().length + 1;
+    this.#care = new ShardCare({ self, store, backups, network, config, recorder });
     this.serving = {
       self,
       settings,
@@ -98,8 +114,8 @@
       admission: new Admission({ budgets, grants, lending, network }),
       claims: new Claims(self, store),
       keys: new KeyRegistry(self, this.network),
-      charges: new Charges({ self, store, backups, config, recorder }),
       routing: new Routing({ config, recorder, random: Math.random, daemons }),
+      charges,
       engine: new HttpModelEngine(),
       service: new HttpPlainService(),
       recorder,
@@ -110,7 +126,8 @@
 
   /** Whether the daemon takes new work: it serves and has a configuration. */
   get ready(): boolean {
-    return this.#phase === 'serving' && this.serving.config.current !== undefined;
+    const { charges, config } = this.serving;
+    return this.#phase === 'serving' && config.current !== undefined && !charges.isFenced;
   }
 
   /** Opens the links and begins to follow the configuration. */
@@ -120,6 +137,7 @@
     this.serving.charges.start();
     this.serving.grants.start();
     this.serving.routing.start();
+    this.#care.start();
     void this.serving.config.run();
     this.#phase = 'serving';
     this.recorder.record('daemonStarted');
@@ -134,11 +152,12 @@
   /** Delivers what is left and closes the links, once no request is open. */
   async finishStop(): Promise<void> {
     const { charges, config } = this.serving;
-    charges.stop();
     this.serving.grants.stop();
+    await this.serving.grants.report();
     this.serving.routing.stop();
-    await charges.flush();
+    this.#care.stop();
     await this.serving.keys.handOver();
+    await charges.leave();
     config.stop();
     this.#directory.stop();
     await this.network.stop();
