--- a/proof/catalogue.ts
+++ b/proof/catalogue.ts
@@ -3,6 +3,7 @@
 import { GracefulStopProof } from './gracefulstop.js';
 import { AtMostOnceProof } from './atmostonce.js';
 import { NotRunProof } from './notrun.js';
+import { NoOverspendProof } from './nooverspend.js';
 import { BilledOnceProof } from './billedonce.js';
 import { ConfigNeverRevertsProof } from './configneverreverts.js';
 import { OwnAnswerProof } from './ownanswer.js';
@@ -16,6 +17,8 @@
   new DepartureProof(),
   new NotRunProof(),
   new AtMostOnceProof(),
+  new NoOverspendProof('no-overspend', 0),
+  new NoOverspendProof('no-overspend-lost-answers', 0.2),
   new BilledOnceProof(),
   new ConfigNeverRevertsProof(),
 ];
