--- a/bench/catalogue.ts
+++ b/bench/catalogue.ts
@@ -1,4 +1,5 @@
 /** Every benchmark group, in the order in which they run. */
+import { BudgetBench } from './budget.js';
 import { ConfigBench } from './config.js';
 import { DurabilityBench } from './durability.js';
 import { PathBench } from './path.js';
@@ -9,6 +10,7 @@
 /** The groups. */
 export const GROUPS: readonly BenchGroup[] = [
   new PathBench(),
+  new BudgetBench(),
   new RouteBench(),
   new ConfigBench(),
   new DurabilityBench(),
--- a/src/budget/ledger.ts
+++ b/src/budget/ledger.ts
@@ -66,14 +66,7 @@
   return { ...shard, budgets };
 }
 
-/**
- * Adds the entry of a holder, unless there is one.
- * @param shard - the shard
- * @param holder - incarnation
- * @param backup - who keeps its copies, as far as known
- * @returns the shard with the entry
- */
-export function withHolder(shard: BudgetShard, holder: string, backup: string | null): BudgetShard {
+function withHolder(shard: BudgetShard, holder: string, backup: string | null): BudgetShard {
   const found = shard.holders.find((entry) => entry.holder === holder);
   if (found) return shard;
   return { ...shard, holders: [...shard.holders, newHolder(holder, backup)] };
