--- a/src/budget/ledger.ts
+++ b/src/budget/ledger.ts
@@ -1,28 +1,32 @@
-/** Rules of a budget shard: every version of it keeps rule S1. */
+/** Rules of a budget shard: no version of it grants more than was paid. */
 import type { Change } from '../platform/index.js';
-import type { ChargeLine } from './charge.js';
-import type { BudgetRecord, BudgetShard, HolderEntry, HolderRow } from './shard.js';
+import { newHolder } from './shard.js';
+import type { BudgetRecord, BudgetShard, HolderRow } from './shard.js';
 
 /** What a holder asks of a budget. */
 export interface GrantRequest {
   readonly holder: string;
   readonly backup: string | null;
   readonly budget: string;
-  /** What the holder believes its row grants: a higher stored value is an earlier lost answer. */
+  /** What the holder believes it has drawn: a higher stored value is an earlier lost answer. */
   readonly granted: number;
   /** Least units that are of use. */
   readonly needed: number;
   /** Units asked for. */
   readonly wanted: number;
+  /** The holder has entered itself before: a missing entry means that it was closed. */
+  readonly entered?: boolean;
 }
 
 /** What the shard grants after a request. */
 export interface GrantAnswer {
-  /** Units granted to the row in all. */
+  /** Units that the holder has drawn in all, without those transferred to it. */
   readonly granted: number;
   /** Units of the budget that no row holds. */
   readonly left: number;
   readonly known: boolean;
+  /** The holder may use none of its rows any more. */
+  readonly fenced?: true;
 }
 
 /**
@@ -33,7 +37,7 @@
 export function unallocated(budget: BudgetRecord): number {
   return budget.rows.reduce(
     (left, row) => left - (row.granted - row.returned),
-    budget.paid - budget.retired,
+    budget.paid + budget.credited - budget.retired,
   );
 }
 
@@ -43,27 +47,65 @@
  * @returns units
  */
 export function spentOf(budget: BudgetRecord): number {
-  return budget.rows.reduce((spent, row) => spent + row.spent, budget.retired);
+  return budget.rows.reduce((spent, row) => spent + row.spent, budget.retired - budget.credited);
 }
 
-function replaceBudget(shard: BudgetShard, next: BudgetRecord): BudgetShard {
+function isFenced(shard: BudgetShard, ask: GrantRequest): boolean {
+  const entry = shard.holders.find(({ holder }) => holder === ask.holder);
+  return entry ? entry.state !== 'active' : ask.entered === true;
+}
+
+/**
+ * Replaces one budget of a shard.
+ * @param shard - the shard
+ * @param next - the budget in its new form
+ * @returns the shard with it
+ */
+export function replaceBudget(shard: BudgetShard, next: BudgetRecord): BudgetShard {
   const budgets = shard.budgets.map((budget) => (budget.name === next.name ? next : budget));
   return { ...shard, budgets };
 }
 
-function withHolder(shard: BudgetShard, holder: string, backup: string | null): BudgetShard {
+/**
+ * Adds the entry of a holder, unless there is one.
+ * @param shard - the shard
+ * @param holder - incarnation
+ * @param backup - who keeps its copies, as far as known
+ * @returns the shard with the entry
+ */
+export function withHolder(shard: BudgetShard, holder: string, backup: string | null): BudgetShard {
   const found = shard.holders.find((entry) => entry.holder === holder);
   if (found) return shard;
-  const entry: HolderEntry = { holder, backup, settled: 0 };
-  return { ...shard, holders: [...shard.holders, entry] };
+  return { ...shard, holders: [...shard.holders, newHolder(holder, backup)] };
 }
 
-function withRow(budget: BudgetRecord, next: HolderRow): BudgetRecord {
+/**
+ * Replaces the row of one holder.
+ * @param budget - the budget
+ * @param next - the row in its new form
+ * @returns the budget with it
+ */
+export function withRow(budget: BudgetRecord, next: HolderRow): BudgetRecord {
   const others = budget.rows.filter((row) => row.holder !== next.holder);
   return { ...budget, rows: [...others, next] };
 }
 
-function rowOf(budget: BudgetRecord, holder: string): HolderRow {
+/**
+ * Gives the units that a holder has drawn, without those transferred to its row.
+ * @param row - the row
+ * @returns units
+ */
+export function drawnOf(row: HolderRow): number {
+  return row.granted - (row.received ?? 0);
+}
+
+/**
+ * Gives the row of a holder.
+ * @param budget - the budget
+ * @param holder - incarnation
+ * @returns its row; an empty one if it has none
+ */
+export function rowOf(budget: BudgetRecord, holder: string): HolderRow {
   const found = budget.rows.find((row) => row.holder === holder);
   return found ?? { holder, granted: 0, spent: 0, returned: 0 };
 }
@@ -77,16 +119,20 @@
 export function grant(shard: BudgetShard, ask: GrantRequest): Change<BudgetShard, GrantAnswer> {
   const budget = shard.budgets.find(({ name }) => name === ask.budget);
   if (!budget) return { kind: 'keep', outcome: { granted: 0, left: 0, known: false } };
+  if (isFenced(shard, ask)) {
+    return { kind: 'keep', outcome: { granted: 0, left: 0, known: true, fenced: true } };
+  }
   const row = rowOf(budget, ask.holder);
   const left = unallocated(budget);
   const short = left < ask.needed;
-  if (row.granted > ask.granted || short) {
-    return { kind: 'keep', outcome: { granted: row.granted, left, known: true } };
+  const drawn = drawnOf(row);
+  if (drawn > ask.granted || short) {
+    return { kind: 'keep', outcome: { granted: drawn, left, known: true } };
   }
   const units = Math.min(left, ask.wanted);
   const next = withRow(budget, { ...row, granted: row.granted + units });
   const value = withHolder(replaceBudget(shard, next), ask.holder, ask.backup);
-  const outcome = { granted: row.granted + units, left: left - units, known: true };
+  const outcome = { granted: drawn + units, left: left - units, known: true };
   return { kind: 'write', value, outcome };
 }
 
@@ -120,6 +166,8 @@
     paid: 0,
     topUps: [],
     retired: 0,
+    credited: 0,
+    settlements: [],
     rows: [],
   };
   if (base.topUps.some(({ operation }) => operation === ask.operation)) {
@@ -132,41 +180,3 @@
     : { ...shard, budgets: [...shard.budgets, next] };
   return { kind: 'write', value, outcome: { paid: next.paid, repeated: false } };
 }
-
-function settleBudget(
-  budget: BudgetRecord,
-  holder: string,
-  lines: readonly ChargeLine[],
-): BudgetRecord {
-  const units = lines
-    .filter((line) => line.budget === budget.name)
-    .reduce((sum, line) => sum + line.units, 0);
-  if (units === 0) return budget;
-  const row = rowOf(budget, holder);
-  return withRow(budget, { ...row, spent: row.spent + units });
-}
-
-/**
- * Settles the lines of one holder: moves its mark and adds to what its rows spent.
- * Lines at or below the mark are ignored, so any copy may be delivered again.
- * @param shard - shard in force
- * @param holder - incarnation that recorded the lines
- * @param lines - lines in the order of their sequence
- * @returns the change of the shard and the mark that is then in force
- */
-export function settle(
-  shard: BudgetShard,
-  holder: string,
-  lines: readonly ChargeLine[],
-): Change<BudgetShard, number> {
-  const entry = shard.holders.find((candidate) => candidate.holder === holder);
-  const mark = entry?.settled ?? 0;
-  const fresh = lines.filter(({ sequence }) => sequence > mark);
-  const last = fresh.at(-1);
-  if (!entry || !last) return { kind: 'keep', outcome: mark };
-  const budgets = shard.budgets.map((budget) => settleBudget(budget, holder, fresh));
-  const holders = shard.holders.map((candidate) =>
-    candidate === entry ? { ...entry, settled: last.sequence } : candidate,
-  );
-  return { kind: 'write', value: { ...shard, budgets, holders }, outcome: last.sequence };
-}
--- /dev/null
+++ b/src/cli/held.ts
@@ -0,0 +1,46 @@
+/** The command "held" and its settlement. */
+import type { CommandModule } from 'yargs';
+import { OperatorClient } from './client.js';
+import { announce, formatTable, report } from './output.js';
+
+import type { HeldUnits } from '../budget/index.js';
+import type { HeldSettled } from '../daemon/heldunits.js';
+import type { GlobalArgs, Row } from './output.js';
+
+interface SettleArgs extends GlobalArgs {
+  readonly holder: string;
+  readonly budget: string;
+  readonly operation: string;
+}
+
+function toRow({ backup, recoverer, ...held }: HeldUnits): Row {
+  return { ...held, backup: backup ?? '-', recoverer: recoverer ?? '-' };
+}
+
+const settleCommand: CommandModule<GlobalArgs, SettleArgs> = {
+  command: 'settle <holder> <budget>',
+  describe: 'give the held units of a stopped holder back to a budget',
+  builder: (args) =>
+    args
+      .positional('holder', { type: 'string', demandOption: true })
+      .positional('budget', { type: 'string', demandOption: true })
+      .option('operation', { type: 'string', demandOption: true, describe: 'operation id' }),
+  handler: async (argv) => {
+    const { holder, budget, operation } = argv;
+    announce(operation);
+    const client = new OperatorClient(argv);
+    const answer = await client.post<HeldSettled>('held', { holder, budget, operation });
+    report(argv, answer, ({ units }) => `${units} units were given back`, operation);
+  },
+};
+
+/** Lists held units; "settle" gives them back. */
+export const heldCommand: CommandModule<GlobalArgs, GlobalArgs> = {
+  command: 'held',
+  describe: 'list the units that are held under stopped holders, with the cause',
+  builder: (args) => args.command(settleCommand),
+  handler: async (argv) => {
+    const answer = await new OperatorClient(argv).get<readonly HeldUnits[]>('held');
+    report(argv, answer, (rows) => formatTable(rows.map(toRow)));
+  },
+};
--- a/src/daemon/operators.controller.ts
+++ b/src/daemon/operators.controller.ts
@@ -2,23 +2,25 @@
 import { Body, Controller, Get, Inject, Param, Post, UseGuards } from '@nestjs/common';
 import { z } from 'zod';
 
-import { documentsSchema } from '../config/index.js';
+import {
+  documentsSchema,
+  EMPTY_DOCUMENTS,
+  publicationOrderSchema,
+  viewWorkspaces,
+} from '../config/index.js';
 import { failure, FailureError } from '../kernel/index.js';
 import { OperatorGuard } from './operator.guard.js';
 import { Runtime } from './runtime.js';
 
 import type { ChargeLine } from '../budget/index.js';
-import type { PublishAnswer } from '../config/index.js';
+import type { Documents, PublicationView, WorkspaceView } from '../config/index.js';
 import type { Failure, Result } from '../kernel/index.js';
+import type { RolloutView } from './configspread.js';
 import type { TimelineEvent } from '../telemetry/index.js';
-import type { BudgetView } from './operations.js';
+import type { BudgetView, PaymentAnswer } from './operations.js';
 
-const publicationSchema = z.strictObject({
-  operation: z.string().min(1),
-  author: z.string().min(1),
-  base: z.number().int().nonnegative(),
-  documents: documentsSchema,
-});
+/** Pieces that a publication will name. */
+const stagingSchema = z.strictObject({ parts: z.array(documentsSchema).readonly() });
 
 const paymentSchema = z.strictObject({
   budget: z.string(),
@@ -31,10 +33,18 @@
   readonly incarnation: string;
   readonly ready: boolean;
   readonly revision: number;
+  /** Time since the configuration was confirmed, in milliseconds; -1 for never. */
+  readonly confirmedAgeMs: number;
   readonly openRequests: number;
   readonly peers: number;
 }
 
+/** The configuration that a daemon has in force. */
+export interface RevisionView {
+  readonly revision: number;
+  readonly documents: Documents;
+}
+
 function parse<Schema extends z.ZodType>(schema: Schema, body: unknown): z.infer<Schema> {
   const raw: unknown = JSON.parse((body as Buffer).toString());
   const parsed = schema.safeParse(raw);
@@ -66,23 +76,64 @@
   @Get('status')
   status(): StatusView {
     const { serving, network, ready } = this.runtime;
+    const { confirmedAgeMs } = serving.config;
     return {
       incarnation: serving.self,
       ready,
       revision: serving.config.current?.revision ?? 0,
+      confirmedAgeMs: Number.isFinite(confirmedAgeMs) ? Math.round(confirmedAgeMs) : -1,
       openRequests: serving.open.total,
       peers: network.peers().length,
     };
   }
 
+  /**
+   * Shows the configuration in force.
+   * @returns its revision and documents
+   */
+  @Get('revision')
+  revision(): RevisionView {
+    const { current } = this.runtime.serving.config;
+    return { revision: current?.revision ?? 0, documents: current?.documents ?? EMPTY_DOCUMENTS };
+  }
+
+  /**
+   * Lists the workspaces in force.
+   * @returns a line for each workspace
+   */
+  @Get('workspaces')
+  workspaces(): readonly WorkspaceView[] {
+    return viewWorkspaces(this.revision().documents);
+  }
+
   /**
    * Puts documents in force.
    * @param body - the publication
-   * @returns the manifest in force and the result
+   * @returns the revision and whether this publication made it
    */
   @Post('publish')
-  async publish(@Body() body: unknown): Promise<PublishAnswer> {
-    return unwrap(await this.runtime.operations.publish(parse(publicationSchema, body)));
+  async publish(@Body() body: unknown): Promise<PublicationView> {
+    return unwrap(await this.runtime.publishing.publish(parse(publicationOrderSchema, body)));
+  }
+
+  /**
+   * Stores pieces ahead of a publication.
+   * @param body - content of the pieces
+   * @returns their digests
+   */
+  @Post('pieces')
+  async stage(@Body() body: unknown): Promise<{ readonly digests: readonly string[] }> {
+    const { parts } = parse(stagingSchema, body);
+    return { digests: unwrap(await this.runtime.publishing.stage(parts)) };
+  }
+
+  /**
+   * Shows which revision each live daemon has in force.
+   * @returns a line for each
+   */
+  @Get('rollout')
+  rollout(): Promise<readonly RolloutView[]> {
+    return this.runtime.serving.config.rollout();
   }
 
   /**
@@ -91,7 +142,7 @@
    * @returns units paid in all
    */
   @Post('topups')
-  async topUp(@Body() body: unknown): Promise<{ paid: number; repeated: boolean }> {
+  async topUp(@Body() body: unknown): Promise<PaymentAnswer> {
     return unwrap(await this.runtime.operations.topUp(parse(paymentSchema, body)));
   }
 
--- /dev/null
+++ b/src/daemon/outbox.ts
@@ -0,0 +1,329 @@
+/** Copies and delivers the charge lines of one daemon in one shard. */
+import { setImmediate as nextTurn, setTimeout as delay } from 'node:timers/promises';
+
+import {
+  claimRecovery,
+  concede,
+  parseShard,
+  recordBackup,
+  recordBeat,
+  shardKey,
+} from '../budget/index.js';
+import {
+  addLine,
+  applyBackup,
+  applyEntry,
+  applyVerdict,
+  beginChange,
+  cancelChange,
+  commit,
+  copyBatch,
+  exposureOf,
+  isHeld,
+  mayProceed,
+  newHolderState,
+  unacknowledged,
+  WINDOW_UNITS,
+} from '../fleet/index.js';
+import { updateObject } from '../platform/index.js';
+import { deliverLines } from './delivery.js';
+
+import type { BudgetShard, EntryAnswer } from '../budget/index.js';
+import type { Charge, Commitment, HolderState } from '../fleet/index.js';
+import type { Incarnation, Result } from '../kernel/index.js';
+import type { Change, ObjectStore, StoreError } from '../platform/index.js';
+import type { Recorder } from '../telemetry/index.js';
+import type { Backups } from './backups.js';
+
+/** Longest wait until a line is held by a second daemon or the store, in milliseconds. */
+const DURABLE_MS = 5_000;
+
+/** Pause between attempts to make a line durable, in milliseconds. */
+const RETRY_MS = 100;
+
+/** Share of the window after which commitments are copied ahead of the next line. */
+const EARLY_COPY_SHARE = 0.25;
+
+/** What an outbox needs. */
+export interface OutboxContext {
+  readonly self: Incarnation;
+  readonly store: ObjectStore;
+  readonly backups: Backups;
+  readonly recorder: Recorder;
+  /** Called when this incarnation may not use its rows any more. */
+  readonly onFenced: (detail: string) => void;
+}
+
+/** Owns the lines and commitments of one shard. */
+export class Outbox {
+  #state: HolderState;
+
+  #joined: Promise<boolean> | undefined;
+
+  #copying: Promise<boolean> | undefined;
+
+  #queued: Promise<boolean> | undefined;
+
+  #delivering: Promise<boolean> | undefined;
+
+  #backupFailures = 0;
+
+  #storeFailures = 0;
+
+  /**
+   * Creates the outbox of a shard.
+   * @param shard - shard number
+   * @param ctx - store, backups and identity
+   */
+  constructor(
+    readonly shard: number,
+    private readonly ctx: OutboxContext,
+  ) {
+    this.#state = newHolderState(ctx.self, shard);
+  }
+
+  /** Lines that the store does not hold. */
+  get unflushed(): number {
+    return this.#state.lines.length;
+  }
+
+  /** Units of reservations that have not ended. */
+  get open(): number {
+    return this.#state.exposures.reduce(
+      (sum, { reservedTotal, releasedTotal }) => sum + reservedTotal - releasedTotal,
+      0,
+    );
+  }
+
+  /** Backup on record; null for none. */
+  get backup(): Incarnation | null {
+    return this.#state.backup;
+  }
+
+  /** Whether a line that was recorded now would soon be held by a second daemon or the store. */
+  get isDurable(): boolean {
+    if (this.#state.isFenced) return false;
+    return this.#storeFailures === 0 || (this.backup !== null && this.#backupFailures === 0);
+  }
+
+  /**
+   * Joins the shard with a backup on record, once.
+   * @returns whether the entry is in force
+   */
+  async join(): Promise<boolean> {
+    this.#joined ??= this.#join();
+    const joined = await this.#joined;
+    if (!joined) this.#joined = undefined;
+    return joined;
+  }
+
+  /**
+   * Takes note of a commitment and waits while it is too far ahead of the backup.
+   * @param change - reservation or loan that begins
+   * @param waitMs - longest wait in milliseconds
+   * @returns whether it may be used; a reservation must be released either way
+   */
+  async admit(change: Commitment, waitMs: number): Promise<boolean> {
+    const deadline = performance.now() + waitMs;
+    const { budget } = change;
+    this.#state = commit(this.#state, change);
+    for (;;) {
+      if (!this.isDurable) return false;
+      if (mayProceed(this.#state, budget)) {
+        // Copying early keeps admission from waiting.
+        const ahead = unacknowledged(this.#state, budget);
+        if (ahead > WINDOW_UNITS * EARLY_COPY_SHARE) void this.#copySoon();
+        return true;
+      }
+      if (performance.now() > deadline) return false;
+      // eslint-disable-next-line no-await-in-loop
+      if (!(await this.#copySoon())) await delay(RETRY_MS);
+    }
+  }
+
+  /**
+   * Takes note that a reservation has ended.
+   * @param budget - budget name
+   * @param units - units that were reserved
+   */
+  release(budget: string, units: number): void {
+    this.#state = commit(this.#state, { budget, released: units });
+  }
+
+  /**
+   * Records a line and waits until a second daemon or the store holds it.
+   * @param charge - what is to be charged
+   * @returns whether the line is durable
+   */
+  async record(charge: Charge): Promise<boolean> {
+    const sequence = this.#state.next;
+    this.#state = addLine(this.#state, charge, Date.now());
+    const deadline = performance.now() + DURABLE_MS;
+    while (!isHeld(this.#state, sequence)) {
+      if (this.#state.isFenced || performance.now() > deadline) return false;
+      // Each way is tried after the one before it has failed.
+      // eslint-disable-next-line no-await-in-loop
+      const sent = (await this.#copySoon()) || (await this.deliver());
+      // eslint-disable-next-line no-await-in-loop
+      if (!sent) await delay(RETRY_MS);
+    }
+    this.ctx.recorder.record('chargeCopied', { request: charge.key, budget: charge.budget });
+    return true;
+  }
+
+  /**
+   * Delivers every line that the store does not hold.
+   * @returns whether all lines that were recorded before were delivered
+   */
+  async deliver(): Promise<boolean> {
+    // A line that was recorded while a delivery runs needs one more.
+    if (this.#delivering) await this.#delivering;
+    if (this.unflushed === 0) return true;
+    this.#delivering ??= this.#send().finally(() => {
+      this.#delivering = undefined;
+    });
+    return this.#delivering;
+  }
+
+  /**
+   * Replaces a backup that does not answer, or finds the first one.
+   * @param isSilent - whether the backup on record gave no sign of life just now
+   */
+  async maintain(isSilent: boolean): Promise<void> {
+    const isSound = !isSilent && this.#backupFailures === 0 && !this.#state.isChanging;
+    if (!this.#joined || this.#state.isFenced || isSound) return;
+    if (this.backup !== null && !this.#state.isChanging && (await this.#copySoon())) return;
+    const candidate = await this.ctx.backups.choose(this.backup === null ? [] : [this.backup]);
+    if (candidate !== null) await this.#changeTo(candidate);
+  }
+
+  async #changeTo(candidate: Incarnation): Promise<void> {
+    const { backups, self, recorder } = this.ctx;
+    const wasChanging = this.#state.isChanging;
+    this.#state = beginChange(this.#state);
+    const batch = copyBatch(this.#state, candidate);
+    const answer = await backups.send(batch);
+    if (answer?.verdict !== 'kept') {
+      if (!wasChanging) this.#state = cancelChange(this.#state);
+      return;
+    }
+    const ask = { holder: self, backup: candidate, joined: true };
+    const done = await this.#update((shard) => recordBackup(shard, ask));
+    if (done.err) {
+      // After a lost answer the new backup may be on record.
+      if (!wasChanging && done.val.problem !== 'lost') this.#state = cancelChange(this.#state);
+      return;
+    }
+    if (!this.#check(done.val)) return;
+    this.#state = applyBackup(this.#state, batch, answer.through);
+    this.#backupFailures = 0;
+    recorder.record('backupChanged', { peer: candidate, detail: `shard ${this.shard}` });
+  }
+
+  /** Finds out whether the store answers, while no line is there to be delivered. */
+  async probe(): Promise<void> {
+    const found = await this.ctx.store.read(shardKey(this.shard));
+    this.#storeFailures = found.ok ? 0 : this.#storeFailures + 1;
+  }
+
+  /** Writes a sign of life, for recoverers that no link reaches. */
+  async beat(): Promise<void> {
+    if (!this.#joined || this.#state.isFenced) return;
+    const done = await this.#update((shard) => recordBeat(shard, this.ctx.self));
+    if (done.ok) this.#check(done.val);
+  }
+
+  /**
+   * Ends this incarnation in the shard: settles its lines and gives back what it proves unused.
+   * No reservation may be open.
+   * @param take - makes this incarnation its own recoverer first, after a fence
+   * @returns whether nothing of it is left to settle or to free
+   */
+  async leave(take: boolean): Promise<boolean> {
+    if (!this.#joined) return true;
+    const { self, backups } = this.ctx;
+    const mayDeliver = take ? await this.#takeBack() : true;
+    if (mayDeliver === undefined) return false;
+    if (mayDeliver && this.unflushed > 0 && !(await this.#send())) return false;
+    const lent = (budget: string): number => exposureOf(this.#state.exposures, budget).passed;
+    const done = await this.#update((shard) => concede(shard, self, lent));
+    if (done.err) return false;
+    if (this.backup) await backups.fenceAt(this.backup, self, this.shard, true);
+    return done.val.mine;
+  }
+
+  /** Becomes its own recoverer; false once another has finished, undefined without the store. */
+  async #takeBack(): Promise<boolean | undefined> {
+    const { self } = this.ctx;
+    const claimed = await this.#update((shard) => claimRecovery(shard, self, self));
+    return claimed.ok ? claimed.val.mine : undefined;
+  }
+
+  async #join(): Promise<boolean> {
+    const backup = await this.ctx.backups.choose();
+    const ask = { holder: this.ctx.self, backup, joined: false };
+    const done = await this.#update((shard) => recordBackup(shard, ask));
+    if (done.err || !this.#check(done.val)) return false;
+    this.#state = { ...this.#state, backup: done.val.backup };
+    return true;
+  }
+
+  /** Copies at the end of this turn of the event loop, so that its lines travel together. */
+  #copySoon(): Promise<boolean> {
+    this.#queued ??= this.#copyNext();
+    return this.#queued;
+  }
+
+  async #copyNext(): Promise<boolean> {
+    await this.#copying;
+    await nextTurn();
+    this.#queued = undefined;
+    this.#copying = this.#copy();
+    return this.#copying;
+  }
+
+  async #copy(): Promise<boolean> {
+    const { isChanging, isFenced } = this.#state;
+    if (this.backup === null || isChanging || isFenced) return false;
+    const batch = copyBatch(this.#state, this.backup);
+    const answer = await this.ctx.backups.send(batch);
+    if (answer) this.#state = applyVerdict(this.#state, batch, answer);
+    if (this.#state.isFenced) this.#fence('the backup has fenced this incarnation');
+    const isOnRecord = batch.backup === this.backup && !this.#state.isChanging;
+    const isKept = answer?.verdict === 'kept' && isOnRecord;
+    this.#backupFailures = isKept ? 0 : this.#backupFailures + 1;
+    return isKept;
+  }
+
+  async #send(): Promise<boolean> {
+    const { store, self, recorder } = this.ctx;
+    const { shard, settled, lines } = this.#state;
+    const done = await deliverLines(store, { shard, holder: self, by: self, settled, lines });
+    if (done.err) {
+      this.#storeFailures += 1;
+      recorder.record('chargesDelayed', { detail: done.val.text });
+      return false;
+    }
+    this.#storeFailures = 0;
+    if (!this.#check(done.val)) return false;
+    recorder.record('chargesDelivered', { detail: `shard ${shard} through ${done.val.settled}` });
+    return true;
+  }
+
+  #update<Outcome>(
+    change: (shard: BudgetShard) => Change<BudgetShard, Outcome>,
+  ): Promise<Result<Outcome, StoreError>> {
+    const kind = { key: shardKey(this.shard), parse: parseShard };
+    return updateObject(this.ctx.store, kind, change);
+  }
+
+  #check(answer: EntryAnswer): boolean {
+    this.#state = applyEntry(this.#state, answer);
+    if (answer.fenced) this.#fence('the shard entry is not active any more');
+    return !answer.fenced;
+  }
+
+  #fence(detail: string): void {
+    this.ctx.onFenced(`${detail} (shard ${this.shard})`);
+  }
+}
--- a/src/daemon/requestrun.ts
+++ b/src/daemon/requestrun.ts
@@ -1,6 +1,5 @@
 /** Performs the commands of one request. */
 import { Err, failure, Ok } from '../kernel/index.js';
-import { claimKey } from '../request/index.js';
 
 import type { Route, Tenant, UpstreamDocument } from '../config/index.js';
 import type { Failure, Result } from '../kernel/index.js';
@@ -13,6 +12,8 @@
   readonly tenant: Tenant;
   readonly route: Route;
   readonly key: string;
+  /** Whether the caller gave the key, so that an earlier attempt may exist. */
+  readonly keyGiven: boolean;
   readonly worstCase: number;
   /** Aborted when the caller leaves. */
   readonly signal: AbortSignal;
@@ -26,6 +27,8 @@
 
   #upstream: UpstreamDocument | undefined;
 
+  #held: Claim | undefined;
+
   #entered = false;
 
   #dispatchedAt = 0;
@@ -37,7 +40,12 @@
    * Creates the run of one request.
    * @param input - who asks for what
    */
-  constructor(protected readonly input: RunInput) {}
+  constructor(readonly input: RunInput) {}
+
+  /** Whether an upstream may have received the request. */
+  get dispatched(): boolean {
+    return this.#attempts > 0;
+  }
 
   /**
    * Performs one command.
@@ -50,6 +58,8 @@
         return this.#reserve(command.units);
       case 'claim':
         return this.#claim();
+      case 'unclaim':
+        return this.#unclaim();
       case 'choose':
         return this.#choose(command.excluded);
       case 'dispatch':
@@ -90,6 +100,9 @@
       const { accepted } = await serving.budgets.ask({ type: 'reserve', budget, units });
       if (accepted) {
         this.#reserved = units;
+        // eslint-disable-next-line no-await-in-loop
+        const isKept = await serving.charges.admit({ budget, units }, deadline - Date.now());
+        if (!isKept) return this.#refuseUndurable();
         serving.recorder.record('requestAdmitted', { request: this.input.key, budget });
         return { type: 'done' };
       }
@@ -102,17 +115,22 @@
     }
   }
 
+  async #refuseUndurable(): Promise<ServeEvent> {
+    await this.#release();
+    return { type: 'failed', fail: failure('no-durability', this.input.tenant.budget) };
+  }
+
   async #claim(): Promise<ServeEvent> {
     const { serving, tenant, key } = this.input;
-    const { name } = tenant.workspace;
-    const at = Date.now();
-    const claim: Claim = { workspace: name, key, owner: serving.self, attempt: `${at}`, at };
-    const made = await serving.store.write(claimKey(name, key), claim, 0);
-    if (made.ok) return { type: 'done' };
-    if (made.val.problem === 'conflict') {
-      return { type: 'failed', fail: failure('outcome-unknown', `key ${key}`, 'unknown') };
-    }
-    return { type: 'failed', fail: failure('store-unavailable', 'claim of the request') };
+    const made = await serving.claims.acquire({ workspace: tenant.workspace.name, key });
+    if (made.err) return { type: 'failed', fail: made.val };
+    this.#held = made.val;
+    return { type: 'done' };
+  }
+
+  async #unclaim(): Promise<ServeEvent> {
+    if (this.#held) await this.input.serving.claims.withdraw(this.#held);
+    return { type: 'done' };
   }
 
   async #choose(excluded: readonly string[]): Promise<ServeEvent> {
@@ -134,6 +152,10 @@
     const upstream = this.#upstream;
     if (!upstream) return { type: 'failed', fail: failure('upstream-unavailable', 'route') };
     this.#attempts += 1;
+    if (this.input.keyGiven) {
+      const workspace = this.input.tenant.workspace.name;
+      void serving.keys.note({ workspace, key }, 'running', upstream.name);
+    }
     serving.open.add(upstream.name, 1);
     this.#dispatchedAt = performance.now();
     this.#begun = false;
@@ -157,7 +179,7 @@
     this.#leave();
     await serving.budgets.ask({ type: 'settle', budget, reserved: this.#reserved, used: units });
     const charge = { key, workspace: workspace.name, budget, units };
-    if (await serving.charges.record(charge)) return { type: 'done' };
+    if (await serving.charges.record(charge, this.#reserved)) return { type: 'done' };
     return { type: 'failed', fail: failure('no-durability', `key ${key}`, 'interrupted') };
   }
 
@@ -165,6 +187,7 @@
     const { serving, tenant } = this.input;
     this.#leave();
     const { budget } = tenant;
+    serving.charges.release({ budget, units: this.#reserved });
     await serving.budgets.ask({ type: 'settle', budget, reserved: this.#reserved, used: 0 });
     return { type: 'done' };
   }
--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -10,11 +10,15 @@
 import { Backups } from './backups.js';
 import { BudgetTask } from './budgettask.js';
 import { Charges } from './charges.js';
+import { Claims } from './claims.js';
 import { ConfigTask } from './configtask.js';
 import { Grants } from './grants.js';
+import { KeyRegistry } from './keyregistry.js';
 import { Operations } from './operations.js';
+import { Publishing } from './publishing.js';
 import { Routing } from './routing.js';
 import { OpenWork } from './serving.js';
+import { ShardCare } from './shardcare.js';
 import { splitAddress } from './settings.js';
 
 import type { Serving } from './serving.js';
@@ -49,10 +53,21 @@
 
   readonly operations: Operations;
 
+  readonly publishing: Publishing;
+
   readonly network: WsPeerNetwork;
 
   readonly #directory: Directory;
 
+  readonly #care: ShardCare;
+
+  #fenced: () => void = () => undefined;
+
+  /** Settles when this incarnation may not go on, because another daemon took its place. */
+  readonly fenced = new Promise<void>((resolve) => {
+    this.#fenced = resolve;
+  });
+
   #phase: Phase = 'starting';
 
   /**
@@ -72,31 +87,45 @@
       directory: this.#directory,
       recorder,
     });
-    const config = new ConfigTask(store, recorder);
+    const { network } = this;
+    const { dataCentre } = settings;
+    const config = new ConfigTask({ self, dataCentre, store, network, recorder });
     const budgets = new BudgetTask();
     const backups = new Backups(self, settings.dataCentre, this.network);
-    const backup = (): string | null => backups.choice ?? null;
     const daemons = (): number => this.network.peers().length + 1;
+    const charges = new Charges({
+      self,
+      store,
+      backups,
+      config,
+      recorder,
+      onFenced: () => this.#fenced(),
+    });
+    this.#care = new ShardCare({ self, store, backups, network, config, recorder });
     this.serving = {
       self,
       settings,
       store,
       config,
       budgets,
-      grants: new Grants({ self, store, budgets, config, recorder, backup }),
-      charges: new Charges({ self, store, backups, config, recorder }),
+      claims: new Claims(self, store),
+      keys: new KeyRegistry(self, this.network),
       routing: new Routing({ config, recorder, random: Math.random, daemons }),
+      grants: new Grants({ self, store, budgets, config, recorder, charges }),
+      charges,
       engine: new HttpModelEngine(),
       service: new HttpPlainService(),
       recorder,
       open: new OpenWork(),
     };
     this.operations = new Operations(store, config);
+    this.publishing = new Publishing({ store, config, recorder, clock: new SystemClock() });
   }
 
   /** Whether the daemon takes new work: it serves and has a configuration. */
   get ready(): boolean {
-    return this.#phase === 'serving' && this.serving.config.current !== undefined;
+    const { charges, config } = this.serving;
+    return this.#phase === 'serving' && config.current !== undefined && !charges.isFenced;
   }
 
   /** Opens the links and begins to follow the configuration. */
@@ -105,6 +134,7 @@
     this.network.start();
     this.serving.charges.start();
     this.serving.routing.start();
+    this.#care.start();
     void this.serving.config.run();
     this.#phase = 'serving';
     this.recorder.record('daemonStarted');
@@ -119,9 +149,10 @@
   /** Delivers what is left and closes the links, once no request is open. */
   async finishStop(): Promise<void> {
     const { charges, config } = this.serving;
-    charges.stop();
     this.serving.routing.stop();
-    await charges.flush();
+    this.#care.stop();
+    await this.serving.keys.handOver();
+    await charges.leave();
     config.stop();
     this.#directory.stop();
     await this.network.stop();
