Slopes, and the room of a busy pool divided between the daemons

Cause: with 800 daemons whose requests wait, the arrival of one report of a worker with room made all of them send to it at once. Now a daemon whose requests wait, or that sees most workers nearly full, uses only its share of the room.

--- a/bench/catalogue.ts
+++ b/bench/catalogue.ts
@@ -2,6 +2,7 @@
 import { ConfigBench } from './config.js';
 import { PathBench } from './path.js';
 import { RouteBench } from './route.js';
+import { SlopesBench } from './slopes.js';
 
 import type { BenchGroup } from './figure.js';
 
@@ -10,5 +11,6 @@
   new PathBench(),
   // One a line, so that branches add without conflicts.
   new RouteBench(),
+  new SlopesBench(),
   new ConfigBench(),
 ];
--- a/src/route/index.ts
+++ b/src/route/index.ts
@@ -5,6 +5,7 @@
 export * from './digest.js';
 export * from './fairqueue.js';
 export * from './fairshare.js';
+export * from './flow.js';
 export * from './health.js';
 export * from './leastopen.js';
 export * from './pool.js';
--- a/src/route/pool.ts
+++ b/src/route/pool.ts
@@ -1,4 +1,5 @@
 /** The workers of one route, and which of them may take a request now. */
+import { NetFlow } from './flow.js';
 import { Worker } from './worker.js';
 
 import type { Candidate } from './choice.js';
@@ -12,6 +13,9 @@
 /** Load from which the room of a worker is divided between the daemons. */
 const SCARCE_LOAD = 0.9;
 
+/** Share of the workers below that load, under which all room is divided between the daemons. */
+const ROOMY_SHARE = 0.5;
+
 /** Interval at which the mean first-token delay is taken, in milliseconds. */
 const JUDGE_MS = 500;
 
@@ -26,12 +30,15 @@
 }
 
 /** Which workers are asked for. */
-interface Question {
+export interface CandidateQuery {
+  /** Workers that earlier attempts have tried. */
   readonly excluded: readonly string[];
+  /** Time in milliseconds. */
   readonly now: number;
+  /** Load up to which a worker counts as having room. */
   readonly limit: number;
-  /** Whether ejected and silent workers are left out. */
-  readonly strict: boolean;
+  /** Whether requests wait: then each daemon uses only its own share of the room. */
+  readonly isWaiting: boolean;
 }
 
 /** Candidates of one choice. */
@@ -52,8 +59,16 @@
 
   #meanDelay = 0;
 
+  readonly #flow = new NetFlow();
+
   #judgedAt = Number.NEGATIVE_INFINITY;
 
+  /**
+   * Creates an empty pool.
+   * @param daemons - live daemons that send to the pool, this one included
+   */
+  constructor(private readonly daemons: () => number) {}
+
   /** Workers that the configuration lets take new work. */
   get serving(): readonly Worker[] {
     return this.#serving;
@@ -88,6 +103,17 @@
     return this.#workers.get(name);
   }
 
+  /**
+   * Takes note of a request that begins or ends at a worker.
+   * @param worker - the worker
+   * @param change - 1 when it begins, -1 when it ends
+   * @param now - time in milliseconds
+   */
+  count(worker: Worker, change: 1 | -1, now: number): void {
+    worker.count(change, now);
+    this.#flow.count(change, now);
+  }
+
   /**
    * Takes note that some worker has reported.
    * @param now - time in milliseconds
@@ -109,24 +135,32 @@
   /**
    * Lists the workers that may take a request.
    * If every worker is ejected or silent, all are tried again rather than none.
-   * @param excluded - workers that earlier attempts have tried
-   * @param now - time in milliseconds
-   * @param limit - load up to which a worker counts as having room
+   * @param query - which workers are asked for
    * @returns those with room, and the mean load of the healthy ones
    */
-  candidates(excluded: readonly string[], now: number, limit = 1): Candidates {
-    const trusted = this.#gather({ excluded, now, limit, strict: true });
-    return trusted.healthy > 0 ? trusted : this.#gather({ excluded, now, limit, strict: false });
+  candidates({ excluded, now, limit, isWaiting }: CandidateQuery): Candidates {
+    const query = { excluded, now, limit };
+    const trusted = this.#gather(query, true);
+    const found = trusted.healthy > 0 ? trusted : this.#gather(query, false);
+    const { candidates, meanLoad, healthy } = found;
+    const roomy = candidates.filter(({ load }) => load < SCARCE_LOAD).length;
+    if (!isWaiting && roomy >= healthy * ROOMY_SHARE) return found;
+    return { candidates: candidates.filter(({ worker }) => worker.allotment >= 1), meanLoad };
   }
 
-  #gather({ excluded, now, limit, strict }: Question): Candidates & { readonly healthy: number } {
+  #gather(
+    { excluded, now, limit }: Omit<CandidateQuery, 'isWaiting'>,
+    strict: boolean,
+  ): Candidates & { readonly healthy: number } {
     const candidates: Candidate[] = [];
     let sum = 0;
     let healthy = 0;
+    const inflow = this.#unseenInflow(now);
     for (const worker of this.#serving) {
       const share = strict ? this.#share(worker, now) : 1;
       if (share > 0 && !(excluded.length > 0 && excluded.includes(worker.name))) {
-        const load = worker.estimate / (worker.capacity * share);
+        const unseen = inflow * worker.reportAge(now);
+        const load = (worker.estimate + unseen) / (worker.capacity * share);
         sum += load;
         healthy += 1;
         const isRoom = load < limit && (load < SCARCE_LOAD || worker.allotment >= 1);
@@ -136,6 +170,12 @@
     return { candidates, meanLoad: healthy === 0 ? 0 : sum / healthy, healthy };
   }
 
+  /** Requests a millisecond that other daemons add to each worker, if they fare as this one does. */
+  #unseenInflow(now: number): number {
+    const perWorker = (this.daemons() - 1) / Math.max(1, this.#serving.length);
+    return Math.max(0, this.#flow.perMs(now)) * perWorker;
+  }
+
   #share(worker: Worker, now: number): number {
     const { reportedAt, delayMs } = worker;
     const silent = reportedAt > 0 && this.#lastReport - reportedAt > STALE_MS;
--- a/src/route/scheduler.ts
+++ b/src/route/scheduler.ts
@@ -72,7 +72,7 @@
 
 /** Owns the queue and the load estimates of one route at one daemon. */
 export class RouteScheduler {
-  readonly pool = new Pool();
+  readonly pool: Pool;
 
   readonly #queue = new FairQueue<Ticket>();
 
@@ -87,7 +87,9 @@
    * Creates the scheduler of a route.
    * @param ctx - policy, retry budget and what is known of the fleet
    */
-  constructor(private readonly ctx: SchedulerContext) {}
+  constructor(private readonly ctx: SchedulerContext) {
+    this.pool = new Pool(ctx.daemons);
+  }
 
   /** Requests that wait. */
   get waiting(): number {
@@ -160,7 +162,7 @@
   *#end({ worker: name, workspace, failed }: EndEvent, now: number): Generator<RouteCommand> {
     const worker = this.pool.worker(name);
     this.#countOpen(workspace, -1);
-    worker?.count(-1, now);
+    if (worker) this.pool.count(worker, -1, now);
     if (failed && worker?.health.fail(now)) yield { type: 'eject', worker: name };
   }
 
@@ -187,11 +189,12 @@
   }
 
   #place(ticket: Ticket, now: number, limit: number): string | undefined {
-    const { candidates, meanLoad } = this.pool.candidates(ticket.excluded, now, limit);
-    const { digests } = ticket;
+    const { digests, excluded } = ticket;
+    const isWaiting = this.#queue.size > 0;
+    const { candidates, meanLoad } = this.pool.candidates({ excluded, now, limit, isWaiting });
     const worker = this.ctx.policy.choose({ candidates, meanLoad, digests });
     if (!worker) return undefined;
-    worker.count(1, now);
+    this.pool.count(worker, 1, now);
     this.#countOpen(ticket.workspace, 1);
     this.ctx.policy.noteDispatch(worker, digests);
     return worker.name;
--- a/src/route/worker.ts
+++ b/src/route/worker.ts
@@ -38,6 +38,8 @@
 
   #reportedAt = Number.NEGATIVE_INFINITY;
 
+  #madeAt = Number.NEGATIVE_INFINITY;
+
   #since = 0;
 
   #changes: Change[] = [];
@@ -77,6 +79,15 @@
     return this.#allotment;
   }
 
+  /**
+   * Gives the age of what the last report says.
+   * @param now - time in milliseconds
+   * @returns milliseconds; 0 without a report
+   */
+  reportAge(now: number): number {
+    return this.#reported === undefined ? 0 : now - this.#madeAt;
+  }
+
   /** Time of the last report in milliseconds; negative infinity before the first. */
   get reportedAt(): number {
     return this.#reportedAt;
@@ -111,6 +122,7 @@
    */
   report({ open, ageMs }: LoadReport, now: number, share = 1, draw = 0): void {
     const madeAt = now - Math.min(ageMs, HISTORY_MS);
+    this.#madeAt = madeAt;
     if (this.#changes.length > 0) this.#forgetBefore(madeAt);
     this.#reported = open;
     this.#reportedAt = now;
