--- a/src/config/entries.ts
+++ b/src/config/entries.ts
@@ -23,6 +23,7 @@
   budgets: 'budget',
   routes: 'route',
   upstreams: 'upstream',
+  plans: 'plan',
 };
 
 /**
@@ -52,5 +53,6 @@
     budgets: pick('budgets'),
     routes: pick('routes'),
     upstreams: pick('upstreams'),
+    plans: pick('plans'),
   };
 }
--- a/src/config/tests/badfiles.ts
+++ b/src/config/tests/badfiles.ts
@@ -14,14 +14,14 @@
     title: 'an empty file',
     files: { 'a.yaml': '' },
     problems: [
-      'a.yaml:1:1: the file declares nothing; declare workspaces, budgets, routes, upstreams, or remove the file',
+      'a.yaml:1:1: the file declares nothing; declare workspaces, budgets, routes, upstreams, plans, or remove the file',
     ],
   },
   {
     title: 'a file of comments',
     files: { 'a.yaml': '# nothing yet\n' },
     problems: [
-      'a.yaml:1:1: the file declares nothing; declare workspaces, budgets, routes, upstreams, or remove the file',
+      'a.yaml:1:1: the file declares nothing; declare workspaces, budgets, routes, upstreams, plans, or remove the file',
     ],
   },
   {
@@ -99,7 +99,7 @@
     title: 'a merge key',
     files: { 'a.yaml': '<<: { budgets: [] }\n' },
     problems: [
-      'a.yaml:1:1: unknown field "<<"; known fields: workspaces, budgets, routes, upstreams',
+      'a.yaml:1:1: unknown field "<<"; known fields: workspaces, budgets, routes, upstreams, plans',
     ],
   },
   {
@@ -111,14 +111,14 @@
     title: 'a numeric field name',
     files: { 'a.yaml': '1: 2\n' },
     problems: [
-      'a.yaml:1:1: unknown field "1"; known fields: workspaces, budgets, routes, upstreams',
+      'a.yaml:1:1: unknown field "1"; known fields: workspaces, budgets, routes, upstreams, plans',
     ],
   },
   {
     title: 'a field that names a prototype',
     files: { 'a.yaml': '__proto__: 1\n' },
     problems: [
-      'a.yaml:1:1: unknown field "__proto__"; known fields: workspaces, budgets, routes, upstreams',
+      'a.yaml:1:1: unknown field "__proto__"; known fields: workspaces, budgets, routes, upstreams, plans',
     ],
   },
   {
@@ -165,7 +165,7 @@
     title: 'an unknown list that is like none',
     files: { 'a.yaml': 'customers: []\n' },
     problems: [
-      'a.yaml:1:1: unknown field "customers"; known fields: workspaces, budgets, routes, upstreams',
+      'a.yaml:1:1: unknown field "customers"; known fields: workspaces, budgets, routes, upstreams, plans',
     ],
   },
   {
@@ -475,4 +475,28 @@
       'b.yaml:4:5: unknown field "quota"; known fields: name, state, keys, concurrency, requestsPerSecond',
     ],
   },
+  {
+    title: 'a plan for an upstream that is not declared',
+    files: { 'a.yaml': 'plans:\n  - { kind: upstream, name: leave, upstream: engine-1 }\n' },
+    problems: [
+      'a.yaml:2:46: plans.0.upstream: there is no upstream "engine-1"; there are no upstreams',
+    ],
+  },
+  {
+    title: 'a plan of a kind that is none',
+    files: { 'a.yaml': 'plans:\n  - { kind: route, name: leave, route: drafts }\n' },
+    problems: [
+      "a.yaml:2:13: plans.0.kind: Invalid discriminator value. Expected 'upstream' | 'workspace', found \"route\"; correct the value",
+    ],
+  },
+  {
+    title: 'a plan with a date that is none',
+    files: {
+      'a.yaml':
+        'workspaces:\n  - { name: shop, keys: [] }\nplans:\n  - { kind: workspace, name: leave, workspace: shop, from: tomorrow }\n',
+    },
+    problems: [
+      'a.yaml:4:60: plans.0.from: expected a time such as "2026-12-31T18:00:00Z", found "tomorrow"; correct the value',
+    ],
+  },
 ];
--- a/src/daemon/app.module.ts
+++ b/src/daemon/app.module.ts
@@ -7,7 +7,9 @@
 import { HeldController } from './held.controller.js';
 import { OperatorGuard } from './operator.guard.js';
 import { OperatorsController } from './operators.controller.js';
+import { PlansController } from './plans.controller.js';
 import { Runtime } from './runtime.js';
+import { TimelineController } from './timeline.controller.js';
 
 /** Binds the HTTP interfaces to the tasks of one daemon. */
 @Module({})
@@ -20,7 +22,14 @@
   static around(runtime: Runtime): DynamicModule {
     return {
       module: AppModule,
-      controllers: [CallersController, HealthController, HeldController, OperatorsController],
+      controllers: [
+        CallersController,
+        HealthController,
+        HeldController,
+        OperatorsController,
+        PlansController,
+        TimelineController,
+      ],
       providers: [{ provide: Runtime, useValue: runtime }, OperatorGuard],
     };
   }
--- a/src/daemon/callers.controller.ts
+++ b/src/daemon/callers.controller.ts
@@ -98,7 +98,10 @@
     const run = new ModelRun(input, chat, sink);
     const digest = sha256(String(req.body));
     const { retries } = admitted.route;
-    const outcome = await serveKeyed(run, { idempotent: true, retries }, digest);
+    const outcome = await this.runtime.active.track(
+      input.tenant.workspace.name,
+      serveKeyed(run, { idempotent: true, retries }, digest),
+    );
     if (outcome.type === 'whole') {
       sink.finish();
       this.runtime.recorder.record('requestAnswered', { request: key });
@@ -132,7 +135,10 @@
       body: Buffer.isBuffer(req.body) ? req.body : Buffer.alloc(0),
     });
     const digest = sha256(`${req.method} ${req.url}\n${String(req.body ?? '')}`);
-    const outcome = await serveKeyed(run, { idempotent, retries }, digest);
+    const outcome = await this.runtime.active.track(
+      input.tenant.workspace.name,
+      serveKeyed(run, { idempotent, retries }, digest),
+    );
     if (outcome.type === 'refused') {
       await this.#refuse(exchange, outcome.fail);
       return;
@@ -149,8 +155,9 @@
     if (!current || !this.runtime.ready) return failure('not-ready', 'daemon');
     const tenant = current.tenant(sha256(bearer(req)));
     if (!tenant) return failure('unknown-key', 'authorization');
-    if (tenant.workspace.state === 'closed') {
-      return failure('workspace-closed', tenant.workspace.name);
+    const { state, name } = tenant.workspace;
+    if (state === 'closed' || this.runtime.serving.plans.hasClosed(name)) {
+      return failure('workspace-closed', name);
     }
     const route = current.route(routeName);
     if (route?.kind !== kind) return failure('unknown-route', `${kind} route "${routeName}"`);
--- a/src/daemon/operators.controller.ts
+++ b/src/daemon/operators.controller.ts
@@ -8,15 +8,13 @@
   publicationOrderSchema,
   viewWorkspaces,
 } from '../config/index.js';
-import { failure, FailureError } from '../kernel/index.js';
 import { OperatorGuard } from './operator.guard.js';
+import { parseBody, unwrap } from './operatorbody.js';
 import { Runtime } from './runtime.js';
 
 import type { ChargeLine } from '../budget/index.js';
 import type { Documents, PublicationView, WorkspaceView } from '../config/index.js';
-import type { Failure, Result } from '../kernel/index.js';
 import type { RolloutView } from './configspread.js';
-import type { TimelineEvent } from '../telemetry/index.js';
 import type { BudgetView, PaymentAnswer } from './operations.js';
 
 /** Pieces that a publication will name. */
@@ -45,20 +43,6 @@
   readonly documents: Documents;
 }
 
-function parse<Schema extends z.ZodType>(schema: Schema, body: unknown): z.infer<Schema> {
-  const raw: unknown = JSON.parse((body as Buffer).toString());
-  const parsed = schema.safeParse(raw);
-  if (parsed.success) return parsed.data;
-  const [issue] = parsed.error.issues;
-  const place = issue?.path.map(String).join('.') ?? 'body';
-  throw new FailureError(failure('invalid', `${place}: ${issue?.message ?? ''}`));
-}
-
-function unwrap<Value>(result: Result<Value, Failure>): Value {
-  if (result.err) throw new FailureError(result.val);
-  return result.val;
-}
-
 /** Serves operators. */
 @Controller('operator')
 @UseGuards(OperatorGuard)
@@ -113,7 +97,7 @@
    */
   @Post('publish')
   async publish(@Body() body: unknown): Promise<PublicationView> {
-    return unwrap(await this.runtime.publishing.publish(parse(publicationOrderSchema, body)));
+    return unwrap(await this.runtime.publishing.publish(parseBody(publicationOrderSchema, body)));
   }
 
   /**
@@ -123,7 +107,7 @@
    */
   @Post('pieces')
   async stage(@Body() body: unknown): Promise<{ readonly digests: readonly string[] }> {
-    const { parts } = parse(stagingSchema, body);
+    const { parts } = parseBody(stagingSchema, body);
     return { digests: unwrap(await this.runtime.publishing.stage(parts)) };
   }
 
@@ -143,7 +127,7 @@
    */
   @Post('topups')
   async topUp(@Body() body: unknown): Promise<PaymentAnswer> {
-    return unwrap(await this.runtime.operations.topUp(parse(paymentSchema, body)));
+    return unwrap(await this.runtime.operations.topUp(parseBody(paymentSchema, body)));
   }
 
   /**
@@ -164,13 +148,4 @@
   async statement(@Param('workspace') workspace: string): Promise<readonly ChargeLine[]> {
     return unwrap(await this.runtime.operations.statement(workspace));
   }
-
-  /**
-   * Gives the events that this daemon keeps.
-   * @returns the events, oldest first
-   */
-  @Get('timeline')
-  timeline(): readonly TimelineEvent[] {
-    return this.runtime.recorder.timeline.list();
-  }
 }
--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -6,20 +6,27 @@
 import { Directory, WsPeerNetwork } from '../link/index.js';
 import { HttpInstanceList, HttpObjectStore } from '../platform/index.js';
 import { Recorder } from '../telemetry/index.js';
-import { HttpModelEngine, HttpPlainService } from '../upstream/index.js';
+import { HttpModelEngine, HttpOrderClient, HttpPlainService } from '../upstream/index.js';
+import { ActiveRequests } from './activerequests.js';
 import { Backups } from './backups.js';
 import { BudgetTask } from './budgettask.js';
 import { Charges } from './charges.js';
 import { Claims } from './claims.js';
 import { ConfigTask } from './configtask.js';
 import { Grants } from './grants.js';
+import { Handover } from './handover.js';
 import { KeyRegistry } from './keyregistry.js';
 import { Operations } from './operations.js';
+import { PlanExecutor } from './planexecutor.js';
+import { PlanFollower } from './planfollower.js';
+import { PlanOperations } from './planoperations.js';
+import { PlanWork } from './planwork.js';
 import { Publishing } from './publishing.js';
 import { Routing } from './routing.js';
 import { OpenWork } from './serving.js';
 import { ShardCare } from './shardcare.js';
 import { splitAddress } from './settings.js';
+import { TimelineTask } from './timelinetask.js';
 
 import type { Serving } from './serving.js';
 import type { Settings } from './settings.js';
@@ -53,10 +60,20 @@
 
   readonly operations: Operations;
 
+  readonly plans: PlanOperations;
+
+  readonly timeline: TimelineTask;
+
   readonly publishing: Publishing;
 
   readonly network: WsPeerNetwork;
 
+  readonly active = new ActiveRequests();
+
+  readonly #handover: Handover;
+
+  readonly #executor: PlanExecutor;
+
   readonly #directory: Directory;
 
   readonly #care: ShardCare;
@@ -92,6 +109,9 @@
     const config = new ConfigTask({ self, dataCentre, store, network, recorder });
     const budgets = new BudgetTask();
     const backups = new Backups(self, settings.dataCentre, this.network);
+    const { instance } = settings;
+    const plans = new PlanFollower({ instance, dataCentre, store, network, recorder });
+    const mayReceive = (upstream: string): boolean => plans.mayReceive(upstream);
     const daemons = (): number => this.network.peers().length + 1;
     const charges = new Charges({
       self,
@@ -104,13 +124,14 @@
     this.#care = new ShardCare({ self, store, backups, network, config, recorder });
     this.serving = {
       self,
+      plans,
       settings,
       store,
       config,
       budgets,
       claims: new Claims(self, store),
       keys: new KeyRegistry(self, this.network),
-      routing: new Routing({ config, recorder, random: Math.random, daemons }),
+      routing: new Routing({ config, recorder, random: Math.random, daemons, mayReceive }),
       grants: new Grants({ self, store, budgets, config, recorder, charges }),
       charges,
       engine: new HttpModelEngine(),
@@ -118,14 +139,30 @@
       recorder,
       open: new OpenWork(),
     };
+    const { open } = this.serving;
+    this.#handover = new Handover({ self, store, charges, network, recorder });
     this.operations = new Operations(store, config);
+    const { active, operations } = this;
+    const follower = plans;
+    const work = new PlanWork({ store, network, follower, open, active, charges, operations });
+    const orders = new HttpOrderClient();
+    const ctx = { self, store, config, network, follower, work, orders, recorder };
+    this.#executor = new PlanExecutor(ctx);
+    this.timeline = new TimelineTask(recorder, network);
+    this.plans = new PlanOperations(ctx);
     this.publishing = new Publishing({ store, config, recorder, clock: new SystemClock() });
   }
 
   /** Whether the daemon takes new work: it serves and has a configuration. */
   get ready(): boolean {
-    const { charges, config } = this.serving;
-    return this.#phase === 'serving' && config.current !== undefined && !charges.isFenced;
+    const { charges, config, plans } = this.serving;
+    const knows = config.current !== undefined && plans.loaded;
+    return this.#phase === 'serving' && knows && !charges.isFenced;
+  }
+
+  /** Whether a graceful stop has begun. */
+  get stopping(): boolean {
+    return this.#phase === 'stopping';
   }
 
   /** Opens the links and begins to follow the configuration. */
@@ -133,9 +170,12 @@
     await this.#directory.start();
     this.network.start();
     this.serving.charges.start();
+    this.#handover.start();
     this.serving.routing.start();
     this.#care.start();
     void this.serving.config.run();
+    this.serving.plans.start();
+    this.#executor.start();
     this.#phase = 'serving';
     this.recorder.record('daemonStarted');
   }
@@ -143,17 +183,19 @@
   /** Stops taking new work. */
   beginStop(): void {
     this.#phase = 'stopping';
+    this.#executor.stop();
     this.recorder.record('daemonStopping');
   }
 
   /** Delivers what is left and closes the links, once no request is open. */
   async finishStop(): Promise<void> {
-    const { charges, config } = this.serving;
+    const { config } = this.serving;
     this.serving.routing.stop();
     this.#care.stop();
     await this.serving.keys.handOver();
-    await charges.leave();
+    await this.#handover.run();
     config.stop();
+    this.serving.plans.stop();
     this.#directory.stop();
     await this.network.stop();
     this.recorder.record('daemonStopped');
