--- a/src/route/scheduler.ts
+++ b/src/route/scheduler.ts
@@ -120,7 +120,7 @@
         yield* this.#end(event, now);
         break;
       case 'report':
-        this.#report(event.worker, event.report, now);
+        if (!this.#report(event.worker, event.report, now)) return;
         break;
       default:
         yield* this.#expire(now);
@@ -209,10 +209,13 @@
     return this.#queue.ahead(priority, workspace, this.#excess()) * this.#intervalMs;
   }
 
-  #report(name: string, report: LoadReport, now: number): void {
+  /** Takes a report, and says whether it shows room for a waiting request. */
+  #report(name: string, report: LoadReport, now: number): boolean {
     const { daemons, random } = this.ctx;
-    this.pool.worker(name)?.report(report, now, 1 / daemons(), random());
+    const worker = this.pool.worker(name);
+    worker?.report(report, now, 1 / daemons(), random());
     this.pool.noteReport(now);
+    return this.#queue.size > 0 && worker !== undefined && worker.allotment >= 1;
   }
 
   #excess(): ReadonlySet<string> {
