Load reports, cache events and cancellation at the engine

The engine stand-in reports its load and cache events with a lag and gaps, and cancels by request id, over a connection of its own. Tickets have their own ids: two workspaces may send the same key at the same time, and the first would have waited for ever.

--- a/fakes/modelengine.ts
+++ b/fakes/modelengine.ts
@@ -3,6 +3,7 @@
 
 import type { ServerResponse } from 'node:http';
 import type { FastifyInstance } from 'fastify';
+import { EngineCache } from './enginecache.js';
 import { FakeOrders } from './orders.js';
 
 /** What an engine stand-in is started with. */
@@ -13,6 +14,8 @@
   readonly firstTokenMs: number;
   /** Time between tokens, in milliseconds. */
   readonly tokenMs: number;
+  /** Growth of the time between tokens with each further open answer, as a share. */
+  readonly batchSlowness?: number;
 }
 
 /** Faults that a test may switch on. */
@@ -31,17 +34,32 @@
   readonly finished: number;
   readonly cancelled: number;
   readonly tokens: number;
+  /** Requests whose prompt was cached as a whole. */
+  readonly cacheHits: number;
 }
 
 interface ChatBody {
   readonly model: string;
   readonly messages: readonly { readonly role: string; readonly content: string }[];
   readonly max_tokens: number;
+  readonly prefix_digests?: readonly number[];
 }
 
 /** Bytes of prompt that count as one token. */
 const BYTES_PER_TOKEN = 4;
 
+/** Delay of reports and cache events, in milliseconds. */
+const REPORT_LAG_MS = 200;
+
+/** Prompt prefixes that an engine keeps. */
+const CACHE_DIGESTS = 2_000;
+
+/** Part of the time to the first token that a cached prompt saves. */
+const CACHE_SAVING = 0.5;
+
+/** Samples of the load that are kept. */
+const LOAD_SAMPLES = 64;
+
 const NO_FAULTS: EngineFaults = { silent: false, cutAfter: 0, refuse: false };
 
 function promptTokens(body: ChatBody): number {
@@ -64,10 +82,17 @@
 export class FakeModelEngine {
   #faults: EngineFaults = NO_FAULTS;
 
-  #counts: EngineCounts = { requests: 0, finished: 0, cancelled: 0, tokens: 0 };
+  #counts: EngineCounts = { requests: 0, finished: 0, cancelled: 0, tokens: 0, cacheHits: 0 };
 
   readonly #app: FastifyInstance = Fastify({ forceCloseConnections: true, bodyLimit: 16e6 });
 
+  readonly #cache = new EngineCache(CACHE_DIGESTS, REPORT_LAG_MS);
+
+  /** Open answers by request id. */
+  readonly #open = new Map<string, ServerResponse>();
+
+  #loads: readonly { readonly at: number; readonly open: number }[] = [];
+
   /** Orders that the stand-in was given. */
   readonly orders = new FakeOrders(this.#app);
 
@@ -79,6 +104,15 @@
       this.#stream(String(req.headers['x-request-id']), req.body, reply.raw);
       return undefined;
     });
+    this.#app.get<{ Querystring: { readonly after?: string } }>('/v1/load', async (req, reply) => {
+      if (this.#faults.silent) return reply.hijack();
+      const { sequence, stored, evicted } = this.#cache.events(Number(req.query.after ?? 0));
+      return { open: this.#laggingLoad(), age_ms: REPORT_LAG_MS, sequence, stored, evicted };
+    });
+    this.#app.delete<{ Params: { readonly id: string } }>('/v1/requests/:id', async (req) => {
+      this.#open.get(req.params.id)?.destroy();
+      return {};
+    });
     this.#app.put<{ Body: Partial<EngineFaults> }>('/admin/faults', async (req) => {
       this.setFaults(req.body);
       return this.#faults;
@@ -115,12 +149,28 @@
     await this.#app.close();
   }
 
+  /** Load as it was a while ago. */
+  #laggingLoad(): number {
+    const until = Date.now() - REPORT_LAG_MS;
+    const known = this.#loads.findLast(({ at }) => at <= until) ?? this.#loads[0];
+    return known?.open ?? 0;
+  }
+
+  #noteLoad(): void {
+    this.#loads = [...this.#loads.slice(-LOAD_SAMPLES), { at: Date.now(), open: this.#open.size }];
+  }
+
   #count(name: keyof EngineCounts): void {
     this.#counts = { ...this.#counts, [name]: this.#counts[name] + 1 };
   }
 
   #stream(id: string, body: ChatBody, res: ServerResponse): void {
-    const { firstTokenMs, tokenMs } = this.options;
+    const { firstTokenMs, tokenMs, batchSlowness = 0 } = this.options;
+    const digests = body.prefix_digests ?? [];
+    const isCached = digests.length > 0 && this.#cache.use(digests) === digests.length;
+    if (isCached) this.#count('cacheHits');
+    this.#open.set(id, res);
+    this.#noteLoad();
     const prompt = body.messages.at(-1)?.content ?? '';
     let index = 0;
     let timer: NodeJS.Timeout | undefined;
@@ -137,7 +187,7 @@
         this.#count('tokens');
         send({ choices: [{ index: 0, delta: { content: tokenText(prompt, index) } }] });
         index += 1;
-        timer = setTimeout(next, tokenMs);
+        timer = setTimeout(next, tokenMs * (1 + batchSlowness * (this.#open.size - 1)));
         return;
       }
       this.#count('finished');
@@ -149,8 +199,10 @@
     res.writeHead(200, { 'content-type': 'text/event-stream' });
     res.on('close', () => {
       clearTimeout(timer);
+      this.#open.delete(id);
+      this.#noteLoad();
       if (!res.writableEnded) this.#count('cancelled');
     });
-    timer = setTimeout(next, firstTokenMs);
+    timer = setTimeout(next, firstTokenMs * (isCached ? 1 - CACHE_SAVING : 1));
   }
 }
--- a/src/daemon/modelrun.ts
+++ b/src/daemon/modelrun.ts
@@ -18,6 +18,10 @@
 export class ModelRun extends RequestRun {
   #stream: AsyncIterable<StreamItem> | undefined;
 
+  #attempt: { readonly url: string; readonly id: string } | undefined;
+
+  #digests: readonly number[] | undefined;
+
   /**
    * Creates the run of one model request.
    * @param input - who asks for what
@@ -37,8 +41,12 @@
     attempt: string,
   ): Promise<Result<void, Failure>> {
     const { serving, signal } = this.input;
+    this.#attempt = { url: upstream.url, id: attempt };
     const opened = await serving.engine.generate(upstream.url, this.#call(attempt), signal);
-    if (opened.err) return RequestRun.rejected(opened.val);
+    if (opened.err) {
+      if (opened.val.outcome !== 'not-run') this.#cancel();
+      return RequestRun.rejected(opened.val);
+    }
     this.#stream = opened.val;
     return RequestRun.accepted();
   }
@@ -58,10 +66,20 @@
   }
 
   protected override promptDigests(): readonly number[] {
-    return prefixDigests(this.input.tenant.workspace.name, this.req.messages);
+    this.#digests ??= prefixDigests(this.input.tenant.workspace.name, this.req.messages);
+    return this.#digests;
+  }
+
+  /** Tells the engine that nobody waits for the answer any more. */
+  #cancel(): void {
+    const { serving, key } = this.input;
+    if (!this.#attempt) return;
+    serving.recorder.record('attemptCancelled', { request: key });
+    void serving.engine.cancel(this.#attempt.url, this.#attempt.id);
   }
 
   #cut(reason: string): ServeEvent {
+    this.#cancel();
     const outcome = this.sink.started ? 'interrupted' : 'unknown';
     const fail = failure('upstream-lost', reason, outcome);
     return { type: 'cut', fail, relayed: this.sink.started };
@@ -75,6 +93,7 @@
       messages: this.req.messages,
       maxTokens: outputLimit(this.req, route),
       priority: PRIORITIES[route.priority],
+      prefixDigests: this.promptDigests(),
       firstByteMs: route.firstByteMs,
       silenceMs: route.silenceMs,
     };
--- a/src/daemon/requestrun.ts
+++ b/src/daemon/requestrun.ts
@@ -134,14 +134,13 @@
   }
 
   async #choose(excluded: readonly string[]): Promise<ServeEvent> {
-    const { serving, route, tenant, key, signal } = this.input;
+    const { serving, route, tenant, signal } = this.input;
     const { workspace } = tenant;
     const limited = this.#entered ? undefined : serving.routing.enter(workspace);
     if (limited) return { type: 'failed', fail: limited };
     this.#entered = true;
-    const id = `${key}.${this.#attempts}`;
     const digests = this.promptDigests();
-    const placed = await serving.routing.place({ id, workspace, route, digests, excluded, signal });
+    const placed = await serving.routing.place({ workspace, route, digests, excluded, signal });
     if (placed.err) return { type: 'failed', fail: placed.val };
     this.#upstream = placed.val;
     return { type: 'chosen', upstream: this.#upstream.name };
--- a/src/daemon/routing.ts
+++ b/src/daemon/routing.ts
@@ -31,7 +31,6 @@
 
 /** A request that asks for an upstream. */
 export interface PlaceRequest {
-  readonly id: string;
   readonly workspace: Workspace;
   readonly route: Route;
   readonly digests: readonly number[];
@@ -40,11 +39,21 @@
   readonly signal: AbortSignal;
 }
 
+/** Cache events of a worker. */
+export interface CacheNews {
+  readonly stored: readonly number[];
+  readonly evicted: readonly number[];
+}
+
 /** One route with the requests that wait for an answer of its scheduler. */
 interface Lane {
   readonly scheduler: RouteScheduler;
+  readonly route: Route;
   readonly policy: ChoicePolicy;
   readonly waiting: Map<string, (command: RouteCommand) => void>;
+  documents: readonly UpstreamDocument[];
+  /** Time of the last request, in milliseconds. */
+  usedAt: number;
 }
 
 /** Refuses with the delay after which a caller may try again. */
@@ -60,6 +69,9 @@
 
   readonly #uses = new WorkspaceUse();
 
+  /** Tickets so far; two requests may carry the same key. */
+  #tickets = 0;
+
   #timer: NodeJS.Timeout | undefined;
 
   /**
@@ -114,12 +126,15 @@
    * @returns the upstream, counted as busy until "end"; otherwise why there is none
    */
   async place(ask: PlaceRequest): Promise<Result<UpstreamDocument, Failure>> {
-    const { route, excluded, digests, id } = ask;
-    const documents = this.#upstreams(route);
+    const { route, excluded, digests } = ask;
     const lane = this.#lane(route);
+    const documents = this.#documents(lane, route);
     const { priority, queueMs } = route;
-    const deadline = performance.now() + queueMs;
+    lane.usedAt = performance.now();
+    const deadline = lane.usedAt + queueMs;
     const workspace = ask.workspace.name;
+    this.#tickets += 1;
+    const id = String(this.#tickets);
     const ticket: Ticket = { id, workspace, priority, digests, excluded, deadline };
     const command = await new Promise<RouteCommand>((resolve) => {
       lane.waiting.set(id, resolve);
@@ -157,6 +172,31 @@
     this.#apply(this.#lane(route), { type: 'end', worker, workspace, failed: isFailed });
   }
 
+  /**
+   * Lists the routes that are in use.
+   * @param withinMs - time since the last request, in milliseconds
+   * @returns the routes
+   */
+  activeRoutes(withinMs: number): readonly Route[] {
+    const since = performance.now() - withinMs;
+    return [...this.#lanes.values()]
+      .filter(({ usedAt, scheduler }) => usedAt > since || scheduler.waiting > 0)
+      .map(({ route }) => route);
+  }
+
+  /**
+   * Takes note of what a worker has cached and dropped.
+   * @param route - route of the worker
+   * @param worker - upstream name
+   * @param news - digests of prompt prefixes
+   */
+  noteCache(route: Route, worker: string, { stored, evicted }: CacheNews): void {
+    const { policy } = this.#lane(route);
+    if (!(policy instanceof AffinityPolicy)) return;
+    policy.index.add(worker, stored);
+    policy.index.remove(worker, evicted);
+  }
+
   /**
    * Takes a load report.
    * @param route - route of the worker
@@ -172,6 +212,17 @@
     return published.filter(({ name }) => this.ctx.mayReceive(name));
   }
 
+  /** Routes keep their list as long as it has not changed, so that the pool need not be rebuilt. */
+  #documents(lane: Lane, route: Route): readonly UpstreamDocument[] {
+    const state = lane;
+    const found = this.#upstreams(route);
+    const isSame =
+      found.length === lane.documents.length &&
+      found.every((upstream, index) => upstream === lane.documents[index]);
+    if (!isSame) state.documents = found;
+    return lane.documents;
+  }
+
   #current(route: Route, name: string): UpstreamDocument | undefined {
     return this.#upstreams(route).find((upstream) => upstream.name === name);
   }
@@ -182,7 +233,7 @@
     const { random, daemons } = this.ctx;
     const policy = route.kind === 'model' ? new AffinityPolicy() : new LeastOpenPolicy(random);
     const scheduler = new RouteScheduler({ policy, retries: this.retries, daemons, random });
-    const lane: Lane = { scheduler, policy, waiting: new Map() };
+    const lane = { scheduler, route, policy, waiting: new Map(), documents: [], usedAt: 0 };
     this.#lanes.set(route.name, lane);
     return lane;
   }
--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -6,7 +6,12 @@
 import { Directory, WsPeerNetwork } from '../link/index.js';
 import { HttpInstanceList, HttpObjectStore } from '../platform/index.js';
 import { Recorder } from '../telemetry/index.js';
-import { HttpModelEngine, HttpOrderClient, HttpPlainService } from '../upstream/index.js';
+import {
+  HttpLoadSource,
+  HttpModelEngine,
+  HttpOrderClient,
+  HttpPlainService,
+} from '../upstream/index.js';
 import { ActiveRequests } from './activerequests.js';
 import { Backups } from './backups.js';
 import { BudgetTask } from './budgettask.js';
@@ -22,6 +27,7 @@
 import { PlanOperations } from './planoperations.js';
 import { PlanWork } from './planwork.js';
 import { Publishing } from './publishing.js';
+import { LoadReports } from './loadreports.js';
 import { Routing } from './routing.js';
 import { OpenWork } from './serving.js';
 import { ShardCare } from './shardcare.js';
@@ -29,6 +35,7 @@
 import { TimelineTask } from './timelinetask.js';
 
 import type { Serving } from './serving.js';
+import type { Instance } from '../platform/index.js';
 import type { Settings } from './settings.js';
 
 /** Whether a daemon takes new work. */
@@ -76,6 +83,8 @@
 
   readonly #directory: Directory;
 
+  readonly #reports: LoadReports;
+
   readonly #care: ShardCare;
 
   #fenced: () => void = () => undefined;
@@ -139,6 +148,10 @@
       recorder,
       open: new OpenWork(),
     };
+    const source = new HttpLoadSource();
+    const peers = (): readonly Instance[] => network.peers();
+    const { routing } = this.serving;
+    this.#reports = new LoadReports({ dataCentre, config, routing, source, peers });
     const { open } = this.serving;
     this.#handover = new Handover({ self, store, charges, network, recorder });
     this.operations = new Operations(store, config);
@@ -172,6 +185,7 @@
     this.serving.charges.start();
     this.#handover.start();
     this.serving.routing.start();
+    this.#reports.start();
     this.#care.start();
     void this.serving.config.run();
     this.serving.plans.start();
@@ -191,6 +205,7 @@
   async finishStop(): Promise<void> {
     const { config } = this.serving;
     this.serving.routing.stop();
+    this.#reports.stop();
     this.#care.stop();
     await this.serving.keys.handOver();
     await this.#handover.run();
--- a/src/route/pool.ts
+++ b/src/route/pool.ts
@@ -7,6 +7,9 @@
 /** Age at which a report no longer counts, while other workers still report, in milliseconds. */
 const STALE_MS = 2_500;
 
+/** Age from which a report says nothing any more, in milliseconds. */
+const EXPIRED_MS = 5_000;
+
 /** Mean first-token delay, as a multiple of the pool's, from which a worker counts as slow. */
 const SLOW_FACTOR = 2;
 
@@ -157,6 +160,7 @@
     let healthy = 0;
     const inflow = this.#unseenInflow(now);
     for (const worker of this.#serving) {
+      if (worker.reportAge(now) > EXPIRED_MS) worker.forgetReport();
       const share = strict ? this.#share(worker, now) : 1;
       if (share > 0 && !(excluded.length > 0 && excluded.includes(worker.name))) {
         const unseen = inflow * worker.reportAge(now);
--- a/src/route/worker.ts
+++ b/src/route/worker.ts
@@ -129,6 +129,14 @@
     this.#allotment = Math.floor(Math.max(0, this.capacity - this.estimate) * share + draw);
   }
 
+  /** Forgets a report that is too old: only the own work is known then. */
+  forgetReport(): void {
+    this.#reported = undefined;
+    this.#changes = [];
+    this.#since = 0;
+    this.#allotment = Number.POSITIVE_INFINITY;
+  }
+
   /**
    * Takes note of the delay of a first token.
    * @param delayMs - from dispatch, in milliseconds
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -63,6 +63,7 @@
   messageRejected: { number: 5005, level: 'warn', text: 'peer message rejected by its schema' },
   storeUnavailable: { number: 6001, level: 'warn', text: 'object API does not answer' },
   upstreamEjected: { number: 7001, level: 'warn', text: 'failing upstream ejected for a while' },
+  attemptCancelled: { number: 7002, level: 'debug', text: 'attempt cancelled at the engine' },
 } as const satisfies Readonly<Record<string, EventKind>>;
 
 /** Names an event of the catalogue. */
--- /dev/null
+++ b/src/upstream/httploadsource.ts
@@ -0,0 +1,54 @@
+/** Client of workers that report over HTTP. */
+import { Agent } from 'undici';
+import { z } from 'zod';
+
+import { Err, failure, Ok } from '../kernel/index.js';
+import { LoadSource } from './loadsource.js';
+
+import type { Failure, Result } from '../kernel/index.js';
+import type { WorkerReport } from './loadsource.js';
+
+/** Longest wait for a report, in milliseconds. */
+const TIMEOUT_MS = 800;
+
+const reportSchema = z.object({
+  open: z.number().nonnegative(),
+  age_ms: z.number().nonnegative().default(0),
+  sequence: z.number().default(0),
+  stored: z.array(z.number()).default([]),
+  evicted: z.array(z.number()).default([]),
+});
+
+/** Reads reports over HTTP. */
+export class HttpLoadSource extends LoadSource {
+  readonly #agent = new Agent({ pipelining: 1, connections: 1, connect: { timeout: TIMEOUT_MS } });
+
+  override async read(url: string, after: number): Promise<Result<WorkerReport, Failure>> {
+    try {
+      const res = await this.#agent.request({
+        origin: url,
+        method: 'GET',
+        path: `/v1/load?after=${after}`,
+        headersTimeout: TIMEOUT_MS,
+        bodyTimeout: TIMEOUT_MS,
+        // A silent connection must not hold up the reports that follow.
+        signal: AbortSignal.timeout(TIMEOUT_MS),
+      });
+      if (res.statusCode !== 200) {
+        await res.body.dump();
+        return Err(failure('upstream-unavailable', `${url}: status ${res.statusCode}`));
+      }
+      const parsed = reportSchema.safeParse(await res.body.json());
+      if (!parsed.success) return Err(failure('upstream-unavailable', `${url}: unreadable report`));
+      const { open, age_ms: ageMs, sequence, stored, evicted } = parsed.data;
+      return Ok({ open, ageMs, sequence, stored, evicted });
+    } catch (err) {
+      return Err(failure('upstream-unavailable', `${url}: ${String(err)}`));
+    }
+  }
+
+  /** Closes the connections. */
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+}
--- a/src/upstream/httpmodelengine.ts
+++ b/src/upstream/httpmodelengine.ts
@@ -37,6 +37,22 @@
     }
   }
 
+  override async cancel(url: string, id: string): Promise<boolean> {
+    try {
+      const res = await this.#agent.request({
+        origin: url,
+        method: 'DELETE',
+        path: `/v1/requests/${encodeURIComponent(id)}`,
+        headersTimeout: CONNECT_MS,
+        bodyTimeout: CONNECT_MS,
+      });
+      await res.body.dump();
+      return res.statusCode < 300;
+    } catch {
+      return false;
+    }
+  }
+
   /** Closes the connections. */
   async close(): Promise<void> {
     await this.#agent.destroy();
@@ -56,6 +72,7 @@
         messages: call.messages,
         max_tokens: call.maxTokens,
         priority: call.priority,
+        prefix_digests: call.prefixDigests,
         stream: true,
         stream_options: { include_usage: true },
       }),
--- a/src/upstream/modelcall.ts
+++ b/src/upstream/modelcall.ts
@@ -15,6 +15,8 @@
   /** Output limit, always sent. */
   readonly maxTokens: number;
   readonly priority: number;
+  /** Digests of the prompt at its block boundaries; the engine names them in its cache events. */
+  readonly prefixDigests: readonly number[];
   /** Longest wait for the first byte, in milliseconds. */
   readonly firstByteMs: number;
   /** Longest silence within the answer, in milliseconds. */
--- a/src/upstream/modelengine.ts
+++ b/src/upstream/modelengine.ts
@@ -16,4 +16,12 @@
     call: ModelCall,
     signal: AbortSignal,
   ): Promise<Result<AsyncIterable<StreamItem>, Failure>>;
+
+  /**
+   * Cancels a request over a connection of its own, since that of the answer may be silent.
+   * @param url - base address of the engine
+   * @param id - id of the attempt
+   * @returns whether the engine has confirmed
+   */
+  abstract cancel(url: string, id: string): Promise<boolean>;
 }
