--- a/bench/route.ts
+++ b/bench/route.ts
@@ -71,7 +71,7 @@
   readonly make: (random: () => number) => ChoicePolicy;
 }
 
-const CHOSEN: Contender = { name: 'affinity', make: () => new AffinityPolicy() };
+const CHOSEN: Contender = { name: 'affinity', make: (random) => new AffinityPolicy({ random }) };
 
 const PURE: Contender = {
   name: 'pure-affinity',
--- a/bench/routedecision.ts
+++ b/bench/routedecision.ts
@@ -46,7 +46,7 @@
 function microsecondsPerDecision(workers: number, seed: number): number {
   const random = seededRandom(seed);
   const scheduler = new RouteScheduler({
-    policy: new AffinityPolicy(),
+    policy: new AffinityPolicy({ random }),
     retries: new RetryBudget(),
     daemons: () => 8,
     random,
--- a/src/daemon/routing.ts
+++ b/src/daemon/routing.ts
@@ -231,7 +231,8 @@
     const known = this.#lanes.get(route.name);
     if (known) return known;
     const { random, daemons } = this.ctx;
-    const policy = route.kind === 'model' ? new AffinityPolicy() : new LeastOpenPolicy(random);
+    const policy =
+      route.kind === 'model' ? new AffinityPolicy({ random }) : new LeastOpenPolicy(random);
     const scheduler = new RouteScheduler({ policy, retries: this.retries, daemons, random });
     const lane = { scheduler, route, policy, waiting: new Map(), documents: [], usedAt: 0 };
     this.#lanes.set(route.name, lane);
--- a/src/route/affinity.ts
+++ b/src/route/affinity.ts
@@ -2,6 +2,7 @@
 import { CacheIndex } from './cacheindex.js';
 import { ChoicePolicy } from './choice.js';
 import { mix32 } from './digest.js';
+import { HotPrefixes } from './hotprefixes.js';
 
 import type { Candidate, ChoiceInput } from './choice.js';
 import type { Worker } from './worker.js';
@@ -15,6 +16,9 @@
 /** Load always allowed above the mean, as a share of capacity: an idle pool needs no bound. */
 const LOAD_SLACK = 0.02;
 
+/** Age that a report commonly reaches before the next one, in seconds. */
+const REPORT_SECONDS = 1;
+
 /** Prefixes that one daemon remembers for one route. */
 const INDEXED_PREFIXES = 20_000;
 
@@ -23,6 +27,8 @@
   /** Multiple of the mean load; infinity for affinity without a bound. */
   readonly bound?: number;
   readonly indexedPrefixes?: number;
+  /** Random numbers in [0, 1), to spread a prefix that is asked for everywhere. */
+  readonly random?: () => number;
 }
 
 /**
@@ -34,6 +40,10 @@
 
   readonly #bound: number;
 
+  readonly #random: () => number;
+
+  readonly #hot = new HotPrefixes();
+
   /**
    * Creates the policy.
    * @param options - bound and memory
@@ -41,16 +51,20 @@
   constructor(options: AffinityOptions = {}) {
     super();
     this.#bound = options.bound ?? LOAD_BOUND;
+    this.#random = options.random ?? Math.random;
     this.index = new CacheIndex(options.indexedPrefixes ?? INDEXED_PREFIXES);
   }
 
-  override choose({ candidates, meanLoad, digests }: ChoiceInput): Worker | undefined {
+  override choose(input: ChoiceInput): Worker | undefined {
+    const { candidates, meanLoad, digests } = input;
     const limit = meanLoad * this.#bound + LOAD_SLACK;
-    const home = digests[Math.min(HOME_BLOCKS, digests.length) - 1] ?? 0;
+    const spread = this.#spread(input, limit - meanLoad);
+    const own = digests[Math.min(HOME_BLOCKS, digests.length) - 1] ?? 0;
+    const home = spread === 0 ? own : mix32(own, spread);
     const first = AffinityPolicy.#preferred(candidates, home, limit);
     const [top] = first;
     if (!top) return undefined;
-    if (first.length === 1 || this.#holds(top, digests)) return top;
+    if (first.length === 1 || spread > 0 || this.#holds(top, digests)) return top;
     return this.#holder(candidates, digests, limit) ?? top;
   }
 
@@ -58,6 +72,19 @@
     this.index.add(worker.name, digests);
   }
 
+  /**
+   * Draws one of the homes of a prefix: one, unless the fleet would send more to it between two
+   * reports than a worker has room for.
+   */
+  #spread({ candidates, digests, now, daemons }: ChoiceInput, room: number): number {
+    const home = digests[Math.min(HOME_BLOCKS, digests.length) - 1];
+    const capacity = candidates[0]?.worker.capacity ?? 0;
+    if (home === undefined || this.#bound === Number.POSITIVE_INFINITY) return 0;
+    const perReport = this.#hot.count(home, now) * daemons * REPORT_SECONDS;
+    const homes = Math.min(candidates.length, 1 + Math.floor(perReport / (capacity * room)));
+    return homes <= 1 ? 0 : Math.floor(this.#random() * homes);
+  }
+
   #holds(worker: Worker, digests: readonly number[]): boolean {
     const home = digests[Math.min(HOME_BLOCKS, digests.length) - 1];
     return home !== undefined && this.index.holders(home).includes(worker.name);
--- a/src/route/choice.ts
+++ b/src/route/choice.ts
@@ -14,6 +14,10 @@
   readonly candidates: readonly Candidate[];
   /** Mean load of the candidates. */
   readonly meanLoad: number;
+  /** Time in milliseconds. */
+  readonly now: number;
+  /** Live daemons that send to the same workers, this one included. */
+  readonly daemons: number;
   /** Digests of the prompt at its block boundaries; empty for plain services. */
   readonly digests: readonly number[];
 }
--- a/src/route/index.ts
+++ b/src/route/index.ts
@@ -7,6 +7,7 @@
 export * from './fairshare.js';
 export * from './flow.js';
 export * from './health.js';
+export * from './hotprefixes.js';
 export * from './leastopen.js';
 export * from './pool.js';
 export * from './randomoftwo.js';
--- a/src/route/scheduler.ts
+++ b/src/route/scheduler.ts
@@ -192,7 +192,8 @@
     const { digests, excluded } = ticket;
     const isWaiting = this.#queue.size > 0;
     const { candidates, meanLoad } = this.pool.candidates({ excluded, now, limit, isWaiting });
-    const worker = this.ctx.policy.choose({ candidates, meanLoad, digests });
+    const daemons = this.ctx.daemons();
+    const worker = this.ctx.policy.choose({ candidates, meanLoad, digests, now, daemons });
     if (!worker) return undefined;
     this.pool.count(worker, 1, now);
     this.#countOpen(ticket.workspace, 1);
--- a/src/route/tests/rules.test.ts
+++ b/src/route/tests/rules.test.ts
@@ -65,17 +65,26 @@
   const even = workers.map((worker) => load(worker, 0.5));
   const digests = [17, 18, 19];
   const one = new AffinityPolicy();
-  const home = one.choose({ candidates: even, meanLoad: 0.5, digests });
+  const home = one.choose({ candidates: even, meanLoad: 0.5, digests, now: 0, daemons: 1 });
   t.truthy(home);
-  const other = new AffinityPolicy().choose({ candidates: even, meanLoad: 0.5, digests });
+  const other = new AffinityPolicy().choose({
+    candidates: even,
+    meanLoad: 0.5,
+    digests,
+    now: 0,
+    daemons: 1,
+  });
   t.is(home, other, 'another daemon finds the same home');
   const busy = even.map((entry) => (entry.worker === home ? load(entry.worker, 0.9) : entry));
-  const spilled = one.choose({ candidates: busy, meanLoad: 0.6, digests });
+  const spilled = one.choose({ candidates: busy, meanLoad: 0.6, digests, now: 0, daemons: 1 });
   t.not(spilled, home);
   if (spilled) one.noteDispatch(spilled, digests);
-  t.is(one.choose({ candidates: busy, meanLoad: 0.6, digests: [17, 18, 20] }), spilled);
+  t.is(
+    one.choose({ candidates: busy, meanLoad: 0.6, digests: [17, 18, 20], now: 0, daemons: 1 }),
+    spilled,
+  );
   const pure = new AffinityPolicy({ bound: Number.POSITIVE_INFINITY });
-  t.is(pure.choose({ candidates: busy, meanLoad: 0.6, digests }), home);
+  t.is(pure.choose({ candidates: busy, meanLoad: 0.6, digests, now: 0, daemons: 1 }), home);
 });
 
 const FAIR_CASES: readonly {
