--- a/bench/catalogue.ts
+++ b/bench/catalogue.ts
@@ -4,6 +4,7 @@
 import { DurabilityBench } from './durability.js';
 import { PathBench } from './path.js';
 import { RouteBench } from './route.js';
+import { SlopesBench } from './slopes.js';
 
 import type { BenchGroup } from './figure.js';
 
@@ -12,6 +13,7 @@
   new PathBench(),
   new BudgetBench(),
   new RouteBench(),
+  new SlopesBench(),
   new ConfigBench(),
   new DurabilityBench(),
 ];
