A daemon without an entry takes no new work; copies go on during a change of the backup

Ruled out: the pending change of the backup (isChanging blocked every copy). Conclusion: lent units need an entry of the borrower first.

--- a/src/daemon/outbox.ts
+++ b/src/daemon/outbox.ts
@@ -23,6 +23,7 @@
   mayProceed,
   newHolderState,
   switchBackup,
+  takesCopies,
   unacknowledged,
   WINDOW_UNITS,
 } from '../fleet/index.js';
@@ -144,6 +145,8 @@
     const deadline = performance.now() + waitMs;
     const { budget } = change;
     this.#state = commit(this.#state, change);
+    // Lent units can reach a daemon that has no entry: nobody could recover its lines.
+    if (!(await this.join())) return false;
     for (;;) {
       if (this.#state.isFenced) return false;
       if (this.isDurable && mayProceed(this.#state, budget)) {
@@ -229,7 +232,7 @@
   async #changeTo(candidate: Incarnation, standby: Incarnation | null): Promise<void> {
     const { backups, self, recorder } = this.ctx;
     const wasChanging = this.#state.isChanging;
-    this.#state = beginChange(this.#state);
+    this.#state = beginChange(this.#state, [candidate, standby]);
     // Everything that the store does not hold goes to the new backup, known or not.
     const batch = copyBatch({ ...this.#state, backup: null }, candidate);
     const answer = await backups.send(batch);
@@ -320,13 +323,12 @@
   }
 
   async #copy(): Promise<boolean> {
-    const { isChanging, isFenced } = this.#state;
-    if (this.backup === null || isChanging || isFenced) return false;
+    if (this.backup === null || !takesCopies(this.#state)) return false;
     const batch = copyBatch(this.#state, this.backup);
     const answer = await this.ctx.backups.send(batch);
     if (answer) this.#state = applyVerdict(this.#state, batch, answer);
     if (this.#state.isFenced) this.#fence('the backup has fenced this incarnation');
-    const isOnRecord = batch.backup === this.backup && !this.#state.isChanging;
+    const isOnRecord = batch.backup === this.backup && takesCopies(this.#state);
     const isKept = answer?.verdict === 'kept' && isOnRecord;
     this.#backupFailures = isKept ? 0 : this.#backupFailures + 1;
     // The standby is on record as well: what it keeps will be found.
--- a/src/daemon/tests/charges.test.ts
+++ b/src/daemon/tests/charges.test.ts
@@ -111,6 +111,23 @@
   t.true(await bed.charges.admit(RESERVATION, WAIT_MS));
 });
 
+test('a daemon without an entry takes no new work, also with lent units', async (t) => {
+  const bed = await makeBed();
+  const charges = new Charges({
+    self: 'late~1',
+    store: bed.store,
+    backups: new Backups('late~1', 'dc-1', bed.network),
+    config: { current: undefined },
+    recorder: recorder(),
+    onFenced: (detail) => bed.fenced.push(detail),
+  });
+  bed.store.mode = 'away';
+  t.false(await charges.admit(RESERVATION, WAIT_MS));
+  bed.store.mode = 'answers';
+  t.true(await charges.admit(RESERVATION, WAIT_MS));
+  t.deepEqual(bed.fenced, []);
+});
+
 test('a reservation beyond the window waits until the backup knows of it', async (t) => {
   const bed = await makeBed();
   await bed.charges.care();
--- a/src/fleet/holder.ts
+++ b/src/fleet/holder.ts
@@ -28,8 +28,10 @@
   readonly exposures: readonly Exposure[];
   /** Exposures that the backup on record has acknowledged. */
   readonly copied: readonly Exposure[];
-  /** Another backup may already be on record: what the known one acknowledges does not count. */
+  /** Another pair of daemons may already be on record. */
   readonly isChanging: boolean;
+  /** During a change: the daemon that is on record whether or not it has taken effect. */
+  readonly retained: Incarnation | null;
   /** The incarnation may not use its rows any more. */
   readonly isFenced: boolean;
 }
@@ -53,6 +55,7 @@
     exposures: [],
     copied: [],
     isChanging: false,
+    retained: null,
     isFenced: false,
   };
 }
@@ -169,6 +172,16 @@
   };
 }
 
+/**
+ * Says whether what the backup acknowledges counts: it must be on record for certain.
+ * @param state - state of the holder
+ * @returns whether lines may be copied now
+ */
+export function takesCopies(state: HolderState): boolean {
+  const { backup, isChanging, isFenced, retained } = state;
+  return backup !== null && !isFenced && (!isChanging || retained === backup);
+}
+
 /**
  * Takes the answer of a backup. Answers of one that is not on record change nothing.
  * @param state - state of the holder
@@ -183,7 +196,7 @@
 ): HolderState {
   if (batch.backup !== state.backup) return state;
   if (answer.verdict === 'fenced') return { ...state, isFenced: true };
-  if (state.isChanging) return state;
+  if (!takesCopies(state)) return state;
   if (answer.verdict === 'gap') return { ...state, acknowledged: state.settled };
   if (answer.verdict !== 'kept') return state;
   return {
@@ -206,34 +219,42 @@
 }
 
 /**
- * Begins a change of the backup: from now on only the store makes lines durable, until the
- * change is known to have taken effect or certainly has not.
+ * Lets the other daemon on record take the copies. Both are on record, so a recoverer fences
+ * both, and no update of the shard is needed. What the other one holds is not known here.
  * @param state - state of the holder
- * @returns the state in which another backup may be recorded
+ * @returns the state in which everything that is not settled is copied again
  */
-export function beginChange(state: HolderState): HolderState {
-  return { ...state, isChanging: true };
+export function switchBackup(state: HolderState): HolderState {
+  if (state.standby === null || state.isChanging) return state;
+  const { backup, standby, settled } = state;
+  return { ...state, backup: standby, standby: backup, acknowledged: settled, copied: [] };
 }
 
 /**
- * Ends a change of the backup that certainly has not taken effect.
+ * Begins a change of the daemons on record. Until it is known to have taken effect or certainly
+ * has not, only a daemon that stays on record takes copies; without one, only the store does.
  * @param state - state of the holder
- * @returns the state with the backup that stays on record
+ * @param pair - daemons that shall be on record
+ * @returns the state in which another pair may be recorded
  */
-export function cancelChange(state: HolderState): HolderState {
-  return { ...state, isChanging: false };
+export function beginChange(
+  state: HolderState,
+  pair: readonly (Incarnation | null)[],
+): HolderState {
+  const certain = state.isChanging ? [state.retained] : [state.backup, state.standby];
+  const retained = certain.find((keeper) => keeper !== null && pair.includes(keeper)) ?? null;
+  const isSwitch = retained !== null && retained === state.standby;
+  const ready = isSwitch ? switchBackup(state) : state;
+  return { ...ready, isChanging: true, retained };
 }
 
 /**
- * Lets the other daemon on record take the copies. Both are on record, so a recoverer fences
- * both, and no update of the shard is needed. What the other one holds is not known here.
+ * Ends a change of the backup that certainly has not taken effect.
  * @param state - state of the holder
- * @returns the state in which everything that is not settled is copied again
+ * @returns the state with the backup that stays on record
  */
-export function switchBackup(state: HolderState): HolderState {
-  if (state.standby === null || state.isChanging) return state;
-  const { backup, standby, settled } = state;
-  return { ...state, backup: standby, standby: backup, acknowledged: settled, copied: [] };
+export function cancelChange(state: HolderState): HolderState {
+  return { ...state, isChanging: false, retained: null };
 }
 
 /**
@@ -255,5 +276,6 @@
     acknowledged: through,
     copied: batch.exposures,
     isChanging: false,
+    retained: null,
   };
 }
--- a/src/fleet/tests/world.ts
+++ b/src/fleet/tests/world.ts
@@ -30,6 +30,7 @@
   NO_COPIES,
   recover,
   switchBackup,
+  takesCopies,
   WINDOW_UNITS,
 } from '../index.js';
 
@@ -219,8 +220,8 @@
   }
 
   #copy(): void {
-    const { backup, isChanging, isFenced } = this.holder;
-    if (backup === null || isChanging || isFenced) return;
+    const { backup } = this.holder;
+    if (backup === null || !takesCopies(this.holder)) return;
     this.#messages = [...this.#messages, { type: 'copy', batch: copyBatch(this.holder, backup) }];
   }
 
@@ -263,7 +264,7 @@
     const candidate = KEEPERS[pick % 3] ?? '';
     const others = KEEPERS.filter((keeper) => keeper !== candidate);
     const standby = others[units % 3] ?? null;
-    this.holder = beginChange(this.holder);
+    this.holder = beginChange(this.holder, [candidate, standby]);
     const batch = copyBatch({ ...this.holder, backup: null }, candidate);
     const kept = this.#keep(batch);
     if (kept?.verdict !== 'kept') {
