Test: a data centre that is cut off goes on, ends nobody, and is billed once

Six daemons, the two of one data centre cut off from the others and from the store for more than 8 s: 50 requests through them answered, each billed once after the cut, nobody ended, nothing held. A closed entry now counts as left, so that a stop does not try again.

--- a/src/daemon/outbox.ts
+++ b/src/daemon/outbox.ts
@@ -283,7 +283,8 @@
     await Promise.all(
       this.keepers.map((keeper) => backups.fenceAt(keeper, self, this.shard, true)),
     );
-    return done.val.mine;
+    // A closed entry leaves nothing to settle or to free.
+    return done.val.mine || done.val.entry === undefined;
   }
 
   /** Becomes its own recoverer; false once another has finished, undefined without the store. */
--- a/src/daemon/tests/durability.test.ts
+++ b/src/daemon/tests/durability.test.ts
@@ -1,3 +1,5 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
 import test from 'ava';
 
 import { askModel } from '../../../testbed/caller.js';
@@ -134,3 +136,48 @@
   t.is(budget.left + budget.spent, 100_000);
   t.deepEqual(await fleet.daemon(1).operator<readonly HeldUnits[]>('held'), []);
 });
+
+test('a data centre that is cut off goes on, ends nobody, and is billed once', async (t) => {
+  const cutOff = ['entry-3', 'entry-6'];
+  const fleet = await Fleet.start({ daemons: 6, units: 1_000_000, cutOff });
+  t.teardown(() => fleet.stop());
+  const run = async (prefix: string, count: number): Promise<readonly Received[]> => {
+    const answers: Received[] = [];
+    for (let index = 0; index < count; index += 1) {
+      // One after the other, so that the cut falls between requests.
+      // eslint-disable-next-line no-await-in-loop
+      answers.push(await ask(fleet, index % 2 === 0 ? 2 : 5, `${prefix}-${index}`));
+    }
+    return answers;
+  };
+  const before = await run('before', 6);
+  t.true(before.every(({ whole }) => whole));
+  await delay(2_000);
+  fleet.setPartition('cut');
+  const during = await run('during', 40);
+  t.deepEqual(
+    during.filter(({ whole }) => !whole).map(({ key, code }) => ({ key, code })),
+    [],
+  );
+  await delay(8_000);
+  const late = await run('late', 10);
+  fleet.setPartition('pass');
+  const keys = [...before, ...during, ...late].filter(({ whole }) => whole).map(({ key }) => key);
+  await waitFor('every charge arrives, each once', async () => {
+    const lines = await fleet
+      .daemon(0)
+      .operator<readonly { key: string }[]>('workspaces/shop/statement');
+    return (
+      lines
+        .map(({ key }) => key)
+        .sort()
+        .join() === [...keys].sort().join()
+    );
+  });
+  t.deepEqual(
+    late.filter(({ whole }) => !whole).map(({ key, code }) => ({ key, code })),
+    [],
+  );
+  t.true(fleet.daemon(2).child.running && fleet.daemon(5).child.running);
+  t.deepEqual(await fleet.daemon(0).operator<readonly HeldUnits[]>('held'), []);
+});
