The proof also checks what daemons say about their confirmation

From outside: a daemon that reports revision r, confirmed a ms ago, must not have missed a revision that was accepted before that.

--- a/proof/configneverreverts.ts
+++ b/proof/configneverreverts.ts
@@ -67,6 +67,7 @@
   });
   const verdicts = await Promise.all(contenders.map(publishUntilKnown));
   state.revision = checkRace(fleet, base, verdicts);
+  stage.watch.accept(state.revision);
   const winner = verdicts.find(({ revision }) => revision !== undefined);
   state.documents = winner?.contender.documents ?? documents;
 }
--- a/proof/revisionwatch.ts
+++ b/proof/revisionwatch.ts
@@ -6,6 +6,7 @@
 import { OPERATOR_KEY } from '../testbed/daemonprocess.js';
 import { ensure } from './proof.js';
 
+import type { StatusView } from '../src/daemon/operators.controller.js';
 import type { DaemonProcess } from '../testbed/daemonprocess.js';
 
 /** Interval between the questions to one daemon, in milliseconds. */
@@ -14,20 +15,27 @@
 /** Longest wait for an answer, in milliseconds: a frozen daemon gives none. */
 const TIMEOUT_MS = 300;
 
+/** Ages are rounded to whole milliseconds, clocks are read one after the other. */
+const ROUNDING_MS = 2;
+
 /** One daemon under watch. */
 interface Watched {
   readonly daemon: DaemonProcess;
   revision: number;
-  /** When an answer last came, in milliseconds since the epoch. */
-  seenAt: number;
 }
 
+/** What a daemon says about its configuration. */
+type Report = Pick<StatusView, 'revision' | 'confirmedAgeMs'>;
+
 /** Asks every daemon again and again; its revision may only rise. */
 export class RevisionWatch {
   readonly #watched = new Map<string, Watched>();
 
   readonly #violations: string[] = [];
 
+  /** Accepted revisions and when an operator was told so, in milliseconds since the epoch. */
+  readonly #accepted: { readonly revision: number; readonly at: number }[] = [];
+
   #answers = 0;
 
   #stopped = false;
@@ -42,11 +50,19 @@
    * @param daemon - the daemon process
    */
   add(daemon: DaemonProcess): void {
-    const watched: Watched = { daemon, revision: 0, seenAt: 0 };
+    const watched: Watched = { daemon, revision: 0 };
     this.#watched.set(daemon.options.name, watched);
     void this.#poll(watched);
   }
 
+  /**
+   * Takes note of a revision that the store holds by now.
+   * @param revision - the revision
+   */
+  accept(revision: number): void {
+    this.#accepted.push({ revision, at: Date.now() });
+  }
+
   /**
    * Gives the revision that a daemon last reported.
    * @param name - instance name
@@ -85,7 +101,10 @@
     return Date.now() - began;
   }
 
-  /** Checks that no daemon ever reported a lower revision than before. */
+  /**
+   * Checks that no daemon ever reported a lower revision than before, nor that it was
+   * confirmed by the store after a later one had been accepted.
+   */
   check(): void {
     ensure(this.#violations.length === 0, this.#violations.join('; '));
   }
@@ -102,26 +121,38 @@
     while (!this.#stopped && this.#watched.get(name) === watched) {
       // One question follows the other.
       /* eslint-disable no-await-in-loop */
-      const revision = await RevisionWatch.#ask(daemon).catch(() => undefined);
-      if (revision !== undefined) {
+      const asked = Date.now();
+      const report = await RevisionWatch.#ask(daemon).catch(() => undefined);
+      if (report) {
         this.#answers += 1;
-        if (revision < state.revision) {
-          this.#violations.push(`${name} went back from revision ${state.revision} to ${revision}`);
-        }
-        state.revision = revision;
-        state.seenAt = Date.now();
+        this.#checkReport(state, report, asked);
+        state.revision = report.revision;
       }
       await delay(POLL_MS);
       /* eslint-enable no-await-in-loop */
     }
   }
 
-  static async #ask(daemon: DaemonProcess): Promise<number> {
+  #checkReport({ daemon, revision: last }: Watched, report: Report, asked: number): void {
+    const { name } = daemon.options;
+    const { revision, confirmedAgeMs } = report;
+    if (revision < last) {
+      this.#violations.push(`${name} went back from revision ${last} to ${revision}`);
+    }
+    if (confirmedAgeMs < 0) return;
+    const confirmedAt = asked - confirmedAgeMs - ROUNDING_MS;
+    const missed = this.#accepted.findLast(({ at }) => at < confirmedAt);
+    if (missed && revision < missed.revision) {
+      const text = `confirmed revision ${revision} after ${missed.revision} was accepted`;
+      this.#violations.push(`${name} ${text}`);
+    }
+  }
+
+  static async #ask(daemon: DaemonProcess): Promise<Report> {
     const res = await request(`${daemon.url}/operator/status`, {
       headers: { authorization: `Bearer ${OPERATOR_KEY}` },
       signal: AbortSignal.timeout(TIMEOUT_MS),
     });
-    const { revision } = (await res.body.json()) as { readonly revision: number };
-    return revision;
+    return (await res.body.json()) as Report;
   }
 }
--- a/src/daemon/tests/configtask.test.ts
+++ b/src/daemon/tests/configtask.test.ts
@@ -6,6 +6,7 @@
 import test from 'ava';
 
 import { LonelyNetwork } from '../../../testbed/lonelynetwork.js';
+import { waitFor } from '../../../testbed/wait.js';
 import { cutDocuments, EMPTY_DOCUMENTS, EMPTY_MANIFEST, pieceKey } from '../../config/index.js';
 import { Err, Ok, SystemClock } from '../../kernel/index.js';
 import { ObjectStore } from '../../platform/index.js';
@@ -16,8 +17,14 @@
 import type { Result } from '../../kernel/index.js';
 import type { ObjectChange, StoredObject, StoreError, WatchBatch } from '../../platform/index.js';
 
+/** Duration of a watch, in milliseconds. */
+const WATCH_MS = 60;
+
 /** A store whose answers the test gives, in the order that it likes. */
 class HeldStore extends ObjectStore {
+  /** When the last watch was sent, on the monotonic clock. */
+  watchedAt = 0;
+
   readonly #waiting = new Map<string, (found: Result<StoredObject, StoreError>) => void>();
 
   override read(key: string): Promise<Result<StoredObject, StoreError>> {
@@ -43,6 +50,8 @@
   }
 
   override async watch(): Promise<Result<WatchBatch, StoreError>> {
+    this.watchedAt = performance.now();
+    await delay(WATCH_MS);
     return Ok({ changes: [], position: 0 });
   }
 }
@@ -113,6 +122,22 @@
   t.is(task.current?.documents.workspaces[0]?.name, 'w-2');
 });
 
+test('a watch confirms the time at which it was sent, not the time of its answer', async (t) => {
+  const store = new HeldStore();
+  const task = makeTask(store);
+  const { manifest, piece } = revisionOf(2);
+  const loading = task.apply(manifest, null);
+  store.give(pieceKey(piece.digest), piece.documents);
+  await loading;
+  const running = task.run();
+  const { watchedAt } = store;
+  t.true(watchedAt > 0);
+  await waitFor('the watch is answered', () => task.confirmedAt !== undefined);
+  task.stop();
+  t.true(Math.abs((task.confirmedAt ?? 0) - watchedAt) < WATCH_MS / 2);
+  await running;
+});
+
 test('a confirmation grows old on the monotonic clock and never goes back', async (t) => {
   const task = makeTask(new HeldStore());
   t.is(task.confirmedAgeMs, Infinity);
