Service files: plans name the fields and kinds that they know

Plans are told apart by their kind, and a misspelt field of one was answered with "there are no known fields", a misspelt kind with zod's own words.

--- a/src/config/tests/badfiles.ts
+++ b/src/config/tests/badfiles.ts
@@ -499,4 +499,83 @@
       'a.yaml:4:60: plans.0.from: expected a time such as "2026-12-31T18:00:00Z", found "tomorrow"; correct the value',
     ],
   },
+  {
+    title: 'a plan of an unknown kind',
+    files: {
+      'a.yaml':
+        'routes:\n  - { name: drafts, kind: model }\nupstreams:\n  - { name: engine-1, route: drafts, url: "http://127.0.0.1:9000", dataCentre: kurume }\nplans:\n  - { kind: upstrem, name: leave-1, upstream: engine-1 }\n',
+    },
+    problems: [
+      'a.yaml:6:13: plans.0.kind: expected one of upstream, workspace, found "upstrem"; did you mean "upstream"?',
+    ],
+  },
+  {
+    title: 'a plan without a kind',
+    files: {
+      'a.yaml':
+        'routes:\n  - { name: drafts, kind: model }\nupstreams:\n  - { name: engine-1, route: drafts, url: "http://127.0.0.1:9000", dataCentre: kurume }\nplans:\n  - { name: leave-1, upstream: engine-1 }\n',
+    },
+    problems: ['a.yaml:6:5: missing field "plans.0.kind"; add "kind"'],
+  },
+  {
+    title: 'a misspelt field of a plan',
+    files: {
+      'a.yaml':
+        'routes:\n  - { name: drafts, kind: model }\nupstreams:\n  - { name: engine-1, route: drafts, url: "http://127.0.0.1:9000", dataCentre: kurume }\nplans:\n  - { kind: upstream, name: leave-1, upstrem: engine-1 }\n',
+    },
+    problems: [
+      'a.yaml:6:5: missing field "plans.0.upstream"; add "upstream"',
+      'a.yaml:6:38: unknown field "upstrem"; did you mean "upstream"?',
+    ],
+  },
+  {
+    title: 'a field of another kind of plan',
+    files: {
+      'a.yaml':
+        'plans:\n  - { kind: workspace, name: leave-1, workspace: shop, orders: [stop] }\nworkspaces:\n  - { name: shop, keys: [] }\n',
+    },
+    problems: ['a.yaml:2:56: unknown field "orders"; known fields: kind, name, workspace, from'],
+  },
+  {
+    title: 'a plan at no time',
+    files: {
+      'a.yaml':
+        'routes:\n  - { name: drafts, kind: model }\nupstreams:\n  - { name: engine-1, route: drafts, url: "http://127.0.0.1:9000", dataCentre: kurume }\nplans:\n  - { kind: upstream, name: leave-1, upstream: engine-1, from: tomorrow }\n',
+    },
+    problems: [
+      'a.yaml:6:64: plans.0.from: expected a time such as "2026-12-31T18:00:00Z", found "tomorrow"; correct the value',
+    ],
+  },
+  {
+    title: 'an unknown order of a plan',
+    files: {
+      'a.yaml':
+        'routes:\n  - { name: drafts, kind: model }\nupstreams:\n  - { name: engine-1, route: drafts, url: "http://127.0.0.1:9000", dataCentre: kurume }\nplans:\n  - { kind: upstream, name: leave-1, upstream: engine-1, orders: [unlaod] }\n',
+    },
+    problems: [
+      'a.yaml:6:67: plans.0.orders.0: expected one of unload, standby, stop, found "unlaod"; did you mean "unload"?',
+    ],
+  },
+  {
+    title: 'a plan of an unknown upstream',
+    files: {
+      'a.yaml':
+        'routes:\n  - { name: drafts, kind: model }\nupstreams:\n  - { name: engine-1, route: drafts, url: "http://127.0.0.1:9000", dataCentre: kurume }\nplans:\n  - { kind: upstream, name: leave-1, upstream: engine-2 }\n',
+    },
+    problems: [
+      'a.yaml:6:48: plans.0.upstream: there is no upstream "engine-2"; did you mean "engine-1"?',
+    ],
+  },
+  {
+    title: 'a plan of an unknown workspace',
+    files: { 'a.yaml': 'plans:\n  - { kind: workspace, name: leave-1, workspace: shop }\n' },
+    problems: [
+      'a.yaml:2:50: plans.0.workspace: there is no workspace "shop"; there are no workspaces',
+    ],
+  },
+  {
+    title: 'a plan that is text',
+    files: { 'a.yaml': 'plans:\n  - leave\n' },
+    problems: ['a.yaml:2:5: plans.0: expected named fields, found "leave"; write named fields'],
+  },
 ];
--- a/src/kernel/schemaissue.ts
+++ b/src/kernel/schemaissue.ts
@@ -38,25 +38,47 @@
 interface Def {
   readonly shape?: Readonly<Record<string, Schema>>;
   readonly element?: Schema;
+  /** Alternatives of a union, and the field that tells them apart. */
+  readonly options?: readonly Schema[];
+  readonly discriminator?: string;
+  /** Values of a literal. */
+  readonly values?: readonly unknown[];
 }
 
+type Fields = Readonly<Record<string, unknown>>;
+
 function defOf(schema: Schema): Def {
   return unwrap(schema).def as Def;
 }
 
-/**
- * Lists the fields that a schema knows at a place.
- * @param schema - schema of the whole document
- * @param path - place of an object within it
- * @returns names of the fields
- */
-export function knownFields(schema: Schema, path: Path): readonly string[] {
-  const end = path.reduce<Schema | undefined>((at, step) => {
-    if (!at) return undefined;
-    const def = defOf(at);
-    return typeof step === 'number' ? def.element : def.shape?.[String(step)];
-  }, schema);
-  return end ? Object.keys(defOf(end).shape ?? {}) : [];
+/** Values by which the alternatives of a union are told apart. */
+function kindsOf({ options = [], discriminator = '' }: Def): readonly string[] {
+  return options.flatMap((option) => {
+    const field = defOf(option).shape?.[discriminator];
+    return (field ? (defOf(field).values ?? []) : []).map(String);
+  });
+}
+
+/** The rules that hold for a value: of a union, those of the alternative that it names. */
+function rulesFor(schema: Schema, value: unknown): Def {
+  const def = defOf(schema);
+  const { options, discriminator } = def;
+  if (!options || discriminator === undefined) return def;
+  const kind = (value as Fields | null | undefined)?.[discriminator];
+  const option = options[kindsOf(def).indexOf(String(kind))];
+  return option ? defOf(option) : {};
+}
+
+/** Finds the rules for the place that a path leads to. */
+function rulesAt(schema: Schema, root: unknown, path: Path): Def {
+  let at: Schema | undefined = schema;
+  let value = root;
+  path.forEach((step) => {
+    const rules: Def = at ? rulesFor(at, value) : {};
+    at = typeof step === 'number' ? rules.element : rules.shape?.[String(step)];
+    value = (value as Readonly<Record<PropertyKey, unknown>> | null | undefined)?.[step];
+  });
+  return at ? rulesFor(at, value) : {};
 }
 
 function valueAt(root: unknown, path: Path): unknown {
@@ -87,8 +109,13 @@
   return known.length > 0 ? `${what}: ${known.join(', ')}` : `there are no ${what}`;
 }
 
-function unknownFields(schema: Schema, path: Path, keys: readonly string[]): SchemaFinding[] {
-  const known = knownFields(schema, path);
+function unknownFields(
+  schema: Schema,
+  root: unknown,
+  path: Path,
+  keys: readonly string[],
+): SchemaFinding[] {
+  const known = Object.keys(rulesAt(schema, root, path).shape ?? {});
   return keys.map((key) => ({
     path: [...path, key],
     atName: true,
@@ -129,6 +156,18 @@
   return { text: `${text}, found ${show(found)}`, remedy };
 }
 
+/** The union whose alternatives a field tells apart; the path leads to that field. */
+function unionAt(schema: Schema, root: unknown, path: Path): Def {
+  const list = rulesAt(schema, root, path.slice(0, -2));
+  return list.element ? defOf(list.element) : {};
+}
+
+function wrongKind(union: Def, found: unknown): { text: string; remedy: string } {
+  const kinds = kindsOf(union);
+  const text = `expected one of ${kinds.join(', ')}, found ${show(found)}`;
+  return { text, remedy: suggest(String(found), kinds, 'values') };
+}
+
 /**
  * Explains an issue of a schema.
  * @param schema - schema of the whole document
@@ -142,13 +181,16 @@
   issue: z.core.$ZodIssue,
 ): readonly SchemaFinding[] {
   const { path } = issue;
-  if (issue.code === 'unrecognized_keys') return unknownFields(schema, path, issue.keys);
+  if (issue.code === 'unrecognized_keys') return unknownFields(schema, root, path, issue.keys);
   const found = valueAt(root, path);
   const where = path.map(String).join('.');
   if (found === undefined) {
     const remedy = `add "${String(path.at(-1))}"`;
     return [{ path, atName: false, text: `missing field "${where}"`, remedy }];
   }
-  const { text, remedy } = expectation(issue, found);
+  const { text, remedy } =
+    issue.code === 'invalid_union'
+      ? wrongKind(unionAt(schema, root, path), found)
+      : expectation(issue, found);
   return [{ path, atName: false, text: where ? `${where}: ${text}` : text, remedy }];
 }
