--- a/src/budget/messages.ts
+++ b/src/budget/messages.ts
@@ -1,15 +1,17 @@
 /** Messages between daemons of the budget aggregate. */
 import { z } from 'zod';
 
-import { peerCounterSchema } from './escrow.js';
-
-/** A holder that is about to refuse a request asks another holder for units. */
+/** A holder that runs low or is about to refuse a request asks another holder for units. */
 export const borrowSchema = z
   .object({
     type: z.literal('borrow'),
     budget: z.string(),
-    /** Units that the waiting request lacks. */
-    missing: z.number().int().positive(),
+    /** Units that the waiting request lacks; 0 in the background. */
+    missing: z.number().int().nonnegative(),
+    /** Units that the borrower would like to keep ready besides. */
+    wanted: z.number().int().nonnegative(),
+    /** What the store last showed the borrower of the budget. */
+    outlook: z.object({ unspent: z.number(), totalRate: z.number() }).readonly(),
     /** Lender's counter for the borrower, as the borrower knows it. */
     known: z.number().int().nonnegative(),
   })
@@ -19,33 +21,15 @@
 export const lentSchema = z
   .object({
     type: z.literal('lent'),
+    /** Incarnation that lends. */
+    lender: z.string(),
     passed: z.number().int().nonnegative(),
     /** Units that the lender still has available. */
     left: z.number().int(),
     /** Whether the counter may be used: the lender's backup knows it. */
-    durable: z.boolean(),
-  })
-  .readonly();
-
-/** A lender hands its loans to its backup before the borrower may use them. */
-export const copyCountersSchema = z
-  .object({
-    type: z.literal('copy-counters'),
-    holder: z.string(),
-    budget: z.string(),
-    passed: z.array(peerCounterSchema).readonly(),
+    isDurable: z.boolean(),
   })
   .readonly();
 
-/** The backup keeps the loans, or refuses a holder that it has fenced. */
-export const countersCopiedSchema = z
-  .object({ type: z.literal('counters-copied'), accepted: z.boolean() })
-  .readonly();
-
 /** Schemas of the messages. */
-export const budgetMessages = [
-  borrowSchema,
-  lentSchema,
-  copyCountersSchema,
-  countersCopiedSchema,
-] as const;
+export const budgetMessages = [borrowSchema, lentSchema] as const;
--- a/src/budget/transfer.ts
+++ b/src/budget/transfer.ts
@@ -1,6 +1,7 @@
 /** Transfers: how loans between holders reach the store, each unit once. */
 import { counterOf, raiseCounter, totalOf } from './escrow.js';
-import { replaceBudget, rowOf, withHolder, withRow } from './ledger.js';
+import { replaceBudget, rowOf, withRow } from './ledger.js';
+import { entryOf } from './settlement.js';
 
 import type { PeerCounter } from './escrow.js';
 import type { BudgetRecord, BudgetShard, HolderRow } from './shard.js';
@@ -16,7 +17,6 @@
 /** What a holder tells the store of one budget; every counter is absolute. */
 export interface HolderReport {
   readonly holder: string;
-  readonly backup: string | null;
   readonly budget: string;
   readonly borrowed: readonly PeerCounter[];
   readonly passed: readonly PeerCounter[];
@@ -76,13 +76,6 @@
   ];
 }
 
-function withHolders(shard: BudgetShard, budget: BudgetRecord, report: HolderReport): BudgetShard {
-  return budget.rows.reduce(
-    (all, { holder }) => withHolder(all, holder, holder === report.holder ? report.backup : null),
-    shard,
-  );
-}
-
 /**
  * Brings what a holder lent, borrowed and gave up into the shard.
  * @param shard - shard in force
@@ -92,7 +85,10 @@
 export function applyReport(shard: BudgetShard, report: HolderReport): BudgetShard {
   const found = shard.budgets.find(({ name }) => name === report.budget);
   if (!found) return shard;
-  const moved = transfersOf(report).reduce(applyTransfer, found);
-  const next = applyReturned(moved, report);
-  return withHolders(replaceBudget(shard, next), next, report);
+  // A borrower without an entry has been closed or has not joined: an entry made here would let
+  // one that was closed settle its lines again.
+  const moved = transfersOf(report)
+    .filter(({ to }) => entryOf(shard, to) !== undefined)
+    .reduce(applyTransfer, found);
+  return replaceBudget(shard, applyReturned(moved, report));
 }
--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -8,6 +8,7 @@
 import { Recorder } from '../telemetry/index.js';
 import { HttpModelEngine, HttpOrderClient, HttpPlainService } from '../upstream/index.js';
 import { ActiveRequests } from './activerequests.js';
+import { Admission } from './admission.js';
 import { Backups } from './backups.js';
 import { BudgetTask } from './budgettask.js';
 import { Charges } from './charges.js';
@@ -16,6 +17,7 @@
 import { Grants } from './grants.js';
 import { Handover } from './handover.js';
 import { KeyRegistry } from './keyregistry.js';
+import { Lending } from './lending.js';
 import { Operations } from './operations.js';
 import { PlanExecutor } from './planexecutor.js';
 import { PlanFollower } from './planfollower.js';
@@ -107,7 +109,8 @@
     const { network } = this;
     const { dataCentre } = settings;
     const config = new ConfigTask({ self, dataCentre, store, network, recorder });
-    const budgets = new BudgetTask();
+    const clock = new SystemClock();
+    const budgets = new BudgetTask(clock);
     const backups = new Backups(self, settings.dataCentre, this.network);
     const { instance } = settings;
     const plans = new PlanFollower({ instance, dataCentre, store, network, recorder });
@@ -121,6 +124,9 @@
       recorder,
       onFenced: () => this.#fenced(),
     });
+    const grants = new Grants({ self, store, budgets, config, recorder, clock, charges });
+    const beforePass = charges.lend.bind(charges);
+    const lending = new Lending({ self, network, budgets, recorder, beforePass });
     this.#care = new ShardCare({ self, store, backups, network, config, recorder });
     this.serving = {
       self,
@@ -129,10 +135,11 @@
       store,
       config,
       budgets,
+      grants,
+      admission: new Admission({ budgets, grants, lending, network }),
       claims: new Claims(self, store),
       keys: new KeyRegistry(self, this.network),
       routing: new Routing({ config, recorder, random: Math.random, daemons, mayReceive }),
-      grants: new Grants({ self, store, budgets, config, recorder, charges }),
       charges,
       engine: new HttpModelEngine(),
       service: new HttpPlainService(),
@@ -171,6 +178,7 @@
     this.network.start();
     this.serving.charges.start();
     this.#handover.start();
+    this.serving.grants.start();
     this.serving.routing.start();
     this.#care.start();
     void this.serving.config.run();
@@ -190,6 +198,8 @@
   /** Delivers what is left and closes the links, once no request is open. */
   async finishStop(): Promise<void> {
     const { config } = this.serving;
+    this.serving.grants.stop();
+    await this.serving.grants.report();
     this.serving.routing.stop();
     this.#care.stop();
     await this.serving.keys.handOver();
--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -1,4 +1,5 @@
 /** What the runs of requests share. */
+import type { Admission } from './admission.js';
 import type { ConfigTask } from './configtask.js';
 import type { BudgetTask } from './budgettask.js';
 import type { Charges } from './charges.js';
@@ -21,6 +22,7 @@
   readonly config: ConfigTask;
   readonly budgets: BudgetTask;
   readonly grants: Grants;
+  readonly admission: Admission;
   readonly charges: Charges;
   readonly plans: PlanFollower;
   readonly claims: Claims;
