--- a/src/route/scheduler.ts
+++ b/src/route/scheduler.ts
@@ -72,7 +72,7 @@
 
 /** Owns the queue and the load estimates of one route at one daemon. */
 export class RouteScheduler {
-  readonly pool = new Pool();
+  readonly pool: Pool;
 
   readonly #queue = new FairQueue<Ticket>();
 
@@ -87,7 +87,9 @@
    * Creates the scheduler of a route.
    * @param ctx - policy, retry budget and what is known of the fleet
    */
-  constructor(private readonly ctx: SchedulerContext) {}
+  constructor(private readonly ctx: SchedulerContext) {
+    this.pool = new Pool(ctx.daemons);
+  }
 
   /** Requests that wait. */
   get waiting(): number {
@@ -118,7 +120,7 @@
         yield* this.#end(event, now);
         break;
       case 'report':
-        this.#report(event.worker, event.report, now);
+        if (!this.#report(event.worker, event.report, now)) return;
         break;
       default:
         yield* this.#expire(now);
@@ -160,7 +162,7 @@
   *#end({ worker: name, workspace, failed }: EndEvent, now: number): Generator<RouteCommand> {
     const worker = this.pool.worker(name);
     this.#countOpen(workspace, -1);
-    worker?.count(-1, now);
+    if (worker) this.pool.count(worker, -1, now);
     if (failed && worker?.health.fail(now)) yield { type: 'eject', worker: name };
   }
 
@@ -187,11 +189,13 @@
   }
 
   #place(ticket: Ticket, now: number, limit: number): string | undefined {
-    const { candidates, meanLoad } = this.pool.candidates(ticket.excluded, now, limit);
-    const { digests } = ticket;
-    const worker = this.ctx.policy.choose({ candidates, meanLoad, digests });
+    const { digests, excluded } = ticket;
+    const isWaiting = this.#queue.size > 0;
+    const { candidates, meanLoad } = this.pool.candidates({ excluded, now, limit, isWaiting });
+    const daemons = this.ctx.daemons();
+    const worker = this.ctx.policy.choose({ candidates, meanLoad, digests, now, daemons });
     if (!worker) return undefined;
-    worker.count(1, now);
+    this.pool.count(worker, 1, now);
     this.#countOpen(ticket.workspace, 1);
     this.ctx.policy.noteDispatch(worker, digests);
     return worker.name;
@@ -206,10 +210,13 @@
     return this.#queue.ahead(priority, workspace, this.#excess()) * this.#intervalMs;
   }
 
-  #report(name: string, report: LoadReport, now: number): void {
+  /** Takes a report, and says whether it shows room for a waiting request. */
+  #report(name: string, report: LoadReport, now: number): boolean {
     const { daemons, random } = this.ctx;
-    this.pool.worker(name)?.report(report, now, 1 / daemons(), random());
+    const worker = this.pool.worker(name);
+    worker?.report(report, now, 1 / daemons(), random());
     this.pool.noteReport(now);
+    return this.#queue.size > 0 && worker !== undefined && worker.allotment >= 1;
   }
 
   #excess(): ReadonlySet<string> {
