--- a/proof/catalogue.ts
+++ b/proof/catalogue.ts
@@ -1,8 +1,11 @@
 /** Every proof, in the order in which they run. */
+import { DepartureProof } from './departure.js';
+import { GracefulStopProof } from './gracefulstop.js';
 import { AtMostOnceProof } from './atmostonce.js';
 import { NotRunProof } from './notrun.js';
 import { NoOverspendProof } from './nooverspend.js';
 import { BilledOnceProof } from './billedonce.js';
+import { ConfigNeverRevertsProof } from './configneverreverts.js';
 import { OwnAnswerProof } from './ownanswer.js';
 
 import type { Proof } from './proof.js';
@@ -10,9 +13,12 @@
 /** The proofs. */
 export const PROOFS: readonly Proof[] = [
   new OwnAnswerProof(),
+  new GracefulStopProof(),
+  new DepartureProof(),
   new NotRunProof(),
   new AtMostOnceProof(),
   new NoOverspendProof('no-overspend', 0),
   new NoOverspendProof('no-overspend-lost-answers', 0.2),
   new BilledOnceProof(),
+  new ConfigNeverRevertsProof(),
 ];
--- a/src/daemon/routing.ts
+++ b/src/daemon/routing.ts
@@ -25,6 +25,8 @@
   readonly random: () => number;
   /** Live daemons of the fleet, this one included. */
   readonly daemons: () => number;
+  /** Whether an upstream may receive new work, by the plans. */
+  readonly mayReceive: (upstream: string) => boolean;
 }
 
 /** A request that asks for an upstream. */
@@ -113,7 +115,7 @@
    */
   async place(ask: PlaceRequest): Promise<Result<UpstreamDocument, Failure>> {
     const { route, excluded, digests, id } = ask;
-    const documents = this.ctx.config.current?.upstreams(route.name) ?? [];
+    const documents = this.#upstreams(route);
     const lane = this.#lane(route);
     const { priority, queueMs } = route;
     const deadline = performance.now() + queueMs;
@@ -148,10 +150,11 @@
    * Takes note that a request has ended at an upstream.
    * @param route - the route
    * @param worker - upstream name
+   * @param workspace - workspace of the request
    * @param isFailed - whether the upstream failed
    */
-  end(route: Route, worker: string, isFailed: boolean): void {
-    this.#apply(this.#lane(route), { type: 'end', worker, failed: isFailed });
+  end(route: Route, worker: string, workspace: string, isFailed: boolean): void {
+    this.#apply(this.#lane(route), { type: 'end', worker, workspace, failed: isFailed });
   }
 
   /**
@@ -164,17 +167,21 @@
     this.#apply(this.#lane(route), { type: 'report', worker, report });
   }
 
+  #upstreams(route: Route): readonly UpstreamDocument[] {
+    const published = this.ctx.config.current?.upstreams(route.name) ?? [];
+    return published.filter(({ name }) => this.ctx.mayReceive(name));
+  }
+
   #current(route: Route, name: string): UpstreamDocument | undefined {
-    const upstreams = this.ctx.config.current?.upstreams(route.name) ?? [];
-    return upstreams.find((upstream) => upstream.name === name);
+    return this.#upstreams(route).find((upstream) => upstream.name === name);
   }
 
   #lane(route: Route): Lane {
     const known = this.#lanes.get(route.name);
     if (known) return known;
-    const { random } = this.ctx;
+    const { random, daemons } = this.ctx;
     const policy = route.kind === 'model' ? new AffinityPolicy() : new LeastOpenPolicy(random);
-    const scheduler = new RouteScheduler(policy, this.retries);
+    const scheduler = new RouteScheduler({ policy, retries: this.retries, daemons, random });
     const lane: Lane = { scheduler, policy, waiting: new Map() };
     this.#lanes.set(route.name, lane);
     return lane;
--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -6,7 +6,8 @@
 import { Directory, WsPeerNetwork } from '../link/index.js';
 import { HttpInstanceList, HttpObjectStore } from '../platform/index.js';
 import { Recorder } from '../telemetry/index.js';
-import { HttpModelEngine, HttpPlainService } from '../upstream/index.js';
+import { HttpModelEngine, HttpOrderClient, HttpPlainService } from '../upstream/index.js';
+import { ActiveRequests } from './activerequests.js';
 import { Admission } from './admission.js';
 import { Backups } from './backups.js';
 import { BudgetTask } from './budgettask.js';
@@ -14,13 +15,20 @@
 import { Claims } from './claims.js';
 import { ConfigTask } from './configtask.js';
 import { Grants } from './grants.js';
+import { Handover } from './handover.js';
 import { KeyRegistry } from './keyregistry.js';
 import { Lending } from './lending.js';
 import { Operations } from './operations.js';
+import { PlanExecutor } from './planexecutor.js';
+import { PlanFollower } from './planfollower.js';
+import { PlanOperations } from './planoperations.js';
+import { PlanWork } from './planwork.js';
+import { Publishing } from './publishing.js';
 import { Routing } from './routing.js';
 import { OpenWork } from './serving.js';
 import { ShardCare } from './shardcare.js';
 import { splitAddress } from './settings.js';
+import { TimelineTask } from './timelinetask.js';
 
 import type { Serving } from './serving.js';
 import type { Settings } from './settings.js';
@@ -54,8 +62,20 @@
 
   readonly operations: Operations;
 
+  readonly plans: PlanOperations;
+
+  readonly timeline: TimelineTask;
+
+  readonly publishing: Publishing;
+
   readonly network: WsPeerNetwork;
 
+  readonly active = new ActiveRequests();
+
+  readonly #handover: Handover;
+
+  readonly #executor: PlanExecutor;
+
   readonly #directory: Directory;
 
   readonly #care: ShardCare;
@@ -86,10 +106,15 @@
       directory: this.#directory,
       recorder,
     });
-    const config = new ConfigTask(store, recorder);
+    const { network } = this;
+    const { dataCentre } = settings;
+    const config = new ConfigTask({ self, dataCentre, store, network, recorder });
     const clock = new SystemClock();
     const budgets = new BudgetTask(clock);
     const backups = new Backups(self, settings.dataCentre, this.network);
+    const { instance } = settings;
+    const plans = new PlanFollower({ instance, dataCentre, store, network, recorder });
+    const mayReceive = (upstream: string): boolean => plans.mayReceive(upstream);
     const daemons = (): number => this.network.peers().length + 1;
     const charges = new Charges({
       self,
@@ -99,13 +124,13 @@
       recorder,
       onFenced: () => this.#fenced(),
     });
-    const { network } = this;
     const grants = new Grants({ self, store, budgets, config, recorder, clock, charges });
     const beforePass = charges.lend.bind(charges);
     const lending = new Lending({ self, network, budgets, recorder, beforePass });
     this.#care = new ShardCare({ self, store, backups, network, config, recorder });
     this.serving = {
       self,
+      plans,
       settings,
       store,
       config,
@@ -114,20 +139,37 @@
       admission: new Admission({ budgets, grants, lending, network }),
       claims: new Claims(self, store),
       keys: new KeyRegistry(self, this.network),
-      routing: new Routing({ config, recorder, random: Math.random, daemons }),
+      routing: new Routing({ config, recorder, random: Math.random, daemons, mayReceive }),
       charges,
       engine: new HttpModelEngine(),
       service: new HttpPlainService(),
       recorder,
       open: new OpenWork(),
     };
+    const { open } = this.serving;
+    this.#handover = new Handover({ self, store, charges, network, recorder });
     this.operations = new Operations(store, config);
+    const { active, operations } = this;
+    const follower = plans;
+    const work = new PlanWork({ store, network, follower, open, active, charges, operations });
+    const orders = new HttpOrderClient();
+    const ctx = { self, store, config, network, follower, work, orders, recorder };
+    this.#executor = new PlanExecutor(ctx);
+    this.timeline = new TimelineTask(recorder, network);
+    this.plans = new PlanOperations(ctx);
+    this.publishing = new Publishing({ store, config, recorder, clock });
   }
 
   /** Whether the daemon takes new work: it serves and has a configuration. */
   get ready(): boolean {
-    const { charges, config } = this.serving;
-    return this.#phase === 'serving' && config.current !== undefined && !charges.isFenced;
+    const { charges, config, plans } = this.serving;
+    const knows = config.current !== undefined && plans.loaded;
+    return this.#phase === 'serving' && knows && !charges.isFenced;
+  }
+
+  /** Whether a graceful stop has begun. */
+  get stopping(): boolean {
+    return this.#phase === 'stopping';
   }
 
   /** Opens the links and begins to follow the configuration. */
@@ -136,9 +178,12 @@
     this.network.start();
     this.serving.charges.start();
     this.serving.grants.start();
+    this.#handover.start();
     this.serving.routing.start();
     this.#care.start();
     void this.serving.config.run();
+    this.serving.plans.start();
+    this.#executor.start();
     this.#phase = 'serving';
     this.recorder.record('daemonStarted');
   }
@@ -146,19 +191,20 @@
   /** Stops taking new work. */
   beginStop(): void {
     this.#phase = 'stopping';
+    this.#executor.stop();
     this.recorder.record('daemonStopping');
   }
 
   /** Delivers what is left and closes the links, once no request is open. */
   async finishStop(): Promise<void> {
-    const { charges, config } = this.serving;
-    this.serving.grants.stop();
-    await this.serving.grants.report();
+    const { config } = this.serving;
+    await this.serving.admission.leave();
     this.serving.routing.stop();
     this.#care.stop();
     await this.serving.keys.handOver();
-    await charges.leave();
+    await this.#handover.run();
     config.stop();
+    this.serving.plans.stop();
     this.#directory.stop();
     await this.network.stop();
     this.recorder.record('daemonStopped');
--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -10,6 +10,7 @@
 import type { ObjectStore } from '../platform/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { ModelEngine, PlainService } from '../upstream/index.js';
+import type { PlanFollower } from './planfollower.js';
 import type { Routing } from './routing.js';
 import type { Settings } from './settings.js';
 
@@ -23,6 +24,7 @@
   readonly grants: Grants;
   readonly admission: Admission;
   readonly charges: Charges;
+  readonly plans: PlanFollower;
   readonly claims: Claims;
   readonly keys: KeyRegistry;
   readonly routing: Routing;
--- a/src/kernel/index.ts
+++ b/src/kernel/index.ts
@@ -3,6 +3,7 @@
 export * from './failure.js';
 export * from './hash.js';
 export * from './identity.js';
+export * from './name.js';
 export * from './nearest.js';
 export * from './problem.js';
 export * from './procedure.js';
