--- a/bench/catalogue.ts
+++ b/bench/catalogue.ts
@@ -10,6 +10,7 @@
 /** The groups. */
 export const GROUPS: readonly BenchGroup[] = [
   new PathBench(),
+  new BudgetBench(),
   new RouteBench(),
   new ConfigBench(),
   new DurabilityBench(),
--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -177,8 +177,8 @@
     await this.#directory.start();
     this.network.start();
     this.serving.charges.start();
-    this.serving.grants.start();
     this.#handover.start();
+    this.serving.grants.start();
     this.serving.routing.start();
     this.#care.start();
     void this.serving.config.run();
