A daemon that is still joining a shard is not fenced by its missing entry

Cause: the outbox counts itself as joined once its join has begun. While the join still waits for a backup to answer, the care of backups (maintain) or the sign of life (beat) found no entry and took that for a fence. Ruled out: a takeover, and the lost answers themselves (a join whose answer is lost reads its entry back). Now both wait until the join has ended. The test fails without the flag.

--- a/src/daemon/outbox.ts
+++ b/src/daemon/outbox.ts
@@ -61,6 +61,9 @@
 
   #joined: Promise<boolean> | undefined;
 
+  /** While the holder joins, its entry may be missing without a fence. */
+  #isJoined = false;
+
   #copying: Promise<boolean> | undefined;
 
   #queued: Promise<boolean> | undefined;
@@ -120,6 +123,7 @@
   async join(): Promise<boolean> {
     this.#joined ??= this.#join();
     const joined = await this.#joined;
+    this.#isJoined = joined;
     if (!joined) this.#joined = undefined;
     return joined;
   }
@@ -198,7 +202,7 @@
    */
   async maintain(isSilent: boolean): Promise<void> {
     const isSound = !isSilent && this.#backupFailures === 0 && !this.#state.isChanging;
-    if (!this.#joined || this.#state.isFenced || isSound) return;
+    if (!this.#isJoined || this.#state.isFenced || isSound) return;
     if (this.backup !== null && !this.#state.isChanging && (await this.#copySoon())) return;
     const candidate = await this.ctx.backups.choose(this.backup === null ? [] : [this.backup]);
     if (candidate !== null) await this.#changeTo(candidate);
@@ -235,7 +239,7 @@
 
   /** Writes a sign of life, for recoverers that no link reaches. */
   async beat(): Promise<void> {
-    if (!this.#joined || this.#state.isFenced) return;
+    if (!this.#isJoined || this.#state.isFenced) return;
     const done = await this.#update((shard) => recordBeat(shard, this.ctx.self));
     if (done.ok) this.#check(done.val);
   }
--- /dev/null
+++ b/src/daemon/tests/outbox.test.ts
@@ -0,0 +1,44 @@
+import test from 'ava';
+
+import { StatsD } from 'hot-shots';
+import { pino } from 'pino';
+
+import { LocalNetwork } from '../../../testbed/localnetwork.js';
+import { MemoryStore } from '../../../testbed/memorystore.js';
+import { parseShard, shardKey } from '../../budget/index.js';
+import { SystemClock } from '../../kernel/index.js';
+import { Recorder } from '../../telemetry/index.js';
+import { Backups } from '../backups.js';
+import { Outbox } from '../outbox.js';
+
+const SELF = 'entry~1';
+
+test('an outbox that is still joining takes its missing entry for no fence', async (t) => {
+  const store = new MemoryStore();
+  const network = new LocalNetwork(SELF, 'dc-1', 1);
+  const far = new LocalNetwork('peer~1', 'dc-2', 1);
+  // Answers the queries of this daemon.
+  const peer = new Backups('peer~1', 'dc-2', far);
+  network.connect(far);
+  const fenced: string[] = [];
+  const outbox = new Outbox(0, {
+    self: SELF,
+    store,
+    backups: new Backups(SELF, 'dc-1', network),
+    recorder: new Recorder(SELF, new SystemClock(), {
+      logger: pino({ level: 'silent' }),
+      metrics: new StatsD({ mock: true }),
+    }),
+    onFenced: (detail) => fenced.push(detail),
+  });
+  // Joining waits for a backup to answer; the store answers at once.
+  const joining = outbox.join();
+  await outbox.beat();
+  t.true(await joining);
+  t.truthy(peer);
+  t.deepEqual(fenced, []);
+  t.deepEqual(
+    parseShard(store.peek(shardKey(0))).holders.map(({ holder, backup }) => [holder, backup]),
+    [[SELF, 'peer~1']],
+  );
+});
