--- a/proof/catalogue.ts
+++ b/proof/catalogue.ts
@@ -6,6 +6,7 @@
 import { NoOverspendProof } from './nooverspend.js';
 import { BilledOnceProof } from './billedonce.js';
 import { ConfigNeverRevertsProof } from './configneverreverts.js';
+import { ServesWhileCutProof } from './serveswhilecut.js';
 import { OwnAnswerProof } from './ownanswer.js';
 
 import type { Proof } from './proof.js';
@@ -19,6 +20,7 @@
   new AtMostOnceProof(),
   new NoOverspendProof('no-overspend', 0),
   new NoOverspendProof('no-overspend-lost-answers', 0.2),
+  new ServesWhileCutProof(),
   new BilledOnceProof(),
   new ConfigNeverRevertsProof(),
 ];
