--- a/bench/routedecision.ts
+++ b/bench/routedecision.ts
@@ -25,6 +25,7 @@
       workspace: `w${prefix % 10}`,
       priority: 'normal' as const,
       digests,
+      isRetry: false,
       excluded: [],
       deadline: index + 1_000,
     };
--- a/bench/routesimulation.ts
+++ b/bench/routesimulation.ts
@@ -203,7 +203,9 @@
     const { arrival, entry, excluded } = flight;
     const { workspace, priority, digests, id } = arrival;
     const deadline = this.#now + QUEUE_LIMIT_MS;
-    const ticket: Ticket = { id: String(id), workspace, priority, digests, excluded, deadline };
+    const isRetry = excluded.length > 0;
+    const base = { id: String(id), workspace, priority, digests };
+    const ticket: Ticket = { ...base, isRetry, excluded, deadline };
     this.#handle(entry, { type: 'submit', ticket });
   }
 
--- a/src/daemon/routing.ts
+++ b/src/daemon/routing.ts
@@ -10,7 +10,14 @@
 
 import type { Route, UpstreamDocument, Workspace } from '../config/index.js';
 import type { Failure, Result } from '../kernel/index.js';
-import type { ChoicePolicy, LoadReport, RouteCommand, RouteEvent, Ticket } from '../route/index.js';
+import type {
+  ChoicePolicy,
+  LoadReport,
+  RouteCommand,
+  RouteEvent,
+  Ticket,
+  WorkerDocument,
+} from '../route/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { ConfigTask } from './configtask.js';
 
@@ -45,13 +52,17 @@
   readonly evicted: readonly number[];
 }
 
-/** One route with the requests that wait for an answer of its scheduler. */
+/** The workers of one or several routes, with the requests that wait for them. */
 interface Lane {
   readonly scheduler: RouteScheduler;
-  readonly route: Route;
+  /** Routes to the same workers share a queue, so that their priorities meet. */
+  readonly routes: Map<string, Route>;
+  /** Addresses of the workers by upstream name. */
+  readonly urls: Map<string, string>;
   readonly policy: ChoicePolicy;
   readonly waiting: Map<string, (command: RouteCommand) => void>;
-  documents: readonly UpstreamDocument[];
+  documents: readonly WorkerDocument[];
+  upstreams: readonly UpstreamDocument[];
   /** Time of the last request, in milliseconds. */
   usedAt: number;
 }
@@ -83,7 +94,7 @@
   /** Begins to check deadlines. */
   start(): void {
     this.#timer = setInterval(() => {
-      this.#lanes.forEach((lane) => {
+      new Set(this.#lanes.values()).forEach((lane) => {
         if (lane.scheduler.waiting > 0) this.#apply(lane, { type: 'tick' });
       });
     }, TICK_MS);
@@ -96,7 +107,10 @@
 
   /** Requests that wait at all routes. */
   get waiting(): number {
-    return [...this.#lanes.values()].reduce((sum, { scheduler }) => sum + scheduler.waiting, 0);
+    return [...new Set(this.#lanes.values())].reduce(
+      (sum, { scheduler }) => sum + scheduler.waiting,
+      0,
+    );
   }
 
   /**
@@ -126,26 +140,31 @@
    * @returns the upstream, counted as busy until "end"; otherwise why there is none
    */
   async place(ask: PlaceRequest): Promise<Result<UpstreamDocument, Failure>> {
-    const { route, excluded, digests } = ask;
+    const { route, digests } = ask;
     const lane = this.#lane(route);
-    const documents = this.#documents(lane, route);
-    const { priority, queueMs } = route;
+    const documents = this.#documents(lane);
     lane.usedAt = performance.now();
-    const deadline = lane.usedAt + queueMs;
-    const workspace = ask.workspace.name;
     this.#tickets += 1;
-    const id = String(this.#tickets);
-    const ticket: Ticket = { id, workspace, priority, digests, excluded, deadline };
+    const ticket: Ticket = {
+      id: String(this.#tickets),
+      workspace: ask.workspace.name,
+      priority: route.priority,
+      digests,
+      isRetry: ask.excluded.length > 0,
+      excluded: this.#excluded(lane, ask),
+      deadline: lane.usedAt + route.queueMs,
+    };
     const command = await new Promise<RouteCommand>((resolve) => {
-      lane.waiting.set(id, resolve);
+      lane.waiting.set(ticket.id, resolve);
       ask.signal.addEventListener('abort', () => this.#abandon(lane, ticket), { once: true });
       this.#apply(lane, { type: 'workers', documents });
       this.#apply(lane, { type: 'submit', ticket });
     });
     if (command.type === 'dispatch') {
-      const upstream = documents.find(({ name }) => name === command.worker);
-      const current = upstream ?? this.#current(route, command.worker);
-      if (current) return Ok(current);
+      const upstream = this.#upstreams(route).find(({ url }) => url === command.worker);
+      if (upstream) return Ok(upstream);
+      const workspace = ask.workspace.name;
+      this.#apply(lane, { type: 'end', worker: command.worker, workspace, failed: false });
     }
     if (command.type !== 'refuse') return Err(failure('upstream-unavailable', route.name));
     return Err(refused(command.code, `route ${route.name}`, command.retryAfterMs));
@@ -158,7 +177,8 @@
    * @param delayMs - since the dispatch, in milliseconds
    */
   begin(route: Route, worker: string, delayMs: number): void {
-    this.#apply(this.#lane(route), { type: 'begin', worker, delayMs });
+    const lane = this.#lane(route);
+    this.#apply(lane, { type: 'begin', worker: lane.urls.get(worker) ?? worker, delayMs });
   }
 
   /**
@@ -169,7 +189,9 @@
    * @param isFailed - whether the upstream failed
    */
   end(route: Route, worker: string, workspace: string, isFailed: boolean): void {
-    this.#apply(this.#lane(route), { type: 'end', worker, workspace, failed: isFailed });
+    const lane = this.#lane(route);
+    const url = lane.urls.get(worker) ?? worker;
+    this.#apply(lane, { type: 'end', worker: url, workspace, failed: isFailed });
   }
 
   /**
@@ -179,9 +201,9 @@
    */
   activeRoutes(withinMs: number): readonly Route[] {
     const since = performance.now() - withinMs;
-    return [...this.#lanes.values()]
+    return [...new Set(this.#lanes.values())]
       .filter(({ usedAt, scheduler }) => usedAt > since || scheduler.waiting > 0)
-      .map(({ route }) => route);
+      .flatMap(({ routes }) => [...routes.values()]);
   }
 
   /**
@@ -191,10 +213,11 @@
    * @param news - digests of prompt prefixes
    */
   noteCache(route: Route, worker: string, { stored, evicted }: CacheNews): void {
-    const { policy } = this.#lane(route);
+    const { policy, urls } = this.#lane(route);
+    const url = urls.get(worker) ?? worker;
     if (!(policy instanceof AffinityPolicy)) return;
-    policy.index.add(worker, stored);
-    policy.index.remove(worker, evicted);
+    policy.index.add(url, stored);
+    policy.index.remove(url, evicted);
   }
 
   /**
@@ -204,41 +227,84 @@
    * @param report - the report
    */
   report(route: Route, worker: string, report: LoadReport): void {
-    this.#apply(this.#lane(route), { type: 'report', worker, report });
+    const lane = this.#lane(route);
+    this.#apply(lane, { type: 'report', worker: lane.urls.get(worker) ?? worker, report });
+  }
+
+  #published(route: Route): readonly UpstreamDocument[] {
+    return this.ctx.config.current?.upstreams(route.name) ?? [];
   }
 
   #upstreams(route: Route): readonly UpstreamDocument[] {
-    const published = this.ctx.config.current?.upstreams(route.name) ?? [];
-    return published.filter(({ name }) => this.ctx.mayReceive(name));
+    return this.#published(route).filter(({ name }) => this.ctx.mayReceive(name));
   }
 
-  /** Routes keep their list as long as it has not changed, so that the pool need not be rebuilt. */
-  #documents(lane: Lane, route: Route): readonly UpstreamDocument[] {
+  /** A lane keeps its list as long as nothing changed, so that the pool need not be rebuilt. */
+  #documents(lane: Lane): readonly WorkerDocument[] {
     const state = lane;
-    const found = this.#upstreams(route);
+    const upstreams = [...lane.routes.values()].flatMap((route) => this.#upstreams(route));
     const isSame =
-      found.length === lane.documents.length &&
-      found.every((upstream, index) => upstream === lane.documents[index]);
-    if (!isSame) state.documents = found;
-    return lane.documents;
+      upstreams.length === lane.upstreams.length &&
+      upstreams.every((upstream, index) => upstream === lane.upstreams[index]);
+    if (isSame) return lane.documents;
+    state.upstreams = upstreams;
+    upstreams.forEach(({ name, url }) => lane.urls.set(name, url));
+    const workers = new Map<string, WorkerDocument>();
+    upstreams.forEach(({ url, concurrency, state: serving }) => {
+      const known = workers.get(url);
+      if (known?.state !== 'serving') workers.set(url, { name: url, concurrency, state: serving });
+    });
+    state.documents = [...workers.values()];
+    return state.documents;
+  }
+
+  /** Workers that have been tried, and those that only other routes of the lane may use. */
+  #excluded(lane: Lane, { route, excluded }: PlaceRequest): readonly string[] {
+    const tried = excluded.map((name) => lane.urls.get(name) ?? name);
+    if (lane.routes.size === 1) return tried;
+    const own = new Set(this.#serving(route));
+    return [...tried, ...lane.documents.map(({ name }) => name).filter((url) => !own.has(url))];
   }
 
-  #current(route: Route, name: string): UpstreamDocument | undefined {
-    return this.#upstreams(route).find((upstream) => upstream.name === name);
+  #serving(route: Route): readonly string[] {
+    return this.#upstreams(route)
+      .filter(({ state }) => state === 'serving')
+      .map(({ url }) => url);
   }
 
   #lane(route: Route): Lane {
     const known = this.#lanes.get(route.name);
-    if (known) return known;
-    const { random, daemons } = this.ctx;
-    const policy =
-      route.kind === 'model' ? new AffinityPolicy({ random }) : new LeastOpenPolicy(random);
-    const scheduler = new RouteScheduler({ policy, retries: this.retries, daemons, random });
-    const lane = { scheduler, route, policy, waiting: new Map(), documents: [], usedAt: 0 };
+    if (known) {
+      known.routes.set(route.name, route);
+      return known;
+    }
+    const lane = this.#shared(route) ?? this.#makeLane(route);
+    lane.routes.set(route.name, route);
     this.#lanes.set(route.name, lane);
     return lane;
   }
 
+  /** The lane of another route of this kind to the very same workers. */
+  #shared(route: Route): Lane | undefined {
+    const key = (other: Route): string =>
+      this.#published(other)
+        .map(({ url }) => url)
+        .sort()
+        .join(' ');
+    const own = key(route);
+    return [...this.#lanes.values()].find(({ routes }) =>
+      [...routes.values()].some((other) => other.kind === route.kind && key(other) === own),
+    );
+  }
+
+  #makeLane({ kind }: Route): Lane {
+    const { random, daemons } = this.ctx;
+    const policy = kind === 'model' ? new AffinityPolicy({ random }) : new LeastOpenPolicy(random);
+    const scheduler = new RouteScheduler({ policy, retries: this.retries, daemons, random });
+    const fresh = { routes: new Map(), urls: new Map(), waiting: new Map() };
+    return { ...fresh, scheduler, policy, documents: [], upstreams: [], usedAt: 0 };
+  }
+
   #abandon(lane: Lane, ticket: Ticket): void {
     const resolve = lane.waiting.get(ticket.id);
     if (!resolve) return;
--- /dev/null
+++ b/src/daemon/tests/routing.test.ts
@@ -0,0 +1,144 @@
+/** Tests of routing with real daemons: silent workers, priorities, callers that leave. */
+import { setTimeout as delay } from 'node:timers/promises';
+
+import test from 'ava';
+
+import { askModel } from '../../../testbed/caller.js';
+import { API_KEY } from '../../../testbed/documents.js';
+import { Fleet } from '../../../testbed/fleet.js';
+import { waitFor } from '../../../testbed/wait.js';
+
+import type { Documents } from '../../config/index.js';
+import type { TimelineView } from '../../telemetry/index.js';
+import type { Received } from '../../../testbed/caller.js';
+
+const UNITS = 1_000_000;
+const TOKENS = 10;
+
+function ask(
+  fleet: Fleet,
+  model: string,
+  prompt: string,
+  maxTokens = TOKENS,
+  signal?: AbortSignal,
+): Promise<Received> {
+  const { url } = fleet.daemon(0);
+  const base = { url, apiKey: API_KEY, model, prompt, maxTokens };
+  return askModel(signal ? { ...base, signal } : base);
+}
+
+/** Three routes to the same engine, which takes one request at a time. */
+function narrowDocuments({ documents }: Fleet): Documents {
+  const [route] = documents.routes;
+  const [engine] = documents.upstreams;
+  if (!route || !engine) throw new Error('the test documents have changed');
+  const priorities = ['urgent', 'normal', 'bulk'] as const;
+  return {
+    ...documents,
+    routes: priorities.map((priority) => ({
+      ...route,
+      name: `narrow-${priority}`,
+      priority,
+      queueMs: 20_000,
+    })),
+    upstreams: priorities.map((priority) => ({
+      ...engine,
+      name: `engine-${priority}`,
+      route: `narrow-${priority}`,
+      concurrency: 1,
+    })),
+  };
+}
+
+async function replaceDocuments(fleet: Fleet, documents: Documents): Promise<void> {
+  await fleet.publish(documents);
+  await waitFor('the documents are in force', async () => {
+    const { revision } = await fleet.daemon(0).operator<{ readonly revision: number }>('status');
+    return revision >= 2;
+  });
+}
+
+test('a silent worker is ejected; callers get another whole answer or an honest refusal', async (t) => {
+  const fleet = await Fleet.start({ daemons: 1, engines: 3, units: UNITS });
+  try {
+    const { documents } = fleet;
+    const routes = documents.routes.map((route) => ({ ...route, firstByteMs: 500 }));
+    await replaceDocuments(fleet, { ...documents, routes });
+    const prompts = Array.from({ length: 30 }, (_, index) => `question ${index} about a berth`);
+    fleet.engines[0]?.setFaults({ silent: true });
+    const first = await Promise.all(prompts.map((prompt) => ask(fleet, 'drafts', prompt)));
+    const whole = first.filter((answer) => answer.whole);
+    const refused = first.filter((answer) => !answer.whole);
+    t.log(`${whole.length} whole, ${refused.length} refused`);
+    t.true(whole.length > 0);
+    t.true(
+      refused.every(({ code, outcome }) => code !== undefined && outcome !== 'not-run'),
+      'an attempt that may have run is never called not-run',
+    );
+    const { events } = await fleet.daemon(0).operator<TimelineView>('timeline');
+    t.true(events.some(({ name }) => name === 'upstreamEjected'));
+    const later = await Promise.all(prompts.map((prompt) => ask(fleet, 'drafts', prompt)));
+    t.is(later.filter((answer) => answer.whole).length, prompts.length);
+  } finally {
+    await fleet.stop();
+  }
+});
+
+test('urgent goes before bulk when the workers are busy, and bulk still moves', async (t) => {
+  const fleet = await Fleet.start({ daemons: 1, engines: 1, units: UNITS });
+  try {
+    await replaceDocuments(fleet, narrowDocuments(fleet));
+    const order: string[] = [];
+    const send = async (route: string): Promise<void> => {
+      const answer = await ask(fleet, route, `one of ${route}`);
+      if (answer.whole) order.push(route);
+    };
+    const running = send('narrow-normal');
+    await delay(30);
+    const bulk = Array.from({ length: 3 }, () => send('narrow-bulk'));
+    await delay(30);
+    const urgent = Array.from({ length: 3 }, () => send('narrow-urgent'));
+    await Promise.all([running, ...bulk, ...urgent]);
+    t.is(order.length, 7);
+    t.is(order[0], 'narrow-normal');
+    const places = order.flatMap((route, place) => (route === 'narrow-urgent' ? [place] : []));
+    t.true(Math.max(...places) <= 4, order.join(' '));
+  } finally {
+    await fleet.stop();
+  }
+});
+
+test('a request that cannot wait long enough is refused with a delay, and did not run', async (t) => {
+  const fleet = await Fleet.start({ daemons: 1, engines: 1, units: UNITS });
+  try {
+    const documents = narrowDocuments(fleet);
+    const routes = documents.routes.map((route) => ({ ...route, queueMs: 100 }));
+    await replaceDocuments(fleet, { ...documents, routes });
+    const long = ask(fleet, 'narrow-normal', 'a long one', 100);
+    await delay(50);
+    const refused = await ask(fleet, 'narrow-normal', 'too late');
+    t.is(refused.status, 429);
+    t.is(refused.code, 'overloaded');
+    t.is(refused.outcome, 'not-run');
+    t.true((await long).whole);
+    t.is(fleet.engines[0]?.counts.requests, 1);
+  } finally {
+    await fleet.stop();
+  }
+});
+
+test('when the caller leaves, the engine stops', async (t) => {
+  const fleet = await Fleet.start({ daemons: 1, engines: 1, units: UNITS });
+  try {
+    const caller = new AbortController();
+    const asked = ask(fleet, 'drafts', 'a long one', 2_000, caller.signal);
+    await waitFor('the answer has begun', () => (fleet.engines[0]?.counts.tokens ?? 0) > 3);
+    caller.abort();
+    await asked;
+    await waitFor('the engine has cancelled', () => fleet.engines[0]?.counts.cancelled === 1);
+    const { tokens = 0 } = fleet.engines[0]?.counts ?? {};
+    t.true(tokens < 2_000);
+  } finally {
+    await fleet.stop();
+  }
+});
--- a/src/route/scheduler.ts
+++ b/src/route/scheduler.ts
@@ -21,7 +21,9 @@
 /** A request that asks for a worker. */
 export interface Ticket extends Queued {
   readonly digests: readonly number[];
-  /** Workers that earlier attempts have tried; not empty for a retry. */
+  /** Whether an earlier attempt of the request has failed. */
+  readonly isRetry: boolean;
+  /** Workers that may not take the request. */
   readonly excluded: readonly string[];
   /** Time in milliseconds until which the request may wait. */
   readonly deadline: number;
@@ -129,8 +131,7 @@
   }
 
   *#submit(ticket: Ticket, now: number): Generator<RouteCommand> {
-    const retry = ticket.excluded.length > 0;
-    if (!retry) this.ctx.retries.addRequest();
+    if (!ticket.isRetry) this.ctx.retries.addRequest();
     else if (this.#untried(ticket) === 0 || !this.ctx.retries.takeRetry()) {
       yield this.#refusal(ticket, 'upstream-unavailable', MIN_RETRY_AFTER_MS);
       return;
--- a/src/route/tests/scheduler.test.ts
+++ b/src/route/tests/scheduler.test.ts
@@ -18,7 +18,8 @@
 
 function submit(id: string, fields: Partial<Ticket> = {}): RouteEvent {
   const base = { workspace: 'w', priority: 'normal', digests: [], excluded: [] } as const;
-  return { type: 'submit', ticket: { ...base, deadline: 1_000, id, ...fields } };
+  const isRetry = fields.excluded !== undefined;
+  return { type: 'submit', ticket: { ...base, isRetry, deadline: 1_000, id, ...fields } };
 }
 
 function workers(...names: readonly string[]): RouteEvent {
