--- /dev/null
+++ b/src/daemon/lanes.ts
@@ -0,0 +1,148 @@
+/** Lanes: the queues of the routes, one for all routes to the same workers. */
+import { AffinityPolicy, LeastOpenPolicy, RouteScheduler } from '../route/index.js';
+
+import type { Route, UpstreamDocument } from '../config/index.js';
+import type { ChoicePolicy, RetryBudget, RouteCommand, WorkerDocument } from '../route/index.js';
+import type { ConfigTask } from './configtask.js';
+
+/** What lanes are made from. */
+export interface LaneContext {
+  readonly config: ConfigTask;
+  /** Random numbers in [0, 1). */
+  readonly random: () => number;
+  /** Live daemons of the fleet, this one included. */
+  readonly daemons: () => number;
+  /** Whether an upstream may receive new work, by the plans. */
+  readonly mayReceive: (upstream: string) => boolean;
+  /** Retry budget of the whole daemon. */
+  readonly retries: RetryBudget;
+}
+
+/** The workers of one or several routes, with the requests that wait for them. */
+export interface Lane {
+  readonly scheduler: RouteScheduler;
+  /** Routes to the same workers share a queue, so that their priorities meet. */
+  readonly routes: Map<string, Route>;
+  /** Addresses of the workers by upstream name. */
+  readonly urls: Map<string, string>;
+  readonly policy: ChoicePolicy;
+  readonly waiting: Map<string, (command: RouteCommand) => void>;
+  documents: readonly WorkerDocument[];
+  upstreams: readonly UpstreamDocument[];
+  /** Time of the last request, in milliseconds. */
+  usedAt: number;
+}
+
+/** Owns the lanes of one daemon. */
+export class Lanes {
+  readonly #lanes = new Map<string, Lane>();
+
+  /**
+   * Creates the lanes; each is made when its route is first used.
+   * @param ctx - configuration and what the schedulers decide with
+   */
+  constructor(private readonly ctx: LaneContext) {}
+
+  /**
+   * Lists the lanes.
+   * @returns each lane once
+   */
+  all(): readonly Lane[] {
+    return [...new Set(this.#lanes.values())];
+  }
+
+  /**
+   * Lists the upstreams of a route that may receive new work, by the plans.
+   * @param route - the route
+   * @returns the upstreams
+   */
+  upstreams(route: Route): readonly UpstreamDocument[] {
+    return this.#published(route).filter(({ name }) => this.ctx.mayReceive(name));
+  }
+
+  /**
+   * Lists the workers of a lane: the same list as long as nothing changed, so that the pool need
+   * not be rebuilt.
+   * @param lane - the lane
+   * @returns every worker that some route of the lane may use
+   */
+  documents(lane: Lane): readonly WorkerDocument[] {
+    const state = lane;
+    const upstreams = [...lane.routes.values()].flatMap((route) => this.upstreams(route));
+    const isSame =
+      upstreams.length === lane.upstreams.length &&
+      upstreams.every((upstream, index) => upstream === lane.upstreams[index]);
+    if (isSame) return lane.documents;
+    state.upstreams = upstreams;
+    upstreams.forEach(({ name, url }) => lane.urls.set(name, url));
+    const workers = new Map<string, WorkerDocument>();
+    upstreams.forEach(({ url, concurrency, state: serving }) => {
+      const known = workers.get(url);
+      if (known?.state !== 'serving') workers.set(url, { name: url, concurrency, state: serving });
+    });
+    state.documents = [...workers.values()];
+    return state.documents;
+  }
+
+  /**
+   * Lists the workers that a request may not use.
+   * @param lane - lane of its route
+   * @param route - its route
+   * @param tried - upstreams that earlier attempts have tried
+   * @returns those, and the workers that only other routes of the lane may use
+   */
+  excluded(lane: Lane, route: Route, tried: readonly string[]): readonly string[] {
+    const urls = tried.map((name) => lane.urls.get(name) ?? name);
+    if (lane.routes.size === 1) return urls;
+    const own = new Set(this.#serving(route));
+    return [...urls, ...lane.documents.map(({ name }) => name).filter((url) => !own.has(url))];
+  }
+
+  #serving(route: Route): readonly string[] {
+    return this.upstreams(route)
+      .filter(({ state }) => state === 'serving')
+      .map(({ url }) => url);
+  }
+
+  /**
+   * Gives the lane of a route, shared with the other routes to the very same workers.
+   * @param route - the route
+   * @returns its lane
+   */
+  of(route: Route): Lane {
+    const known = this.#lanes.get(route.name);
+    if (known) {
+      known.routes.set(route.name, route);
+      return known;
+    }
+    const lane = this.#shared(route) ?? this.#make(route);
+    lane.routes.set(route.name, route);
+    this.#lanes.set(route.name, lane);
+    return lane;
+  }
+
+  /** The lane of another route of this kind to the very same workers. */
+  #shared(route: Route): Lane | undefined {
+    const key = (other: Route): string =>
+      this.#published(other)
+        .map(({ url }) => url)
+        .sort()
+        .join(' ');
+    const own = key(route);
+    return [...this.#lanes.values()].find(({ routes }) =>
+      [...routes.values()].some((other) => other.kind === route.kind && key(other) === own),
+    );
+  }
+
+  #make({ kind }: Route): Lane {
+    const { random, daemons, retries } = this.ctx;
+    const policy = kind === 'model' ? new AffinityPolicy({ random }) : new LeastOpenPolicy(random);
+    const scheduler = new RouteScheduler({ policy, retries, daemons, random });
+    const fresh = { routes: new Map(), urls: new Map(), waiting: new Map() };
+    return { ...fresh, scheduler, policy, documents: [], upstreams: [], usedAt: 0 };
+  }
+
+  #published(route: Route): readonly UpstreamDocument[] {
+    return this.ctx.config.current?.upstreams(route.name) ?? [];
+  }
+}
--- a/src/daemon/routing.ts
+++ b/src/daemon/routing.ts
@@ -1,39 +1,20 @@
 /** Owns the route schedulers of one daemon: places requests, lets them wait, or refuses them. */
 import { Err, failure, Ok } from '../kernel/index.js';
-import {
-  AffinityPolicy,
-  LeastOpenPolicy,
-  RetryBudget,
-  RouteScheduler,
-  WorkspaceUse,
-} from '../route/index.js';
+import { AffinityPolicy, RetryBudget, WorkspaceUse } from '../route/index.js';
+import { Lanes } from './lanes.js';
 
 import type { Route, UpstreamDocument, Workspace } from '../config/index.js';
 import type { Failure, Result } from '../kernel/index.js';
-import type {
-  ChoicePolicy,
-  LoadReport,
-  RouteCommand,
-  RouteEvent,
-  Ticket,
-  WorkerDocument,
-} from '../route/index.js';
+import type { LoadReport, RouteCommand, RouteEvent, Ticket } from '../route/index.js';
 import type { Recorder } from '../telemetry/index.js';
-import type { ConfigTask } from './configtask.js';
+import type { Lane, LaneContext } from './lanes.js';
 
 /** Interval at which waiting requests are checked against their deadlines, in milliseconds. */
 const TICK_MS = 50;
 
 /** What routing needs. */
-export interface RoutingContext {
-  readonly config: ConfigTask;
+export interface RoutingContext extends Omit<LaneContext, 'retries'> {
   readonly recorder: Recorder;
-  /** Random numbers in [0, 1). */
-  readonly random: () => number;
-  /** Live daemons of the fleet, this one included. */
-  readonly daemons: () => number;
-  /** Whether an upstream may receive new work, by the plans. */
-  readonly mayReceive: (upstream: string) => boolean;
 }
 
 /** A request that asks for an upstream. */
@@ -52,21 +33,6 @@
   readonly evicted: readonly number[];
 }
 
-/** The workers of one or several routes, with the requests that wait for them. */
-interface Lane {
-  readonly scheduler: RouteScheduler;
-  /** Routes to the same workers share a queue, so that their priorities meet. */
-  readonly routes: Map<string, Route>;
-  /** Addresses of the workers by upstream name. */
-  readonly urls: Map<string, string>;
-  readonly policy: ChoicePolicy;
-  readonly waiting: Map<string, (command: RouteCommand) => void>;
-  documents: readonly WorkerDocument[];
-  upstreams: readonly UpstreamDocument[];
-  /** Time of the last request, in milliseconds. */
-  usedAt: number;
-}
-
 /** Refuses with the delay after which a caller may try again. */
 function refused(code: Failure['code'], subject: string, retryAfterMs: number): Failure {
   return { ...failure(code, subject), retryAfterMs };
@@ -76,7 +42,7 @@
 export class Routing {
   readonly retries = new RetryBudget();
 
-  readonly #lanes = new Map<string, Lane>();
+  readonly #lanes: Lanes;
 
   readonly #uses = new WorkspaceUse();
 
@@ -89,12 +55,14 @@
    * Creates the task.
    * @param ctx - configuration, events, random numbers and the size of the fleet
    */
-  constructor(private readonly ctx: RoutingContext) {}
+  constructor(private readonly ctx: RoutingContext) {
+    this.#lanes = new Lanes({ ...ctx, retries: this.retries });
+  }
 
   /** Begins to check deadlines. */
   start(): void {
     this.#timer = setInterval(() => {
-      new Set(this.#lanes.values()).forEach((lane) => {
+      this.#lanes.all().forEach((lane) => {
         if (lane.scheduler.waiting > 0) this.#apply(lane, { type: 'tick' });
       });
     }, TICK_MS);
@@ -107,10 +75,7 @@
 
   /** Requests that wait at all routes. */
   get waiting(): number {
-    return [...new Set(this.#lanes.values())].reduce(
-      (sum, { scheduler }) => sum + scheduler.waiting,
-      0,
-    );
+    return this.#lanes.all().reduce((sum, { scheduler }) => sum + scheduler.waiting, 0);
   }
 
   /**
@@ -141,8 +106,8 @@
    */
   async place(ask: PlaceRequest): Promise<Result<UpstreamDocument, Failure>> {
     const { route, digests } = ask;
-    const lane = this.#lane(route);
-    const documents = this.#documents(lane);
+    const lane = this.#lanes.of(route);
+    const documents = this.#lanes.documents(lane);
     lane.usedAt = performance.now();
     this.#tickets += 1;
     const ticket: Ticket = {
@@ -151,7 +116,7 @@
       priority: route.priority,
       digests,
       isRetry: ask.excluded.length > 0,
-      excluded: this.#excluded(lane, ask),
+      excluded: this.#lanes.excluded(lane, route, ask.excluded),
       deadline: lane.usedAt + route.queueMs,
     };
     const command = await new Promise<RouteCommand>((resolve) => {
@@ -161,7 +126,7 @@
       this.#apply(lane, { type: 'submit', ticket });
     });
     if (command.type === 'dispatch') {
-      const upstream = this.#upstreams(route).find(({ url }) => url === command.worker);
+      const upstream = this.#lanes.upstreams(route).find(({ url }) => url === command.worker);
       if (upstream) return Ok(upstream);
       const workspace = ask.workspace.name;
       this.#apply(lane, { type: 'end', worker: command.worker, workspace, failed: false });
@@ -177,7 +142,7 @@
    * @param delayMs - since the dispatch, in milliseconds
    */
   begin(route: Route, worker: string, delayMs: number): void {
-    const lane = this.#lane(route);
+    const lane = this.#lanes.of(route);
     this.#apply(lane, { type: 'begin', worker: lane.urls.get(worker) ?? worker, delayMs });
   }
 
@@ -189,7 +154,7 @@
    * @param isFailed - whether the upstream failed
    */
   end(route: Route, worker: string, workspace: string, isFailed: boolean): void {
-    const lane = this.#lane(route);
+    const lane = this.#lanes.of(route);
     const url = lane.urls.get(worker) ?? worker;
     this.#apply(lane, { type: 'end', worker: url, workspace, failed: isFailed });
   }
@@ -201,7 +166,8 @@
    */
   activeRoutes(withinMs: number): readonly Route[] {
     const since = performance.now() - withinMs;
-    return [...new Set(this.#lanes.values())]
+    return this.#lanes
+      .all()
       .filter(({ usedAt, scheduler }) => usedAt > since || scheduler.waiting > 0)
       .flatMap(({ routes }) => [...routes.values()]);
   }
@@ -213,7 +179,7 @@
    * @param news - digests of prompt prefixes
    */
   noteCache(route: Route, worker: string, { stored, evicted }: CacheNews): void {
-    const { policy, urls } = this.#lane(route);
+    const { policy, urls } = this.#lanes.of(route);
     const url = urls.get(worker) ?? worker;
     if (!(policy instanceof AffinityPolicy)) return;
     policy.index.add(url, stored);
@@ -227,84 +193,10 @@
    * @param report - the report
    */
   report(route: Route, worker: string, report: LoadReport): void {
-    const lane = this.#lane(route);
+    const lane = this.#lanes.of(route);
     this.#apply(lane, { type: 'report', worker: lane.urls.get(worker) ?? worker, report });
   }
 
-  #published(route: Route): readonly UpstreamDocument[] {
-    return this.ctx.config.current?.upstreams(route.name) ?? [];
-  }
-
-  #upstreams(route: Route): readonly UpstreamDocument[] {
-    return this.#published(route).filter(({ name }) => this.ctx.mayReceive(name));
-  }
-
-  /** A lane keeps its list as long as nothing changed, so that the pool need not be rebuilt. */
-  #documents(lane: Lane): readonly WorkerDocument[] {
-    const state = lane;
-    const upstreams = [...lane.routes.values()].flatMap((route) => this.#upstreams(route));
-    const isSame =
-      upstreams.length === lane.upstreams.length &&
-      upstreams.every((upstream, index) => upstream === lane.upstreams[index]);
-    if (isSame) return lane.documents;
-    state.upstreams = upstreams;
-    upstreams.forEach(({ name, url }) => lane.urls.set(name, url));
-    const workers = new Map<string, WorkerDocument>();
-    upstreams.forEach(({ url, concurrency, state: serving }) => {
-      const known = workers.get(url);
-      if (known?.state !== 'serving') workers.set(url, { name: url, concurrency, state: serving });
-    });
-    state.documents = [...workers.values()];
-    return state.documents;
-  }
-
-  /** Workers that have been tried, and those that only other routes of the lane may use. */
-  #excluded(lane: Lane, { route, excluded }: PlaceRequest): readonly string[] {
-    const tried = excluded.map((name) => lane.urls.get(name) ?? name);
-    if (lane.routes.size === 1) return tried;
-    const own = new Set(this.#serving(route));
-    return [...tried, ...lane.documents.map(({ name }) => name).filter((url) => !own.has(url))];
-  }
-
-  #serving(route: Route): readonly string[] {
-    return this.#upstreams(route)
-      .filter(({ state }) => state === 'serving')
-      .map(({ url }) => url);
-  }
-
-  #lane(route: Route): Lane {
-    const known = this.#lanes.get(route.name);
-    if (known) {
-      known.routes.set(route.name, route);
-      return known;
-    }
-    const lane = this.#shared(route) ?? this.#makeLane(route);
-    lane.routes.set(route.name, route);
-    this.#lanes.set(route.name, lane);
-    return lane;
-  }
-
-  /** The lane of another route of this kind to the very same workers. */
-  #shared(route: Route): Lane | undefined {
-    const key = (other: Route): string =>
-      this.#published(other)
-        .map(({ url }) => url)
-        .sort()
-        .join(' ');
-    const own = key(route);
-    return [...this.#lanes.values()].find(({ routes }) =>
-      [...routes.values()].some((other) => other.kind === route.kind && key(other) === own),
-    );
-  }
-
-  #makeLane({ kind }: Route): Lane {
-    const { random, daemons } = this.ctx;
-    const policy = kind === 'model' ? new AffinityPolicy({ random }) : new LeastOpenPolicy(random);
-    const scheduler = new RouteScheduler({ policy, retries: this.retries, daemons, random });
-    const fresh = { routes: new Map(), urls: new Map(), waiting: new Map() };
-    return { ...fresh, scheduler, policy, documents: [], upstreams: [], usedAt: 0 };
-  }
-
   #abandon(lane: Lane, ticket: Ticket): void {
     const resolve = lane.waiting.get(ticket.id);
     if (!resolve) return;
--- a/src/route/affinity.ts
+++ b/src/route/affinity.ts
@@ -3,6 +3,7 @@
 import { ChoicePolicy } from './choice.js';
 import { mix32 } from './digest.js';
 import { HotPrefixes } from './hotprefixes.js';
+import { RandomOfTwoPolicy } from './randomoftwo.js';
 
 import type { Candidate, ChoiceInput } from './choice.js';
 import type { Worker } from './worker.js';
@@ -19,6 +20,9 @@
 /** Age that a report commonly reaches before the next one, in seconds. */
 const REPORT_SECONDS = 1;
 
+/** Share of the pool's room from which prompts that begin alike are scattered. */
+const FLOOD_SHARE = 0.25;
+
 /** Prefixes that one daemon remembers for one route. */
 const INDEXED_PREFIXES = 20_000;
 
@@ -44,6 +48,8 @@
 
   readonly #hot = new HotPrefixes();
 
+  readonly #scatter: RandomOfTwoPolicy;
+
   /**
    * Creates the policy.
    * @param options - bound and memory
@@ -52,12 +58,14 @@
     super();
     this.#bound = options.bound ?? LOAD_BOUND;
     this.#random = options.random ?? Math.random;
+    this.#scatter = new RandomOfTwoPolicy(this.#random);
     this.index = new CacheIndex(options.indexedPrefixes ?? INDEXED_PREFIXES);
   }
 
   override choose(input: ChoiceInput): Worker | undefined {
     const { candidates, meanLoad, digests } = input;
     const limit = meanLoad * this.#bound + LOAD_SLACK;
+    if (this.#isFlood(input, limit - meanLoad)) return this.#scatter.choose(input);
     const spread = this.#spread(input, limit - meanLoad);
     const own = digests[Math.min(HOME_BLOCKS, digests.length) - 1] ?? 0;
     const home = spread === 0 ? own : mix32(own, spread);
@@ -72,6 +80,18 @@
     this.index.add(worker.name, digests);
   }
 
+  /**
+   * Says whether prompts that begin alike take so much of the pool's room between two reports that
+   * new prefixes among them would pile up on workers whose load nobody has seen yet.
+   */
+  #isFlood({ candidates, digests, now, daemons }: ChoiceInput, room: number): boolean {
+    const [first] = digests;
+    const capacity = candidates[0]?.worker.capacity ?? 0;
+    if (first === undefined || this.#bound === Number.POSITIVE_INFINITY) return false;
+    const perReport = this.#hot.count(first, now) * (daemons - 1) * REPORT_SECONDS;
+    return perReport > capacity * room * candidates.length * FLOOD_SHARE;
+  }
+
   /**
    * Draws one of the homes of a prefix: one, unless the fleet would send more to it between two
    * reports than a worker has room for.
@@ -80,7 +100,7 @@
     const home = digests[Math.min(HOME_BLOCKS, digests.length) - 1];
     const capacity = candidates[0]?.worker.capacity ?? 0;
     if (home === undefined || this.#bound === Number.POSITIVE_INFINITY) return 0;
-    const perReport = this.#hot.count(home, now) * daemons * REPORT_SECONDS;
+    const perReport = this.#hot.count(home, now) * (daemons - 1) * REPORT_SECONDS;
     const homes = Math.min(candidates.length, 1 + Math.floor(perReport / (capacity * room)));
     return homes <= 1 ? 0 : Math.floor(this.#random() * homes);
   }
--- a/src/route/scheduler.ts
+++ b/src/route/scheduler.ts
@@ -13,7 +13,7 @@
 const INTERVAL_WEIGHT = 0.1;
 
 /** Load above which only workspaces within their fair share are dispatched. */
-const FAIR_LOAD = 0.9;
+const FAIR_LOAD = 0.85;
 
 /** Shortest delay that a refused caller is told to wait, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 1_000;
