--- a/src/daemon/tests/routing.test.ts
+++ b/src/daemon/tests/routing.test.ts
@@ -6,6 +6,7 @@
 import { askModel } from '../../../testbed/caller.js';
 import { API_KEY } from '../../../testbed/documents.js';
 import { Fleet } from '../../../testbed/fleet.js';
+import { Relay } from '../../../testbed/relay.js';
 import { waitFor } from '../../../testbed/wait.js';
 
 import type { Documents } from '../../config/index.js';
@@ -127,18 +128,29 @@
   }
 });
 
-test('when the caller leaves, the engine stops', async (t) => {
+test('when the caller leaves, the engine stops, also behind a silent connection', async (t) => {
   const fleet = await Fleet.start({ daemons: 1, engines: 1, units: UNITS });
+  const { hostname, port } = new URL(fleet.urls.engines[0] ?? '');
+  const relay = await Relay.start(hostname, Number(port));
   try {
+    const { documents } = fleet;
+    const upstreams = documents.upstreams.map((upstream) => {
+      const url = upstream.route === 'drafts' ? `http://${relay.address}` : upstream.url;
+      return { ...upstream, url };
+    });
+    await replaceDocuments(fleet, { ...documents, upstreams });
     const caller = new AbortController();
     const asked = ask(fleet, 'drafts', 'a long one', 2_000, caller.signal);
     await waitFor('the answer has begun', () => (fleet.engines[0]?.counts.tokens ?? 0) > 3);
+    // Nothing passes on the connection of the answer any more, its end neither.
+    relay.silenceOpen();
     caller.abort();
     await asked;
     await waitFor('the engine has cancelled', () => fleet.engines[0]?.counts.cancelled === 1);
     const { tokens = 0 } = fleet.engines[0]?.counts ?? {};
     t.true(tokens < 2_000);
   } finally {
+    await relay.stop();
     await fleet.stop();
   }
 });
