--- a/src/budget/tests/model.test.ts
+++ b/src/budget/tests/model.test.ts
@@ -27,6 +27,7 @@
   'topUp',
   'crash',
   'recover',
+  'close',
 ];
 
 const stepArbitrary: fc.Arbitrary<Step> = fc.record({
--- a/src/daemon/delivery.ts
+++ b/src/daemon/delivery.ts
@@ -1,5 +1,12 @@
 /** Delivers charge lines to the store: segments, then one conditional update of the shard. */
-import { parseShard, segmentKey, segmentSchema, settle, shardKey } from '../budget/index.js';
+import {
+  parseShard,
+  segmentKey,
+  segmentSchema,
+  settle,
+  shardKey,
+  takeLines,
+} from '../budget/index.js';
 import { Err, Ok } from '../kernel/index.js';
 import { updateObject } from '../platform/index.js';
 
@@ -7,7 +14,7 @@
 import type { Incarnation, Result } from '../kernel/index.js';
 import type { ObjectStore, StoreError } from '../platform/index.js';
 
-/** Lines in one segment; about 600 KB. */
+/** Most lines in one segment. */
 const SEGMENT_LINES = 2_000;
 
 /** Lines of one holder in one shard, and who delivers them. */
@@ -47,10 +54,13 @@
 ): Promise<Result<EntryAnswer, StoreError>> {
   const { shard, holder, by } = job;
   const kind = { key: shardKey(shard), parse: parseShard };
-  let last: EntryAnswer = { settled: job.settled, backup: null, fenced: false };
+  let last: EntryAnswer = { settled: job.settled, backup: null, standby: null, fenced: false };
   for (;;) {
     const from = last.settled;
-    const rest = job.lines.filter(({ sequence }) => sequence > from).slice(0, SEGMENT_LINES);
+    const rest = takeLines(
+      job.lines.filter(({ sequence }) => sequence > from),
+      SEGMENT_LINES,
+    );
     if (rest.length === 0) return Ok(last);
     // Each segment begins where the one before it ended.
     // eslint-disable-next-line no-await-in-loop
--- a/src/daemon/folding.ts
+++ b/src/daemon/folding.ts
@@ -4,10 +4,12 @@
   closeEnded,
   fold,
   foldedMarks,
+  PAGE_LINES,
   pageKey,
   requestOf,
   shardKey,
   parseShard,
+  takeLines,
 } from '../budget/index.js';
 import { updateObject } from '../platform/index.js';
 import { readPages, readUnfolded } from './statements.js';
@@ -17,9 +19,12 @@
 import type { Recorder } from '../telemetry/index.js';
 import type { StoredPage } from './statements.js';
 
-/** Pages whose request keys are remembered: 128,000 requests of a shard. */
+/** Pages whose request keys are read when a daemon begins to look after a shard. */
 const KNOWN_PAGES = 128;
 
+/** Request keys of a shard that are remembered; about 12 MB. */
+const KNOWN_REQUESTS = KNOWN_PAGES * PAGE_LINES;
+
 /** The statement as far as a folder knows it. */
 interface Known {
   last: StoredPage;
@@ -57,11 +62,24 @@
     const marks = foldedMarks(known.last.page);
     const lines = await readUnfolded(this.store, this.shard, value, marks);
     if (lines.err) return;
-    if (lines.val.length > 0 && !(await this.#write(known, value, lines.val))) {
+    if (!(await this.#foldAll(known, value, lines.val))) {
       this.forget();
       return;
     }
-    await this.#apply(known.last);
+    await this.#apply(value, known.last);
+  }
+
+  /** Writes page after page, since a long outage leaves more lines than one object takes. */
+  async #foldAll(known: Known, value: BudgetShard, lines: readonly ChargeLine[]): Promise<boolean> {
+    let rest = lines;
+    while (rest.length > 0) {
+      const taken = takeLines(rest, PAGE_LINES);
+      rest = rest.slice(taken.length);
+      // Each page follows the one before it.
+      // eslint-disable-next-line no-await-in-loop
+      if (!(await this.#write(known, value, taken))) return false;
+    }
+    return true;
   }
 
   async #load(): Promise<Known | undefined> {
@@ -86,10 +104,19 @@
     if (written.err) return false;
     this.#record(state.last, folded, lines);
     folded.page.lines.forEach((line) => state.requests.add(requestOf(line)));
+    Folding.#forgetOldest(state.requests);
     state.last = { number, version: written.val, page: folded.page };
     return true;
   }
 
+  /** A set lists its members in the order in which they were added. */
+  static #forgetOldest(requests: Set<string>): void {
+    for (const request of requests) {
+      if (requests.size <= KNOWN_REQUESTS) return;
+      requests.delete(request);
+    }
+  }
+
   #record(last: StoredPage, folded: FoldedPage, lines: readonly ChargeLine[]): void {
     const detail = `shard ${this.shard}: ${lines.length} lines`;
     this.recorder.record('statementFolded', { detail });
@@ -100,10 +127,14 @@
     });
   }
 
-  async #apply({ page }: StoredPage): Promise<void> {
+  async #apply(value: BudgetShard, { page }: StoredPage): Promise<void> {
     const kind = { key: shardKey(this.shard), parse: parseShard };
-    await updateObject(this.store, kind, (shard) => applyCredits(shard, page));
     const marks = foldedMarks(page);
+    // The shard as it was read says whether an update is worth a call.
+    if (applyCredits(value, page).kind === 'write') {
+      await updateObject(this.store, kind, (shard) => applyCredits(shard, page));
+    }
+    if (closeEnded(value, marks).kind === 'keep') return;
     const closed = await updateObject(this.store, kind, (shard) => closeEnded(shard, marks));
     if (closed.ok && closed.val > 0) {
       this.recorder.record('holdersClosed', { detail: `shard ${this.shard}: ${closed.val}` });
--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -13,6 +13,7 @@
   HttpPlainService,
 } from '../upstream/index.js';
 import { ActiveRequests } from './activerequests.js';
+import { Admission } from './admission.js';
 import { Backups } from './backups.js';
 import { BudgetTask } from './budgettask.js';
 import { Charges } from './charges.js';
@@ -21,6 +22,7 @@
 import { Grants } from './grants.js';
 import { Handover } from './handover.js';
 import { KeyRegistry } from './keyregistry.js';
+import { Lending } from './lending.js';
 import { Operations } from './operations.js';
 import { PlanExecutor } from './planexecutor.js';
 import { PlanFollower } from './planfollower.js';
@@ -116,7 +118,8 @@
     const { network } = this;
     const { dataCentre } = settings;
     const config = new ConfigTask({ self, dataCentre, store, network, recorder });
-    const budgets = new BudgetTask();
+    const clock = new SystemClock();
+    const budgets = new BudgetTask(clock);
     const backups = new Backups(self, settings.dataCentre, this.network);
     const { instance } = settings;
     const plans = new PlanFollower({ instance, dataCentre, store, network, recorder });
@@ -130,6 +133,9 @@
       recorder,
       onFenced: () => this.#fenced(),
     });
+    const grants = new Grants({ self, store, budgets, config, recorder, clock, charges });
+    const beforePass = charges.lend.bind(charges);
+    const lending = new Lending({ self, network, budgets, recorder, beforePass });
     this.#care = new ShardCare({ self, store, backups, network, config, recorder });
     this.serving = {
       self,
@@ -138,10 +144,11 @@
       store,
       config,
       budgets,
+      grants,
+      admission: new Admission({ budgets, grants, lending, network }),
       claims: new Claims(self, store),
       keys: new KeyRegistry(self, this.network),
       routing: new Routing({ config, recorder, random: Math.random, daemons, mayReceive }),
-      grants: new Grants({ self, store, budgets, config, recorder, charges }),
       charges,
       engine: new HttpModelEngine(),
       service: new HttpPlainService(),
@@ -184,6 +191,7 @@
     this.network.start();
     this.serving.charges.start();
     this.#handover.start();
+    this.serving.grants.start();
     this.serving.routing.start();
     this.#reports.start();
     this.#care.start();
@@ -204,6 +212,8 @@
   /** Delivers what is left and closes the links, once no request is open. */
   async finishStop(): Promise<void> {
     const { config } = this.serving;
+    this.serving.grants.stop();
+    await this.serving.grants.report();
     this.serving.routing.stop();
     this.#reports.stop();
     this.#care.stop();
--- a/src/fleet/holder.ts
+++ b/src/fleet/holder.ts
@@ -13,21 +13,25 @@
 export interface HolderState {
   readonly self: Incarnation;
   readonly shard: number;
-  /** Backup on record in the shard; null for none. */
+  /** Daemon on record that takes the copies now; null for none. */
   readonly backup: Incarnation | null;
+  /** The other daemon on record, which takes the copies when the first does not answer. */
+  readonly standby: Incarnation | null;
   /** Sequence of the next line. */
   readonly next: number;
   /** Highest sequence that the store holds. */
   readonly settled: number;
-  /** Highest sequence that the backup on record has acknowledged. */
+  /** Highest sequence that the daemon that takes the copies now has acknowledged. */
   readonly acknowledged: number;
   /** Lines that the store does not hold. */
   readonly lines: readonly ChargeLine[];
   readonly exposures: readonly Exposure[];
   /** Exposures that the backup on record has acknowledged. */
   readonly copied: readonly Exposure[];
-  /** Another backup may already be on record: what the known one acknowledges does not count. */
+  /** Another pair of daemons may already be on record. */
   readonly isChanging: boolean;
+  /** During a change: the daemon that is on record whether or not it has taken effect. */
+  readonly retained: Incarnation | null;
   /** The incarnation may not use its rows any more. */
   readonly isFenced: boolean;
 }
@@ -43,6 +47,7 @@
     self,
     shard,
     backup: null,
+    standby: null,
     next: 1,
     settled: 0,
     acknowledged: 0,
@@ -50,6 +55,7 @@
     exposures: [],
     copied: [],
     isChanging: false,
+    retained: null,
     isFenced: false,
   };
 }
@@ -166,6 +172,16 @@
   };
 }
 
+/**
+ * Says whether what the backup acknowledges counts: it must be on record for certain.
+ * @param state - state of the holder
+ * @returns whether lines may be copied now
+ */
+export function takesCopies(state: HolderState): boolean {
+  const { backup, isChanging, isFenced, retained } = state;
+  return backup !== null && !isFenced && (!isChanging || retained === backup);
+}
+
 /**
  * Takes the answer of a backup. Answers of one that is not on record change nothing.
  * @param state - state of the holder
@@ -180,7 +196,7 @@
 ): HolderState {
   if (batch.backup !== state.backup) return state;
   if (answer.verdict === 'fenced') return { ...state, isFenced: true };
-  if (state.isChanging) return state;
+  if (!takesCopies(state)) return state;
   if (answer.verdict === 'gap') return { ...state, acknowledged: state.settled };
   if (answer.verdict !== 'kept') return state;
   return {
@@ -203,13 +219,33 @@
 }
 
 /**
- * Begins a change of the backup: from now on only the store makes lines durable, until the
- * change is known to have taken effect or certainly has not.
+ * Lets the other daemon on record take the copies. Both are on record, so a recoverer fences
+ * both, and no update of the shard is needed. What the other one holds is not known here.
  * @param state - state of the holder
- * @returns the state in which another backup may be recorded
+ * @returns the state in which everything that is not settled is copied again
  */
-export function beginChange(state: HolderState): HolderState {
-  return { ...state, isChanging: true };
+export function switchBackup(state: HolderState): HolderState {
+  if (state.standby === null || state.isChanging) return state;
+  const { backup, standby, settled } = state;
+  return { ...state, backup: standby, standby: backup, acknowledged: settled, copied: [] };
+}
+
+/**
+ * Begins a change of the daemons on record. Until it is known to have taken effect or certainly
+ * has not, only a daemon that stays on record takes copies; without one, only the store does.
+ * @param state - state of the holder
+ * @param pair - daemons that shall be on record
+ * @returns the state in which another pair may be recorded
+ */
+export function beginChange(
+  state: HolderState,
+  pair: readonly (Incarnation | null)[],
+): HolderState {
+  const certain = state.isChanging ? [state.retained] : [state.backup, state.standby];
+  const retained = certain.find((keeper) => keeper !== null && pair.includes(keeper)) ?? null;
+  const isSwitch = retained !== null && retained === state.standby;
+  const ready = isSwitch ? switchBackup(state) : state;
+  return { ...ready, isChanging: true, retained };
 }
 
 /**
@@ -218,22 +254,28 @@
  * @returns the state with the backup that stays on record
  */
 export function cancelChange(state: HolderState): HolderState {
-  return { ...state, isChanging: false };
+  return { ...state, isChanging: false, retained: null };
 }
 
 /**
  * Takes note of another backup on record, which has kept everything that was sent to it.
  * @param state - state of the holder
  * @param batch - message that the new backup has kept
- * @param through - highest sequence that it holds
+ * @param kept - its answer, and the standby that is on record with it
  * @returns the state with the new backup
  */
-export function applyBackup(state: HolderState, batch: CopyBatch, through: number): HolderState {
+export function applyBackup(
+  state: HolderState,
+  batch: CopyBatch,
+  { through, standby }: { readonly through: number; readonly standby: Incarnation | null },
+): HolderState {
   return {
     ...state,
     backup: batch.backup,
+    standby,
     acknowledged: through,
     copied: batch.exposures,
     isChanging: false,
+    retained: null,
   };
 }
