The plain service stand-in reports its load

Cause: daemons poll /v1/load of desk services, and the stand-in counted each poll as a run of the key "undefined": at-most-once failed with 40 runs of it. Ruled out: polling model engines only, since desk services report as well. After: holds. Conclusion: the proof saw a real call at a service that had to be told apart.

--- a/fakes/plainservice.ts
+++ b/fakes/plainservice.ts
@@ -30,6 +30,9 @@
 
   #faults: ServiceFaults = { loseAnswers: false, delayMs: 0 };
 
+  /** Calls that run. */
+  #open = 0;
+
   readonly #app: FastifyInstance = Fastify({ forceCloseConnections: true });
 
   /** Orders that the stand-in was given. */
@@ -41,12 +44,15 @@
       return this.#faults;
     });
     this.#app.get('/admin/runs', async () => this.runs);
+    this.#app.get('/v1/load', async () => ({ open: this.#open }));
     this.#app.all('/*', async (req, reply) => {
       const key = String(req.headers['idempotency-key']);
       this.#runs.set(key, (this.#runs.get(key) ?? 0) + 1);
+      this.#open += 1;
       await new Promise((resolve) => {
         setTimeout(resolve, this.#faults.delayMs);
       });
+      this.#open -= 1;
       if (this.#faults.loseAnswers) {
         reply.hijack();
         reply.raw.destroy();
