Time line explains a refusal; closing of a workspace proved; bounded and cheap recording

Time line: events of the refusal path (received, units short, what the store said), a test that reads 'route drafts, at most 417 units', 'needs 417, has 0', '50 left', 'budget-exhausted' through another daemon, and the page with a daemon frozen.

Closing: the statement was written as soon as every listed daemon had nothing open. A daemon that the platform no longer lists may have charges at its backup only. It now waits until every holder of the workspace's budgets has ended or has just been asked.

--- a/proof/catalogue.ts
+++ b/proof/catalogue.ts
@@ -4,6 +4,7 @@
 import { AtMostOnceProof } from './atmostonce.js';
 import { NotRunProof } from './notrun.js';
 import { BilledOnceProof } from './billedonce.js';
+import { ClosingProof } from './closing.js';
 import { ConfigNeverRevertsProof } from './configneverreverts.js';
 import { OwnAnswerProof } from './ownanswer.js';
 
@@ -14,6 +15,7 @@
   new OwnAnswerProof(),
   new GracefulStopProof(),
   new DepartureProof(),
+  new ClosingProof(),
   new NotRunProof(),
   new AtMostOnceProof(),
   new BilledOnceProof(),
--- /dev/null
+++ b/proof/closing.ts
@@ -0,0 +1,139 @@
+/** Proof: a workspace leaves; its closing statement holds every charge once. */
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { askModel } from '../testbed/caller.js';
+import { API_KEY } from '../testbed/documents.js';
+import { Fleet } from '../testbed/fleet.js';
+import { waitFor } from '../testbed/wait.js';
+import { ensure, Proof } from './proof.js';
+
+import type { ChargeLine } from '../src/budget/index.js';
+import type { PlanAnswer, PlanState } from '../src/plan/index.js';
+import type { DaemonProcess } from '../testbed/daemonprocess.js';
+import type { Received } from '../testbed/caller.js';
+import type { ProofContext } from './proof.js';
+
+const DAEMONS = 4;
+const UNITS = 200_000;
+const PLAN = 'shop-leaves';
+const CALLERS = 40;
+const OPEN_TOKENS = 120;
+
+/** Time after which every daemon has the platform's new list, in milliseconds. */
+const LIST_MS = 6_000;
+
+/** Output of the answers that end as the executor dies, in tokens. */
+const LAST_TOKENS = 60;
+
+const TOKEN_MS = 10;
+
+/** Longest time until the plan is done, in milliseconds. */
+const DONE_MS = 45_000;
+
+/** Requests go on while the workspace closes, and the executor is killed. */
+export class ClosingProof extends Proof {
+  override readonly name = 'closing';
+
+  override readonly point = 'each request is billed exactly once, up to the closing statement';
+
+  override readonly short = false;
+
+  override async run(ctx: ProofContext): Promise<void> {
+    const fleet = await Fleet.start({ daemons: DAEMONS, units: UNITS, tokenMs: TOKEN_MS });
+    try {
+      const plan = { kind: 'workspace', name: PLAN, workspace: 'shop' } as const;
+      await fleet.publish({ ...fleet.documents, plans: [plan] });
+      await waitFor('the plan is armed', () => ClosingProof.#plan(fleet).phase === 'armed');
+      await this.#close(ctx, fleet);
+    } finally {
+      await fleet.stop();
+    }
+  }
+
+  async #close(ctx: ProofContext, fleet: Fleet): Promise<void> {
+    const [starter, dying, ...others] = await this.#killExecutor(fleet);
+    if (!starter || !dying) throw new Error('the fleet is too small');
+    const living = [starter, ...others];
+    const urls = living.map(({ url }) => url);
+    // The platform's list already lacks the daemon that goes on and dies with charges.
+    fleet.list.set(living.map(({ listed }) => listed));
+    await delay(LIST_MS);
+    const early = await Promise.all(
+      urls.map((url, index) => ClosingProof.#ask(url, `early-${index}`, 5)),
+    );
+    const last = Array.from({ length: CALLERS }, (_, index) =>
+      ClosingProof.#ask(dying.url, `last-${index}`, LAST_TOKENS),
+    );
+    const open = urls.map((url, index) => ClosingProof.#ask(url, `open-${index}`, OPEN_TOKENS));
+    await starter.order<PlanAnswer>(`plans/${PLAN}`, { action: 'start', operation: 'close-1' });
+    await waitFor('the plan is accepted', () => ClosingProof.#plan(fleet).acceptedAt !== null);
+    // Its last charges are then with its backup only.
+    await Promise.any(last);
+    dying.child.signal('SIGKILL');
+    const answers = [...early, ...(await Promise.all(open))];
+    const cut = answers.filter((answer) => !answer.whole);
+    ensure(cut.length === 0, `${cut.length} answers were cut`);
+    const ended = (await Promise.all(last)).filter((answer) => answer.whole);
+    ctx.say(`${ended.length} answers of the daemon ended before it died`);
+    await this.#checkRefusals(urls);
+    await waitFor('the plan is done', () => ClosingProof.#plan(fleet).phase === 'done', DONE_MS);
+    await this.#checkStatement(ctx, fleet, starter.url, [...answers, ...ended]);
+  }
+
+  /** Kills the daemon that carries the plan out; gives the others once one has taken over. */
+  async #killExecutor(fleet: Fleet): Promise<readonly DaemonProcess[]> {
+    const { executor } = ClosingProof.#plan(fleet);
+    const isExecutor = ({ options }: DaemonProcess): boolean =>
+      ClosingProof.#plan(fleet).executor.startsWith(`${options.name}~`);
+    const dying = fleet.daemons.find(isExecutor);
+    dying?.child.signal('SIGKILL');
+    const hasMoved = (): boolean => ClosingProof.#plan(fleet).executor !== executor;
+    await waitFor('another daemon takes the plan over', hasMoved);
+    const others = fleet.daemons.filter((daemon) => daemon !== dying);
+    return [...others.filter(isExecutor), ...others.filter((daemon) => !isExecutor(daemon))];
+  }
+
+  async #checkRefusals(urls: readonly string[]): Promise<void> {
+    const late = await Promise.all(
+      urls.map((url, index) => ClosingProof.#ask(url, `late-${index}`, 5)),
+    );
+    ensure(
+      late.every(({ code, outcome }) => code === 'workspace-closed' && outcome === 'not-run'),
+      `new work was answered with ${late.map(({ code }) => code).join(', ')}`,
+    );
+  }
+
+  async #checkStatement(
+    ctx: ProofContext,
+    fleet: Fleet,
+    url: string,
+    whole: readonly Received[],
+  ): Promise<void> {
+    const { closing } = ClosingProof.#plan(fleet);
+    const daemon = fleet.daemons.find((candidate) => candidate.url === url);
+    const lines =
+      (await daemon?.operator<readonly ChargeLine[]>('workspaces/shop/statement')) ?? [];
+    const units = lines.reduce((sum, line) => sum + line.units, 0);
+    const keys = new Set(lines.map(({ key }) => key));
+    ensure(closing !== null, 'there is no closing statement');
+    ctx.say(`${closing.charges} charges, ${closing.units} units, refund ${closing.refund}`);
+    ensure(keys.size === lines.length, 'a request is on the statement twice');
+    ensure(
+      whole.every(({ key }) => keys.has(key)),
+      'an answer is missing on the statement',
+    );
+    const most = whole.length + CALLERS;
+    ensure(lines.length <= most, `${lines.length} lines, at most ${most} answers`);
+    ensure(closing.charges === lines.length, `closed with ${closing.charges} of ${lines.length}`);
+    ensure(closing.units === units, `closed with ${closing.units} of ${units} units`);
+    ensure(closing.refund === UNITS - units, `refund ${closing.refund}, not ${UNITS - units}`);
+  }
+
+  static #plan(fleet: Fleet): PlanState {
+    return fleet.store.peek(`plans/${PLAN}`) as PlanState;
+  }
+
+  static #ask(url: string, key: string, maxTokens: number): Promise<Received> {
+    return askModel({ url, apiKey: API_KEY, model: 'drafts', prompt: key, maxTokens, key });
+  }
+}
--- /dev/null
+++ b/src/cli/tests/timeline.test.ts
@@ -0,0 +1,56 @@
+import { mkdtemp, readFile, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import test from 'ava';
+
+import { askModel } from '../../../testbed/caller.js';
+import { runCli } from '../../../testbed/cli.js';
+import { API_KEY } from '../../../testbed/documents.js';
+import { Fleet } from '../../../testbed/fleet.js';
+
+import type { TimelineView } from '../../telemetry/index.js';
+
+test('the time line explains a refused request, through another daemon', async (t) => {
+  const fleet = await Fleet.start({ daemons: 3, units: 50 });
+  const dir = await mkdtemp(join(tmpdir(), 'comfreyreel-timeline-'));
+  t.teardown(async () => {
+    await fleet.stop();
+    await rm(dir, { recursive: true, force: true });
+  });
+  const ask = { apiKey: API_KEY, model: 'drafts', prompt: 'berth', maxTokens: 400, key: 'r-1' };
+  const refused = await askModel({ ...ask, url: fleet.daemon(0).url });
+  t.is(refused.code, 'budget-exhausted');
+
+  const { url } = fleet.daemon(1);
+  const shown = await runCli(['timeline', '--request', 'r-1', '--json', '--url', url]);
+  t.is(shown.code, 0);
+  const { events, unreachable } = JSON.parse(shown.stdout) as TimelineView;
+  t.deepEqual(unreachable, []);
+  const names = events.map(({ name }) => name);
+  const course = ['requestReceived', 'reservationShort', 'grantRefused', 'requestRefused'];
+  t.deepEqual(
+    names.filter((name) => course.includes(name)),
+    course,
+  );
+  const details = events.map(({ subject }) => subject.detail);
+  t.deepEqual(details, [
+    'route drafts, at most 417 units',
+    'needs 417, has 0',
+    '50 left',
+    'budget-exhausted: main',
+  ]);
+  t.true(events.every(({ source }) => source.startsWith('entry-1~')));
+
+  fleet.daemon(2).child.signal('SIGSTOP');
+  const file = join(dir, 'page.html');
+  const page = await runCli(['timeline', '--html', file, '--url', url]);
+  t.is(page.code, 0);
+  t.regex(page.stderr, /without the events of entry-3/);
+  const html = await readFile(file, 'utf8');
+  t.true(html.includes('<th>entry-1</th><th>entry-2</th>'));
+  t.true(html.includes('No answer from entry-3.'));
+  t.false(/(src|href)=|https?:\/\/(?!127)/.test(html));
+  const wrong = await runCli(['timeline', '--since', 'yesterday', '--url', url]);
+  t.is(wrong.code, 2);
+});
--- a/src/daemon/callers.controller.ts
+++ b/src/daemon/callers.controller.ts
@@ -173,6 +173,8 @@
     const { tenant, route } = admitted;
     const { serving } = this.runtime;
     const { signal } = caller;
+    const detail = `route ${route.name}, at most ${units} units`;
+    serving.recorder.record('requestReceived', { request: key, budget: tenant.budget, detail });
     return { serving, tenant, route, key, keyGiven, worstCase: units, signal };
   }
 
--- a/src/daemon/grants.ts
+++ b/src/daemon/grants.ts
@@ -64,7 +64,10 @@
     };
     const kind = { key: shardKey(shardOf(budget, shards)), parse: parseShard };
     const answer = await updateObject(store, kind, (shard) => grant(shard, ask));
-    if (answer.err) return failure('budget-unreachable', budget);
+    if (answer.err) {
+      recorder.record('storeUnavailable', { budget, detail: answer.val.text });
+      return failure('budget-unreachable', budget);
+    }
     if (answer.val.fenced) return failure('not-ready', 'this incarnation was recovered by another');
     await budgets.ask({ type: 'receive', budget, granted: answer.val.granted });
     if (answer.val.granted > escrow.granted) {
--- a/src/daemon/planwork.ts
+++ b/src/daemon/planwork.ts
@@ -1,16 +1,22 @@
 /** What this daemon has open at what a plan names, and the closing of workspaces. */
-import { Operations } from './operations.js';
+import { parseShard, shardKey } from '../budget/index.js';
 
+import type { HolderEntry } from '../budget/index.js';
+import type { Incarnation } from '../kernel/index.js';
 import type { PeerMessageOf, PeerNetwork } from '../link/index.js';
 import type { PlanEvent, PlanState } from '../plan/index.js';
 import type { ObjectStore } from '../platform/index.js';
 import type { ActiveRequests } from './activerequests.js';
 import type { Charges } from './charges.js';
+import type { ConfigTask } from './configtask.js';
+import type { Operations } from './operations.js';
 import type { PlanFollower } from './planfollower.js';
 import type { OpenWork } from './serving.js';
 
 /** What the survey of a daemon needs. */
 export interface PlanWorkContext {
+  readonly self: Incarnation;
+  readonly config: ConfigTask;
   readonly store: ObjectStore;
   readonly network: PeerNetwork;
   readonly follower: PlanFollower;
@@ -59,6 +65,7 @@
     const { operations, store } = this.ctx;
     if (plan.document.kind !== 'workspace') return { type: 'stopped' };
     const { workspace } = plan.document;
+    if (await this.#isUnsettled(workspace)) return { type: 'stopped' };
     const lines = await operations.statement(workspace);
     const budgets = await operations.budgets();
     if (lines.err || budgets.err) return { type: 'stopped' };
@@ -75,6 +82,25 @@
     return { type: 'closed', closing: { statement, charges, units, refund } };
   }
 
+  /** Whether a daemon that no longer answers may have charges that are not in the store. */
+  async #isUnsettled(workspace: string): Promise<boolean> {
+    const { config, store, network, self } = this.ctx;
+    const shards = config.current?.manifest.budgetShards ?? 0;
+    const keys = Array.from({ length: shards }, (_, shard) => shardKey(shard));
+    const found = await Promise.all(keys.map((key) => store.read(key)));
+    // Daemons on the platform's list were asked just before.
+    const asked = network.peers().map(({ name }) => network.incarnationOf(name));
+    const isEnded = ({ holder, state }: HolderEntry): boolean =>
+      state === 'ended' || holder === self || asked.includes(holder);
+    return found.some((result) => {
+      if (result.err) return true;
+      const { budgets, holders } = parseShard(result.val.value);
+      const own = budgets.filter((budget) => budget.workspace === workspace);
+      const rows = new Set(own.flatMap((budget) => budget.rows.map(({ holder }) => holder)));
+      return holders.some((entry) => rows.has(entry.holder) && !isEnded(entry));
+    });
+  }
+
   /** Open requests, and one more while a charge is not in the store. */
   async #openOf(workspace: string): Promise<number> {
     const { active, charges } = this.ctx;
--- /dev/null
+++ b/src/daemon/recording.ts
@@ -0,0 +1,48 @@
+/** Composes the recorder of a daemon: log, metrics and time line. */
+import { StatsD } from 'hot-shots';
+import { pino } from 'pino';
+
+import { MIB_BYTES, newIncarnation, SystemClock } from '../kernel/index.js';
+import { Recorder } from '../telemetry/index.js';
+import { splitAddress } from './settings.js';
+
+import type { Settings } from './settings.js';
+
+/** Log that may wait for a slow reader before lines are dropped, in bytes. */
+const LOG_BUFFER_BYTES = 4 * MIB_BYTES;
+
+/** Descriptor of the standard output. */
+const STDOUT = 1;
+
+function makeMetrics(settings: Settings): StatsD | undefined {
+  // The client's own mock would keep every metric in memory.
+  if (settings.metrics === undefined) return undefined;
+  const { host, port } = splitAddress(settings.metrics);
+  return new StatsD({
+    host,
+    port,
+    prefix: 'comfreyreel.',
+    globalTags: { instance: settings.instance, data_centre: settings.dataCentre },
+    errorHandler: () => undefined,
+  });
+}
+
+/**
+ * Makes the recorder of a daemon process that has just started.
+ * @param settings - checked settings
+ * @returns the recorder; its source is the incarnation of the daemon
+ */
+export function makeRecorder(settings: Settings): Recorder {
+  // A log reader that stalls must not stall the daemon.
+  const output = pino.destination({ dest: STDOUT, sync: false, maxLength: LOG_BUFFER_BYTES });
+  const logger = pino({ level: settings.logLevel, base: { instance: settings.instance } }, output);
+  const self = newIncarnation(settings.instance);
+  // The process ends right after this.
+  // eslint-disable-next-line n/no-sync
+  const flush = (): void => output.flushSync();
+  return new Recorder(self, new SystemClock(), {
+    logger,
+    metrics: makeMetrics(settings),
+    flush,
+  });
+}
--- a/src/daemon/requestrun.ts
+++ b/src/daemon/requestrun.ts
@@ -97,7 +97,11 @@
       const { budget } = tenant;
       // Each round depends on the one before.
       // eslint-disable-next-line no-await-in-loop
-      const { accepted } = await serving.budgets.ask({ type: 'reserve', budget, units });
+      const { accepted, available } = await serving.budgets.ask({
+        type: 'reserve',
+        budget,
+        units,
+      });
       if (accepted) {
         this.#reserved = units;
         // eslint-disable-next-line no-await-in-loop
@@ -106,6 +110,8 @@
         serving.recorder.record('requestAdmitted', { request: this.input.key, budget });
         return { type: 'done' };
       }
+      const detail = `needs ${units}, has ${available}`;
+      serving.recorder.record('reservationShort', { request: this.input.key, budget, detail });
       // eslint-disable-next-line no-await-in-loop
       const fail = await serving.grants.draw(budget, units);
       if (fail) return { type: 'failed', fail };
--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -1,11 +1,7 @@
 /** Composes the tasks and clients of one daemon. */
-import { StatsD } from 'hot-shots';
-import { pino } from 'pino';
-
-import { newIncarnation, SystemClock } from '../kernel/index.js';
+import { SystemClock } from '../kernel/index.js';
 import { Directory, WsPeerNetwork } from '../link/index.js';
 import { HttpInstanceList, HttpObjectStore } from '../platform/index.js';
-import { Recorder } from '../telemetry/index.js';
 import { HttpModelEngine, HttpOrderClient, HttpPlainService } from '../upstream/index.js';
 import { ActiveRequests } from './activerequests.js';
 import { Backups } from './backups.js';
@@ -22,36 +18,20 @@
 import { PlanOperations } from './planoperations.js';
 import { PlanWork } from './planwork.js';
 import { Publishing } from './publishing.js';
+import { makeRecorder } from './recording.js';
 import { Routing } from './routing.js';
 import { OpenWork } from './serving.js';
 import { ShardCare } from './shardcare.js';
 import { splitAddress } from './settings.js';
 import { TimelineTask } from './timelinetask.js';
 
+import type { Recorder } from '../telemetry/index.js';
 import type { Serving } from './serving.js';
 import type { Settings } from './settings.js';
 
 /** Whether a daemon takes new work. */
 export type Phase = 'starting' | 'serving' | 'stopping';
 
-/** Address of the metrics client that sends nothing. */
-const UNUSED_ADDRESS = '127.0.0.1:8125';
-
-function makeRecorder(settings: Settings): Recorder {
-  const { host, port } = splitAddress(settings.metrics ?? UNUSED_ADDRESS);
-  const metrics = new StatsD({
-    host,
-    port,
-    prefix: 'comfreyreel.',
-    mock: settings.metrics === undefined,
-    globalTags: { instance: settings.instance, data_centre: settings.dataCentre },
-    errorHandler: () => undefined,
-  });
-  const logger = pino({ level: settings.logLevel, base: { instance: settings.instance } });
-  const self = newIncarnation(settings.instance);
-  return new Recorder(self, new SystemClock(), { logger, metrics });
-}
-
 /** One daemon without its HTTP listener. */
 export class Runtime {
   readonly recorder: Recorder;
@@ -144,7 +124,17 @@
     this.operations = new Operations(store, config);
     const { active, operations } = this;
     const follower = plans;
-    const work = new PlanWork({ store, network, follower, open, active, charges, operations });
+    const work = new PlanWork({
+      self,
+      config,
+      store,
+      network,
+      follower,
+      open,
+      active,
+      charges,
+      operations,
+    });
     const orders = new HttpOrderClient();
     const ctx = { self, store, config, network, follower, work, orders, recorder };
     this.#executor = new PlanExecutor(ctx);
@@ -199,5 +189,6 @@
     this.#directory.stop();
     await this.network.stop();
     this.recorder.record('daemonStopped');
+    this.recorder.flush();
   }
 }
--- a/src/daemon/tests/configtask.test.ts
+++ b/src/daemon/tests/configtask.test.ts
@@ -1,7 +1,6 @@
 import { performance } from 'node:perf_hooks';
 import { setTimeout as delay } from 'node:timers/promises';
 
-import { StatsD } from 'hot-shots';
 import { pino } from 'pino';
 import test from 'ava';
 
@@ -51,7 +50,8 @@
   const logger = pino({ level: 'silent' });
   const recorder = new Recorder('entry-1~1', new SystemClock(), {
     logger,
-    metrics: new StatsD({ mock: true }),
+    metrics: undefined,
+    flush: () => undefined,
   });
   const network = new LonelyNetwork();
   return new ConfigTask({ self: 'entry-1~1', dataCentre: 'dc-1', store, network, recorder });
--- a/src/daemon/tests/publishing.test.ts
+++ b/src/daemon/tests/publishing.test.ts
@@ -1,4 +1,3 @@
-import { StatsD } from 'hot-shots';
 import { pino } from 'pino';
 import test from 'ava';
 
@@ -36,8 +35,12 @@
   const fake = await FakeObjectStore.start({ host, port, writesPerSecond: 400 });
   const store = new HttpObjectStore(`http://${host}:${port}`);
   const logger = pino({ level: 'silent' });
-  const metrics = new StatsD({ mock: true });
-  const recorder = new Recorder('entry-1~1', new SystemClock(), { logger, metrics });
+  const metrics = undefined;
+  const recorder = new Recorder('entry-1~1', new SystemClock(), {
+    logger,
+    metrics,
+    flush: () => undefined,
+  });
   const network = new LonelyNetwork();
   const self = 'entry-1~1';
   const config = new ConfigTask({ self, dataCentre: 'dc-1', store, network, recorder });
--- a/src/telemetry/recorder.ts
+++ b/src/telemetry/recorder.ts
@@ -15,7 +15,10 @@
 /** Where a recorder writes. */
 export interface RecorderSinks {
   readonly logger: Logger;
-  readonly metrics: StatsD;
+  /** Absent without a receiver of metrics. */
+  readonly metrics: StatsD | undefined;
+  /** Writes what the logger has buffered. */
+  readonly flush: () => void;
 }
 
 /** Writes each event to the log, the metrics and the time line. */
@@ -48,6 +51,11 @@
     const stamp = this.clock.next();
     this.timeline.add({ stamp, source: this.source, number: kind.number, name, subject });
     this.sinks.logger[kind.level]({ event: kind.number, ...subject }, kind.text);
-    this.sinks.metrics.increment(`event.${name}`);
+    this.sinks.metrics?.increment(`event.${name}`);
+  }
+
+  /** Writes the rest of the log before the process ends. */
+  flush(): void {
+    this.sinks.flush();
   }
 }
