--- a/src/daemon/operators.controller.ts
+++ b/src/daemon/operators.controller.ts
@@ -15,7 +15,8 @@
 import type { ChargeLine } from '../budget/index.js';
 import type { Documents, PublicationView, WorkspaceView } from '../config/index.js';
 import type { RolloutView } from './configspread.js';
-import type { BudgetView, PaymentAnswer } from './operations.js';
+import type { BudgetView } from './budgetview.js';
+import type { PaymentAnswer } from './operations.js';
 
 /** Pieces that a publication will name. */
 const stagingSchema = z.strictObject({ parts: z.array(documentsSchema).readonly() });
--- a/src/telemetry/recorder.ts
+++ b/src/telemetry/recorder.ts
@@ -17,8 +17,8 @@
   readonly logger: Logger;
   /** Absent without a receiver of metrics. */
   readonly metrics: StatsD | undefined;
-  /** Writes what the logger has buffered. */
-  readonly flush: () => void;
+  /** Writes what the logger has buffered; absent where nothing is. */
+  readonly flush?: () => void;
 }
 
 /** Writes each event to the log, the metrics and the time line. */
@@ -56,6 +56,6 @@
 
   /** Writes the rest of the log before the process ends. */
   flush(): void {
-    this.sinks.flush();
+    this.sinks.flush?.();
   }
 }
