--- a/proof/departure.ts
+++ b/proof/departure.ts
@@ -1,4 +1,4 @@
-/** Proof: an upstream leaves while one daemon is cut off and another is frozen. */
+/** Proof: an upstream leaves while two daemons are cut off and another is frozen. */
 import { setTimeout as delay } from 'node:timers/promises';
 
 import { FakeInstanceList } from '../fakes/index.js';
@@ -38,9 +38,15 @@
 /** Longest time until the plan is done, in milliseconds. */
 const DONE_MS = 45_000;
 
-/** A daemon whose every connection to the fleet and the store can be cut. */
+/** Daemons that are cut off together. */
+const ISLANDERS = [
+  { name: 'entry-4', dataCentre: 'dc-1' },
+  { name: 'entry-5', dataCentre: 'dc-2' },
+] as const;
+
+/** Daemons whose every connection to the others and to the store can be cut. */
 interface Island {
-  readonly daemon: DaemonProcess;
+  readonly daemons: readonly DaemonProcess[];
   readonly relays: readonly Relay[];
   readonly list: FakeInstanceList;
 }
@@ -76,7 +82,7 @@
     try {
       await this.#declare(fleet, course);
       island = await this.#addIsland(fleet);
-      await this.#prepareIsland(fleet, island.daemon);
+      await this.#prepareIsland(fleet, island.daemons);
       await this.#run(ctx, fleet, island, course);
     } finally {
       await fleet.stop();
@@ -105,49 +111,55 @@
     return plan;
   }
 
+  /** Adds two daemons that back each other up, so that they can go on when they are cut off. */
   async #addIsland(fleet: Fleet): Promise<Island> {
-    const others = fleet.daemons.map(({ listed }) => listed);
+    const mainland = fleet.daemons.map(({ listed }) => listed);
     const outward = await Promise.all(
       fleet.daemons.map(({ peerPort }) => Relay.start(HOST, peerPort)),
     );
     const store = await Relay.start(HOST, Number(new URL(fleet.urls.objects).port));
-    const peerPort = await freePort();
-    const inward = await Relay.start(HOST, peerPort);
-    const self = {
-      name: 'entry-4',
-      dataCentre: 'dc-1',
-      peerAddress: inward.address,
-      state: 'live',
-    } as const;
+    const peerPorts = await Promise.all(ISLANDERS.map(() => freePort()));
+    const inward = await Promise.all(peerPorts.map((port) => Relay.start(HOST, port)));
+    const members = ISLANDERS.map(({ name, dataCentre }, index) => {
+      const peerPort = peerPorts[index] ?? 0;
+      return { name, dataCentre, peerAddress: `${HOST}:${peerPort}`, state: 'live' as const };
+    });
     const listPort = await freePort();
     const list = await FakeInstanceList.start({ host: HOST, port: listPort, lagMs: 0 });
-    list.set([
-      ...others.map((peer, index) => ({
-        ...peer,
-        peerAddress: outward[index]?.address ?? peer.peerAddress,
-      })),
-      self,
-    ]);
-    const daemon = await DaemonProcess.start({
-      name: 'entry-4',
-      dataCentre: 'dc-1',
-      objects: `http://${store.address}`,
-      instances: `http://${HOST}:${listPort}`,
-      dir: fleet.dir,
-      peerPort,
+    // A leaving instance is no backup, but its links are accepted.
+    const abroad = mainland.map((peer, index) => {
+      const peerAddress = outward[index]?.address ?? peer.peerAddress;
+      return { ...peer, peerAddress, state: 'leaving' as const };
     });
-    fleet.daemons.push(daemon);
-    fleet.list.set([...others, self]);
-    await daemon.waitReady();
-    return { daemon, relays: [...outward, store, inward], list };
+    list.set([...abroad, ...members]);
+    const daemons = await Promise.all(
+      members.map(({ name, dataCentre }, index) =>
+        DaemonProcess.start({
+          name,
+          dataCentre,
+          objects: `http://${store.address}`,
+          instances: `http://${HOST}:${listPort}`,
+          dir: fleet.dir,
+          peerPort: peerPorts[index] ?? 0,
+        }),
+      ),
+    );
+    fleet.daemons.push(...daemons);
+    const seen = members.map((member, index) => ({
+      ...member,
+      peerAddress: inward[index]?.address ?? member.peerAddress,
+    }));
+    fleet.list.set([...mainland, ...seen]);
+    await Promise.all(daemons.map((daemon) => daemon.waitReady()));
+    return { daemons, relays: [...outward, store, ...inward], list };
   }
 
-  /** Lets the daemon draw enough units to go on without the store. */
-  async #prepareIsland(fleet: Fleet, daemon: DaemonProcess): Promise<void> {
+  /** Lets the daemons draw enough units to go on without the store. */
+  async #prepareIsland(fleet: Fleet, daemons: readonly DaemonProcess[]): Promise<void> {
     fleet.engines.forEach((engine) => engine.setFaults({ refuse: true }));
-    await DepartureProof.#ask(daemon.url, 'large', 4_096);
+    await Promise.all(daemons.map(({ url }) => DepartureProof.#ask(url, 'large', 4_096)));
     fleet.engines.forEach((engine) => engine.setFaults({ refuse: false }));
-    // The lists of all daemons show the new one by then.
+    // The lists of all daemons show the new ones by then.
     await delay(6_000);
   }
 
@@ -231,9 +243,9 @@
     const last = Math.max(0, ...(leaving?.orders.work ?? []).map(({ at }) => at - acceptedAt));
     const elsewhere = others
       .flatMap(({ orders }) => orders.work)
-      .filter(({ at, id }) => at > acceptedAt + LIMIT_MS && id.includes('.entry-4~')).length;
-    ctx.say(`last work ${last} ms after acceptance; ${elsewhere} requests of the cut-off daemon`);
-    ensure(elsewhere > 0, 'the cut-off daemon had no work: nothing was proved');
+      .filter(({ at, id }) => at > acceptedAt + LIMIT_MS && /\.entry-[45]~/.test(id)).length;
+    ctx.say(`last work ${last} ms after acceptance; ${elsewhere} requests of the cut-off daemons`);
+    ensure(elsewhere > 0, 'the cut-off daemons had no work: nothing was proved');
   }
 
   #checkLong(fleet: Fleet, answers: readonly Received[]): void {
--- a/src/daemon/planrun.ts
+++ b/src/daemon/planrun.ts
@@ -116,7 +116,11 @@
         network.request({ to, body: ask, reply: 'plan-surveyed', timeoutMs: SURVEY_MS }),
       ),
     );
-    const unreachable = peers.filter((_, index) => answers[index]?.err).map((peer) => peer.name);
+    const silent = peers.filter((_, index) => answers[index]?.err).map((peer) => peer.name);
+    // Before a plan is armed, a daemon that the platform no longer lists must have ended.
+    const unasked = this.stored.plan.phase === 'declared' ? await work.unasked() : [];
+    if (!unasked) return { type: 'stopped' };
+    const unreachable = [...silent, ...new Set(unasked)];
     const unaware = peers
       .filter((_, index) => answers[index]?.ok && !answers[index].val.aware)
       .map((peer) => peer.name);
--- a/src/daemon/planwork.ts
+++ b/src/daemon/planwork.ts
@@ -1,7 +1,7 @@
 /** What this daemon has open at what a plan names, and the closing of workspaces. */
 import { parseShard, shardKey } from '../budget/index.js';
 
-import type { HolderEntry } from '../budget/index.js';
+import type { BudgetShard, HolderEntry } from '../budget/index.js';
 import type { Incarnation } from '../kernel/index.js';
 import type { PeerMessageOf, PeerNetwork } from '../link/index.js';
 import type { PlanEvent, PlanState } from '../plan/index.js';
@@ -26,6 +26,12 @@
   readonly operations: Operations;
 }
 
+function holdsOf(shard: BudgetShard, workspace: string): (entry: HolderEntry) => boolean {
+  const own = shard.budgets.filter((budget) => budget.workspace === workspace);
+  const rows = new Set(own.flatMap((budget) => budget.rows.map(({ holder }) => holder)));
+  return ({ holder }) => rows.has(holder);
+}
+
 /** Answers surveys and writes closing statements. */
 export class PlanWork {
   /**
@@ -65,7 +71,8 @@
     const { operations, store } = this.ctx;
     if (plan.document.kind !== 'workspace') return { type: 'stopped' };
     const { workspace } = plan.document;
-    if (await this.#isUnsettled(workspace)) return { type: 'stopped' };
+    const unasked = await this.unasked(workspace);
+    if (!unasked || unasked.length > 0) return { type: 'stopped' };
     const lines = await operations.statement(workspace);
     const budgets = await operations.budgets();
     if (lines.err || budgets.err) return { type: 'stopped' };
@@ -82,22 +89,27 @@
     return { type: 'closed', closing: { statement, charges, units, refund } };
   }
 
-  /** Whether a daemon that no longer answers may have charges that are not in the store. */
-  async #isUnsettled(workspace: string): Promise<boolean> {
+  /**
+   * Lists the holders that no survey reaches, since the platform does not list them, and that
+   * have not ended: they may still dispatch, and have charges that are not in the store.
+   * @param workspace - whose budgets they hold; absent for all
+   * @returns their incarnations; undefined without an answer of the store
+   */
+  async unasked(workspace?: string): Promise<readonly Incarnation[] | undefined> {
     const { config, store, network, self } = this.ctx;
     const shards = config.current?.manifest.budgetShards ?? 0;
     const keys = Array.from({ length: shards }, (_, shard) => shardKey(shard));
     const found = await Promise.all(keys.map((key) => store.read(key)));
-    // Daemons on the platform's list were asked just before.
-    const asked = network.peers().map(({ name }) => network.incarnationOf(name));
-    const isEnded = ({ holder, state }: HolderEntry): boolean =>
-      state === 'ended' || holder === self || asked.includes(holder);
-    return found.some((result) => {
-      if (result.err) return true;
-      const { budgets, holders } = parseShard(result.val.value);
-      const own = budgets.filter((budget) => budget.workspace === workspace);
-      const rows = new Set(own.flatMap((budget) => budget.rows.map(({ holder }) => holder)));
-      return holders.some((entry) => rows.has(entry.holder) && !isEnded(entry));
+    if (found.some(({ err }) => err)) return undefined;
+    const values = found.flatMap((result) => (result.ok ? [parseShard(result.val.value)] : []));
+    const listed = network.peers().map(({ name }) => network.incarnationOf(name));
+    const asked = new Set([self, ...listed]);
+    return values.flatMap((shard) => {
+      const holders = shard.holders.filter(
+        ({ holder, state }) => !asked.has(holder) && state !== 'ended',
+      );
+      const own = workspace === undefined ? holders : holders.filter(holdsOf(shard, workspace));
+      return own.map(({ holder }) => holder);
     });
   }
 
--- /dev/null
+++ b/src/daemon/tests/arming.test.ts
@@ -0,0 +1,40 @@
+import test from 'ava';
+
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { askModel } from '../../../testbed/caller.js';
+import { API_KEY } from '../../../testbed/documents.js';
+import { Fleet } from '../../../testbed/fleet.js';
+import { waitFor } from '../../../testbed/wait.js';
+
+import type { PlanState } from '../../plan/index.js';
+
+/** Time after which every daemon has the platform's new list, in milliseconds. */
+const LIST_MS = 6_000;
+
+/** Longest time until a killed daemon has been recovered, in milliseconds. */
+const RECOVERY_MS = 30_000;
+
+test('a plan is not armed while a daemon off the list holds units and has not ended', async (t) => {
+  const fleet = await Fleet.start({ daemons: 3, units: 10_000 });
+  t.teardown(() => fleet.stop());
+  const [first, second, hidden] = [fleet.daemon(0), fleet.daemon(1), fleet.daemon(2)];
+  const ask = { apiKey: API_KEY, model: 'drafts', prompt: 'berth', maxTokens: 5 };
+  t.true((await askModel({ ...ask, url: hidden.url })).whole);
+  fleet.list.set([first.listed, second.listed]);
+  await delay(LIST_MS);
+
+  const plan = { kind: 'upstream', name: 'leave', upstream: 'engine-1', orders: [] } as const;
+  await fleet.publish({ ...fleet.documents, plans: [plan] });
+  const stored = (): PlanState => fleet.store.peek('plans/leave') as PlanState;
+  await waitFor('the plan waits for the hidden daemon', () =>
+    stored().waitsFor.includes(`${hidden.options.name}~`),
+  );
+  await first.order('plans/leave', { action: 'start', operation: 'start-1' });
+  await delay(2_000);
+  t.is(stored().phase, 'declared');
+
+  hidden.child.signal('SIGKILL');
+  await waitFor('the plan is done', () => stored().phase === 'done', RECOVERY_MS);
+  t.is(stored().orders.length, 0);
+});
