--- a/bench/catalogue.ts
+++ b/bench/catalogue.ts
@@ -1,15 +1,19 @@
 /** Every benchmark group, in the order in which they run. */
+import { BudgetBench } from './budget.js';
 import { ConfigBench } from './config.js';
 import { DurabilityBench } from './durability.js';
 import { PathBench } from './path.js';
 import { RouteBench } from './route.js';
+import { SlopesBench } from './slopes.js';
 
 import type { BenchGroup } from './figure.js';
 
 /** The groups. */
 export const GROUPS: readonly BenchGroup[] = [
   new PathBench(),
+  new BudgetBench(),
   new RouteBench(),
+  new SlopesBench(),
   new ConfigBench(),
   new DurabilityBench(),
 ];
--- a/proof/catalogue.ts
+++ b/proof/catalogue.ts
@@ -3,6 +3,7 @@
 import { GracefulStopProof } from './gracefulstop.js';
 import { AtMostOnceProof } from './atmostonce.js';
 import { NotRunProof } from './notrun.js';
+import { NoOverspendProof } from './nooverspend.js';
 import { BilledOnceProof } from './billedonce.js';
 import { ClosingProof } from './closing.js';
 import { ConfigNeverRevertsProof } from './configneverreverts.js';
@@ -18,6 +19,8 @@
   new ClosingProof(),
   new NotRunProof(),
   new AtMostOnceProof(),
+  new NoOverspendProof('no-overspend', 0),
+  new NoOverspendProof('no-overspend-lost-answers', 0.2),
   new BilledOnceProof(),
   new ConfigNeverRevertsProof(),
 ];
--- a/src/budget/draw.ts
+++ b/src/budget/draw.ts
@@ -1,6 +1,7 @@
 /** Draws: one conditional update reports a holder's counters and grants it more. */
 import { totalOf } from './escrow.js';
 import { grant, rowOf, spentOf, unallocated } from './ledger.js';
+import { entryOf } from './settlement.js';
 import { targetUnits } from './sizing.js';
 import { applyReport } from './transfer.js';
 
@@ -33,12 +34,13 @@
 /** What the store shows after a draw. */
 export interface DrawAnswer {
   readonly known: boolean;
+  /** The holder may use none of its rows any more. */
+  readonly isFenced: boolean;
   /** Units that the holder has drawn in all. */
   readonly granted: number;
   /** Units that no row holds. */
   readonly left: number;
-  /** Units that the holder should keep available. */
-  readonly target: number;
+  readonly outlook: BudgetOutlook;
   /** Loans to this holder that the store knows. */
   readonly loans: readonly PeerCounter[];
   readonly others: readonly HolderView[];
@@ -48,9 +50,10 @@
 
 const UNKNOWN: DrawAnswer = {
   known: false,
+  isFenced: false,
   granted: 0,
   left: 0,
-  target: 0,
+  outlook: { unspent: 0, totalRate: 0 },
   loans: [],
   others: [],
   reported: true,
@@ -59,7 +62,7 @@
 function outlookOf(budget: BudgetRecord, ask: DrawRequest): BudgetOutlook {
   const others = budget.rows.filter(({ holder }) => holder !== ask.report.holder);
   const rate = others.reduce((sum, row) => sum + (row.demand ?? 0), ask.demand.rate);
-  return { paid: budget.paid, unspent: budget.paid - spentOf(budget), totalRate: rate };
+  return { unspent: budget.paid - spentOf(budget), totalRate: rate };
 }
 
 function othersOf(budget: BudgetRecord, holder: string): readonly HolderView[] {
@@ -95,7 +98,8 @@
 }
 
 /**
- * Reports a holder's counters and grants it what it needs, as far as units are left.
+ * Reports a holder's counters and grants it what it needs, as far as units are left. The holder must
+ * have joined the shard: without an active entry it has been fenced.
  * A waiting request gets whatever is left, also less than it lacks: peers may have the rest.
  * @param shard - shard in force
  * @param ask - counters, demand and need of the holder
@@ -103,12 +107,16 @@
  */
 export function drawUnits(shard: BudgetShard, ask: DrawRequest): Change<BudgetShard, DrawAnswer> {
   const { report } = ask;
+  if (entryOf(shard, report.holder)?.state !== 'active') {
+    return { kind: 'keep', outcome: { ...UNKNOWN, isFenced: true } };
+  }
   const reported = applyReport(shard, report);
   const budget = reported.budgets.find(({ name }) => name === report.budget);
   if (!budget) return { kind: 'keep', outcome: UNKNOWN };
-  const target = targetUnits(ask.demand, outlookOf(budget, ask));
-  const wanted = Math.max(ask.missing, target - ask.available);
-  const asked = { ...report, granted: ask.granted, needed: 1, wanted };
+  const outlook = outlookOf(budget, ask);
+  const wanted = Math.max(ask.missing, targetUnits(ask.demand, outlook) - ask.available);
+  const { granted: drawn } = ask;
+  const asked = { ...report, backup: null, entered: true, granted: drawn, needed: 1, wanted };
   const change = wanted > 0 ? grant(reported, asked) : undefined;
   const { granted, left } = change?.outcome ?? {
     granted: ask.granted,
@@ -116,9 +124,10 @@
   };
   const outcome: DrawAnswer = {
     known: true,
+    isFenced: false,
     granted,
     left,
-    target,
+    outlook,
     loans: loansTo(budget, report.holder),
     others: othersOf(budget, report.holder),
     reported: isReported(budget, report),
--- a/src/budget/statement.ts
+++ b/src/budget/statement.ts
@@ -1,13 +1,13 @@
 /** Statement of a shard: settled lines in pages, each request key billed once. */
 import { z } from 'zod';
 
-import { chargeLineSchema } from './charge.js';
+import { chargeLineSchema, fillsObject } from './charge.js';
 
 import type { Change } from '../platform/index.js';
 import type { ChargeLine } from './charge.js';
 import type { BudgetShard } from './shard.js';
 
-/** Lines after which a page is full; about 300 KB. */
+/** Lines after which a page is full. */
 export const PAGE_LINES = 1_000;
 
 /** Digits of a page number in an object key, so that keys sort by number. */
@@ -71,7 +71,7 @@
 }
 
 function isFull(page: StatementPage): boolean {
-  return page.lines.length + page.duplicates.length >= PAGE_LINES;
+  return fillsObject([...page.lines, ...page.duplicates], PAGE_LINES);
 }
 
 /** The page that a fold writes. */
@@ -85,7 +85,7 @@
 export interface FoldInput {
   /** Last page. */
   readonly page: StatementPage;
-  /** Settled lines that no page holds, each holder's in the order of its sequence. */
+  /** Settled lines that no page holds, each holder's in order; no more than one object takes. */
   readonly lines: readonly ChargeLine[];
   /** Whether an earlier line has the same request. */
   readonly isKnown: (request: string) => boolean;
--- a/src/daemon/requestrun.ts
+++ b/src/daemon/requestrun.ts
@@ -92,33 +92,21 @@
 
   async #reserve(units: number): Promise<ServeEvent> {
     const { serving, tenant } = this.input;
-    const deadline = Date.now() + serving.settings.limits.admissionMs;
-    for (;;) {
-      const { budget } = tenant;
-      // Each round depends on the one before.
-      // eslint-disable-next-line no-await-in-loop
-      const { accepted, available } = await serving.budgets.ask({
-        type: 'reserve',
-        budget,
-        units,
-      });
-      if (accepted) {
-        this.#reserved = units;
-        // eslint-disable-next-line no-await-in-loop
-        const isKept = await serving.charges.admit({ budget, units }, deadline - Date.now());
-        if (!isKept) return this.#refuseUndurable();
-        serving.recorder.record('requestAdmitted', { request: this.input.key, budget });
-        return { type: 'done' };
-      }
-      const detail = `needs ${units}, has ${available}`;
-      serving.recorder.record('reservationShort', { request: this.input.key, budget, detail });
-      // eslint-disable-next-line no-await-in-loop
-      const fail = await serving.grants.draw(budget, units);
-      if (fail) return { type: 'failed', fail };
-      if (Date.now() > deadline) {
-        return { type: 'failed', fail: failure('budget-unreachable', budget) };
-      }
-    }
+    const { budget } = tenant;
+    const waitMs = serving.settings.limits.admissionMs;
+    const deadline = performance.now() + waitMs;
+    const admitted = await serving.admission.admit({
+      request: this.input.key,
+      budget,
+      units,
+      waitMs,
+    });
+    if (admitted.err) return { type: 'failed', fail: admitted.val };
+    this.#reserved = units;
+    const isKept = await serving.charges.admit({ budget, units }, deadline - performance.now());
+    if (!isKept) return this.#refuseUndurable();
+    serving.recorder.record('requestAdmitted', { request: this.input.key, budget });
+    return { type: 'done' };
   }
 
   async #refuseUndurable(): Promise<ServeEvent> {
@@ -140,14 +128,13 @@
   }
 
   async #choose(excluded: readonly string[]): Promise<ServeEvent> {
-    const { serving, route, tenant, key, signal } = this.input;
+    const { serving, route, tenant, signal } = this.input;
     const { workspace } = tenant;
     const limited = this.#entered ? undefined : serving.routing.enter(workspace);
     if (limited) return { type: 'failed', fail: limited };
     this.#entered = true;
-    const id = `${key}.${this.#attempts}`;
     const digests = this.promptDigests();
-    const placed = await serving.routing.place({ id, workspace, route, digests, excluded, signal });
+    const placed = await serving.routing.place({ workspace, route, digests, excluded, signal });
     if (placed.err) return { type: 'failed', fail: placed.val };
     this.#upstream = placed.val;
     return { type: 'chosen', upstream: this.#upstream.name };
--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -2,8 +2,14 @@
 import { SystemClock } from '../kernel/index.js';
 import { Directory, WsPeerNetwork } from '../link/index.js';
 import { HttpInstanceList, HttpObjectStore } from '../platform/index.js';
-import { HttpModelEngine, HttpOrderClient, HttpPlainService } from '../upstream/index.js';
+import {
+  HttpLoadSource,
+  HttpModelEngine,
+  HttpOrderClient,
+  HttpPlainService,
+} from '../upstream/index.js';
 import { ActiveRequests } from './activerequests.js';
+import { Admission } from './admission.js';
 import { Backups } from './backups.js';
 import { BudgetTask } from './budgettask.js';
 import { Charges } from './charges.js';
@@ -12,6 +18,7 @@
 import { Grants } from './grants.js';
 import { Handover } from './handover.js';
 import { KeyRegistry } from './keyregistry.js';
+import { Lending } from './lending.js';
 import { Operations } from './operations.js';
 import { PlanExecutor } from './planexecutor.js';
 import { PlanFollower } from './planfollower.js';
@@ -19,6 +26,7 @@
 import { PlanWork } from './planwork.js';
 import { Publishing } from './publishing.js';
 import { makeRecorder } from './recording.js';
+import { LoadReports } from './loadreports.js';
 import { Routing } from './routing.js';
 import { OpenWork } from './serving.js';
 import { ShardCare } from './shardcare.js';
@@ -27,6 +35,7 @@
 
 import type { Recorder } from '../telemetry/index.js';
 import type { Serving } from './serving.js';
+import type { Instance } from '../platform/index.js';
 import type { Settings } from './settings.js';
 
 /** Whether a daemon takes new work. */
@@ -56,6 +65,8 @@
 
   readonly #directory: Directory;
 
+  readonly #reports: LoadReports;
+
   readonly #care: ShardCare;
 
   #fenced: () => void = () => undefined;
@@ -87,7 +98,8 @@
     const { network } = this;
     const { dataCentre } = settings;
     const config = new ConfigTask({ self, dataCentre, store, network, recorder });
-    const budgets = new BudgetTask();
+    const clock = new SystemClock();
+    const budgets = new BudgetTask(clock);
     const backups = new Backups(self, settings.dataCentre, this.network);
     const { instance } = settings;
     const plans = new PlanFollower({ instance, dataCentre, store, network, recorder });
@@ -101,6 +113,9 @@
       recorder,
       onFenced: () => this.#fenced(),
     });
+    const grants = new Grants({ self, store, budgets, config, recorder, clock, charges });
+    const beforePass = charges.lend.bind(charges);
+    const lending = new Lending({ self, network, budgets, recorder, beforePass });
     this.#care = new ShardCare({ self, store, backups, network, config, recorder });
     this.serving = {
       self,
@@ -109,16 +124,21 @@
       store,
       config,
       budgets,
+      grants,
+      admission: new Admission({ budgets, grants, lending, network, recorder }),
       claims: new Claims(self, store),
       keys: new KeyRegistry(self, this.network),
       routing: new Routing({ config, recorder, random: Math.random, daemons, mayReceive }),
-      grants: new Grants({ self, store, budgets, config, recorder, charges }),
       charges,
       engine: new HttpModelEngine(),
       service: new HttpPlainService(),
       recorder,
       open: new OpenWork(),
     };
+    const source = new HttpLoadSource();
+    const peers = (): readonly Instance[] => network.peers();
+    const { routing } = this.serving;
+    this.#reports = new LoadReports({ dataCentre, config, routing, source, peers });
     const { open } = this.serving;
     this.#handover = new Handover({ self, store, charges, network, recorder });
     this.operations = new Operations(store, config);
@@ -161,7 +181,9 @@
     this.network.start();
     this.serving.charges.start();
     this.#handover.start();
+    this.serving.grants.start();
     this.serving.routing.start();
+    this.#reports.start();
     this.#care.start();
     void this.serving.config.run();
     this.serving.plans.start();
@@ -180,7 +202,10 @@
   /** Delivers what is left and closes the links, once no request is open. */
   async finishStop(): Promise<void> {
     const { config } = this.serving;
+    this.serving.grants.stop();
+    await this.serving.grants.report();
     this.serving.routing.stop();
+    this.#reports.stop();
     this.#care.stop();
     await this.serving.keys.handOver();
     await this.#handover.run();
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -19,6 +19,8 @@
   handoverDelivered: { number: 1008, level: 'info', text: 'delivered what a peer handed over' },
   requestReceived: { number: 1101, level: 'debug', text: 'request received' },
   reservationShort: { number: 1102, level: 'info', text: 'units at hand do not cover a request' },
+  storeAsked: { number: 1103, level: 'info', text: 'asked the store for units' },
+  peerAsked: { number: 1104, level: 'info', text: 'asked another daemon for units' },
   requestAdmitted: { number: 2001, level: 'debug', text: 'request admitted' },
   requestDispatched: { number: 2002, level: 'debug', text: 'request dispatched to an upstream' },
   requestAnswered: { number: 2003, level: 'debug', text: 'request answered whole' },
@@ -26,6 +28,8 @@
   requestCut: { number: 2005, level: 'warn', text: 'answer cut before its end' },
   grantDrawn: { number: 3001, level: 'info', text: 'units drawn from the store' },
   grantRefused: { number: 3002, level: 'info', text: 'the store had no units left to grant' },
+  unitsLent: { number: 3006, level: 'info', text: 'units lent to another daemon' },
+  unitsBorrowed: { number: 3007, level: 'info', text: 'units borrowed from another daemon' },
   chargeCopied: { number: 3003, level: 'debug', text: 'charge line copied to the backup' },
   chargesDelivered: { number: 3004, level: 'info', text: 'charge lines delivered to the store' },
   chargesDelayed: { number: 3005, level: 'warn', text: 'charge lines could not be delivered yet' },
@@ -63,6 +67,7 @@
   messageRejected: { number: 5005, level: 'warn', text: 'peer message rejected by its schema' },
   storeUnavailable: { number: 6001, level: 'warn', text: 'object API does not answer' },
   upstreamEjected: { number: 7001, level: 'warn', text: 'failing upstream ejected for a while' },
+  attemptCancelled: { number: 7002, level: 'debug', text: 'attempt cancelled at the engine' },
 } as const satisfies Readonly<Record<string, EventKind>>;
 
 /** Names an event of the catalogue. */
