--- a/fakes/orders.ts
+++ b/fakes/orders.ts
@@ -29,6 +29,9 @@
   readonly at: number;
 }
 
+/** Calls that ask for no work: switches, orders, load reports and cancellations. */
+const OTHER_PATHS = ['/admin/', '/orders', '/v1/load', '/v1/requests/'] as const;
+
 /** What upstream stand-ins share beside their own work. */
 export class FakeOrders {
   readonly #given: GivenOrder[] = [];
@@ -49,7 +52,7 @@
    */
   constructor(app: FastifyInstance) {
     app.addHook('onRequest', async (req, reply) => {
-      if (req.url.startsWith('/admin/') || req.url.startsWith('/orders')) return;
+      if (OTHER_PATHS.some((path) => req.url.startsWith(path))) return;
       this.#work.push({ id: String(req.headers['x-request-id']), at: Date.now() });
       this.#open += 1;
       reply.raw.once('close', () => {
