--- a/src/budget/tests/statement.test.ts
+++ b/src/budget/tests/statement.test.ts
@@ -2,6 +2,7 @@
 
 import { applyCredits, EMPTY_PAGE, fold, PAGE_LINES } from '../statement.js';
 import { topUp, unallocated } from '../ledger.js';
+import { takeLines } from '../charge.js';
 import { parseShard } from '../shard.js';
 
 import type { ChargeLine } from '../charge.js';
@@ -62,3 +63,19 @@
   t.is(unallocated(value.budgets[0] ?? shard.budgets[0]!), 120);
   t.is(applyCredits(value, page).kind, 'keep');
 });
+
+test('takeLines: lines of any size fit into one object', (t) => {
+  const long = 'x'.repeat(16_000);
+  const lines = Array.from({ length: 100 }, (_, at) => line('a~1', at + 1, `${long}${at}`));
+  t.is(takeLines(lines, 1_000).length, 24);
+  t.is(takeLines(lines, 10).length, 10);
+  t.is(takeLines([line('a~1', 1, 'x'.repeat(500_000))], 10).length, 1);
+  t.deepEqual(takeLines([], 10), []);
+});
+
+test('fold: a page of long lines is full early', (t) => {
+  const lines = Array.from({ length: 30 }, (_, at) => line('a~1', at + 1, 'x'.repeat(16_000)));
+  const { page } = fold({ ...base, lines, present: ['a~1'] });
+  const next = fold({ ...base, page, lines: [line('a~1', 31, 'z')], present: ['a~1'] });
+  t.true(next.begins);
+});
--- a/src/daemon/shardcare.ts
+++ b/src/daemon/shardcare.ts
@@ -6,7 +6,7 @@
 import { recoverHolder } from './recovering.js';
 
 import type { BudgetShard, HolderEntry } from '../budget/index.js';
-import type { Incarnation } from '../kernel/index.js';
+import type { Incarnation, InstanceName } from '../kernel/index.js';
 import type { PeerNetwork } from '../link/index.js';
 import type { ObjectStore } from '../platform/index.js';
 import type { Recorder } from '../telemetry/index.js';
@@ -19,6 +19,9 @@
 /** Silence after which a takeover begins; the fence makes it safe, not this time. */
 const SUSPECT_MS = 4_000;
 
+/** Daemons in the order of a shard that may look after it; the first that answers does. */
+const MAX_CARERS = 4;
+
 /** What the care of shards needs. */
 export interface CareContext {
   readonly self: Incarnation;
@@ -41,6 +44,10 @@
 
   readonly #suspicions = new Map<string, Suspicion>();
 
+  readonly #carers = new Map<number, readonly InstanceName[]>();
+
+  #list = '';
+
   #timer: NodeJS.Timeout | undefined;
 
   #isStopped = false;
@@ -83,15 +90,28 @@
   }
 
   async #isInCharge(shard: number): Promise<boolean> {
-    const { self, network, backups } = this.ctx;
-    const own = instanceOf(self);
-    const live = network.peers().filter(({ state }) => state === 'live');
-    const carers = shardCarers(shard, [own, ...live.map(({ name }) => name)]);
-    const before = carers.slice(0, carers.indexOf(own));
+    const { self, backups } = this.ctx;
+    const carers = this.#carersOf(shard);
+    const before = carers.slice(0, carers.indexOf(instanceOf(self)));
+    // Daemons further down wait until the instance list drops those before them.
+    if (before.length >= MAX_CARERS) return false;
     const answers = await Promise.all(before.map((name) => backups.query(name, self)));
     return answers.every((answer) => answer === undefined);
   }
 
+  /** The order is worked out again only when the instance list has changed. */
+  #carersOf(shard: number): readonly InstanceName[] {
+    const { self, network } = this.ctx;
+    const live = network.peers().filter(({ state }) => state === 'live');
+    const names = [instanceOf(self), ...live.map(({ name }) => name)];
+    const list = names.join('\n');
+    if (list !== this.#list) this.#carers.clear();
+    this.#list = list;
+    const carers = this.#carers.get(shard) ?? shardCarers(shard, names).slice(0, MAX_CARERS);
+    this.#carers.set(shard, carers);
+    return carers.includes(instanceOf(self)) ? carers : [...carers, instanceOf(self)];
+  }
+
   async #care(shard: number): Promise<void> {
     const found = await this.ctx.store.read(shardKey(shard));
     if (found.err || found.val.value === null) return;
@@ -117,7 +137,8 @@
       this.#suspicions.delete(slot);
       return false;
     }
-    const state = JSON.stringify(entry);
+    // What others note about the holder is no sign of life.
+    const state = JSON.stringify({ ...entry, cause: '' });
     const known = this.#suspicions.get(slot);
     if (known?.entry !== state) {
       // A changed entry is a sign of life of a holder that no link reaches.
@@ -125,16 +146,18 @@
       return false;
     }
     if (performance.now() - known.since < SUSPECT_MS) return false;
-    return watched !== entry.holder || !(await this.#isHeardByBackup(entry));
+    if (watched !== entry.holder) return true;
+    const keepers = [entry.backup, entry.standby].filter((keeper) => keeper !== null);
+    const heard = await Promise.all(keepers.map((keeper) => this.#isHeardBy(keeper, entry.holder)));
+    return !heard.includes(true);
   }
 
-  async #isHeardByBackup({ holder, backup }: HolderEntry): Promise<boolean> {
+  async #isHeardBy(keeper: Incarnation, holder: Incarnation): Promise<boolean> {
     const { backups, self } = this.ctx;
-    if (backup === null) return false;
     const silentMs =
-      backup === self
+      keeper === self
         ? backups.silentMs(holder)
-        : ((await backups.query(instanceOf(backup), holder))?.silentMs ?? null);
+        : ((await backups.query(instanceOf(keeper), holder))?.silentMs ?? null);
     return silentMs !== null && silentMs < SUSPECT_MS;
   }
 
