--- a/src/daemon/requestrun.ts
+++ b/src/daemon/requestrun.ts
@@ -95,7 +95,12 @@
     const { budget } = tenant;
     const waitMs = serving.settings.limits.admissionMs;
     const deadline = performance.now() + waitMs;
-    const admitted = await serving.admission.admit({ budget, units, waitMs });
+    const admitted = await serving.admission.admit({
+      request: this.input.key,
+      budget,
+      units,
+      waitMs,
+    });
     if (admitted.err) return { type: 'failed', fail: admitted.val };
     this.#reserved = units;
     const isKept = await serving.charges.admit({ budget, units }, deadline - performance.now());
--- a/src/daemon/routing.ts
+++ b/src/daemon/routing.ts
@@ -1,32 +1,20 @@
 /** Owns the route schedulers of one daemon: places requests, lets them wait, or refuses them. */
 import { Err, failure, Ok } from '../kernel/index.js';
-import {
-  AffinityPolicy,
-  LeastOpenPolicy,
-  RetryBudget,
-  RouteScheduler,
-  WorkspaceUse,
-} from '../route/index.js';
+import { AffinityPolicy, RetryBudget, WorkspaceUse } from '../route/index.js';
+import { Lanes } from './lanes.js';
 
 import type { Route, UpstreamDocument, Workspace } from '../config/index.js';
 import type { Failure, Result } from '../kernel/index.js';
-import type { ChoicePolicy, LoadReport, RouteCommand, RouteEvent, Ticket } from '../route/index.js';
+import type { LoadReport, RouteCommand, RouteEvent, Ticket } from '../route/index.js';
 import type { Recorder } from '../telemetry/index.js';
-import type { ConfigTask } from './configtask.js';
+import type { Lane, LaneContext } from './lanes.js';
 
 /** Interval at which waiting requests are checked against their deadlines, in milliseconds. */
 const TICK_MS = 50;
 
 /** What routing needs. */
-export interface RoutingContext {
-  readonly config: ConfigTask;
+export interface RoutingContext extends Omit<LaneContext, 'retries'> {
   readonly recorder: Recorder;
-  /** Random numbers in [0, 1). */
-  readonly random: () => number;
-  /** Live daemons of the fleet, this one included. */
-  readonly daemons: () => number;
-  /** Whether an upstream may receive new work, by the plans. */
-  readonly mayReceive: (upstream: string) => boolean;
 }
 
 /** A request that asks for an upstream. */
@@ -45,17 +33,6 @@
   readonly evicted: readonly number[];
 }
 
-/** One route with the requests that wait for an answer of its scheduler. */
-interface Lane {
-  readonly scheduler: RouteScheduler;
-  readonly route: Route;
-  readonly policy: ChoicePolicy;
-  readonly waiting: Map<string, (command: RouteCommand) => void>;
-  documents: readonly UpstreamDocument[];
-  /** Time of the last request, in milliseconds. */
-  usedAt: number;
-}
-
 /** Refuses with the delay after which a caller may try again. */
 function refused(code: Failure['code'], subject: string, retryAfterMs: number): Failure {
   return { ...failure(code, subject), retryAfterMs };
@@ -65,7 +42,7 @@
 export class Routing {
   readonly retries = new RetryBudget();
 
-  readonly #lanes = new Map<string, Lane>();
+  readonly #lanes: Lanes;
 
   readonly #uses = new WorkspaceUse();
 
@@ -78,12 +55,14 @@
    * Creates the task.
    * @param ctx - configuration, events, random numbers and the size of the fleet
    */
-  constructor(private readonly ctx: RoutingContext) {}
+  constructor(private readonly ctx: RoutingContext) {
+    this.#lanes = new Lanes({ ...ctx, retries: this.retries });
+  }
 
   /** Begins to check deadlines. */
   start(): void {
     this.#timer = setInterval(() => {
-      this.#lanes.forEach((lane) => {
+      this.#lanes.all().forEach((lane) => {
         if (lane.scheduler.waiting > 0) this.#apply(lane, { type: 'tick' });
       });
     }, TICK_MS);
@@ -96,7 +75,7 @@
 
   /** Requests that wait at all routes. */
   get waiting(): number {
-    return [...this.#lanes.values()].reduce((sum, { scheduler }) => sum + scheduler.waiting, 0);
+    return this.#lanes.all().reduce((sum, { scheduler }) => sum + scheduler.waiting, 0);
   }
 
   /**
@@ -126,26 +105,31 @@
    * @returns the upstream, counted as busy until "end"; otherwise why there is none
    */
   async place(ask: PlaceRequest): Promise<Result<UpstreamDocument, Failure>> {
-    const { route, excluded, digests } = ask;
-    const lane = this.#lane(route);
-    const documents = this.#documents(lane, route);
-    const { priority, queueMs } = route;
+    const { route, digests } = ask;
+    const lane = this.#lanes.of(route);
+    const documents = this.#lanes.documents(lane);
     lane.usedAt = performance.now();
-    const deadline = lane.usedAt + queueMs;
-    const workspace = ask.workspace.name;
     this.#tickets += 1;
-    const id = String(this.#tickets);
-    const ticket: Ticket = { id, workspace, priority, digests, excluded, deadline };
+    const ticket: Ticket = {
+      id: String(this.#tickets),
+      workspace: ask.workspace.name,
+      priority: route.priority,
+      digests,
+      isRetry: ask.excluded.length > 0,
+      excluded: this.#lanes.excluded(lane, route, ask.excluded),
+      deadline: lane.usedAt + route.queueMs,
+    };
     const command = await new Promise<RouteCommand>((resolve) => {
-      lane.waiting.set(id, resolve);
+      lane.waiting.set(ticket.id, resolve);
       ask.signal.addEventListener('abort', () => this.#abandon(lane, ticket), { once: true });
       this.#apply(lane, { type: 'workers', documents });
       this.#apply(lane, { type: 'submit', ticket });
     });
     if (command.type === 'dispatch') {
-      const upstream = documents.find(({ name }) => name === command.worker);
-      const current = upstream ?? this.#current(route, command.worker);
-      if (current) return Ok(current);
+      const upstream = this.#lanes.upstreams(route).find(({ url }) => url === command.worker);
+      if (upstream) return Ok(upstream);
+      const workspace = ask.workspace.name;
+      this.#apply(lane, { type: 'end', worker: command.worker, workspace, failed: false });
     }
     if (command.type !== 'refuse') return Err(failure('upstream-unavailable', route.name));
     return Err(refused(command.code, `route ${route.name}`, command.retryAfterMs));
@@ -158,7 +142,8 @@
    * @param delayMs - since the dispatch, in milliseconds
    */
   begin(route: Route, worker: string, delayMs: number): void {
-    this.#apply(this.#lane(route), { type: 'begin', worker, delayMs });
+    const lane = this.#lanes.of(route);
+    this.#apply(lane, { type: 'begin', worker: lane.urls.get(worker) ?? worker, delayMs });
   }
 
   /**
@@ -169,7 +154,9 @@
    * @param isFailed - whether the upstream failed
    */
   end(route: Route, worker: string, workspace: string, isFailed: boolean): void {
-    this.#apply(this.#lane(route), { type: 'end', worker, workspace, failed: isFailed });
+    const lane = this.#lanes.of(route);
+    const url = lane.urls.get(worker) ?? worker;
+    this.#apply(lane, { type: 'end', worker: url, workspace, failed: isFailed });
   }
 
   /**
@@ -179,9 +166,10 @@
    */
   activeRoutes(withinMs: number): readonly Route[] {
     const since = performance.now() - withinMs;
-    return [...this.#lanes.values()]
+    return this.#lanes
+      .all()
       .filter(({ usedAt, scheduler }) => usedAt > since || scheduler.waiting > 0)
-      .map(({ route }) => route);
+      .flatMap(({ routes }) => [...routes.values()]);
   }
 
   /**
@@ -191,10 +179,11 @@
    * @param news - digests of prompt prefixes
    */
   noteCache(route: Route, worker: string, { stored, evicted }: CacheNews): void {
-    const { policy } = this.#lane(route);
+    const { policy, urls } = this.#lanes.of(route);
+    const url = urls.get(worker) ?? worker;
     if (!(policy instanceof AffinityPolicy)) return;
-    policy.index.add(worker, stored);
-    policy.index.remove(worker, evicted);
+    policy.index.add(url, stored);
+    policy.index.remove(url, evicted);
   }
 
   /**
@@ -204,39 +193,8 @@
    * @param report - the report
    */
   report(route: Route, worker: string, report: LoadReport): void {
-    this.#apply(this.#lane(route), { type: 'report', worker, report });
-  }
-
-  #upstreams(route: Route): readonly UpstreamDocument[] {
-    const published = this.ctx.config.current?.upstreams(route.name) ?? [];
-    return published.filter(({ name }) => this.ctx.mayReceive(name));
-  }
-
-  /** Routes keep their list as long as it has not changed, so that the pool need not be rebuilt. */
-  #documents(lane: Lane, route: Route): readonly UpstreamDocument[] {
-    const state = lane;
-    const found = this.#upstreams(route);
-    const isSame =
-      found.length === lane.documents.length &&
-      found.every((upstream, index) => upstream === lane.documents[index]);
-    if (!isSame) state.documents = found;
-    return lane.documents;
-  }
-
-  #current(route: Route, name: string): UpstreamDocument | undefined {
-    return this.#upstreams(route).find((upstream) => upstream.name === name);
-  }
-
-  #lane(route: Route): Lane {
-    const known = this.#lanes.get(route.name);
-    if (known) return known;
-    const { random, daemons } = this.ctx;
-    const policy =
-      route.kind === 'model' ? new AffinityPolicy({ random }) : new LeastOpenPolicy(random);
-    const scheduler = new RouteScheduler({ policy, retries: this.retries, daemons, random });
-    const lane = { scheduler, route, policy, waiting: new Map(), documents: [], usedAt: 0 };
-    this.#lanes.set(route.name, lane);
-    return lane;
+    const lane = this.#lanes.of(route);
+    this.#apply(lane, { type: 'report', worker: lane.urls.get(worker) ?? worker, report });
   }
 
   #abandon(lane: Lane, ticket: Ticket): void {
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -19,6 +19,8 @@
   handoverDelivered: { number: 1008, level: 'info', text: 'delivered what a peer handed over' },
   requestReceived: { number: 1101, level: 'debug', text: 'request received' },
   reservationShort: { number: 1102, level: 'info', text: 'units at hand do not cover a request' },
+  storeAsked: { number: 1103, level: 'info', text: 'asked the store for units' },
+  peerAsked: { number: 1104, level: 'info', text: 'asked another daemon for units' },
   requestAdmitted: { number: 2001, level: 'debug', text: 'request admitted' },
   requestDispatched: { number: 2002, level: 'debug', text: 'request dispatched to an upstream' },
   requestAnswered: { number: 2003, level: 'debug', text: 'request answered whole' },
