--- a/proof/nooverspend.ts
+++ b/proof/nooverspend.ts
@@ -41,6 +41,14 @@
   units: number;
   whole: number;
   readonly refusals: Map<string, number>;
+  /** Whole answers and refusals of the daemons that are cut off. */
+  readonly cutOff: { whole: number; refused: number };
+}
+
+/** What the callers and the checks go by. */
+interface ProofState {
+  isOver: boolean;
+  isCut: boolean;
 }
 
 /** Prompt tokens of the stand-in: a token takes four bytes. */
@@ -84,13 +92,18 @@
     });
     try {
       fleet.store.setFaults({ loseAnswers: this.loseAnswers });
-      const tally: Tally = { units: 0, whole: 0, refusals: new Map() };
-      const state = { isOver: false };
+      const tally: Tally = {
+        units: 0,
+        whole: 0,
+        refusals: new Map(),
+        cutOff: { whole: 0, refused: 0 },
+      };
+      const state: ProofState = { isOver: false, isCut: false };
       const watch = this.#watch(fleet, state);
       const callers = Array.from({ length: CALLERS }, (_, caller) =>
         this.#call(fleet, caller, tally, state),
       );
-      await this.#faults(fleet, ctx);
+      await this.#faults(fleet, ctx, state);
       ctx.say(`after the faults: ${tally.whole} answers; ${refusalText(tally)}`);
       await waitFor('the budget runs out', () => refusedForBudget(tally) > 0, DRAIN_MS).catch(
         (err) => ensure(false, `${String(err)}; ${tally.whole} answers; ${refusalText(tally)}`),
@@ -107,8 +120,10 @@
     }
   }
 
-  async #faults(fleet: Fleet, ctx: ProofContext): Promise<void> {
+  async #faults(fleet: Fleet, ctx: ProofContext, state: ProofState): Promise<void> {
+    const now = state;
     await delay(PHASE_MS);
+    now.isCut = true;
     fleet.setPartition(ctx.random() < 0.5 ? 'cut' : 'silent');
     await delay(PHASE_MS);
     await fleet.daemon(0).order('topups', { budget: 'main', operation: 'more', units: TOP_UP });
@@ -117,6 +132,7 @@
     fleet.daemon(ctx.random() < 0.5 ? 1 : 3).child.signal('SIGKILL');
     await fleet.relist();
     await delay(PHASE_MS);
+    now.isCut = false;
     fleet.setPartition('cut');
     fleet.setPartition('pass');
     await delay(PHASE_MS * ctx.random());
@@ -130,17 +146,19 @@
     fleet: Fleet,
     caller: number,
     tally: Tally,
-    state: { readonly isOver: boolean },
+    state: Readonly<ProofState>,
   ): Promise<void> {
     const counts = tally;
     for (let round = 0; !state.isOver; round += 1) {
       const prompt = `berth ${caller} round ${round}`;
-      const { url } = fleet.daemon((caller + round) % DAEMONS);
+      const { url, options } = fleet.daemon((caller + round) % DAEMONS);
+      const atCutOff = state.isCut && CUT_OFF.includes(options.name);
       const ask = { url, apiKey: API_KEY, model: 'drafts', prompt, maxTokens: TOKENS };
       // Requests of one caller follow each other.
       // eslint-disable-next-line no-await-in-loop
       const answer = await askModel(ask);
       counts.units += unitsOf(prompt, answer);
+      if (atCutOff) counts.cutOff[answer.whole ? 'whole' : 'refused'] += 1;
       if (answer.whole) counts.whole += 1;
       else {
         const code = answer.code ?? 'no answer';
@@ -181,6 +199,8 @@
       `paid ${budget.paid}, answered ${tally.units} in ${tally.whole} answers; ${refusalText(tally)}`,
     );
     ctx.say(`settled ${spentOf(budget)}, tokens by the engines' own count ${tokens}`);
+    const { whole, refused } = tally.cutOff;
+    ctx.say(`asked at the cut-off side during the cut: ${whole} answered whole, ${refused} not`);
     const loans = budget.rows.flatMap(({ passed }) => passed ?? []);
     ctx.say(`${totalOf(loans)} units lent in ${loans.length} pairs of daemons`);
     ensure(tally.units <= budget.paid, `answered ${tally.units} units of ${budget.paid} paid`);
--- a/src/daemon/outbox.ts
+++ b/src/daemon/outbox.ts
@@ -64,6 +64,9 @@
 
   #joined: Promise<boolean> | undefined;
 
+  /** While the holder joins, its entry may be missing without a fence. */
+  #isJoined = false;
+
   #copying: Promise<boolean> | undefined;
 
   #queued: Promise<boolean> | undefined;
@@ -131,6 +134,7 @@
   async join(): Promise<boolean> {
     this.#joined ??= this.#join();
     const joined = await this.#joined;
+    this.#isJoined = joined;
     if (!joined) this.#joined = undefined;
     return joined;
   }
@@ -211,7 +215,7 @@
    * @param isThere - whether an incarnation answered just now
    */
   async maintain(isThere: (keeper: Incarnation) => boolean): Promise<void> {
-    if (!this.#joined || this.#state.isFenced) return;
+    if (!this.#isJoined || this.#state.isFenced) return;
     const { backup, standby } = this.#state;
     const isBackupThere = backup !== null && isThere(backup);
     const isBetterThere = standby !== null && standby === this.#preferred && isThere(standby);
@@ -263,7 +267,7 @@
 
   /** Writes a sign of life, for recoverers that no link reaches. */
   async beat(): Promise<void> {
-    if (!this.#joined || this.#state.isFenced) return;
+    if (!this.#isJoined || this.#state.isFenced) return;
     const done = await this.#update((shard) => recordBeat(shard, this.ctx.self));
     if (done.ok) this.#check(done.val);
   }
--- a/src/daemon/planwork.ts
+++ b/src/daemon/planwork.ts
@@ -1,16 +1,22 @@
 /** What this daemon has open at what a plan names, and the closing of workspaces. */
-import { Operations } from './operations.js';
+import { parseShard, shardKey } from '../budget/index.js';
 
+import type { BudgetShard, HolderEntry } from '../budget/index.js';
+import type { Incarnation } from '../kernel/index.js';
 import type { PeerMessageOf, PeerNetwork } from '../link/index.js';
 import type { PlanEvent, PlanState } from '../plan/index.js';
 import type { ObjectStore } from '../platform/index.js';
 import type { ActiveRequests } from './activerequests.js';
 import type { Charges } from './charges.js';
+import type { ConfigTask } from './configtask.js';
+import type { Operations } from './operations.js';
 import type { PlanFollower } from './planfollower.js';
 import type { OpenWork } from './serving.js';
 
 /** What the survey of a daemon needs. */
 export interface PlanWorkContext {
+  readonly self: Incarnation;
+  readonly config: ConfigTask;
   readonly store: ObjectStore;
   readonly network: PeerNetwork;
   readonly follower: PlanFollower;
@@ -20,6 +26,12 @@
   readonly operations: Operations;
 }
 
+function holdsOf(shard: BudgetShard, workspace: string): (entry: HolderEntry) => boolean {
+  const own = shard.budgets.filter((budget) => budget.workspace === workspace);
+  const rows = new Set(own.flatMap((budget) => budget.rows.map(({ holder }) => holder)));
+  return ({ holder }) => rows.has(holder);
+}
+
 /** Answers surveys and writes closing statements. */
 export class PlanWork {
   /**
@@ -59,6 +71,8 @@
     const { operations, store } = this.ctx;
     if (plan.document.kind !== 'workspace') return { type: 'stopped' };
     const { workspace } = plan.document;
+    const unasked = await this.unasked(workspace);
+    if (!unasked || unasked.length > 0) return { type: 'stopped' };
     const lines = await operations.statement(workspace);
     const budgets = await operations.budgets();
     if (lines.err || budgets.err) return { type: 'stopped' };
@@ -75,6 +89,30 @@
     return { type: 'closed', closing: { statement, charges, units, refund } };
   }
 
+  /**
+   * Lists the holders that no survey reaches, since the platform does not list them, and that
+   * have not ended: they may still dispatch, and have charges that are not in the store.
+   * @param workspace - whose budgets they hold; absent for all
+   * @returns their incarnations; undefined without an answer of the store
+   */
+  async unasked(workspace?: string): Promise<readonly Incarnation[] | undefined> {
+    const { config, store, network, self } = this.ctx;
+    const shards = config.current?.manifest.budgetShards ?? 0;
+    const keys = Array.from({ length: shards }, (_, shard) => shardKey(shard));
+    const found = await Promise.all(keys.map((key) => store.read(key)));
+    if (found.some(({ err }) => err)) return undefined;
+    const values = found.flatMap((result) => (result.ok ? [parseShard(result.val.value)] : []));
+    const listed = network.peers().map(({ name }) => network.incarnationOf(name));
+    const asked = new Set([self, ...listed]);
+    return values.flatMap((shard) => {
+      const holders = shard.holders.filter(
+        ({ holder, state }) => !asked.has(holder) && state !== 'ended',
+      );
+      const own = workspace === undefined ? holders : holders.filter(holdsOf(shard, workspace));
+      return own.map(({ holder }) => holder);
+    });
+  }
+
   /** Open requests, and one more while a charge is not in the store. */
   async #openOf(workspace: string): Promise<number> {
     const { active, charges } = this.ctx;
