A holder that still joins is not taken for one that was closed

Cause: looking after the backups began as soon as a join was under way; its update then found no entry of a holder 'that has joined before', which means closed, and the daemon fenced itself (exit code 3). Ruled out: a late backup, a failing store, the deadline of admission. Now only an entry that is in force is looked after. The new test fails with the condition on the join under way put back ('the shard entry is not active any more').

--- a/src/daemon/backups.ts
+++ b/src/daemon/backups.ts
@@ -188,7 +188,8 @@
   fenceHere(holder: Incarnation, shard: number, over: boolean): Handover {
     const slot = `${holder}/${shard}`;
     const copies = fence(this.#copies.get(slot) ?? NO_COPIES);
-    this.#store(slot, over ? { ...copies, lines: [] } : copies);
+    // The mark of the fence stays for good: a holder that was paused may still come back.
+    this.#store(slot, over ? { ...NO_COPIES, fenced: true, through: copies.through } : copies);
     const window = Math.max(copies.window, WINDOW_UNITS);
     const { lines, exposures } = copies;
     return { type: 'holder-fenced', isBackup: true, lines, exposures, window };
--- a/src/daemon/outbox.ts
+++ b/src/daemon/outbox.ts
@@ -63,6 +63,9 @@
 
   #joined: Promise<boolean> | undefined;
 
+  /** The entry is in force; before that a missing entry does not mean that it was closed. */
+  #isJoined = false;
+
   #copying: Promise<boolean> | undefined;
 
   #queued: Promise<boolean> | undefined;
@@ -208,7 +211,7 @@
    * @param isThere - whether an incarnation answered just now
    */
   async maintain(isThere: (keeper: Incarnation) => boolean): Promise<void> {
-    if (!this.#joined || this.#state.isFenced) return;
+    if (!this.#isJoined || this.#state.isFenced) return;
     const { backup, standby } = this.#state;
     const isBackupThere = backup !== null && isThere(backup);
     const isBetterThere = standby !== null && standby === this.#preferred && isThere(standby);
@@ -260,7 +263,7 @@
 
   /** Writes a sign of life, for recoverers that no link reaches. */
   async beat(): Promise<void> {
-    if (!this.#joined || this.#state.isFenced) return;
+    if (!this.#isJoined || this.#state.isFenced) return;
     const done = await this.#update((shard) => recordBeat(shard, this.ctx.self));
     if (done.ok) this.#check(done.val);
   }
@@ -272,7 +275,7 @@
    * @returns whether nothing of it is left to settle or to free
    */
   async leave(take: boolean): Promise<boolean> {
-    if (!this.#joined) return true;
+    if (!this.#isJoined) return true;
     const { self, backups } = this.ctx;
     const mayDeliver = take ? await this.#takeBack() : true;
     if (mayDeliver === undefined) return false;
@@ -303,6 +306,7 @@
     if (done.err || !this.#check(done.val)) return false;
     this.#state = { ...this.#state, backup: done.val.backup, standby: done.val.standby };
     this.#preferred = done.val.backup;
+    this.#isJoined = true;
     return true;
   }
 
--- a/src/daemon/tests/charges.test.ts
+++ b/src/daemon/tests/charges.test.ts
@@ -158,3 +158,24 @@
   t.deepEqual(kept(standby), ['a', 'b']);
   t.deepEqual(kept(bed.peer), ['a']);
 });
+
+test('looking after the backups while a holder still joins does not fence it', async (t) => {
+  const bed = await makeBed();
+  const late = new LocalNetwork('late~1', 'dc-1', 1);
+  late.connect(bed.network);
+  const fenced: string[] = [];
+  const charges = new Charges({
+    self: 'late~1',
+    store: bed.store,
+    backups: new Backups('late~1', 'dc-1', late),
+    config: { current: undefined },
+    recorder: recorder(),
+    onFenced: (detail) => fenced.push(detail),
+  });
+  bed.store.nextWriteMs = 500;
+  const joining = charges.join('b');
+  await charges.care();
+  t.true(await joining);
+  t.deepEqual(fenced, []);
+  t.true(await charges.admit(RESERVATION, WAIT_MS));
+});
--- a/testbed/memorystore.ts
+++ b/testbed/memorystore.ts
@@ -1,4 +1,6 @@
 /** Object store inside one process, for tests of single tasks. */
+import { setTimeout as delay } from 'node:timers/promises';
+
 import { Err, Ok } from '../src/kernel/index.js';
 import { ObjectStore } from '../src/platform/index.js';
 
@@ -14,6 +16,9 @@
 
   mode: MemoryStoreMode = 'answers';
 
+  /** Delay of the next write, in milliseconds; those after it are not delayed. */
+  nextWriteMs = 0;
+
   override async read(key: string): Promise<Result<StoredObject, StoreError>> {
     if (this.mode === 'away') return this.#lost(key);
     return Ok(this.#objects.get(key) ?? { key, version: 0, value: null });
@@ -25,6 +30,9 @@
     expected: number,
   ): Promise<Result<number, StoreError>> {
     if (this.mode === 'away') return this.#lost(key);
+    const delayMs = this.nextWriteMs;
+    this.nextWriteMs = 0;
+    if (delayMs > 0) await delay(delayMs);
     const version = this.#objects.get(key)?.version ?? 0;
     if (version !== expected) return Err({ problem: 'conflict', key, text: 'another write' });
     this.#objects.set(key, { key, version: version + 1, value: structuredClone(value) });
