--- a/src/daemon/lending.ts
+++ b/src/daemon/lending.ts
@@ -53,6 +53,8 @@
 
 /** Speaks with the other holders. */
 export class Lending {
+  #isStopped = false;
+
   readonly #suspects = new Map<InstanceName, number>();
 
   /**
@@ -95,9 +97,17 @@
     return { units, left };
   }
 
+  /** Lends nothing any more. */
+  stop(): void {
+    this.#isStopped = true;
+  }
+
   async #lend(message: PeerMessageOf<'borrow'>, from: Incarnation): Promise<PeerMessageOf<'lent'>> {
     const { self, budgets, recorder, beforePass } = this.ctx;
     const { budget, missing, wanted, known, outlook } = message;
+    if (this.#isStopped) {
+      return { type: 'lent', lender: self, passed: known, left: 0, isDurable: true };
+    }
     const before = await budgets.ask({ type: 'read', budget });
     const ask = { borrower: from, missing, wanted, known, outlook };
     const after = await budgets.ask({ type: 'lend', budget, ask });
