--- a/proof/catalogue.ts
+++ b/proof/catalogue.ts
@@ -5,6 +5,7 @@
 import { NotRunProof } from './notrun.js';
 import { NoOverspendProof } from './nooverspend.js';
 import { BilledOnceProof } from './billedonce.js';
+import { ClosingProof } from './closing.js';
 import { ConfigNeverRevertsProof } from './configneverreverts.js';
 import { ServesWhileCutProof } from './serveswhilecut.js';
 import { OwnAnswerProof } from './ownanswer.js';
@@ -16,6 +17,7 @@
   new OwnAnswerProof(),
   new GracefulStopProof(),
   new DepartureProof(),
+  new ClosingProof(),
   new NotRunProof(),
   new AtMostOnceProof(),
   new NoOverspendProof('no-overspend', 0),
--- a/src/daemon/admission.ts
+++ b/src/daemon/admission.ts
@@ -1,10 +1,12 @@
 /** Performs the decisions that admit a request to its budget. */
 import { admit, refill } from '../budget/index.js';
 import { drive, Err, instanceOf, Ok } from '../kernel/index.js';
+import { AdmissionNotes } from './admissionnotes.js';
 
 import type { AdmitCommand, AdmitEvent, DrawAnswer, HolderView } from '../budget/index.js';
 import type { Failure, InstanceName, Result } from '../kernel/index.js';
 import type { PeerNetwork } from '../link/index.js';
+import type { Recorder } from '../telemetry/index.js';
 import type { BudgetTask } from './budgettask.js';
 import type { Grants } from './grants.js';
 import type { Lending } from './lending.js';
@@ -18,10 +20,13 @@
   readonly grants: Grants;
   readonly lending: Lending;
   readonly network: PeerNetwork;
+  readonly recorder: Recorder;
 }
 
 /** A request that asks for units. */
 export interface AdmissionAsk {
+  /** Idempotency key of the request. */
+  readonly request: string;
   readonly budget: string;
   /** Worst case of the request. */
   readonly units: number;
@@ -64,11 +69,14 @@
    * @param ask - budget, units and the longest wait
    * @returns nothing, or the honest refusal
    */
-  async admit({ budget, units, waitMs }: AdmissionAsk): Promise<Result<void, Failure>> {
+  async admit({ request, budget, units, waitMs }: AdmissionAsk): Promise<Result<void, Failure>> {
     const waiting: Waiting = { budget, deadline: performance.now() + waitMs, shown: undefined };
-    const outcome = await drive(admit({ budget, worstCase: units }), (command) =>
-      this.#perform(waiting, command),
-    );
+    const notes = new AdmissionNotes(this.ctx.recorder, { request, budget, units });
+    const outcome = await drive(admit({ budget, worstCase: units }), async (command) => {
+      const event = await this.#perform(waiting, command);
+      notes.add(command, event);
+      return event;
+    });
     return outcome.type === 'admitted' ? Ok(undefined) : Err(outcome.fail);
   }
 
