--- a/src/daemon/outbox.ts
+++ b/src/daemon/outbox.ts
@@ -64,7 +64,7 @@
 
   #joined: Promise<boolean> | undefined;
 
-  /** While the holder joins, its entry may be missing without a fence. */
+  /** The entry is in force; before that a missing entry does not mean that it was closed. */
   #isJoined = false;
 
   #copying: Promise<boolean> | undefined;
@@ -279,7 +279,7 @@
    * @returns whether nothing of it is left to settle or to free
    */
   async leave(take: boolean): Promise<boolean> {
-    if (!this.#joined) return true;
+    if (!this.#isJoined) return true;
     const { self, backups } = this.ctx;
     const mayDeliver = take ? await this.#takeBack() : true;
     if (mayDeliver === undefined) return false;
