A daemon that borrows in an outage takes no work before it has a backup on record

Cause, from the logs: a daemon that started just before the outage borrowed units from a peer, had never joined the shard, counted as durable since no call of the store had failed yet, and could end no answer. Ruled out: the stopping daemon, which kept copies to its end. 'Outbox.admit' now joins first.

The stand-in now counts only what carries a request id.

--- a/fakes/orders.ts
+++ b/fakes/orders.ts
@@ -49,8 +49,10 @@
    */
   constructor(app: FastifyInstance) {
     app.addHook('onRequest', async (req, reply) => {
-      if (req.url.startsWith('/admin/') || req.url.startsWith('/orders')) return;
-      this.#work.push({ id: String(req.headers['x-request-id']), at: Date.now() });
+      // Load reports, orders and switches are no work and carry no request id.
+      const id = req.headers['x-request-id'];
+      if (typeof id !== 'string') return;
+      this.#work.push({ id, at: Date.now() });
       this.#open += 1;
       reply.raw.once('close', () => {
         this.#open -= 1;
--- a/src/daemon/outbox.ts
+++ b/src/daemon/outbox.ts
@@ -144,6 +144,8 @@
     const deadline = performance.now() + waitMs;
     const { budget } = change;
     this.#state = commit(this.#state, change);
+    // Borrowed units can be at hand before the store has ever named a backup.
+    if (!(await this.join())) return false;
     for (;;) {
       if (this.#state.isFenced) return false;
       if (this.isDurable && mayProceed(this.#state, budget)) {
