--- a/proof/catalogue.ts
+++ b/proof/catalogue.ts
@@ -7,6 +7,7 @@
 import { BilledOnceProof } from './billedonce.js';
 import { ClosingProof } from './closing.js';
 import { ConfigNeverRevertsProof } from './configneverreverts.js';
+import { ServesWhileCutProof } from './serveswhilecut.js';
 import { OwnAnswerProof } from './ownanswer.js';
 
 import type { Proof } from './proof.js';
@@ -21,6 +22,7 @@
   new AtMostOnceProof(),
   new NoOverspendProof('no-overspend', 0),
   new NoOverspendProof('no-overspend-lost-answers', 0.2),
+  new ServesWhileCutProof(),
   new BilledOnceProof(),
   new ConfigNeverRevertsProof(),
 ];
--- a/src/daemon/admission.ts
+++ b/src/daemon/admission.ts
@@ -80,6 +80,14 @@
     return outcome.type === 'admitted' ? Ok(undefined) : Err(outcome.fail);
   }
 
+  /** Ends lending and tells the store of every loan, before the holder leaves its shards. */
+  async leave(): Promise<void> {
+    const { grants, lending } = this.ctx;
+    lending.stop();
+    grants.stop();
+    await grants.report();
+  }
+
   async #perform(waiting: Waiting, command: AdmitCommand): Promise<AdmitEvent> {
     const { budgets } = this.ctx;
     const { budget } = waiting;
--- a/src/daemon/outbox.ts
+++ b/src/daemon/outbox.ts
@@ -23,6 +23,7 @@
   mayProceed,
   newHolderState,
   switchBackup,
+  takesCopies,
   unacknowledged,
   WINDOW_UNITS,
 } from '../fleet/index.js';
@@ -63,6 +64,9 @@
 
   #joined: Promise<boolean> | undefined;
 
+  /** While the holder joins, its entry may be missing without a fence. */
+  #isJoined = false;
+
   #copying: Promise<boolean> | undefined;
 
   #queued: Promise<boolean> | undefined;
@@ -130,6 +134,7 @@
   async join(): Promise<boolean> {
     this.#joined ??= this.#join();
     const joined = await this.#joined;
+    this.#isJoined = joined;
     if (!joined) this.#joined = undefined;
     return joined;
   }
@@ -144,7 +149,7 @@
     const deadline = performance.now() + waitMs;
     const { budget } = change;
     this.#state = commit(this.#state, change);
-    // Borrowed units can be at hand before the store has ever named a backup.
+    // Lent units can reach a daemon that has no entry: nobody could recover its lines.
     if (!(await this.join())) return false;
     for (;;) {
       if (this.#state.isFenced) return false;
@@ -210,7 +215,7 @@
    * @param isThere - whether an incarnation answered just now
    */
   async maintain(isThere: (keeper: Incarnation) => boolean): Promise<void> {
-    if (!this.#joined || this.#state.isFenced) return;
+    if (!this.#isJoined || this.#state.isFenced) return;
     const { backup, standby } = this.#state;
     const isBackupThere = backup !== null && isThere(backup);
     const isBetterThere = standby !== null && standby === this.#preferred && isThere(standby);
@@ -231,7 +236,7 @@
   async #changeTo(candidate: Incarnation, standby: Incarnation | null): Promise<void> {
     const { backups, self, recorder } = this.ctx;
     const wasChanging = this.#state.isChanging;
-    this.#state = beginChange(this.#state);
+    this.#state = beginChange(this.#state, [candidate, standby]);
     // Everything that the store does not hold goes to the new backup, known or not.
     const batch = copyBatch({ ...this.#state, backup: null }, candidate);
     const answer = await backups.send(batch);
@@ -262,7 +267,7 @@
 
   /** Writes a sign of life, for recoverers that no link reaches. */
   async beat(): Promise<void> {
-    if (!this.#joined || this.#state.isFenced) return;
+    if (!this.#isJoined || this.#state.isFenced) return;
     const done = await this.#update((shard) => recordBeat(shard, this.ctx.self));
     if (done.ok) this.#check(done.val);
   }
@@ -285,7 +290,8 @@
     await Promise.all(
       this.keepers.map((keeper) => backups.fenceAt(keeper, self, this.shard, true)),
     );
-    return done.val.mine;
+    // A closed entry leaves nothing to settle or to free.
+    return done.val.mine || done.val.entry === undefined;
   }
 
   /** Becomes its own recoverer; false once another has finished, undefined without the store. */
@@ -322,13 +328,12 @@
   }
 
   async #copy(): Promise<boolean> {
-    const { isChanging, isFenced } = this.#state;
-    if (this.backup === null || isChanging || isFenced) return false;
+    if (this.backup === null || !takesCopies(this.#state)) return false;
     const batch = copyBatch(this.#state, this.backup);
     const answer = await this.ctx.backups.send(batch);
     if (answer) this.#state = applyVerdict(this.#state, batch, answer);
     if (this.#state.isFenced) this.#fence('the backup has fenced this incarnation');
-    const isOnRecord = batch.backup === this.backup && !this.#state.isChanging;
+    const isOnRecord = batch.backup === this.backup && takesCopies(this.#state);
     const isKept = answer?.verdict === 'kept' && isOnRecord;
     this.#backupFailures = isKept ? 0 : this.#backupFailures + 1;
     // The standby is on record as well: what it keeps will be found.
--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -160,7 +160,7 @@
     this.#executor = new PlanExecutor(ctx);
     this.timeline = new TimelineTask(recorder, network);
     this.plans = new PlanOperations(ctx);
-    this.publishing = new Publishing({ store, config, recorder, clock: new SystemClock() });
+    this.publishing = new Publishing({ store, config, recorder, clock });
   }
 
   /** Whether the daemon takes new work: it serves and has a configuration. */
@@ -202,8 +202,7 @@
   /** Delivers what is left and closes the links, once no request is open. */
   async finishStop(): Promise<void> {
     const { config } = this.serving;
-    this.serving.grants.stop();
-    await this.serving.grants.report();
+    await this.serving.admission.leave();
     this.serving.routing.stop();
     this.#reports.stop();
     this.#care.stop();
