The partition bound read to the letter, known red; the routing test checks what it claims

Ruled out: leaving that figure without a bound, which would ease the issue's words. Conclusion: the false refusals of the smaller side after a payment elsewhere stay open.

--- a/bench/budget.ts
+++ b/bench/budget.ts
@@ -130,6 +130,7 @@
       name: `${prefix}.false-refusals.smaller-side.paid-later`,
       value: sideRate(own.smallerSidePaidLater),
       unit: '%',
+      bound: MAX_FALSE_CUT_PERCENT,
     },
     {
       name: `${prefix}.false-refusals.smaller-side.fixed-split`,
--- a/src/daemon/tests/routing.test.ts
+++ b/src/daemon/tests/routing.test.ts
@@ -72,10 +72,12 @@
     const refused = first.filter((answer) => !answer.whole);
     t.log(`${whole.length} whole, ${refused.length} refused`);
     t.true(whole.length > 0);
-    t.true(
-      refused.every(({ code, outcome }) => code !== undefined && outcome !== 'not-run'),
-      'an attempt that may have run is never called not-run',
-    );
+    t.true(refused.every(({ code }) => code !== undefined));
+    const work = fleet.engines.flatMap(({ orders }) => orders.work);
+    const untrue = refused
+      .filter(({ outcome }) => outcome === 'not-run')
+      .filter(({ key }) => work.some(({ id }) => id.startsWith(`${key}.`)));
+    t.deepEqual(untrue, [], 'what reached an engine is never called not-run');
     const { events } = await fleet.daemon(0).operator<TimelineView>('timeline');
     t.true(events.some(({ name }) => name === 'upstreamEjected'));
     const later = await Promise.all(prompts.map((prompt) => ask(fleet, 'drafts', prompt)));
