--- a/bench/slopesmemory.ts
+++ b/bench/slopesmemory.ts
@@ -12,7 +12,7 @@
 import type { Point } from './slope.js';
 
 const BUDGET_SIZES = [4_000, 12_000, 42_000] as const;
-const WORKSPACE_SIZES = [100, 250, 500] as const;
+const WORKSPACE_SIZES = [500, 2_000, 8_000] as const;
 const WORKER_SIZES = [50, 200, 1_000] as const;
 /** Copies that are held, so that chance counts less. */
 const COPIES = 5;
