Requests that come during a draw share the next one, sized for all of them

Each draw granted a few worst cases, shared by every waiting request, and four rounds were over before the store had granted enough, a false refusal while the store held the units. Ruled out: more rounds, as each costs a store call for a few requests. Before: 200 requests at once, 40 admitted of 200 (and of 100 that fit). After: 200 of 200, and exactly 100 of 100 that fit with the rest refused as exhausted; no-overspend holds. Conclusion: one draw covers what waits.

--- a/src/daemon/grants.ts
+++ b/src/daemon/grants.ts
@@ -25,17 +25,26 @@
   readonly self: Incarnation;
   readonly store: ObjectStore;
   readonly budgets: BudgetTask;
-  readonly config: ConfigTask;
+  readonly config: Pick<ConfigTask, 'current'>;
   readonly recorder: Recorder;
   readonly clock: Clock;
   /** Joins shards on behalf of this holder. */
   readonly charges: Charges;
 }
 
+/** A draw that begins once the running one has ended. */
+interface NextDraw {
+  /** Units that the requests lack which came meanwhile. */
+  missing: number;
+  readonly answer: Promise<DrawAnswer | undefined>;
+}
+
 /** Draws units for the holdings. */
 export class Grants {
   readonly #running = new Map<string, Promise<DrawAnswer | undefined>>();
 
+  readonly #next = new Map<string, NextDraw>();
+
   #awayUntil = 0;
 
   #timer: NodeJS.Timeout | undefined;
@@ -66,15 +75,38 @@
   }
 
   /**
-   * Draws units for a budget; calls that come while a draw runs share it.
+   * Draws units for a budget, one draw at a time. Requests that come while a draw runs share the
+   * next one, which asks for what they lack together; calls in the background share the running one.
    * @param budget - budget name
    * @param missing - units that a waiting request lacks; 0 in the background
    * @returns what the store showed; undefined if it did not answer
    */
   draw(budget: string, missing: number): Promise<DrawAnswer | undefined> {
     const running = this.#running.get(budget);
-    if (running) return running;
-    const draw = this.#draw(budget, missing).finally(() => this.#running.delete(budget));
+    if (!running) return this.#start(budget, missing);
+    if (missing === 0) return running;
+    const next = this.#next.get(budget) ?? this.#queue(budget, running);
+    next.missing += missing;
+    return next.answer;
+  }
+
+  #queue(budget: string, running: Promise<DrawAnswer | undefined>): NextDraw {
+    const begin = (): Promise<DrawAnswer | undefined> => {
+      const current = this.#running.get(budget);
+      if (current) return current.then(begin, begin);
+      const { missing } = this.#next.get(budget) ?? { missing: 0 };
+      this.#next.delete(budget);
+      return this.#start(budget, missing);
+    };
+    const next: NextDraw = { missing: 0, answer: running.then(begin, begin) };
+    this.#next.set(budget, next);
+    return next;
+  }
+
+  #start(budget: string, missing: number): Promise<DrawAnswer | undefined> {
+    const draw = this.#draw(budget, missing).finally(() => {
+      if (this.#running.get(budget) === draw) this.#running.delete(budget);
+    });
     this.#running.set(budget, draw);
     return draw;
   }
