The load engine of the benchmark answers load reports

Cause: it read every request as a chat request and ended on the daemon's GET /v1/load; 800 of 800 answers were not whole. Ruled out: the relay.

--- a/bench/loadengine.ts
+++ b/bench/loadengine.ts
@@ -52,7 +52,17 @@
   timer = setTimeout(next, plan.firstMs);
 }
 
+let open = 0;
+
 const server = createServer((req, res) => {
+  if (req.method === 'GET') {
+    res.end(JSON.stringify({ open }));
+    return;
+  }
+  open += 1;
+  res.once('close', () => {
+    open -= 1;
+  });
   void readBody(req).then((body) => stream(res, String(req.headers['x-request-id']), body));
 });
 server.listen(Number(process.argv[2]), '127.0.0.1', 1_024);
