A whole answer holds nothing of a cut attempt; a fault of the daemon never says not-run

The JSON form of an answer kept the events of an attempt that was cut and put the next attempt's behind them; a body above the limit was answered as malformed (400); an exception while a request was served became malformed-request with the outcome not-run, or left a streaming caller without an end. Ruled out: refusing after any event was collected, which gives up a retry that the caller never notices. Also taken out: a failure code and an event that nothing used; children end with their parent's SIGTERM.

--- a/src/daemon/answersink.ts
+++ b/src/daemon/answersink.ts
@@ -13,6 +13,9 @@
    */
   abstract write(bytes: Buffer): Promise<void>;
 
+  /** Drops what was collected of an attempt that was cut, as far as it has not gone out. */
+  abstract discard(): void;
+
   /** Sends the last frame and ends the answer. */
   abstract finish(): void;
 
--- a/src/daemon/callers.controller.ts
+++ b/src/daemon/callers.controller.ts
@@ -200,6 +200,7 @@
 
   #recordRefusal(key: string, fail: Failure): void {
     const detail = `${fail.code}: ${fail.subject}`;
-    this.runtime.recorder.record('requestRefused', { request: key, detail });
+    const name = fail.outcome === 'interrupted' ? 'requestCut' : 'requestRefused';
+    this.runtime.recorder.record(name, { request: key, detail });
   }
 }
--- a/src/daemon/failure.filter.ts
+++ b/src/daemon/failure.filter.ts
@@ -6,17 +6,26 @@
 import { failure, FAILURE_KINDS, FailureError, formatFailure } from '../kernel/index.js';
 import type { Failure } from '../kernel/index.js';
 
+const FIRST_CLIENT_ERROR = 400;
 const NOT_FOUND = 404;
 const TOO_LARGE = 413;
+const FIRST_SERVER_ERROR = 500;
 
+function statusOf(err: unknown): number {
+  if (err instanceof HttpException) return err.getStatus();
+  if (err instanceof SyntaxError) return FIRST_CLIENT_ERROR;
+  return (err as { statusCode?: number }).statusCode ?? FIRST_SERVER_ERROR;
+}
+
+/** Only errors that come before a request is served may say that it did not run. */
 function toFailure(err: unknown): Failure {
   if (err instanceof FailureError) return err.fail;
-  if (err instanceof HttpException && err.getStatus() === NOT_FOUND) {
-    return failure('not-found', err.message);
-  }
-  const { statusCode, message } = err as { statusCode?: number; message?: string };
-  if (statusCode === TOO_LARGE) return failure('body-too-large', 'body');
-  return failure('malformed-request', message ?? String(err));
+  const status = statusOf(err);
+  const text = err instanceof Error ? err.message : String(err);
+  if (status === NOT_FOUND) return failure('not-found', text);
+  if (status === TOO_LARGE) return failure('body-too-large', 'body');
+  if (status < FIRST_SERVER_ERROR) return failure('malformed-request', text);
+  return failure('internal', text, 'unknown');
 }
 
 /** Turns errors into failure bodies. */
--- a/src/daemon/keyedrun.ts
+++ b/src/daemon/keyedrun.ts
@@ -1,5 +1,5 @@
 /** Serves a request under its idempotency key. */
-import { drive } from '../kernel/index.js';
+import { drive, failure } from '../kernel/index.js';
 import { FRESH_KEY, honestFailure, refuseKey, serve } from '../request/index.js';
 
 import type { Failure } from '../kernel/index.js';
@@ -26,6 +26,12 @@
   else await keys.withdraw(name, findings.earlier);
 }
 
+/** A fault of this daemon: what was reserved stays reserved, since the request may have run. */
+function failedRun({ input }: RequestRun, err: unknown): ServeOutcome {
+  input.serving.recorder.record('requestFailed', { request: input.key, detail: String(err) });
+  return { type: 'refused', fail: failure('internal', `key ${input.key}`, 'unknown') };
+}
+
 /**
  * Serves a request; its refusal says "not-run" only where no attempt with the key was dispatched.
  * @param run - performs the commands of the request
@@ -45,7 +51,9 @@
   const refusal = refuseKey(findings, digest);
   if (refusal) return { type: 'refused', fail: refusal };
   keys.enter(name);
-  const outcome = await drive(serve({ ...policy, worstCase }), (command) => run.perform(command));
+  const outcome = await drive(serve({ ...policy, worstCase }), (command) =>
+    run.perform(command),
+  ).catch((err: unknown) => failedRun(run, err));
   keys.leave(name);
   if (keyGiven) void finish(run, findings, outcome);
   if (outcome.type === 'whole') return outcome;
--- a/src/daemon/modelrun.ts
+++ b/src/daemon/modelrun.ts
@@ -80,6 +80,7 @@
 
   #cut(reason: string): ServeEvent {
     this.#cancel();
+    this.sink.discard();
     const outcome = this.sink.started ? 'interrupted' : 'unknown';
     const fail = failure('upstream-lost', reason, outcome);
     return { type: 'cut', fail, relayed: this.sink.started };
--- a/src/daemon/requestrun.ts
+++ b/src/daemon/requestrun.ts
@@ -130,6 +130,9 @@
   async #choose(excluded: readonly string[]): Promise<ServeEvent> {
     const { serving, route, tenant, signal } = this.input;
     const { workspace } = tenant;
+    if (signal.aborted) {
+      return { type: 'failed', fail: failure('upstream-unavailable', 'the caller has left') };
+    }
     const limited = this.#entered ? undefined : serving.routing.enter(workspace);
     if (limited) return { type: 'failed', fail: limited };
     this.#entered = true;
--- a/src/daemon/streamsink.ts
+++ b/src/daemon/streamsink.ts
@@ -36,6 +36,10 @@
     await Promise.race([once(this.res, 'drain'), once(this.res, 'close')]);
   }
 
+  override discard(): void {
+    // What was written has gone out; a begun answer is not tried again.
+  }
+
   override finish(): void {
     this.res.end(END_MARKER);
   }
--- /dev/null
+++ b/src/daemon/tests/wholeanswer.test.ts
@@ -0,0 +1,45 @@
+import test from 'ava';
+import { request } from 'undici';
+
+import { tokenText } from '../../../fakes/index.js';
+import { API_KEY } from '../../../testbed/documents.js';
+import { Fleet } from '../../../testbed/fleet.js';
+
+const TOKENS = 12;
+const ASKS = 16;
+
+interface Completion {
+  readonly choices: readonly { readonly message: { readonly content: string } }[];
+  readonly usage: { readonly completion_tokens: number };
+}
+
+function expected(prompt: string): string {
+  return Array.from({ length: TOKENS }, (_, index) => tokenText(prompt, index)).join('');
+}
+
+async function complete(url: string, prompt: string): Promise<Completion> {
+  const res = await request(`${url}/v1/chat/completions`, {
+    method: 'POST',
+    headers: { authorization: `Bearer ${API_KEY}` },
+    body: JSON.stringify({
+      model: 'drafts',
+      max_tokens: TOKENS,
+      messages: [{ role: 'user', content: prompt }],
+    }),
+  });
+  return (await res.body.json()) as Completion;
+}
+
+test('a whole answer holds nothing of an attempt that was cut before it', async (t) => {
+  const fleet = await Fleet.start({ daemons: 1, engines: 2, units: 100_000 });
+  t.teardown(() => fleet.stop());
+  fleet.engines[0]?.setFaults({ cutAfter: 3 });
+  const prompts = Array.from({ length: ASKS }, (_, index) => `ledger ${index} of the berths`);
+  const answers = await Promise.all(prompts.map((prompt) => complete(fleet.daemon(0).url, prompt)));
+  t.deepEqual(
+    answers.map(({ choices }) => choices[0]?.message.content),
+    prompts.map(expected),
+  );
+  t.true(answers.every(({ usage }) => usage.completion_tokens === TOKENS));
+  t.true((fleet.engines[0]?.counts.requests ?? 0) > 0, 'no attempt was cut: nothing was tested');
+});
--- a/src/daemon/wholesink.ts
+++ b/src/daemon/wholesink.ts
@@ -21,11 +21,21 @@
   usage: z.unknown().optional(),
 });
 
+type AnswerEvent = z.infer<typeof eventSchema>;
+
+function parseEvents(bytes: Buffer): readonly AnswerEvent[] {
+  return bytes
+    .toString()
+    .split('\n\n')
+    .filter((text) => text.startsWith('data: {'))
+    .map((text) => eventSchema.parse(JSON.parse(text.slice('data: '.length))));
+}
+
 /** Gathers the events of an answer until its end. */
 export class WholeSink extends AnswerSink {
   readonly started = false;
 
-  readonly #chunks: Buffer[] = [];
+  #events: AnswerEvent[] = [];
 
   /**
    * Creates the sink of one answer.
@@ -40,7 +50,12 @@
   }
 
   override async write(bytes: Buffer): Promise<void> {
-    this.#chunks.push(bytes);
+    // Read at once: an unreadable event must fail before the answer is charged.
+    this.#events.push(...parseEvents(bytes));
+  }
+
+  override discard(): void {
+    this.#events = [];
   }
 
   override finish(): void {
@@ -52,11 +67,7 @@
   }
 
   #assemble(): unknown {
-    const events = Buffer.concat(this.#chunks)
-      .toString()
-      .split('\n\n')
-      .filter((text) => text.startsWith('data: {'))
-      .map((text) => eventSchema.parse(JSON.parse(text.slice('data: '.length))));
+    const events = this.#events;
     const choices = events.flatMap((event) => event.choices);
     const content = choices.map(({ delta }) => delta.content).join('');
     return {
--- a/src/kernel/failure.ts
+++ b/src/kernel/failure.ts
@@ -94,11 +94,6 @@
     text: 'this idempotency key was used with another body',
     remedy: 'use a new idempotency key for a new request',
   },
-  'key-settled': {
-    status: 409,
-    text: 'a request with this idempotency key has already been answered and billed',
-    remedy: 'use the answer that was given; use a new key for new work',
-  },
   'upstream-refused': {
     status: 502,
     text: 'the upstream refused the request',
@@ -139,6 +134,11 @@
     text: 'the input is not valid',
     remedy: 'correct the places that are named',
   },
+  internal: {
+    status: 500,
+    text: 'the daemon failed while it served the request',
+    remedy: 'repeat the request with the same key, and report the logged event 2006',
+  },
   'peer-unreachable': {
     status: 503,
     text: 'the peer daemon does not answer',
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -10,7 +10,6 @@
 /** Every event that a daemon logs and keeps for the time line. */
 export const EVENTS = {
   daemonStarted: { number: 1001, level: 'info', text: 'daemon started' },
-  daemonReady: { number: 1002, level: 'info', text: 'daemon is ready for callers' },
   daemonStopping: { number: 1003, level: 'info', text: 'graceful stop began' },
   daemonStopped: { number: 1004, level: 'info', text: 'daemon stopped' },
   handoverDone: { number: 1005, level: 'info', text: 'charges and grants handed over' },
@@ -25,6 +24,11 @@
   requestDispatched: { number: 2002, level: 'debug', text: 'request dispatched to an upstream' },
   requestAnswered: { number: 2003, level: 'debug', text: 'request answered whole' },
   requestRefused: { number: 2004, level: 'info', text: 'request refused' },
+  requestFailed: {
+    number: 2006,
+    level: 'error',
+    text: 'the daemon failed while it served a request',
+  },
   requestCut: { number: 2005, level: 'warn', text: 'answer cut before its end' },
   grantDrawn: { number: 3001, level: 'info', text: 'units drawn from the store' },
   grantRefused: { number: 3002, level: 'info', text: 'the store had no units left to grant' },
--- a/testbed/child.ts
+++ b/testbed/child.ts
@@ -20,6 +20,8 @@
 const children = new Set<ChildProcess>();
 
 process.on('exit', () => children.forEach((child) => child.kill('SIGKILL')));
+process.once('SIGTERM', () => process.exit(1));
+process.once('SIGINT', () => process.exit(1));
 
 /** Owns one process. */
 export class Child {
