A caller that takes nothing any more no longer holds its request open

Ruled out: a socket timeout, which also ends callers whose upstream is slow. Before: the new test fails without the cut (timed out). After: cut after 30 s without room, no listener left; 2 tests pass.

--- a/src/daemon/streamsink.ts
+++ b/src/daemon/streamsink.ts
@@ -1,5 +1,6 @@
 /** Relays a model answer to the caller as server-sent events. */
 import { once } from 'node:events';
+import { setTimeout as delay } from 'node:timers/promises';
 
 import type { ServerResponse } from 'node:http';
 import { FAILURE_KINDS, formatFailure, retryAfter } from '../kernel/index.js';
@@ -10,6 +11,9 @@
 /** The marker that ends a whole answer. */
 const END_MARKER = 'data: [DONE]\n\n';
 
+/** Longest wait until the caller's connection takes more, in milliseconds. */
+const DRAIN_MS = 30_000;
+
 /** Writes to the caller's connection. */
 export class StreamSink extends AnswerSink {
   #started = false;
@@ -18,10 +22,12 @@
    * Creates the sink of one answer.
    * @param res - response of the caller's request
    * @param key - idempotency key, returned to the caller
+   * @param drainMs - longest wait until the connection takes more, in milliseconds
    */
   constructor(
     private readonly res: ServerResponse,
     private readonly key: string,
+    private readonly drainMs = DRAIN_MS,
   ) {
     super();
   }
@@ -33,7 +39,9 @@
   override async write(bytes: Buffer): Promise<void> {
     if (!this.#started) this.#begin();
     if (this.res.write(bytes) || this.res.destroyed) return;
-    await Promise.race([once(this.res, 'drain'), once(this.res, 'close')]);
+    await this.#drained();
+    // A caller that takes nothing any more is treated as one that has left.
+    if (this.res.writableNeedDrain) this.res.destroy();
   }
 
   override discard(): void {
@@ -58,6 +66,17 @@
     this.res.end(body);
   }
 
+  async #drained(): Promise<void> {
+    const waiting = new AbortController();
+    const { signal } = waiting;
+    const ways = [
+      once(this.res, 'drain', { signal }),
+      once(this.res, 'close', { signal }),
+      delay(this.drainMs, undefined, { signal }),
+    ];
+    await Promise.race(ways).finally(() => waiting.abort());
+  }
+
   #begin(): void {
     this.#started = true;
     this.res.writeHead(200, {
--- /dev/null
+++ b/src/daemon/tests/streamsink.test.ts
@@ -0,0 +1,59 @@
+import { once } from 'node:events';
+import { createServer } from 'node:http';
+import { connect } from 'node:net';
+
+import test from 'ava';
+
+
+import type { ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import type { ExecutionContext } from 'ava';
+import { StreamSink } from '../streamsink.js';
+
+const DRAIN_MS = 200;
+const CHUNK = Buffer.alloc(1_048_576, 'a');
+const CHUNKS = 40;
+
+interface Connected {
+  readonly res: ServerResponse;
+  /** Begins to read what arrives. */
+  readonly read: () => void;
+}
+
+async function connectCaller(t: ExecutionContext): Promise<Connected> {
+  const server = createServer();
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
+  socket.on('error', () => undefined);
+  socket.write('GET / HTTP/1.1\r\nhost: x\r\n\r\n');
+  const [, res] = (await once(server, 'request')) as [unknown, ServerResponse];
+  t.teardown(() => {
+    socket.destroy();
+    server.close();
+  });
+  return { res, read: () => socket.resume() };
+}
+
+async function writeAll(sink: StreamSink): Promise<void> {
+  for (let chunk = 0; chunk < CHUNKS; chunk += 1) {
+    // Each write waits for the connection.
+    // eslint-disable-next-line no-await-in-loop
+    await sink.write(CHUNK);
+  }
+}
+
+test('a caller that takes nothing any more is cut off', async (t) => {
+  const { res } = await connectCaller(t);
+  await writeAll(new StreamSink(res, 'k', DRAIN_MS));
+  t.true(res.destroyed);
+});
+
+test('a caller that reads receives everything, and waiting leaves no listeners', async (t) => {
+  const { res, read } = await connectCaller(t);
+  const before = res.listenerCount('close');
+  read();
+  await writeAll(new StreamSink(res, 'k', DRAIN_MS));
+  t.false(res.destroyed);
+  t.is(res.listenerCount('close'), before);
+});
