--- a/src/daemon/tests/streamsink.test.ts
+++ b/src/daemon/tests/streamsink.test.ts
@@ -4,7 +4,6 @@
 
 import test from 'ava';
 
-
 import type { ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type { ExecutionContext } from 'ava';
