Store ports move from src/platform to src/store

Cause: "platform" is to name one thing, the adapter to the users' platform in platform/; the abstract object store and instance list belong to the product.

--- a/bench/durability.ts
+++ b/bench/durability.ts
@@ -10,7 +10,7 @@
 import { Backups } from '../src/daemon/backups.js';
 import { Outbox } from '../src/daemon/outbox.js';
 import { SystemClock } from '../src/kernel/index.js';
-import { HttpObjectStore } from '../src/platform/index.js';
+import { HttpObjectStore } from '../src/store/index.js';
 import { Recorder } from '../src/telemetry/index.js';
 import { freePort } from '../testbed/ports.js';
 import { seededRandom } from '../testbed/seed.js';
--- a/fakes/instancelist.ts
+++ b/fakes/instancelist.ts
@@ -2,7 +2,7 @@
 import Fastify from 'fastify';
 
 import type { FastifyInstance } from 'fastify';
-import type { Instance } from '../src/platform/index.js';
+import type { Instance } from '../src/store/index.js';
 
 /** What a list stand-in is started with. */
 export interface ListOptions {
--- a/src/budget/draw.ts
+++ b/src/budget/draw.ts
@@ -5,7 +5,7 @@
 import { targetUnits } from './sizing.js';
 import { applyReport } from './transfer.js';
 
-import type { Change } from '../platform/index.js';
+import type { Change } from '../store/index.js';
 import type { DemandRate } from './demand.js';
 import type { PeerCounter } from './escrow.js';
 import type { BudgetRecord, BudgetShard } from './shard.js';
--- a/src/budget/ledger.ts
+++ b/src/budget/ledger.ts
@@ -1,5 +1,5 @@
 /** Rules of a budget shard: no version of it grants more than was paid. */
-import type { Change } from '../platform/index.js';
+import type { Change } from '../store/index.js';
 import { newHolder } from './shard.js';
 import type { BudgetRecord, BudgetShard, HolderRow } from './shard.js';
 
--- a/src/budget/recovery.ts
+++ b/src/budget/recovery.ts
@@ -2,7 +2,7 @@
 import { totalOf } from './escrow.js';
 import { entryOf, mapRows, withEntry } from './settlement.js';
 
-import type { Change } from '../platform/index.js';
+import type { Change } from '../store/index.js';
 import type { BudgetRecord, BudgetShard, HolderEntry, HolderRow } from './shard.js';
 
 /** Why units stay held. */
--- a/src/budget/settlement.ts
+++ b/src/budget/settlement.ts
@@ -1,7 +1,7 @@
 /** Rules of a holder's entry in a shard: joining, backups and the settlement of charge lines. */
 import { newHolder } from './shard.js';
 
-import type { Change } from '../platform/index.js';
+import type { Change } from '../store/index.js';
 import type { ChargeLine } from './charge.js';
 import type { BudgetRecord, BudgetShard, HolderEntry, HolderRow } from './shard.js';
 
--- a/src/budget/statement.ts
+++ b/src/budget/statement.ts
@@ -3,7 +3,7 @@
 
 import { chargeLineSchema, fillsObject } from './charge.js';
 
-import type { Change } from '../platform/index.js';
+import type { Change } from '../store/index.js';
 import type { ChargeLine } from './charge.js';
 import type { BudgetShard } from './shard.js';
 
--- a/src/budget/tests/model.ts
+++ b/src/budget/tests/model.ts
@@ -18,7 +18,7 @@
 import { recordBackup, settle } from '../settlement.js';
 import { parseShard } from '../shard.js';
 
-import type { Change } from '../../platform/index.js';
+import type { Change } from '../../store/index.js';
 import type { ChargeLine } from '../charge.js';
 import type { Escrow, PeerCounter } from '../escrow.js';
 import type { BudgetRecord, BudgetShard } from '../shard.js';
--- a/src/budget/tests/recovery.test.ts
+++ b/src/budget/tests/recovery.test.ts
@@ -12,7 +12,7 @@
 } from '../recovery.js';
 import { newHolder } from '../shard.js';
 
-import type { Change } from '../../platform/index.js';
+import type { Change } from '../../store/index.js';
 import type { Exposure } from '../recovery.js';
 import type { BudgetShard, HolderEntry, HolderRow } from '../shard.js';
 
--- a/src/budget/tests/settlement.test.ts
+++ b/src/budget/tests/settlement.test.ts
@@ -4,7 +4,7 @@
 import { recordBackup, recordBeat, settle } from '../settlement.js';
 import { parseShard } from '../shard.js';
 
-import type { Change } from '../../platform/index.js';
+import type { Change } from '../../store/index.js';
 import type { ChargeLine } from '../charge.js';
 import type { EntryAnswer } from '../settlement.js';
 import type { BudgetShard, HolderEntry } from '../shard.js';
--- a/src/config/revision.ts
+++ b/src/config/revision.ts
@@ -4,7 +4,7 @@
 import { sha256 } from '../kernel/index.js';
 import { pieceRefSchema } from './pieces.js';
 
-import type { Change } from '../platform/index.js';
+import type { Change } from '../store/index.js';
 import type { PieceRef } from './pieces.js';
 
 /** Object key of the manifest. */
--- a/src/config/spread.ts
+++ b/src/config/spread.ts
@@ -1,6 +1,6 @@
 /** Who watches the store and who hears of a revision from whom. */
 import type { InstanceName } from '../kernel/index.js';
-import type { Instance } from '../platform/index.js';
+import type { Instance } from '../store/index.js';
 import { rendezvous } from '../kernel/index.js';
 
 /** Least number of daemons of a data centre that watch the store. */
--- a/src/config/tests/spread.test.ts
+++ b/src/config/tests/spread.test.ts
@@ -4,7 +4,7 @@
 import { EMPTY_MANIFEST } from '../revision.js';
 import { elders, listenersOf, sourcesOf, watchersOf } from '../spread.js';
 
-import type { Instance } from '../../platform/index.js';
+import type { Instance } from '../../store/index.js';
 import type { CatchUpEvent } from '../catchup.js';
 
 function fleetOf(centres: number, each: number): readonly Instance[] {
--- a/src/daemon/claims.ts
+++ b/src/daemon/claims.ts
@@ -3,7 +3,7 @@
 import { claimKey, claimSchema } from '../request/index.js';
 
 import type { Failure, Incarnation, Result } from '../kernel/index.js';
-import type { ObjectStore, StoredObject } from '../platform/index.js';
+import type { ObjectStore, StoredObject } from '../store/index.js';
 import type { Claim, KeyName } from '../request/index.js';
 
 /** Reads that are tried to resolve a write whose answer was lost. */
--- a/src/daemon/configtask.ts
+++ b/src/daemon/configtask.ts
@@ -9,7 +9,7 @@
 import type { Manifest, Piece, PieceRef, StoredManifest } from '../config/index.js';
 import type { Incarnation, InstanceName, Result } from '../kernel/index.js';
 import type { PeerNetwork } from '../link/index.js';
-import type { ObjectStore, StoreError } from '../platform/index.js';
+import type { ObjectStore, StoreError } from '../store/index.js';
 import type { RolloutView } from './configspread.js';
 import type { Recorder } from '../telemetry/index.js';
 
--- a/src/daemon/delivery.ts
+++ b/src/daemon/delivery.ts
@@ -8,11 +8,11 @@
   takeLines,
 } from '../budget/index.js';
 import { Err, Ok } from '../kernel/index.js';
-import { updateObject } from '../platform/index.js';
+import { updateObject } from '../store/index.js';
 
 import type { ChargeLine, EntryAnswer } from '../budget/index.js';
 import type { Incarnation, Result } from '../kernel/index.js';
-import type { ObjectStore, StoreError } from '../platform/index.js';
+import type { ObjectStore, StoreError } from '../store/index.js';
 
 /** Most lines in one segment. */
 const SEGMENT_LINES = 2_000;
--- a/src/daemon/folding.ts
+++ b/src/daemon/folding.ts
@@ -11,11 +11,11 @@
   parseShard,
   takeLines,
 } from '../budget/index.js';
-import { updateObject } from '../platform/index.js';
+import { updateObject } from '../store/index.js';
 import { readPages, readUnfolded } from './statements.js';
 
 import type { BudgetShard, ChargeLine, FoldedPage } from '../budget/index.js';
-import type { ObjectStore } from '../platform/index.js';
+import type { ObjectStore } from '../store/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { StoredPage } from './statements.js';
 
--- a/src/daemon/grants.ts
+++ b/src/daemon/grants.ts
@@ -1,11 +1,11 @@
 /** Draws grants from the store and reports loans and returns, one call at a time for each budget. */
 import { drawRequest, drawUnits, parseShard, shardKey, shardOf } from '../budget/index.js';
 import { SECOND_MS } from '../kernel/index.js';
-import { updateObject } from '../platform/index.js';
+import { updateObject } from '../store/index.js';
 
 import type { DrawAnswer } from '../budget/index.js';
 import type { Clock, Incarnation } from '../kernel/index.js';
-import type { ObjectStore } from '../platform/index.js';
+import type { ObjectStore } from '../store/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { BudgetTask } from './budgettask.js';
 import type { Charges } from './charges.js';
--- a/src/daemon/handover.ts
+++ b/src/daemon/handover.ts
@@ -7,7 +7,7 @@
 import type { Incarnation } from '../kernel/index.js';
 import type { PeerNetwork } from '../link/index.js';
 import type { HandOver } from '../plan/index.js';
-import type { ObjectStore } from '../platform/index.js';
+import type { ObjectStore } from '../store/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { Charges } from './charges.js';
 
--- a/src/daemon/heldunits.ts
+++ b/src/daemon/heldunits.ts
@@ -1,11 +1,11 @@
 /** Held units, as operators read and settle them. */
 import { heldUnits, parseShard, settleHeld, shardKey, shardOf } from '../budget/index.js';
 import { Err, failure, Ok } from '../kernel/index.js';
-import { updateObject } from '../platform/index.js';
+import { updateObject } from '../store/index.js';
 
 import type { HeldUnits, SettleHeldRequest } from '../budget/index.js';
 import type { Failure, Result } from '../kernel/index.js';
-import type { ObjectStore } from '../platform/index.js';
+import type { ObjectStore } from '../store/index.js';
 
 /** An operator's order, as the command-line tool sends it. */
 export type HeldOrder = Omit<SettleHeldRequest, 'at'>;
--- a/src/daemon/loadreports.ts
+++ b/src/daemon/loadreports.ts
@@ -1,6 +1,6 @@
 /** Follows the load and the cache events of the workers that this daemon sends to. */
 import type { Route, UpstreamDocument } from '../config/index.js';
-import type { Instance } from '../platform/index.js';
+import type { Instance } from '../store/index.js';
 import type { LoadSource } from '../upstream/index.js';
 import type { ConfigTask } from './configtask.js';
 import type { Routing } from './routing.js';
--- a/src/daemon/operations.ts
+++ b/src/daemon/operations.ts
@@ -1,14 +1,14 @@
 /** What operators may read and order, carried out against the store. */
 import { parseShard, shardKey, shardOf, topUp } from '../budget/index.js';
 import { Err, failure, Ok } from '../kernel/index.js';
-import { updateObject } from '../platform/index.js';
+import { updateObject } from '../store/index.js';
 import { viewBudgets } from './budgetview.js';
 import { readStatement } from './statements.js';
 
 import type { BudgetShard, ChargeLine, TopUp } from '../budget/index.js';
 import type { Manifest } from '../config/index.js';
 import type { Failure, Result } from '../kernel/index.js';
-import type { ObjectStore } from '../platform/index.js';
+import type { ObjectStore } from '../store/index.js';
 import type { BudgetView } from './budgetview.js';
 import type { ConfigTask } from './configtask.js';
 
--- a/src/daemon/outbox.ts
+++ b/src/daemon/outbox.ts
@@ -27,7 +27,7 @@
   unacknowledged,
   WINDOW_UNITS,
 } from '../fleet/index.js';
-import { updateObject } from '../platform/index.js';
+import { updateObject } from '../store/index.js';
 import { deliverLines } from './delivery.js';
 import { chooseKeepers } from './keepers.js';
 
@@ -35,7 +35,7 @@
 import type { Charge, Commitment, HolderState } from '../fleet/index.js';
 import type { PendingLines } from '../plan/index.js';
 import type { Incarnation, Result } from '../kernel/index.js';
-import type { Change, ObjectStore, StoreError } from '../platform/index.js';
+import type { Change, ObjectStore, StoreError } from '../store/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { Backups } from './backups.js';
 
--- a/src/daemon/pieceloader.ts
+++ b/src/daemon/pieceloader.ts
@@ -4,7 +4,7 @@
 import type { Documents, Manifest, Piece, PieceRef } from '../config/index.js';
 import type { InstanceName } from '../kernel/index.js';
 import type { PeerNetwork } from '../link/index.js';
-import type { ObjectStore } from '../platform/index.js';
+import type { ObjectStore } from '../store/index.js';
 
 /** Longest wait for the pieces of a peer, in milliseconds. */
 const PEER_TIMEOUT_MS = 1_000;
--- a/src/daemon/planfollower.ts
+++ b/src/daemon/planfollower.ts
@@ -14,7 +14,7 @@
 
 import type { PeerNetwork, PeerMessageOf } from '../link/index.js';
 import type { Confirmation, KnownPlans, StoredPlan } from '../plan/index.js';
-import type { ObjectStore } from '../platform/index.js';
+import type { ObjectStore } from '../store/index.js';
 import type { Recorder } from '../telemetry/index.js';
 
 /** Interval between confirmations while a plan may be accepted, in milliseconds. */
--- a/src/daemon/planoperations.ts
+++ b/src/daemon/planoperations.ts
@@ -1,11 +1,11 @@
 /** Operators' commands about plans, carried out against the store. */
 import { Err, failure, Ok } from '../kernel/index.js';
 import { declarePlan, orderPlan, parsePlan, planKey } from '../plan/index.js';
-import { updateObject } from '../platform/index.js';
+import { updateObject } from '../store/index.js';
 
 import type { Failure, Incarnation, Result } from '../kernel/index.js';
 import type { PlanAction, PlanAnswer, PlanState } from '../plan/index.js';
-import type { ObjectStore } from '../platform/index.js';
+import type { ObjectStore } from '../store/index.js';
 import type { ConfigTask } from './configtask.js';
 import type { PlanFollower } from './planfollower.js';
 
--- a/src/daemon/planrun.ts
+++ b/src/daemon/planrun.ts
@@ -5,7 +5,7 @@
 import { z } from 'zod';
 
 import { planKey, SEND_LIMIT_MS } from '../plan/index.js';
-import { updateObject } from '../platform/index.js';
+import { updateObject } from '../store/index.js';
 
 import type { UpstreamDocument } from '../config/index.js';
 import type { Incarnation } from '../kernel/index.js';
@@ -17,7 +17,7 @@
   StoredPlan,
   UpstreamOrder,
 } from '../plan/index.js';
-import type { ObjectStore } from '../platform/index.js';
+import type { ObjectStore } from '../store/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { OrderClient } from '../upstream/index.js';
 import type { ConfigTask } from './configtask.js';
--- a/src/daemon/planwork.ts
+++ b/src/daemon/planwork.ts
@@ -5,7 +5,7 @@
 import type { Incarnation } from '../kernel/index.js';
 import type { PeerMessageOf, PeerNetwork } from '../link/index.js';
 import type { PlanEvent, PlanState } from '../plan/index.js';
-import type { ObjectStore } from '../platform/index.js';
+import type { ObjectStore } from '../store/index.js';
 import type { ActiveRequests } from './activerequests.js';
 import type { Charges } from './charges.js';
 import type { ConfigTask } from './configtask.js';
--- a/src/daemon/publishing.ts
+++ b/src/daemon/publishing.ts
@@ -20,7 +20,7 @@
   documentsSchema,
 } from '../config/index.js';
 import { Err, failure, Ok } from '../kernel/index.js';
-import { updateObject } from '../platform/index.js';
+import { updateObject } from '../store/index.js';
 
 import type {
   Documents,
@@ -33,7 +33,7 @@
   StoredManifest,
 } from '../config/index.js';
 import type { Clock, Failure, Result } from '../kernel/index.js';
-import type { ObjectStore } from '../platform/index.js';
+import type { ObjectStore } from '../store/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { ConfigTask } from './configtask.js';
 
--- a/src/daemon/recovering.ts
+++ b/src/daemon/recovering.ts
@@ -2,13 +2,13 @@
 import { claimRecovery, finishRecovery, noteCause, parseShard, shardKey } from '../budget/index.js';
 import { recover } from '../fleet/index.js';
 import { drive, instanceOf } from '../kernel/index.js';
-import { updateObject } from '../platform/index.js';
+import { updateObject } from '../store/index.js';
 import { deliverLines } from './delivery.js';
 
 import type { HolderEntry, RecoveryAnswer } from '../budget/index.js';
 import type { RecoveryCommand, RecoveryEvent, RecoveryOutcome } from '../fleet/index.js';
 import type { Incarnation, Result } from '../kernel/index.js';
-import type { ObjectStore, StoreError } from '../platform/index.js';
+import type { ObjectStore, StoreError } from '../store/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { Backups } from './backups.js';
 
--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -1,7 +1,7 @@
 /** Composes the tasks and clients of one daemon. */
 import { SystemClock } from '../kernel/index.js';
 import { Directory, WsPeerNetwork } from '../link/index.js';
-import { HttpInstanceList, HttpObjectStore } from '../platform/index.js';
+import { HttpInstanceList, HttpObjectStore } from '../store/index.js';
 import {
   HttpLoadSource,
   HttpModelEngine,
@@ -35,7 +35,7 @@
 
 import type { Recorder } from '../telemetry/index.js';
 import type { Serving } from './serving.js';
-import type { Instance } from '../platform/index.js';
+import type { Instance } from '../store/index.js';
 import type { Settings } from './settings.js';
 
 /** Whether a daemon takes new work. */
--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -7,7 +7,7 @@
 import type { Grants } from './grants.js';
 import type { KeyRegistry } from './keyregistry.js';
 import type { Incarnation } from '../kernel/index.js';
-import type { ObjectStore } from '../platform/index.js';
+import type { ObjectStore } from '../store/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { ModelEngine, PlainService } from '../upstream/index.js';
 import type { PlanFollower } from './planfollower.js';
--- a/src/daemon/shardcare.ts
+++ b/src/daemon/shardcare.ts
@@ -8,7 +8,7 @@
 import type { BudgetShard, HolderEntry } from '../budget/index.js';
 import type { Incarnation, InstanceName } from '../kernel/index.js';
 import type { PeerNetwork } from '../link/index.js';
-import type { ObjectStore } from '../platform/index.js';
+import type { ObjectStore } from '../store/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { Backups } from './backups.js';
 import type { ConfigTask } from './configtask.js';
--- a/src/daemon/statements.ts
+++ b/src/daemon/statements.ts
@@ -14,7 +14,7 @@
 
 import type { BudgetShard, ChargeLine, StatementPage } from '../budget/index.js';
 import type { Result } from '../kernel/index.js';
-import type { ObjectStore, StoreError } from '../platform/index.js';
+import type { ObjectStore, StoreError } from '../store/index.js';
 
 /** Objects that are read at the same time, to stay inside the read rate of the store. */
 const READS_AT_ONCE = 8;
--- a/src/daemon/tests/admission.test.ts
+++ b/src/daemon/tests/admission.test.ts
@@ -7,7 +7,7 @@
 import { MemoryStore } from '../../../testbed/memorystore.js';
 import { parseShard, shardKey, topUp } from '../../budget/index.js';
 import { SystemClock } from '../../kernel/index.js';
-import { updateObject } from '../../platform/index.js';
+import { updateObject } from '../../store/index.js';
 import { Recorder } from '../../telemetry/index.js';
 import { Admission } from '../admission.js';
 import { Backups } from '../backups.js';
--- a/src/daemon/tests/charges.test.ts
+++ b/src/daemon/tests/charges.test.ts
@@ -8,7 +8,7 @@
 import { claimRecovery, parseShard, shardKey, topUp } from '../../budget/index.js';
 import { WINDOW_UNITS } from '../../fleet/index.js';
 import { SystemClock } from '../../kernel/index.js';
-import { updateObject } from '../../platform/index.js';
+import { updateObject } from '../../store/index.js';
 import { Recorder } from '../../telemetry/index.js';
 import { Backups } from '../backups.js';
 import { Charges } from '../charges.js';
--- a/src/daemon/tests/configtask.test.ts
+++ b/src/daemon/tests/configtask.test.ts
@@ -8,13 +8,13 @@
 import { waitFor } from '../../../testbed/wait.js';
 import { cutDocuments, EMPTY_DOCUMENTS, EMPTY_MANIFEST, pieceKey } from '../../config/index.js';
 import { Err, Ok, SystemClock } from '../../kernel/index.js';
-import { ObjectStore } from '../../platform/index.js';
+import { ObjectStore } from '../../store/index.js';
 import { Recorder } from '../../telemetry/index.js';
 import { ConfigTask } from '../configtask.js';
 
 import type { Manifest, Piece } from '../../config/index.js';
 import type { Result } from '../../kernel/index.js';
-import type { ObjectChange, StoredObject, StoreError, WatchBatch } from '../../platform/index.js';
+import type { ObjectChange, StoredObject, StoreError, WatchBatch } from '../../store/index.js';
 
 /** Duration of a watch, in milliseconds. */
 const WATCH_MS = 60;
--- a/src/daemon/tests/publishing.test.ts
+++ b/src/daemon/tests/publishing.test.ts
@@ -14,7 +14,7 @@
   RETENTION_MS,
 } from '../../config/index.js';
 import { SystemClock } from '../../kernel/index.js';
-import { HttpObjectStore } from '../../platform/index.js';
+import { HttpObjectStore } from '../../store/index.js';
 import { Recorder } from '../../telemetry/index.js';
 import { ConfigTask } from '../configtask.js';
 import { Publishing } from '../publishing.js';
--- a/src/fleet/placement.ts
+++ b/src/fleet/placement.ts
@@ -2,7 +2,7 @@
 import { instanceOf, rendezvous } from '../kernel/index.js';
 
 import type { Incarnation, InstanceName } from '../kernel/index.js';
-import type { Instance } from '../platform/index.js';
+import type { Instance } from '../store/index.js';
 
 interface Placed {
   readonly away: readonly InstanceName[];
--- a/src/fleet/tests/copies.test.ts
+++ b/src/fleet/tests/copies.test.ts
@@ -3,7 +3,7 @@
 import { backupCandidates, fence, keepBatch, mergeExposures, NO_COPIES } from '../index.js';
 
 import type { ChargeLine } from '../../budget/index.js';
-import type { Instance } from '../../platform/index.js';
+import type { Instance } from '../../store/index.js';
 import type { Copies, CopyBatch } from '../index.js';
 
 function lines(first: number, last: number): readonly ChargeLine[] {
--- a/src/fleet/tests/world.ts
+++ b/src/fleet/tests/world.ts
@@ -35,7 +35,7 @@
 } from '../index.js';
 
 import type { BudgetShard, ChargeLine, HolderRow } from '../../budget/index.js';
-import type { Change } from '../../platform/index.js';
+import type { Change } from '../../store/index.js';
 import type { Copies, CopyBatch, CopyVerdict, HolderState } from '../index.js';
 import type { RecoveryCommand, RecoveryEvent } from '../recovery.js';
 
--- a/src/link/directory.ts
+++ b/src/link/directory.ts
@@ -1,5 +1,5 @@
 /** Keeps the platform's instance list at hand. */
-import type { Instance, InstanceList } from '../platform/index.js';
+import type { Instance, InstanceList } from '../store/index.js';
 
 /** Interval between fetches, in milliseconds. */
 const REFRESH_MS = 5_000;
--- a/src/link/peernetwork.ts
+++ b/src/link/peernetwork.ts
@@ -1,6 +1,6 @@
 /** Peer network: typed requests to other daemons. */
 import type { Failure, Incarnation, InstanceName, Result } from '../kernel/index.js';
-import type { Instance } from '../platform/index.js';
+import type { Instance } from '../store/index.js';
 import type { PeerMessage, PeerMessageOf, PeerMessageType } from './messages.js';
 
 /** Answers a request of a peer; a rejected promise becomes no answer. */
--- a/src/link/tests/links.test.ts
+++ b/src/link/tests/links.test.ts
@@ -7,12 +7,12 @@
 import { Relay } from '../../../testbed/relay.js';
 import { waitFor } from '../../../testbed/wait.js';
 import { Ok, SystemClock } from '../../kernel/index.js';
-import { InstanceList } from '../../platform/index.js';
+import { InstanceList } from '../../store/index.js';
 import { Recorder } from '../../telemetry/index.js';
 import { Directory } from '../directory.js';
 import { WsPeerNetwork } from '../wspeernetwork.js';
 
-import type { Instance } from '../../platform/index.js';
+import type { Instance } from '../../store/index.js';
 import type { Result } from '../../kernel/index.js';
 
 const KEY = 'the-key-of-the-fleet';
--- a/src/link/wspeernetwork.ts
+++ b/src/link/wspeernetwork.ts
@@ -5,7 +5,7 @@
 import { PeerListener } from './peerlistener.js';
 
 import type { Failure, Incarnation, InstanceName, Result } from '../kernel/index.js';
-import type { Instance } from '../platform/index.js';
+import type { Instance } from '../store/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { Directory } from './directory.js';
 import type { PeerMessage, PeerMessageOf, PeerMessageType } from './messages.js';
--- a/src/plan/state.ts
+++ b/src/plan/state.ts
@@ -4,7 +4,7 @@
 import { orderKindSchema, planDocumentSchema } from './document.js';
 
 import type { Incarnation } from '../kernel/index.js';
-import type { Change } from '../platform/index.js';
+import type { Change } from '../store/index.js';
 import type { PlanDocument } from './document.js';
 
 /** Start of the keys of all plans. */
--- a/src/platform/index.ts
+++ b/src/store/index.ts
@@ -1,4 +1,4 @@
-/** The platform: object API and instance list, and their HTTP clients. */
+/** Object store and instance list: abstract ports, and HTTP clients of their stand-ins. */
 export * from './httpinstancelist.js';
 export * from './httpobjectstore.js';
 export * from './instancelist.js';
--- a/testbed/daemonprocess.ts
+++ b/testbed/daemonprocess.ts
@@ -9,7 +9,7 @@
 import { freePort } from './ports.js';
 import { waitFor } from './wait.js';
 
-import type { Instance } from '../src/platform/index.js';
+import type { Instance } from '../src/store/index.js';
 
 /** Keys that all daemons of a test share. */
 export const FLEET_KEY = 'fleet-key-of-the-test-bed';
--- a/testbed/localnetwork.ts
+++ b/testbed/localnetwork.ts
@@ -12,7 +12,7 @@
   PeerMessageType,
   PeerRequest,
 } from '../src/link/index.js';
-import type { Instance } from '../src/platform/index.js';
+import type { Instance } from '../src/store/index.js';
 
 type AnyHandler = (message: PeerMessage, from: Incarnation) => PeerMessage | Promise<PeerMessage>;
 
--- a/testbed/lonelynetwork.ts
+++ b/testbed/lonelynetwork.ts
@@ -4,7 +4,7 @@
 
 import type { Failure, Result } from '../src/kernel/index.js';
 import type { PeerMessageOf, PeerMessageType, PeerRequest } from '../src/link/index.js';
-import type { Instance } from '../src/platform/index.js';
+import type { Instance } from '../src/store/index.js';
 
 /** A network without peers. */
 export class LonelyNetwork extends PeerNetwork {
--- a/testbed/memorystore.ts
+++ b/testbed/memorystore.ts
@@ -2,10 +2,10 @@
 import { setTimeout as delay } from 'node:timers/promises';
 
 import { Err, Ok } from '../src/kernel/index.js';
-import { ObjectStore } from '../src/platform/index.js';
+import { ObjectStore } from '../src/store/index.js';
 
 import type { Result } from '../src/kernel/index.js';
-import type { ObjectChange, StoredObject, StoreError, WatchBatch } from '../src/platform/index.js';
+import type { ObjectChange, StoredObject, StoreError, WatchBatch } from '../src/store/index.js';
 
 /** What the store does with writes. */
 export type MemoryStoreMode = 'answers' | 'away' | 'loses-answers';
--- a/testbed/partition.ts
+++ b/testbed/partition.ts
@@ -3,7 +3,7 @@
 import { freePort } from './ports.js';
 import { Relay } from './relay.js';
 
-import type { Instance } from '../src/platform/index.js';
+import type { Instance } from '../src/store/index.js';
 import type { RelayMode } from './relay.js';
 
 const HOST = '127.0.0.1';
