--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -7,8 +7,6 @@
 import { FastifyAdapter } from '@nestjs/platform-fastify';
 import Fastify from 'fastify';
 
-import type { Server } from 'node:http';
-
 import type { NestFastifyApplication } from '@nestjs/platform-fastify';
 import type { FastifyInstance } from 'fastify';
 import { splitAddress } from '../daemon/settings.js';
--- a/src/gateway/inforce.ts
+++ b/src/gateway/inforce.ts
@@ -108,7 +108,8 @@
 
   #onRegained(prefix: string): void {
     this.#lost -= 1;
-    this.upstreams.noteDisturbance(this.clock.now());
+    // Only the watch of the upstreams tells from when on their removals are heard of as they come.
+    if (prefix === this.adapter.upstreamsPrefix) this.upstreams.noteDisturbance(this.clock.now());
     this.recorder.record('storeRegained', { facts: { prefix } });
   }
 
@@ -159,7 +160,7 @@
         this.#unreadable(change, decoded.val);
         return;
       }
-      this.upstreams.list(decoded.val);
+      this.upstreams.list(decoded.val, now);
       this.#changed(id, change.version, decoded.val.isLeaving ? 'leaving' : 'serving');
     });
   }
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -22,11 +22,16 @@
  */
 const RETURN_MS = 2_200;
 
-/** Disturbance of the store longer ago than this did not make an entry lapse, in milliseconds. */
-const LAPSE_MS = 6_000;
+/**
+ * Time after the last sign of an outage in which an entry that vanishes may still have lapsed, in
+ * milliseconds: below the time after which the store counts as undisturbed again.
+ */
+const LAPSE_MS = 1_800;
 
 interface Entry {
   readonly record: UpstreamRecord;
+  /** When the upstream was last heard of, in milliseconds. */
+  readonly listedAt: number;
   /** When the missing entry stops being used, in milliseconds; undefined while it is listed. */
   readonly missingUntil: number | undefined;
 }
@@ -48,21 +53,24 @@
   /**
    * Takes note of an upstream that is listed.
    * @param record - the upstream
+   * @param now - milliseconds
    */
-  list(record: UpstreamRecord): void {
-    this.#entries.set(record.id, { record, missingUntil: undefined });
+  list(record: UpstreamRecord, now: number): void {
+    this.#entries.set(record.id, { record, listedAt: now, missingUntil: undefined });
   }
 
   /**
-   * Takes note of an upstream that is no longer listed.
+   * Takes note of an upstream that is no longer listed. One that has registered again since the
+   * outage, or had announced its leaving, is gone at once.
    * @param id - the upstream
    * @param now - milliseconds
    */
   unlist(id: string, now: number): void {
     const entry = this.#entries.get(id);
     if (!entry || entry.missingUntil !== undefined) return;
-    const lapsed = now - this.#disturbedAt < LAPSE_MS && !entry.record.isLeaving;
-    if (lapsed) this.#entries.set(id, { ...entry, missingUntil: now + RETURN_MS });
+    const isOutage = now - this.#disturbedAt < LAPSE_MS;
+    const mayHaveLapsed = isOutage && entry.listedAt < this.#disturbedAt;
+    if (mayHaveLapsed && !entry.record.isLeaving) this.#entries.set(id, { ...entry, missingUntil: now + RETURN_MS });
     else this.#entries.delete(id);
   }
 
@@ -74,7 +82,7 @@
   replace(records: readonly UpstreamRecord[], now: number): void {
     const listed = new Set(records.map(({ id }) => id));
     [...this.#entries.keys()].filter((id) => !listed.has(id)).forEach((id) => this.unlist(id, now));
-    records.forEach((record) => this.list(record));
+    records.forEach((record) => this.list(record, now));
   }
 
   /**
