Answers without a length are passed on without one

They now pass without a length, and a cut resets the caller. Ruled out: a reset taken for an end (the log line of the request now says how the connection ended: closed, in both cases).

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -143,7 +143,8 @@
     else {
       this.#begin();
       this.cfg.call.reply.end();
-      this.#finish({ kind: 'relayed', status: head.status });
+      const { ending = 'open' } = this.#connection;
+      this.#finish({ kind: 'relayed', status: head.status, ending });
     }
     this.cfg.connections.release(this.#connection);
   }
--- a/src/gateway/callrun.ts
+++ b/src/gateway/callrun.ts
@@ -82,6 +82,9 @@
 
   #firstByteAt: number | undefined;
 
+  /** State of the last upstream's connection at the end of its answer. */
+  #ending = 'none';
+
   /**
    * Takes over a request.
    * @param ctx - what the run uses
@@ -231,7 +234,10 @@
     this.ctx.metrics.attempts.inc({ end: kind });
     if (kind === 'relayed' || kind === 'failed') {
       stats.answered(outcome.status >= 500, now);
-      if (kind === 'relayed') return;
+      if (kind === 'relayed') {
+        this.#ending = outcome.ending;
+        return;
+      }
     }
     if (kind === 'left' || kind === 'not-run') return;
     const isDown = kind === 'unsent' || kind === 'lost' || kind === 'cut' || kind === 'timeout';
@@ -297,6 +303,7 @@
       tookMs: Math.round(tookMs),
       firstMs: Math.round((this.#firstByteAt ?? clock.now()) - this.#startedAt),
       events: this.call.events.events,
+      connection: this.#ending,
       route,
       ...(refusal?.retryAfterMs !== undefined && { retryAfterMs: refusal.retryAfterMs }),
     };
--- a/src/gateway/httpreply.ts
+++ b/src/gateway/httpreply.ts
@@ -9,6 +9,9 @@
 export class HttpReply extends CallerReply {
   isGone = false;
 
+  /** Whether the end of the answer shows in its own bytes. */
+  #isFramed = true;
+
   /**
    * Wraps a response.
    * @param res - response of the server
@@ -33,8 +36,14 @@
     return this.res.headersSent;
   }
 
-  override begin({ status, forward }: AnswerHead): void {
+  override begin({ status, forward, isFramed }: AnswerHead): void {
     this.#closeIfStopping();
+    this.#isFramed = isFramed;
+    if (!isFramed) {
+      // Chunks would vouch for an end that only the upstream's connection told of.
+      this.res.removeHeader('transfer-encoding');
+      this.res.shouldKeepAlive = false;
+    }
     this.res.writeHead(status, [...forward]);
   }
 
@@ -47,7 +56,9 @@
   }
 
   override breakOff(): void {
-    this.res.destroy();
+    // The regular close of a connection would end an answer without a length.
+    if (this.#isFramed) this.res.destroy();
+    else this.res.socket?.resetAndDestroy();
   }
 
   override answer(status: number, headers: Readonly<Record<string, string>>, body: string): void {
--- a/src/gateway/serve.ts
+++ b/src/gateway/serve.ts
@@ -8,7 +8,12 @@
 /** How one attempt at an upstream ended. */
 export type SendOutcome =
   /** The whole answer has been passed to the caller. */
-  | { readonly kind: 'relayed'; readonly status: number }
+  | {
+      readonly kind: 'relayed';
+      readonly status: number;
+      /** State of the upstream's connection when the answer was whole. */
+      readonly ending: string;
+    }
   /** No byte left this process. */
   | { readonly kind: 'unsent'; readonly why: string }
   /** The upstream states that it has not run the request. */
--- a/src/gateway/upstreamconnection.ts
+++ b/src/gateway/upstreamconnection.ts
@@ -29,6 +29,9 @@
         socket.prependListener('error', () => {
           noted.ending = 'reset';
         });
+        socket.prependListener('close', () => {
+          noted.ending ??= 'reset';
+        });
       }
       callback(...result);
     });
