--- a/src/allowance/holding.ts
+++ b/src/allowance/holding.ts
@@ -22,9 +22,11 @@
 export interface AllowancePolicy {
   /** Time that a daemon should be able to go on without store and peers, in seconds. */
   readonly aloneSeconds: number;
-  /** Share of what is unspent that the daemons together keep ready without any demand. */
-  readonly floorShare: number;
-  /** Daemons that share the floor. */
+  /** Share of what is unspent that all daemons together keep ready, and lose if all of them die. */
+  readonly exposure: number;
+  /** Part of that share which they keep ready without any demand. */
+  readonly idlePart: number;
+  /** Daemons that share it. */
   readonly daemons: number;
   /** Time constant of the measured demand, in milliseconds. */
   readonly smoothingMs: number;
@@ -99,13 +101,13 @@
   now: number,
 ): number {
   const demand = demandAt(holding.demand, now);
-  const unspent = Math.max(0, view.unspent - netSpent(holding.escrow));
+  const exposed = Math.max(0, view.unspent - netSpent(holding.escrow)) * policy.exposure;
   const total = demand.rate + view.othersRate;
   const share = total > 0 ? demand.rate / total : 0;
   const expected = demand.rate * policy.aloneSeconds;
   const full = expected * GROWTH + Math.sqrt(expected * demand.typical) * DEVIATIONS;
-  const floor = (unspent * policy.floorShare) / Math.max(1, policy.daemons);
-  return Math.floor(Math.max(Math.min(full, unspent * share), floor));
+  const idle = (exposed * policy.idlePart) / Math.max(1, policy.daemons);
+  return Math.floor(Math.max(Math.min(full, exposed * share), idle));
 }
 
 /** What a daemon writes for one workspace, and what it gains by it. */
--- a/src/gateway/allowances.ts
+++ b/src/gateway/allowances.ts
@@ -51,7 +51,7 @@
 const HANDOVER_MS = 200;
 
 /** Peers that are asked for one shortage. */
-const MAX_PEERS = 4;
+const MAX_PEERS = 6;
 
 /** Delay after which a refused caller may come back, in milliseconds. */
 const RETRY_MS = 500;
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -151,7 +151,7 @@
   }
 
   #makeAllowances(membership: Membership): Allowances {
-    const { shards, aloneSeconds, floorShare } = this.settings.allowances;
+    const { shards, aloneSeconds, exposure, idlePart } = this.settings.allowances;
     return new Allowances({
       self: this.recorder.source,
       store: this.adapter.store,
@@ -160,7 +160,8 @@
       clock: this.clock,
       policy: () => ({
         aloneSeconds,
-        floorShare,
+        exposure,
+        idlePart,
         daemons: membership.size,
         smoothingMs: DEMAND_MS,
       }),
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -49,8 +49,13 @@
         shards: z.number().int().positive().default(2),
         /** Time that a daemon should be able to serve without store and peers, in seconds. */
         aloneSeconds: z.number().positive().default(10),
-        /** Share of a workspace's unspent units that all daemons keep ready without demand. */
-        floorShare: z.number().min(0).max(0.5).default(0.12),
+        /**
+         * Share of a workspace's unspent units that all daemons together keep ready: what is lost
+         * if all of them die at once, and what they can serve while the store is away.
+         */
+        exposure: z.number().positive().max(1).default(0.2),
+        /** Part of that share which they keep ready without demand. */
+        idlePart: z.number().min(0).max(1).default(0.5),
       })
       .readonly()
       .prefault({}),
--- a/src/gateway/tests/overspend.test.ts
+++ b/src/gateway/tests/overspend.test.ts
@@ -2,7 +2,7 @@
 import { pino } from 'pino';
 
 import { LateStore } from '../../../testbed/latestore.js';
-import { MemoryHub } from '../../../testbed/memorynetwork.js';
+import { MemoryHub } from '../../../testbed/memoryhub.js';
 import { DEFAULT_SEED, seededRandom } from '../../../testbed/seed.js';
 import { newIncarnation, SteadyClock, SystemClock } from '../../kernel/index.js';
 import { Recorder } from '../../telemetry/index.js';
@@ -74,7 +74,13 @@
       network: this.#hub.join(self),
       recorder,
       clock: new SteadyClock(),
-      policy: () => ({ aloneSeconds: 10, floorShare: 0.3, daemons: 4, smoothingMs: 500 }),
+      policy: () => ({
+        aloneSeconds: 10,
+        exposure: 0.5,
+        idlePart: 0.6,
+        daemons: 4,
+        smoothingMs: 500,
+      }),
       shards: 1,
       paidOf: () => this.paid,
       workspaces: () => [WORKSPACE],
--- a/src/route/affinity.ts
+++ b/src/route/affinity.ts
@@ -1,4 +1,4 @@
-/** Prompt-prefix affinity with bounded load. */
+/** Affinity by prompt prefix with bounded load. */
 import { CacheIndex } from './cacheindex.js';
 import { ChoicePolicy } from './choice.js';
 import { mix32 } from './digest.js';
--- /dev/null
+++ b/testbed/memoryhub.ts
@@ -0,0 +1,50 @@
+/** Connects the in-memory networks of one test. */
+import { instanceOf } from '../src/kernel/index.js';
+import { MemoryNetwork } from './memorynetwork.js';
+
+import type { Incarnation, InstanceName } from '../src/kernel/index.js';
+import type { LinkFate, PeerDirectory } from './memorynetwork.js';
+
+/** Connects the daemons of one test. */
+export class MemoryHub implements PeerDirectory {
+  readonly #nodes = new Map<InstanceName, MemoryNetwork>();
+
+  /**
+   * Creates a hub.
+   * @param fate - draws what becomes of the next request
+   */
+  constructor(readonly fate: () => LinkFate) {}
+
+  /**
+   * Adds a daemon, in place of an earlier life of its instance.
+   * @param self - its incarnation
+   * @returns its network
+   */
+  join(self: Incarnation): MemoryNetwork {
+    const node = new MemoryNetwork(self, this);
+    this.#nodes.set(instanceOf(self), node);
+    return node;
+  }
+
+  /**
+   * Takes a daemon away.
+   * @param self - its incarnation
+   */
+  leave(self: Incarnation): void {
+    if (this.#nodes.get(instanceOf(self))?.self === self) this.#nodes.delete(instanceOf(self));
+  }
+
+  /**
+   * Finds a daemon.
+   * @param instance - its instance
+   * @returns its network; undefined if it is not there
+   */
+  node(instance: InstanceName): MemoryNetwork | undefined {
+    return this.#nodes.get(instance);
+  }
+
+  /** Instances that are there. */
+  get instances(): readonly InstanceName[] {
+    return [...this.#nodes.keys()];
+  }
+}
--- a/testbed/memorynetwork.ts
+++ b/testbed/memorynetwork.ts
@@ -17,52 +17,25 @@
 
 type AnyHandler = (message: PeerMessage, from: Incarnation) => PeerMessage | Promise<PeerMessage>;
 
-/** Connects the daemons of one test. */
-export class MemoryHub {
-  readonly #nodes = new Map<InstanceName, MemoryNetwork>();
-
-  /**
-   * Creates a hub.
-   * @param fate - draws what becomes of the next request
-   */
-  constructor(readonly fate: () => LinkFate) {}
-
-  /**
-   * Adds a daemon, in place of an earlier life of its instance.
-   * @param self - its incarnation
-   * @returns its network
-   */
-  join(self: Incarnation): MemoryNetwork {
-    const node = new MemoryNetwork(self, this);
-    this.#nodes.set(instanceOf(self), node);
-    return node;
-  }
-
-  /**
-   * Takes a daemon away.
-   * @param self - its incarnation
-   */
-  leave(self: Incarnation): void {
-    if (this.#nodes.get(instanceOf(self))?.self === self) this.#nodes.delete(instanceOf(self));
-  }
-
-  /**
-   * Finds a daemon.
-   * @param instance - its instance
-   * @returns its network; undefined if it is not there
-   */
-  node(instance: InstanceName): MemoryNetwork | undefined {
-    return this.#nodes.get(instance);
-  }
+/** Finds the daemons of one test. */
+export interface PeerDirectory {
+  /** Draws what becomes of the next request. */
+  readonly fate: () => LinkFate;
+  readonly instances: readonly InstanceName[];
+  readonly node: (instance: InstanceName) => PeerNode | undefined;
+}
 
-  /** Instances that are there. */
-  get instances(): readonly InstanceName[] {
-    return [...this.#nodes.keys()];
-  }
+/** A daemon as its peers reach it. */
+export interface PeerNode {
+  readonly self: Incarnation;
+  readonly receive: (
+    body: PeerMessage,
+    from: Incarnation,
+  ) => PeerMessage | Promise<PeerMessage> | undefined;
 }
 
 /** Network of one daemon. */
-export class MemoryNetwork extends PeerNetwork {
+export class MemoryNetwork extends PeerNetwork implements PeerNode {
   readonly #handlers = new Map<PeerMessageType, AnyHandler>();
 
   /**
@@ -72,7 +45,7 @@
    */
   constructor(
     readonly self: Incarnation,
-    private readonly hub: MemoryHub,
+    private readonly hub: PeerDirectory,
   ) {
     super();
   }
--- a/testbed/rawupstream.ts
+++ b/testbed/rawupstream.ts
@@ -27,16 +27,18 @@
   private constructor(
     private readonly server: Server,
     private readonly answers: readonly RawAnswer[],
+    private readonly idHeader: string,
   ) {}
 
   /**
    * Starts a stand-in.
    * @param answers - answers in the order of the requests; the last one repeats
+   * @param idHeader - header that names a request
    * @returns the stand-in, once it listens
    */
-  static async start(answers: readonly RawAnswer[]): Promise<RawUpstream> {
+  static async start(answers: readonly RawAnswer[], idHeader: string): Promise<RawUpstream> {
     const server = createServer();
-    const upstream = new RawUpstream(server, answers);
+    const upstream = new RawUpstream(server, answers, idHeader);
     server.on('connection', (socket) => upstream.#accept(socket));
     await new Promise<void>((resolve) => {
       server.listen(0, '127.0.0.1', resolve);
@@ -73,7 +75,7 @@
     const answer = this.answers[Math.min(this.requests.length, this.answers.length - 1)];
     this.requests.push(request);
     if (!answer) return;
-    const id = /attempt-id: (\S+)/i.exec(request)?.[1] ?? '';
+    const id = new RegExp(`${this.idHeader}: (\\S+)`, 'i').exec(request)?.[1] ?? '';
     socket.write(answer.text.replaceAll(ID_PLACEHOLDER, id));
     if (answer.then === 'keep') return;
     setTimeout(() => {
