Placement by the part that covers half of what is shared; fewer calls to the store

A home by the deepest part spread requests with the same first part over all workers; far workers were priced at 15 ms against 2.8 ms.

--- a/src/allowance/holding.ts
+++ b/src/allowance/holding.ts
@@ -38,6 +38,12 @@
 /** Deviations of the expected use that are kept besides; peers even out the rest. */
 const DEVIATIONS = 0.5;
 
+/** Age from which spending is reported even if it is small, in milliseconds. */
+const REPORT_MS = 6_000;
+
+/** Share of what is unspent from which spending is reported at once. */
+const REPORT_SHARE = 0.02;
+
 /** Least share of the smoothing that counts for a daemon's first requests: one is no trend. */
 const MIN_WEIGHT = 0.6;
 
@@ -49,6 +55,8 @@
   readonly view: AllowanceView | undefined;
   /** Net spending as it was last written to the store. */
   readonly reported: number;
+  /** When it was written, in milliseconds. */
+  readonly reportedAt: number;
 }
 
 /**
@@ -64,7 +72,7 @@
   now: number,
 ): AllowanceHolding {
   const demand = noDemand(now, { smoothingMs: policy.smoothingMs, minWeight: MIN_WEIGHT });
-  return { escrow: emptyEscrow(workspace), demand, view: undefined, reported: 0 };
+  return { escrow: emptyEscrow(workspace), demand, view: undefined, reported: 0, reportedAt: now };
 }
 
 /**
@@ -169,16 +177,19 @@
  * @param holding - the holding, perhaps changed since the line was worked out
  * @param draw - the line
  * @param view - what the store showed
+ * @param now - milliseconds
  * @returns the holding with its grant
  */
 export function receiveDrawn(
   holding: AllowanceHolding,
   draw: AllowanceDraw,
   view: AllowanceView,
+  now: number,
 ): AllowanceHolding {
   const { escrow } = holding;
   const granted = draw.grant + escrow.returned;
-  return { ...holding, escrow: receiveGrant(escrow, granted), view, reported: draw.line.spent };
+  const reported = draw.line.spent;
+  return { ...holding, escrow: receiveGrant(escrow, granted), view, reported, reportedAt: now };
 }
 
 /**
@@ -193,9 +204,11 @@
   policy: AllowancePolicy,
   now: number,
 ): boolean {
-  const { view, escrow, reported } = holding;
+  const { view, escrow, reported, reportedAt } = holding;
   if (!view) return true;
-  if (netSpent(escrow) > reported) return true;
+  const unreported = netSpent(escrow) - reported;
+  const isDue = now - reportedAt > REPORT_MS || unreported > view.unspent * REPORT_SHARE;
+  if (unreported > 0 && isDue) return true;
   const target = readyTarget(holding, view, policy, now);
   return view.free - rowGrant(escrow) > 0 && isLow(available(escrow), target);
 }
--- a/src/gateway/allowances.ts
+++ b/src/gateway/allowances.ts
@@ -35,8 +35,8 @@
 import type { StoredObject, StoreError, SnapshotStore } from '../store/index.js';
 import type { Recorder } from '../telemetry/index.js';
 
-/** Interval of the reports to the store, in milliseconds: bounds what a death leaves unreported. */
-const REPORT_MS = 2_000;
+/** Interval at which holdings are looked at, in milliseconds: a fraction of what they last. */
+const REFRESH_MS = 1_000;
 
 /** Conditional writes before a draw gives up under conflicts. */
 const MAX_WRITES = 6;
@@ -118,7 +118,7 @@
   /** Draws a first part of every workspace and reports at intervals from then on. */
   start(): void {
     this.refresh();
-    this.#timer = setInterval(() => this.refresh(), REPORT_MS);
+    this.#timer = setInterval(() => this.refresh(), REFRESH_MS);
   }
 
   /** Draws what runs low and reports what was spent. */
@@ -320,7 +320,7 @@
     draws.forEach(({ draw, view }) => {
       const { workspace, granted, spent } = draw.line;
       const before = this.#holding(workspace);
-      const holding = receiveDrawn(before, draw, view);
+      const holding = receiveDrawn(before, draw, view, this.ctx.clock.now());
       this.#holdings.set(workspace, holding);
       const gained = granted - rowGrant(before.escrow);
       if (gained <= 0) return;
--- a/src/gateway/callrun.ts
+++ b/src/gateway/callrun.ts
@@ -58,7 +58,7 @@
   const shared = head.prompt.slice(0, -1);
   const { promptTokens, outputTokens } = head.usage ?? { promptTokens: 0, outputTokens: 0 };
   return {
-    sharedParts: shared.map(({ id }) => id),
+    sharedParts: shared,
     sharedTokens: shared.reduce((sum, { tokens }) => sum + tokens, 0),
     promptTokens,
     memoryTokens: promptTokens + outputTokens,
--- a/src/gateway/membership.ts
+++ b/src/gateway/membership.ts
@@ -18,6 +18,9 @@
 /** Random bytes of the key of the peer links. */
 const KEY_BYTES = 24;
 
+/** Longest wait of a watch of the daemons, in milliseconds: nothing depends on hearing soon. */
+const WATCH_MS = 20_000;
+
 /** Delay before a failed registration is tried again, in milliseconds. */
 const RETRY_MS = 500;
 
@@ -54,6 +57,7 @@
         onRegained: () => undefined,
       },
       cfg.clock,
+      WATCH_MS,
     );
   }
 
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -27,11 +27,11 @@
 /** Delays that a placement counts with beside the reading of prompts. */
 const DELAYS: Omit<PlacementOptions, 'tokensPerMs'> = {
   // A request more in a batch lengthens each step by hundredths of a millisecond.
-  loadMs: 1,
+  loadMs: 0.3,
   // A whole answer of the model pool takes about this long.
   slotMs: 1_500,
-  // Bytes between data centres cost the users more than this delay.
-  farMs: 15,
+  // Both ways between two data centres, and a little for the price of the bytes.
+  farMs: 4,
   // A failed request costs its caller about a target.
   failureMs: 400,
   // Long prompts are read for about this long.
--- a/src/route/placement.ts
+++ b/src/route/placement.ts
@@ -31,10 +31,16 @@
   readonly warmupMs: number;
 }
 
+/** A part of a prompt that other requests may share. */
+export interface SharedPart {
+  readonly id: string;
+  readonly tokens: number;
+}
+
 /** A request that is to be placed. */
 export interface PlacementRequest {
   /** Shared parts of the prompt, the first one first; empty for plain requests. */
-  readonly sharedParts: readonly string[];
+  readonly sharedParts: readonly SharedPart[];
   /** Prompt tokens of the shared parts. */
   readonly sharedTokens: number;
   /** All prompt tokens; 0 for plain requests. */
@@ -68,19 +74,33 @@
 /** Seed of a home within a data centre. */
 const HOME_SEED = 7;
 
-/** Homes in the order of preference for a prompt: each daemon finds the same. */
-function homeScore(request: PlacementRequest, id: string): number {
-  const deepest = request.sharedParts.at(-1);
-  return deepest === undefined ? 0 : mix32(hash32(deepest, HOME_SEED), hash32(id));
+/** Share of the shared tokens that the part which decides the home must cover, all before it included. */
+const HOME_COVER = 0.5;
+
+/**
+ * Finds the part that decides the home: the first one that, with all before it, makes up most of
+ * what is shared. Deeper parts then follow it to the same upstream, so that it is read only there.
+ */
+function decidingPart({ sharedParts, sharedTokens }: PlacementRequest): string | undefined {
+  let covered = 0;
+  return sharedParts.find(({ tokens }) => {
+    covered += tokens;
+    return covered >= sharedTokens * HOME_COVER;
+  })?.id;
 }
 
+/** Home of a shared prompt by rendezvous hashing: each daemon finds the same. */
 function homeOf(
   request: PlacementRequest,
   candidates: readonly PlacementCandidate[],
 ): string | undefined {
-  if (request.sharedParts.length === 0) return undefined;
-  const sound = candidates.filter(({ isEjected }) => !isEjected);
-  return [...sound].sort((a, b) => homeScore(request, b.id) - homeScore(request, a.id))[0]?.id;
+  const part = decidingPart(request);
+  if (part === undefined) return undefined;
+  const key = hash32(part, HOME_SEED);
+  const scored = candidates
+    .filter(({ isEjected }) => !isEjected)
+    .map(({ id }) => ({ id, score: mix32(key, hash32(id)) }));
+  return scored.sort((one, other) => other.score - one.score)[0]?.id;
 }
 
 /**
--- a/src/store/follower.ts
+++ b/src/store/follower.ts
@@ -5,7 +5,7 @@
 import type { ObjectChange, StoreError } from './objectstore.js';
 import type { Snapshot, SnapshotStore } from './snapshotstore.js';
 
-/** Longest wait of one watch, in milliseconds: a silent connection is noticed soon after it. */
+/** Longest wait of a watch where none is given, in milliseconds: bounds how long silence lasts. */
 const WATCH_MS = 3_000;
 
 /** First delay after a failed call, in milliseconds; it doubles up to the longest. */
@@ -42,12 +42,14 @@
    * @param prefix - start of the keys
    * @param events - what the owner is told
    * @param clock - time
+   * @param waitMs - longest wait of one watch, in milliseconds
    */
   constructor(
     private readonly store: SnapshotStore,
     private readonly prefix: string,
     private readonly events: FollowerEvents,
     private readonly clock: Clock,
+    private readonly waitMs = WATCH_MS,
   ) {}
 
   /** Follows until it is stopped. */
@@ -78,7 +80,7 @@
   }
 
   async #watch(): Promise<StoreError | undefined> {
-    const batch = await this.store.watch(this.prefix, this.#position ?? 0, WATCH_MS);
+    const batch = await this.store.watch(this.prefix, this.#position ?? 0, this.waitMs);
     if (batch.err) {
       if (batch.val.problem === 'compacted') this.#position = undefined;
       return batch.val;
