--- a/src/store/follower.ts
+++ b/src/store/follower.ts
@@ -8,6 +8,9 @@
 /** Longest wait of a watch where none is given, in milliseconds: bounds how long silence lasts. */
 const WATCH_MS = 3_000;
 
+/** Wait of a watch that is to answer at once, in milliseconds. */
+const AT_ONCE_MS = 1;
+
 /** First delay after a failed call, in milliseconds; it doubles up to the longest. */
 const FIRST_DELAY_MS = 40;
 
@@ -80,7 +83,9 @@
   }
 
   async #watch(): Promise<StoreError | undefined> {
-    const batch = await this.store.watch(this.prefix, this.#position ?? 0, this.waitMs);
+    // After a failure an answer at once tells that the store is back, and what was missed.
+    const waitMs = this.#failures > 0 ? AT_ONCE_MS : this.waitMs;
+    const batch = await this.store.watch(this.prefix, this.#position ?? 0, waitMs);
     if (batch.err) {
       if (batch.val.problem === 'compacted') this.#position = undefined;
       return batch.val;
