--- a/src/gateway/allowances.ts
+++ b/src/gateway/allowances.ts
@@ -53,6 +53,12 @@
 /** Peers that are asked for one shortage. */
 const MAX_PEERS = 6;
 
+/** Peers that are asked before the store. */
+const FIRST_PEERS = 2;
+
+/** Multiple of a shortage that the richest peer must hold to be asked before the store. */
+const RICH = 1.5;
+
 /** Delay after which a refused caller may come back, in milliseconds. */
 const RETRY_MS = 500;
 
@@ -151,10 +157,13 @@
     const until = this.ctx.clock.now() + waitMs;
     this.#missing.set(workspace, (this.#missing.get(workspace) ?? 0) + units);
     try {
+      // A call to the store has its price, and peers that hold more than they need answer as fast.
+      if (this.#peersHold(workspace, units)) await this.#borrow(workspace, units, FIRST_PEERS);
+      if (this.#tryReserve(workspace, units)) return Ok(undefined);
       const drawn = this.#draw(this.#shardOf(workspace));
       if (this.ctx.isStoreUp()) await Promise.race([drawn, sleep(STORE_FIRST_MS)]);
       if (this.#tryReserve(workspace, units)) return Ok(undefined);
-      await this.#borrow(workspace, units);
+      await this.#borrow(workspace, units, MAX_PEERS);
       if (this.#tryReserve(workspace, units)) return Ok(undefined);
       const left = until - this.ctx.clock.now();
       if (left > 0) await Promise.race([drawn, sleep(left)]);
@@ -418,20 +427,27 @@
   }
 
   /** Borrows for a shortage; one round at a time for each workspace. */
-  #borrow(workspace: string, units: number): Promise<boolean> {
+  #borrow(workspace: string, units: number, peers: number): Promise<boolean> {
     const running = this.#borrowing.get(workspace);
     if (running) return running;
-    const borrowing = this.#askPeers(workspace, units).finally(() => {
+    const borrowing = this.#askPeers(workspace, units, peers).finally(() => {
       this.#borrowing.delete(workspace);
     });
     this.#borrowing.set(workspace, borrowing);
     return borrowing;
   }
 
-  async #askPeers(workspace: string, units: number): Promise<boolean> {
+  /** Whether some peer held much more than a request lacks when the store last showed it. */
+  #peersHold(workspace: string, units: number): boolean {
+    const { view, escrow } = this.#holding(workspace);
+    const lacking = units - available(escrow);
+    return view?.others.some(({ held }) => held > lacking * RICH) ?? false;
+  }
+
+  async #askPeers(workspace: string, units: number, most: number): Promise<boolean> {
     const { network, recorder } = this.ctx;
     const before = available(this.#holding(workspace).escrow);
-    const peers = this.#richestFirst(workspace).slice(0, MAX_PEERS);
+    const peers = this.#richestFirst(workspace).slice(0, most);
     for (const peer of peers) {
       const needed = Math.max(this.#missing.get(workspace) ?? 0, units);
       const missing = needed - available(this.#holding(workspace).escrow);
--- /dev/null
+++ b/src/gateway/tests/upstreams.test.ts
@@ -0,0 +1,138 @@
+import test from 'ava';
+
+import { UpstreamRegistry } from '../upstreams.js';
+
+import type { UpstreamRecord } from '../upstreams.js';
+
+const RECORD: UpstreamRecord = {
+  id: 'u',
+  startedAt: 1,
+  service: 's',
+  address: '127.0.0.1:1',
+  dataCentre: 'a',
+  capacity: 8,
+  isLeaving: false,
+  warmupMs: 0,
+};
+
+type Step =
+  | { readonly at: number; readonly does: 'lists' | 'announces-leaving' | 'unlists' }
+  | { readonly at: number; readonly does: 'store-disturbed' }
+  | { readonly at: number; readonly does: 'other-life' };
+
+interface Row {
+  readonly title: string;
+  readonly steps: readonly Step[];
+  /** Whether the upstream may receive work, at some moments. */
+  readonly serves: readonly (readonly [at: number, serves: boolean])[];
+}
+
+const ROWS: readonly Row[] = [
+  {
+    title: 'a listed upstream serves',
+    steps: [{ at: 0, does: 'lists' }],
+    serves: [[1, true]],
+  },
+  {
+    title: 'a leaving upstream gets nothing new',
+    steps: [
+      { at: 0, does: 'lists' },
+      { at: 10, does: 'announces-leaving' },
+    ],
+    serves: [[11, false]],
+  },
+  {
+    title: 'a removal in quiet times counts at once',
+    steps: [
+      { at: 0, does: 'lists' },
+      { at: 10_000, does: 'unlists' },
+    ],
+    serves: [[10_001, false]],
+  },
+  {
+    title: 'an entry that lapsed in an outage stays for two seconds after it',
+    steps: [
+      { at: 0, does: 'lists' },
+      { at: 10_000, does: 'store-disturbed' },
+      { at: 10_001, does: 'unlists' },
+    ],
+    serves: [
+      [10_002, true],
+      [12_200, true],
+      [12_202, false],
+    ],
+  },
+  {
+    title: 'a removal after the upstream has registered again counts at once',
+    steps: [
+      { at: 0, does: 'lists' },
+      { at: 10_000, does: 'store-disturbed' },
+      { at: 10_001, does: 'unlists' },
+      { at: 10_002, does: 'lists' },
+      { at: 10_900, does: 'unlists' },
+    ],
+    serves: [
+      [10_003, true],
+      [10_901, false],
+    ],
+  },
+  {
+    title: 'an upstream that had announced its leaving is gone at once, also in an outage',
+    steps: [
+      { at: 0, does: 'announces-leaving' },
+      { at: 10_000, does: 'store-disturbed' },
+      { at: 10_001, does: 'unlists' },
+    ],
+    serves: [[10_002, false]],
+  },
+  {
+    title: 'a removal two seconds after an outage counts at once',
+    steps: [
+      { at: 0, does: 'lists' },
+      { at: 10_000, does: 'store-disturbed' },
+      { at: 12_000, does: 'unlists' },
+    ],
+    serves: [[12_001, false]],
+  },
+  {
+    title: 'another life under the same id is another upstream',
+    steps: [
+      { at: 0, does: 'lists' },
+      { at: 10, does: 'other-life' },
+    ],
+    serves: [[11, false]],
+  },
+];
+
+function take(registry: UpstreamRegistry, { at, does }: Step): void {
+  if (does === 'lists') registry.list(RECORD, at);
+  else if (does === 'announces-leaving') registry.list({ ...RECORD, isLeaving: true }, at);
+  else if (does === 'other-life') registry.list({ ...RECORD, startedAt: 2 }, at);
+  else if (does === 'store-disturbed') registry.noteDisturbance(at);
+  else registry.unlist('u', at);
+}
+
+ROWS.forEach(({ title, steps, serves }) => {
+  test(title, (t) => {
+    const registry = new UpstreamRegistry();
+    const left = [...steps];
+    const seen = serves.map(([at]) => {
+      while (left[0] && left[0].at <= at) take(registry, left.shift() as Step);
+      return registry.mayReceive(RECORD, at);
+    });
+    t.deepEqual(
+      seen,
+      serves.map(([, expected]) => expected),
+    );
+  });
+});
+
+test('a complete list removes what is not on it', (t) => {
+  const registry = new UpstreamRegistry();
+  registry.replace([RECORD, { ...RECORD, id: 'v' }], 0);
+  registry.replace([{ ...RECORD, id: 'v' }], 10_000);
+  t.deepEqual(
+    registry.serving('s', 10_001).map(({ id }) => id),
+    ['v'],
+  );
+});
--- /dev/null
+++ b/src/route/tests/placement.test.ts
@@ -0,0 +1,164 @@
+import test from 'ava';
+
+import { DEFAULT_SEED, seededRandom } from '../../../testbed/seed.js';
+import { placeRequest } from '../placement.js';
+
+import type { PlacementCandidate, PlacementOptions, PlacementRequest } from '../placement.js';
+
+const OPTIONS: PlacementOptions = {
+  tokensPerMs: 60,
+  loadMs: 0.3,
+  slotMs: 1_500,
+  farMs: 4,
+  failureMs: 400,
+  usualSilenceMs: 600,
+};
+
+const IDLE: Omit<PlacementCandidate, 'id'> = {
+  isNear: true,
+  capacity: 64,
+  load: 0,
+  waiting: 0,
+  pendingTokens: 0,
+  freeTokens: 400_000,
+  silentMs: 0,
+  failedShare: 0,
+  isEjected: false,
+  warmupMs: 0,
+};
+
+const PLAIN: PlacementRequest = {
+  sharedParts: [],
+  sharedTokens: 0,
+  promptTokens: 0,
+  memoryTokens: 0,
+};
+
+const PROMPT: PlacementRequest = { ...PLAIN, promptTokens: 1_800, memoryTokens: 2_000 };
+
+interface Row {
+  readonly title: string;
+  readonly request: PlacementRequest;
+  readonly a: Partial<PlacementCandidate>;
+  readonly b: Partial<PlacementCandidate>;
+}
+
+/** In each row the second upstream is the right one. */
+const ROWS: readonly Row[] = [
+  { title: 'near before far', request: PLAIN, a: { isNear: false }, b: {} },
+  { title: 'a free slot before a full upstream', request: PLAIN, a: { load: 64 }, b: { load: 3 } },
+  {
+    title: 'far and free before near and full',
+    request: PLAIN,
+    a: { load: 6, capacity: 6 },
+    b: { isNear: false, capacity: 6 },
+  },
+  {
+    title: 'long prompts beside short streams: where fewer prompt tokens wait',
+    request: PROMPT,
+    a: { pendingTokens: 54_000 },
+    b: { load: 20, pendingTokens: 2_000 },
+  },
+  {
+    title: 'an upstream that fails part of its requests is left',
+    request: PLAIN,
+    a: { failedShare: 0.45 },
+    b: { isNear: false, failedShare: 0.14 },
+  },
+  {
+    title: 'an upstream that owes an answer for long is left',
+    request: PROMPT,
+    a: { silentMs: 2_000 },
+    b: { pendingTokens: 12_000 },
+  },
+  {
+    title: 'an ejected upstream comes last',
+    request: PLAIN,
+    a: { isEjected: true },
+    b: { load: 64 },
+  },
+  {
+    title: 'memory that is full stands for a wait',
+    request: PROMPT,
+    a: { freeTokens: 1_000 },
+    b: { pendingTokens: 20_000 },
+  },
+];
+
+ROWS.forEach(({ title, request, a, b }) => {
+  [0, 0.5, 0.99].forEach((draw) => {
+    test(`${title} (draw ${draw})`, (t) => {
+      const candidates = [
+        { ...IDLE, id: 'a', ...a },
+        { ...IDLE, id: 'b', ...b },
+      ];
+      t.is(placeRequest(candidates, request, OPTIONS, draw)?.id, 'b');
+    });
+  });
+});
+
+test('without candidates there is no placement', (t) => {
+  t.is(placeRequest([], PLAIN, OPTIONS, 0), undefined);
+});
+
+const WORKERS = ['u1', 'u2', 'u3', 'u4', 'u5', 'u6'];
+
+function shared(subject: string): PlacementRequest {
+  const sharedParts = [
+    { id: 'all', tokens: 512 },
+    { id: subject, tokens: 4_870 },
+  ];
+  return { sharedParts, sharedTokens: 5_382, promptTokens: 12_000, memoryTokens: 12_384 };
+}
+
+function idleWorkers(): PlacementCandidate[] {
+  return WORKERS.map((id) => ({ ...IDLE, id }));
+}
+
+test('requests with one shared prompt go to one home, whoever places them and however many upstreams are listed first', (t) => {
+  const homes = [0, 0.3, 0.6, 0.9].flatMap((draw) => [
+    placeRequest(idleWorkers(), shared('s'), OPTIONS, draw)?.id,
+    placeRequest(idleWorkers().reverse(), shared('s'), OPTIONS, draw)?.id,
+  ]);
+  t.is(new Set(homes).size, 1);
+});
+
+test('deeper parts follow the part that covers half of what is shared', (t) => {
+  const homes = ['x', 'y', 'z', 'w'].map((deeper) => {
+    const sharedParts = [
+      { id: 'first', tokens: 341 },
+      { id: deeper, tokens: 227 },
+    ];
+    const request = { sharedParts, sharedTokens: 568, promptTokens: 2_368, memoryTokens: 2_400 };
+    return placeRequest(idleWorkers(), request, OPTIONS, 0)?.id;
+  });
+  t.is(new Set(homes).size, 1);
+});
+
+/** Requests of the load that is replayed: 87 subjects, one of them asked for as often as the share says. */
+function replay(hotShare: number): ReadonlyMap<string, number> {
+  const random = seededRandom(DEFAULT_SEED);
+  const pending = new Map(WORKERS.map((id) => [id, 0]));
+  const served = new Map(WORKERS.map((id) => [id, 0]));
+  for (let request = 0; request < 1_000; request += 1) {
+    const subject = random() < hotShare ? 'hot' : `s${Math.floor(random() * 87)}`;
+    const candidates = WORKERS.map((id) => ({ ...IDLE, id, pendingTokens: pending.get(id) ?? 0 }));
+    const placed = placeRequest(candidates, shared(subject), OPTIONS, random());
+    if (placed) {
+      pending.set(placed.id, (pending.get(placed.id) ?? 0) + placed.uncachedTokens);
+      served.set(placed.id, (served.get(placed.id) ?? 0) + 1);
+    }
+    // Between two requests each upstream reads for 20 ms: together 7,344 tokens, a little more than come.
+    pending.forEach((tokens, id) => pending.set(id, Math.max(0, tokens - 20 * 61)));
+  }
+  return served;
+}
+
+[0, 0.28, 0.5].forEach((hotShare) => {
+  test(`one subject with ${hotShare * 100}% of the requests does not pile up at its home`, (t) => {
+    const counts = [...replay(hotShare).values()];
+    const mean = 1_000 / WORKERS.length;
+    t.true(Math.max(...counts) < mean * 2, counts.join(' '));
+    t.true(Math.min(...counts) > mean / 3, counts.join(' '));
+  });
+});
