--- a/src/store/tests/follower.test.ts
+++ b/src/store/tests/follower.test.ts
@@ -11,6 +11,9 @@
 /** What a prepared store answers to its next call. */
 type Answer = 'snapshot' | 'changes' | 'nothing' | 'lost' | 'compacted';
 
+/** The answer that never comes. */
+const NEVER = new Promise<never>(() => {});
+
 /** Answers calls in a prepared order, then never again. */
 class PreparedStore extends SnapshotStore {
   readonly calls: string[] = [];
@@ -55,7 +58,7 @@
   async #next<Value>(call: string, value: () => Value): Promise<Result<Value, StoreError>> {
     this.calls.push(call);
     const answer = this.answers.shift();
-    if (answer === undefined) return new Promise(() => undefined);
+    if (answer === undefined) return NEVER;
     if (answer === 'lost' || answer === 'compacted') {
       return Err({ problem: answer, key: 'k/', text: 'prepared' });
     }
