Long prompts are announced to the other daemons; later returns while the store is away

Callers that were refused for units came back after 0.5 s into the same outage and were refused again.

--- a/src/daemon/recording.ts
+++ b/src/daemon/recording.ts
@@ -2,8 +2,11 @@
 import { StatsD } from 'hot-shots';
 import { pino } from 'pino';
 
+import type { EventEmitter } from 'node:events';
+
+import type { DestinationStream, Logger } from 'pino';
 import { MIB_BYTES, newIncarnation, SystemClock } from '../kernel/index.js';
-import { Recorder } from '../telemetry/index.js';
+import { EVENTS, Recorder } from '../telemetry/index.js';
 import { splitAddress } from './settings.js';
 
 import type { Settings } from './settings.js';
@@ -30,6 +33,20 @@
   });
 }
 
+/** Says how many lines were dropped, once the receiver takes lines again. */
+function noteDrops(output: DestinationStream & EventEmitter, logger: Logger): void {
+  let dropped = 0;
+  output.on('drop', () => {
+    dropped += 1;
+  });
+  output.on('drain', () => {
+    if (dropped === 0) return;
+    const { number, text } = EVENTS.linesDropped;
+    logger.warn({ event: number, facts: { dropped } }, text);
+    dropped = 0;
+  });
+}
+
 /**
  * Makes the recorder of a daemon process that has just started.
  * @param settings - checked settings
@@ -39,6 +56,7 @@
   // A log reader that stalls must not stall the daemon.
   const output = pino.destination({ dest: STDOUT, sync: false, maxLength: LOG_BUFFER_BYTES });
   const logger = pino({ level: settings.logLevel, base: { instance: settings.instance } }, output);
+  noteDrops(output, logger);
   const self = newIncarnation(settings.instance);
   // The process ends right after this.
   // eslint-disable-next-line n/no-sync
--- a/src/gateway/allowances.ts
+++ b/src/gateway/allowances.ts
@@ -59,8 +59,11 @@
 /** Multiple of a shortage that the richest peer must hold to be asked before the store. */
 const RICH = 1.5;
 
-/** Delay after which a refused caller may come back, in milliseconds. */
-const RETRY_MS = 500;
+/** Delay after which a refused caller may come back, in milliseconds: running requests settle. */
+const RETRY_MS = 1_000;
+
+/** The same while the store is away, in milliseconds: outages last for seconds. */
+const RETRY_AWAY_MS = 3_000;
 
 /** What the task needs. */
 export interface AllowanceContext {
@@ -236,8 +239,8 @@
     const unspent = view ? view.unspent - netSpent(escrow) : paid;
     const isExhausted = view !== undefined && unspent < units;
     const code = isExhausted ? 'budget-exhausted' : 'budget-unreachable';
-    const retryAfterMs = isExhausted ? {} : { retryAfterMs: RETRY_MS };
-    return { ...failure(code, workspace), ...retryAfterMs };
+    const retryAfterMs = this.ctx.isStoreUp() ? RETRY_MS : RETRY_AWAY_MS;
+    return { ...failure(code, workspace), ...(!isExhausted && { retryAfterMs }) };
   }
 
   /** Draws for all workspaces of a shard; a draw that is under way is shared. */
--- a/src/gateway/callrun.ts
+++ b/src/gateway/callrun.ts
@@ -9,6 +9,7 @@
 import type { PlacementRequest, RetryBudget } from '../route/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { Allowances } from './allowances.js';
+import type { Announcements } from './announcements.js';
 import type { Call } from './attempt.js';
 import type { GatewayRoute, GatewayWorkspace } from './configuration.js';
 import type { FleetView, KnownUpstream } from './fleetview.js';
@@ -36,6 +37,7 @@
 export interface CallContext {
   readonly codec: HeaderCodec;
   readonly allowances: Allowances;
+  readonly announcements: Announcements;
   readonly fleet: FleetView;
   readonly registry: UpstreamRegistry;
   readonly retries: RetryBudget;
@@ -215,6 +217,7 @@
       relaysFailure,
       onSent: () => {
         this.#mayHaveRun = true;
+        this.ctx.announcements.tell(record.id, uncachedTokens);
       },
       onProgress: (load) => {
         this.#firstByteAt ??= clock.now();
--- a/src/gateway/fleetview.ts
+++ b/src/gateway/fleetview.ts
@@ -76,13 +76,15 @@
     return placement && upstream ? { placement, upstream } : undefined;
   }
 
-  /** Connections opened to upstreams that are known. */
-  get openedConnections(): number {
-    let sum = 0;
-    this.#known.forEach(({ connections }) => {
-      sum += connections.opened;
-    });
-    return sum;
+  /**
+   * Takes note of a long prompt that another daemon has sent.
+   * @param id - upstream that it went to
+   * @param tokens - prompt tokens that are to be read
+   */
+  noteForeign(id: string, tokens: number): void {
+    const now = this.clock.now();
+    const record = this.registry.all().find((listed) => listed.id === id);
+    if (record) this.#of(record).stats.noteForeign(tokens, this.options.tokensPerMs, now);
   }
 
   /** Closes all idle connections. */
@@ -115,7 +117,7 @@
       capacity: record.capacity,
       load: stats.estimate(now),
       waiting: stats.waiting(now),
-      pendingTokens: stats.pendingTokens,
+      pendingTokens: stats.pendingTokens + stats.foreignTokens(this.options.tokensPerMs, now),
       freeTokens: free,
       silentMs: stats.silentMs(now),
       failedShare: stats.failedShare,
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -4,6 +4,7 @@
 import { SteadyClock } from '../kernel/index.js';
 import { RetryBudget } from '../route/index.js';
 import { Allowances } from './allowances.js';
+import { Announcements } from './announcements.js';
 import { FleetView } from './fleetview.js';
 import { InForce } from './inforce.js';
 import { Membership } from './membership.js';
@@ -106,6 +107,7 @@
     this.#calls = {
       codec: this.adapter.headers,
       allowances,
+      announcements: new Announcements(membership.network, this.fleet),
       fleet: this.fleet,
       registry: this.inForce.upstreams,
       retries: new RetryBudget({
--- /dev/null
+++ b/src/route/tests/upstreamstats.test.ts
@@ -0,0 +1,50 @@
+import test from 'ava';
+
+import { UpstreamStats } from '../upstreamstats.js';
+
+const TOKENS_PER_MS = 60;
+
+const ROWS = [
+  { title: 'a long prompt of another daemon', sent: [[0, 6_000]], at: 0, left: 6_000 },
+  { title: 'the same, half read', sent: [[0, 6_000]], at: 50, left: 3_000 },
+  { title: 'the same, read', sent: [[0, 6_000]], at: 100, left: 0 },
+  {
+    title: 'two of them, one behind the other',
+    sent: [
+      [0, 6_000],
+      [50, 6_000],
+    ],
+    at: 100,
+    left: 6_000,
+  },
+  {
+    title: 'one that comes after a rest',
+    sent: [
+      [0, 600],
+      [1_000, 6_000],
+    ],
+    at: 1_000,
+    left: 6_000,
+  },
+] as const;
+
+ROWS.forEach(({ title, sent, at, left }) => {
+  test(`${title}: ${left} tokens are left to read`, (t) => {
+    const stats = new UpstreamStats();
+    sent.forEach(([now, tokens]) => stats.noteForeign(tokens, TOKENS_PER_MS, now));
+    t.is(stats.foreignTokens(TOKENS_PER_MS, at), left);
+  });
+});
+
+test('own prompts count until their answers begin, loads until they are old', (t) => {
+  const stats = new UpstreamStats();
+  const send = { sentAt: 0, uncachedTokens: 500, memoryTokens: 700, isAnswered: false };
+  const open = stats.begin(send);
+  t.deepEqual([stats.open, stats.pendingTokens, stats.memoryTokens], [1, 500, 700]);
+  t.is(stats.silentMs(900), 900);
+  stats.heard(open, { running: 7, waiting: 2 }, 1_000);
+  t.deepEqual([stats.estimate(1_100), stats.waiting(1_100), stats.pendingTokens], [9, 2, 0]);
+  t.is(stats.silentMs(1_200), 0);
+  stats.end(open);
+  t.deepEqual([stats.estimate(1_100), stats.estimate(2_600), stats.open], [8, 0, 0]);
+});
--- a/src/route/upstreamstats.ts
+++ b/src/route/upstreamstats.ts
@@ -44,6 +44,9 @@
 
   #failedShare = 0;
 
+  /** Prompt tokens of other daemons that were left to read at a moment. */
+  #foreign = { tokens: 0, at: Number.NEGATIVE_INFINITY };
+
   #heardAt = Number.NEGATIVE_INFINITY;
 
   /** Requests of this daemon that are at the upstream. */
@@ -65,6 +68,27 @@
     return sum;
   }
 
+  /**
+   * Takes note of a long prompt that another daemon has sent there.
+   * @param tokens - prompt tokens that are to be read
+   * @param tokensPerMs - tokens that the upstream reads in a millisecond
+   * @param now - milliseconds
+   */
+  noteForeign(tokens: number, tokensPerMs: number, now: number): void {
+    this.#foreign = { tokens: this.foreignTokens(tokensPerMs, now) + tokens, at: now };
+  }
+
+  /**
+   * Gives the prompt tokens of other daemons that are probably still to be read.
+   * @param tokensPerMs - tokens that the upstream reads in a millisecond
+   * @param now - milliseconds
+   * @returns tokens
+   */
+  foreignTokens(tokensPerMs: number, now: number): number {
+    const { tokens, at } = this.#foreign;
+    return tokens === 0 ? 0 : Math.max(0, tokens - (now - at) * tokensPerMs);
+  }
+
   /** Memory that the own open requests take at most, in tokens. */
   get memoryTokens(): number {
     let sum = 0;
