--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -8,7 +8,8 @@
 /** Bytes of a request body that are accepted by default. */
 const DEFAULT_BODY_BYTES = 4 * MIB_BYTES;
 
-const addressSchema = z
+/** Schema of an address, "IP:port". */
+export const addressSchema = z
   .string()
   .regex(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/, 'expected an address such as "127.0.0.1:8080"');
 
--- a/src/daemon/tests/settings.test.ts
+++ b/src/daemon/tests/settings.test.ts
@@ -2,7 +2,7 @@
 
 import test from 'ava';
 
-import type { z } from 'zod';
+import { describedFields, fieldsOf } from '../../../testbed/schemafields.js';
 import { formatProblem } from '../../kernel/index.js';
 import { safeParseSettings, settingsSchema } from '../settings.js';
 
@@ -63,20 +63,7 @@
 
 const PAGE = new URL('../../../../docs/SETTINGS.md', import.meta.url);
 
-interface Def {
-  readonly shape?: Readonly<Record<string, z.ZodType>>;
-  readonly innerType?: z.ZodType;
-}
-
-function fieldsOf(schema: z.ZodType, prefix = ''): readonly string[] {
-  const { shape, innerType } = schema.def as Def;
-  if (innerType) return fieldsOf(innerType, prefix);
-  if (!shape) return [prefix.slice(0, -1)];
-  return Object.entries(shape).flatMap(([name, inner]) => fieldsOf(inner, `${prefix}${name}.`));
-}
-
 test('docs/SETTINGS.md lists every field and no other', async (t) => {
   const page = await readFile(PAGE, 'utf8');
-  const listed = [...page.matchAll(/^\| `([\w.]+)`/gm)].map(([, name]) => name);
-  t.deepEqual(listed.toSorted(), fieldsOf(settingsSchema).toSorted());
+  t.deepEqual(describedFields(page), fieldsOf(settingsSchema).toSorted());
 });
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -1,14 +1,11 @@
 /** Settings of a gateway daemon, read from a YAML file. */
 import { z } from 'zod';
 
+import { addressSchema } from '../daemon/settings.js';
 import { safeParseYaml } from '../kernel/index.js';
 
 import type { Problem, Result } from '../kernel/index.js';
 
-const addressSchema = z
-  .string()
-  .regex(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/, 'expected an address such as "127.0.0.1:8080"');
-
 /** Schema of the settings file. */
 export const gatewaySettingsSchema = z
   .strictObject({
--- a/testbed/latestore.ts
+++ b/testbed/latestore.ts
@@ -1,4 +1,6 @@
 /** Object store inside one process whose answers get lost and whose writes may land late. */
+import { setTimeout as sleep } from 'node:timers/promises';
+
 import { Err, Ok } from '../src/kernel/index.js';
 import { SnapshotStore } from '../src/store/index.js';
 
@@ -11,6 +13,9 @@
   WatchBatch,
 } from '../src/store/index.js';
 
+/** Longest wait of a watch, in milliseconds. */
+const POLL_MS = 20;
+
 /** What becomes of a call. */
 export type CallFate = 'answered' | 'lost-before' | 'lost-after' | 'late' | 'refused';
 
@@ -81,8 +86,17 @@
     return Ok({ objects, position: this.#position });
   }
 
-  override async watch(): Promise<Result<WatchBatch, StoreError>> {
-    return Ok({ changes: [], position: this.#position });
+  override async watch(
+    prefix: string,
+    position: number,
+    waitMs: number,
+  ): Promise<Result<WatchBatch, StoreError>> {
+    if (this.#position <= position)
+      await sleep(Math.min(waitMs, POLL_MS), undefined, { ref: false });
+    const changes = [...this.#objects.values()].filter(
+      ({ key, version }) => key.startsWith(prefix) && version > position,
+    );
+    return Ok({ changes, position: this.#position });
   }
 
   /** Lets the writes land that were held up, where their condition still holds. */
