Prepaid units in four modules: holdings, rows in the store, loans, and the decision that uses them

Moved as it stood: holdings.ts, allowancerows.ts, allowanceloans.ts, allowancecontext.ts; no decision changed.

--- /dev/null
+++ b/src/gateway/allowanceloans.ts
@@ -0,0 +1,192 @@
+/** Loans of prepaid units between daemons. */
+import { loanUnits } from '../allowance/index.js';
+import { available, counterOf, passUnits, receiveLoan } from '../budget/index.js';
+import { instanceOf, rendezvous } from '../kernel/index.js';
+
+import type { Incarnation } from '../kernel/index.js';
+import type { PeerMessageOf, PeerNetwork } from '../link/index.js';
+import type { AllowanceContext } from './allowancecontext.js';
+import type { Holdings } from './holdings.js';
+
+/** Longest wait for one peer, in milliseconds: peers answer within a few. */
+const PEER_MS = 60;
+
+/** Longest wait for a peer that takes over the units of a stopping daemon, in milliseconds. */
+const HANDOVER_MS = 200;
+
+/** Multiple of a shortage that the richest peer must hold to be asked before the store. */
+const RICH = 1.5;
+
+/** Lends to other daemons and borrows from them. */
+export class AllowanceLoans {
+  readonly #borrowing = new Map<string, Promise<boolean>>();
+
+  /**
+   * Creates both sides.
+   * @param ctx - links to the other daemons
+   * @param holdings - what is lent, and where loans are kept
+   */
+  constructor(
+    private readonly ctx: AllowanceContext,
+    private readonly holdings: Holdings,
+  ) {
+    ctx.network.handle('borrow', (message, from) => this.#lend(message, from));
+    ctx.network.handle('lent', (message) => this.#receive(message));
+  }
+
+  /**
+   * Says whether some peer held much more than a request lacks when the store last showed it.
+   * @param workspace - who pays
+   * @param units - worst case of the request
+   * @returns whether it is worth asking peers first
+   */
+  peersHold(workspace: string, units: number): boolean {
+    const { view, escrow } = this.holdings.of(workspace);
+    const lacking = units - available(escrow);
+    return view?.others.some(({ held }) => held > lacking * RICH) ?? false;
+  }
+
+  /**
+   * Borrows for a shortage; one round at a time for each workspace.
+   * @param workspace - who pays
+   * @param units - worst case of the request
+   * @param peers - most peers that are asked
+   * @returns whether anything was lent
+   */
+  borrow(workspace: string, units: number, peers: number): Promise<boolean> {
+    const running = this.#borrowing.get(workspace);
+    if (running) return running;
+    const borrowing = this.#askPeers(workspace, units, peers).finally(() => {
+      this.#borrowing.delete(workspace);
+    });
+    this.#borrowing.set(workspace, borrowing);
+    return borrowing;
+  }
+
+  /**
+   * Lends all that is left to the first daemon that takes it.
+   * @param workspaces - whose units are lent
+   */
+  async handOver(workspaces: readonly string[]): Promise<void> {
+    const { network, self, recorder } = this.ctx;
+    const names = network.peers().map(({ name }) => name);
+    for (const peer of rendezvous(self, names)) {
+      // A link tells the incarnation of the peer, which the loan is made out to.
+      // eslint-disable-next-line no-await-in-loop
+      const isReached = await this.#greet(peer);
+      const borrower = network.incarnationOf(peer);
+      if (isReached && borrower) {
+        // eslint-disable-next-line no-await-in-loop
+        await Promise.all(workspaces.map((name) => this.#push(peer, borrower, name)));
+        recorder.record('handoverDone', { peer: borrower });
+        return;
+      }
+    }
+    recorder.record('handoverDelayed', { facts: { peers: names.length } });
+  }
+
+  /** Asks a peer for nothing, to see whether it answers. */
+  async #greet(peer: string): Promise<boolean> {
+    const outlook = { unspent: 0, totalRate: 0 };
+    const nothing = { budget: '', missing: 0, wanted: 0, outlook, known: 0 };
+    const reply = await this.ctx.network.request({
+      to: peer,
+      body: { type: 'borrow', ...nothing },
+      reply: 'lent',
+      timeoutMs: HANDOVER_MS,
+    });
+    return reply.ok;
+  }
+
+  async #push(peer: string, borrower: Incarnation, workspace: string): Promise<void> {
+    const holding = this.holdings.of(workspace);
+    const units = this.holdings.spare(workspace);
+    if (units <= 0) return;
+    const escrow = passUnits(holding.escrow, borrower, units);
+    this.holdings.set(workspace, { ...holding, escrow });
+    const passed = counterOf(escrow.passed, borrower);
+    const loan = { lender: this.ctx.self, budget: workspace, passed, left: 0, isDurable: true };
+    await this.ctx.network.request({
+      to: peer,
+      body: { type: 'lent', ...loan },
+      reply: 'lent',
+      timeoutMs: HANDOVER_MS,
+    });
+    this.ctx.recorder.record('allowanceLent', { budget: workspace, peer, facts: { units } });
+  }
+
+  #receive(message: PeerMessageOf<'lent'>): PeerMessageOf<'lent'> {
+    const { budget, lender, passed } = message;
+    if (budget !== undefined) {
+      const holding = this.holdings.of(budget);
+      const escrow = receiveLoan(holding.escrow, { peer: lender, units: passed });
+      this.holdings.set(budget, { ...holding, escrow });
+    }
+    return message;
+  }
+
+  async #askPeers(workspace: string, units: number, most: number): Promise<boolean> {
+    const { network, recorder } = this.ctx;
+    const before = available(this.holdings.of(workspace).escrow);
+    const peers = this.#richestFirst(workspace).slice(0, most);
+    for (const peer of peers) {
+      const needed = Math.max(this.holdings.missing(workspace), units);
+      const missing = needed - available(this.holdings.of(workspace).escrow);
+      if (missing <= 0) break;
+      // One peer after the other: each may cover the whole shortage.
+      // eslint-disable-next-line no-await-in-loop
+      await this.#askPeer(network, peer, workspace, missing);
+    }
+    const gained = available(this.holdings.of(workspace).escrow) - before;
+    const facts = { asked: peers.length, units, gained };
+    recorder.record('allowanceBorrowed', { budget: workspace, facts });
+    return gained > 0;
+  }
+
+  async #askPeer(
+    network: PeerNetwork,
+    peer: string,
+    workspace: string,
+    missing: number,
+  ): Promise<void> {
+    const { escrow, view } = this.holdings.of(workspace);
+    const incarnation = network.incarnationOf(peer);
+    const known = incarnation ? counterOf(escrow.borrowed, incarnation) : 0;
+    const outlook = { unspent: Math.max(0, view?.unspent ?? 0), totalRate: view?.othersRate ?? 0 };
+    const asked = { budget: workspace, missing, wanted: missing, outlook, known };
+    const reply = await network.request({
+      to: peer,
+      body: { type: 'borrow', ...asked },
+      reply: 'lent',
+      timeoutMs: PEER_MS,
+    });
+    if (reply.err) return;
+    this.#receive({ ...reply.val, budget: workspace });
+  }
+
+  /** Peers by what the store last showed them to hold. */
+  #richestFirst(workspace: string): readonly string[] {
+    const held = new Map(
+      this.holdings
+        .of(workspace)
+        .view?.others.map((other) => [instanceOf(other.holder), other.held]),
+    );
+    const names = this.ctx.network.peers().map(({ name }) => name);
+    return [...names].sort((a, b) => (held.get(b) ?? 0) - (held.get(a) ?? 0));
+  }
+
+  #lend(message: PeerMessageOf<'borrow'>, from: Incarnation): PeerMessageOf<'lent'> {
+    const { budget, missing, wanted } = message;
+    const holding = this.holdings.of(budget);
+    const units = this.holdings.isClosed
+      ? 0
+      : loanUnits(this.holdings.spare(budget), missing, wanted);
+    const escrow = units > 0 ? passUnits(holding.escrow, from, units) : holding.escrow;
+    this.holdings.set(budget, { ...holding, escrow });
+    const left = available(escrow);
+    const facts = { units, missing, left };
+    this.ctx.recorder.record('allowanceLent', { budget, peer: from, facts });
+    const passed = counterOf(escrow.passed, from);
+    return { type: 'lent', lender: this.ctx.self, passed, left, isDurable: true };
+  }
+}
--- /dev/null
+++ b/src/gateway/allowancerows.ts
@@ -0,0 +1,201 @@
+/** Rows of this daemon in the store: draws, reports, and their end. */
+import {
+  allowanceShardOf,
+  closeEarlierLives,
+  closeRow,
+  drawLine,
+  hasRow,
+  parseAllowances,
+  receiveDrawn,
+  rowGrant,
+  shedIdle,
+  viewAllowance,
+  withLines,
+} from '../allowance/index.js';
+import { available } from '../budget/index.js';
+
+import type { AllowanceDraw, AllowanceShard, AllowanceView } from '../allowance/index.js';
+import type { StoredObject, StoreError } from '../store/index.js';
+import type { AllowanceContext } from './allowancecontext.js';
+import type { Holdings } from './holdings.js';
+
+/** Conditional writes before a draw gives up under conflicts. */
+const MAX_WRITES = 6;
+
+/** One write of a shard that is worked out. */
+interface PlannedWrite {
+  readonly shard: AllowanceShard;
+  readonly draws: readonly { readonly draw: AllowanceDraw; readonly view: AllowanceView }[];
+}
+
+function shardKey(shard: number): string {
+  return `allowances/shard-${shard}`;
+}
+
+/** Owns the shard objects as this daemon last saw them. */
+export class AllowanceRows {
+  readonly #objects = new Map<number, StoredObject>();
+
+  /** Shards in which this daemon has a row. */
+  readonly #entered = new Set<number>();
+
+  readonly #drawing = new Map<number, Promise<boolean>>();
+
+  /** Called when another life of this instance has closed the rows of this one. */
+  onFenced: () => void = () => undefined;
+
+  /**
+   * Creates the rows; nothing is written before the first draw.
+   * @param ctx - store and what is in force
+   * @param holdings - what the rows grant
+   */
+  constructor(
+    private readonly ctx: AllowanceContext,
+    private readonly holdings: Holdings,
+  ) {}
+
+  /**
+   * Gives the shard of a workspace.
+   * @param workspace - the workspace
+   * @returns number of the shard
+   */
+  shardOf(workspace: string): number {
+    return allowanceShardOf(workspace, this.ctx.shards);
+  }
+
+  /**
+   * Draws for all workspaces of a shard; a draw that is under way is shared.
+   * @param shard - number of the shard
+   * @returns whether the store took the draw
+   */
+  draw(shard: number): Promise<boolean> {
+    const running = this.#drawing.get(shard);
+    if (running) return running;
+    if (this.holdings.isClosed) return Promise.resolve(false);
+    const drawing = this.#update(shard, (stored) => this.#planDraw(shard, stored)).finally(() => {
+      this.#drawing.delete(shard);
+    });
+    this.#drawing.set(shard, drawing);
+    return drawing;
+  }
+
+  /**
+   * Ends the rows. The store is asked by a read first: after a write whose answer was lost the rest
+   * might be free already, and must not be lent as well.
+   * @param handOver - lends what is left of a shard while the store is away
+   */
+  async end(handOver: (shard: number) => Promise<void>): Promise<void> {
+    await Promise.all([...this.#drawing.values()]);
+    await Promise.all([...this.#entered].map((shard) => this.#end(shard, handOver)));
+  }
+
+  async #end(shard: number, handOver: (shard: number) => Promise<void>): Promise<void> {
+    this.#objects.delete(shard);
+    const object = await this.#read(shardKey(shard));
+    if (object) this.#objects.set(shard, object);
+    else await handOver(shard);
+    await this.#close(shard);
+  }
+
+  #planDraw(shard: number, stored: AllowanceShard): PlannedWrite | undefined {
+    const { self, clock } = this.ctx;
+    const policy = this.ctx.policy();
+    if (this.#entered.has(shard) && !hasRow(stored, self)) {
+      this.#fence(shard);
+      return undefined;
+    }
+    const now = clock.now();
+    const joined = this.#entered.has(shard) ? stored : closeEarlierLives(stored, self);
+    const draws = this.ctx
+      .workspaces()
+      .filter((workspace) => this.shardOf(workspace) === shard)
+      .flatMap((workspace) => {
+        const paid = this.ctx.paidOf(workspace);
+        if (paid === undefined) return [];
+        const view = viewAllowance(joined, self, workspace, paid);
+        const holding = shedIdle({ ...this.holdings.of(workspace), view }, policy, now);
+        this.holdings.set(workspace, holding);
+        const lacking = this.holdings.missing(workspace) - available(holding.escrow);
+        return [{ draw: drawLine(holding, view, lacking, policy, now), view }];
+      });
+    const lines = draws.map(({ draw }) => draw.line);
+    return { shard: withLines(joined, self, lines), draws };
+  }
+
+  /** Writes a shard conditionally, again after a conflict; the plan sees what is in force. */
+  async #update(
+    shard: number,
+    plan: (stored: AllowanceShard) => PlannedWrite | undefined,
+  ): Promise<boolean> {
+    const key = shardKey(shard);
+    for (let write = 0; write < MAX_WRITES; write += 1) {
+      // eslint-disable-next-line no-await-in-loop
+      const object = this.#objects.get(shard) ?? (await this.#read(key));
+      if (!object) return false;
+      const planned = plan(parseAllowances(object.value));
+      if (!planned) return false;
+      // eslint-disable-next-line no-await-in-loop
+      const written = await this.ctx.store.write(key, planned.shard, object.version);
+      if (written.ok) {
+        this.#objects.set(shard, { key, version: written.val, value: planned.shard });
+        this.#received(shard, planned);
+        return true;
+      }
+      if (!this.#afterFailure(shard, written.val)) return false;
+    }
+    return false;
+  }
+
+  /** Keeps what a conflict shows; after any other failure the object is read again. */
+  #afterFailure(shard: number, err: StoreError): boolean {
+    if (err.problem === 'conflict' && err.current) {
+      this.#objects.set(shard, err.current);
+      return true;
+    }
+    this.#objects.delete(shard);
+    if (err.problem === 'conflict') return true;
+    this.#delayed(err);
+    return false;
+  }
+
+  async #read(key: string): Promise<StoredObject | undefined> {
+    const found = await this.ctx.store.read(key);
+    if (found.ok) return found.val;
+    this.#delayed(found.val);
+    return undefined;
+  }
+
+  #delayed({ key, problem, text }: StoreError): void {
+    this.ctx.recorder.record('allowanceDelayed', { detail: text, facts: { key, problem } });
+  }
+
+  #received(shard: number, { draws }: PlannedWrite): void {
+    this.#entered.add(shard);
+    draws.forEach(({ draw, view }) => {
+      const { workspace, granted, spent } = draw.line;
+      const before = this.holdings.of(workspace);
+      const holding = receiveDrawn(before, draw, view, this.ctx.clock.now());
+      this.holdings.set(workspace, holding);
+      const gained = granted - rowGrant(before.escrow);
+      if (gained <= 0) return;
+      const facts = { gained, granted, spent, free: view.free - granted, unspent: view.unspent };
+      this.ctx.recorder.record('allowanceDrawn', { budget: workspace, facts });
+    });
+  }
+
+  /** Some row was closed by a later life: this one must not spend what it granted any more. */
+  #fence(shard: number): void {
+    if (this.holdings.isClosed) return;
+    this.holdings.isClosed = true;
+    this.ctx.recorder.record('allowanceFenced', { detail: `shard ${shard}` });
+    this.onFenced();
+  }
+
+  #close(shard: number): Promise<boolean> {
+    const spent = this.holdings.closingSpent();
+    return this.#update(shard, (stored) => ({
+      shard: closeRow(stored, this.ctx.self, spent),
+      draws: [],
+    }));
+  }
+}
--- /dev/null
+++ b/src/gateway/holdings.ts
@@ -0,0 +1,119 @@
+/** Holdings of one daemon: its part of each prepaid workspace. */
+import { netSpent, openHolding, reserveUnits, rowGrant, settleUnits } from '../allowance/index.js';
+import { available } from '../budget/index.js';
+
+import type { AllowanceHolding, AllowancePolicy } from '../allowance/index.js';
+import type { Clock } from '../kernel/index.js';
+
+/** Keeps the holdings and what waiting requests lack. */
+export class Holdings {
+  readonly #byWorkspace = new Map<string, AllowanceHolding>();
+
+  /** Units that waiting requests lack, by workspace. */
+  readonly #missing = new Map<string, number>();
+
+  /** Whether the rows of this daemon are closed: nothing may be spent, lent or drawn any more. */
+  isClosed = false;
+
+  /**
+   * Creates empty holdings.
+   * @param policy - how much is kept ready
+   * @param clock - time
+   */
+  constructor(
+    private readonly policy: () => AllowancePolicy,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Workspaces with a holding. */
+  get workspaces(): readonly string[] {
+    return [...this.#byWorkspace.keys()];
+  }
+
+  /**
+   * Gives the holding of a workspace.
+   * @param workspace - the workspace
+   * @returns its holding, an empty one at first
+   */
+  of(workspace: string): AllowanceHolding {
+    const found = this.#byWorkspace.get(workspace);
+    if (found) return found;
+    const holding = openHolding(workspace, this.policy(), this.clock.now());
+    this.#byWorkspace.set(workspace, holding);
+    return holding;
+  }
+
+  /**
+   * Replaces a holding.
+   * @param workspace - the workspace
+   * @param holding - its holding
+   */
+  set(workspace: string, holding: AllowanceHolding): void {
+    this.#byWorkspace.set(workspace, holding);
+  }
+
+  /**
+   * Reserves if the units are at hand.
+   * @param workspace - who pays
+   * @param units - worst case of a request
+   * @returns whether they are reserved
+   */
+  tryReserve(workspace: string, units: number): boolean {
+    if (this.isClosed) return false;
+    const { holding, accepted } = reserveUnits(this.of(workspace), units, this.clock.now());
+    this.set(workspace, holding);
+    return accepted;
+  }
+
+  /**
+   * Settles a reservation.
+   * @param workspace - who pays
+   * @param reserved - units that were reserved
+   * @param used - units that were used
+   */
+  settle(workspace: string, reserved: number, used: number): void {
+    const settled = settleUnits(this.of(workspace), reserved, used, this.clock.now());
+    this.set(workspace, settled);
+  }
+
+  /**
+   * Gives what waiting requests lack.
+   * @param workspace - the workspace
+   * @returns units
+   */
+  missing(workspace: string): number {
+    return this.#missing.get(workspace) ?? 0;
+  }
+
+  /**
+   * Takes note of a request that begins or ends to wait.
+   * @param workspace - the workspace
+   * @param change - its units; negative when it no longer waits
+   */
+  noteMissing(workspace: string, change: number): void {
+    this.#missing.set(workspace, Math.max(0, this.missing(workspace) + change));
+  }
+
+  /**
+   * Gives the units that may be lent: borrowed ones stay, so that the own row covers every loan.
+   * @param workspace - the workspace
+   * @returns units
+   */
+  spare(workspace: string): number {
+    const { escrow } = this.of(workspace);
+    return Math.min(available(escrow), rowGrant(escrow) - netSpent(escrow));
+  }
+
+  /**
+   * Gives what counts as spent when the rows are closed now.
+   * @returns units by workspace; requests that still run count at their largest
+   */
+  closingSpent(): ReadonlyMap<string, number> {
+    return new Map(
+      [...this.#byWorkspace].map(([workspace, { escrow }]) => [
+        workspace,
+        netSpent(escrow) + escrow.reserved,
+      ]),
+    );
+  }
+}
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -100,7 +100,7 @@
     this.#membership = membership;
     const allowances = this.#makeAllowances(membership);
     this.#allowances = allowances;
-    allowances.onFenced = () => this.onFenced();
+    allowances.whenFenced(() => this.onFenced());
     this.inForce.onConfiguration = () => allowances.refresh();
     allowances.start();
     const { perRequest, reserve } = this.settings.retries;
