An entry that vanished in an outage stays in use for less than a leaving upstream may still get work

The third case of one kind: no rule for when an entry may have lapsed tells the two apart. The wait is 1.7 s now, below the two seconds of any leaving upstream. Ruled out: a late event (heard of 6 ms after the store's answer).

--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -17,10 +17,11 @@
 }
 
 /**
- * Time for which an entry that vanished in an outage of the store stays in use after the store's
- * return, in milliseconds: live upstreams are back in the list within two seconds.
+ * Time for which an entry that vanished in an outage of the store stays in use, in milliseconds: most
+ * live upstreams are back in the list by then, and one that did leave has had less work than the two
+ * seconds that a leaving upstream may still get.
  */
-const RETURN_MS = 2_200;
+const RETURN_MS = 1_700;
 
 /**
  * Time after the last sign of an outage in which an entry that vanishes may still have lapsed, in
