A stopping daemon serves on until its last work ends, and gives back units early

Cause: a stop closed the listener after 3.2 s while the process lived up to 7 s for its streams. Units beyond the running requests were kept until the last stream had ended. Ruled out: the restart itself (0.5 s from the end of a process to its next start) and the balancer's questions. Change: the listener stays open until nothing is left and nobody has come for a tenth of the time to stop; after 37% of it only requests that are likely to end in time are taken (mean and deviations of their route), the rest is refused as not run; from then on the allowance policy keeps nothing ready. stopping.ts and durations.ts decide, daemon.ts performs. What is left is the gap between the end of a process and the start of the next.

--- a/src/gateway/allowances.ts
+++ b/src/gateway/allowances.ts
@@ -75,6 +75,14 @@
     });
   }
 
+  /** Gives back at once what the policy no longer asks for; kept for the end while the store is away. */
+  shrink(): void {
+    if (!this.ctx.isStoreUp()) return;
+    new Set(this.#holdings.workspaces.map((name) => this.#rows.shardOf(name))).forEach((shard) => {
+      void this.#rows.draw(shard);
+    });
+  }
+
   /**
    * Reserves the worst case of a request.
    * @param workspace - who pays
--- a/src/gateway/callrun.ts
+++ b/src/gateway/callrun.ts
@@ -12,6 +12,7 @@
 import type { Announcements } from './announcements.js';
 import type { Call } from './attempt.js';
 import type { GatewayRoute, GatewayWorkspace } from './configuration.js';
+import type { Durations } from './durations.js';
 import type { FleetView, KnownUpstream } from './fleetview.js';
 import type { GatewayMetrics } from './metrics.js';
 import type { HeaderCodec } from './protocol.js';
@@ -43,6 +44,7 @@
   readonly retries: RetryBudget;
   readonly recorder: Recorder;
   readonly metrics: GatewayMetrics;
+  readonly durations: Durations;
   readonly clock: Clock;
   /** Random numbers in [0, 1). */
   readonly random: () => number;
@@ -295,6 +297,7 @@
     const { clock, metrics, recorder } = this.ctx;
     const route = this.policy.route.name;
     const tookMs = clock.now() - this.#startedAt;
+    if (kind === 'relayed') this.ctx.durations.note(route, tookMs);
     metrics.requests.inc({ route, end: refusal?.code ?? kind });
     metrics.duration.observe({ route }, tookMs / 1_000);
     if (this.#firstByteAt !== undefined) {
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -12,6 +12,7 @@
 import { splitAddress } from '../daemon/settings.js';
 import { GatewayModule } from './gateway.module.js';
 import { GatewayRuntime } from './runtime.js';
+import { endTime, isLateStop, mayLeave } from './stopping.js';
 
 import type { PlatformAdapter } from './adapter.js';
 import type { GatewaySettings } from './settings.js';
@@ -28,15 +29,6 @@
 /** Interval at which a graceful stop looks for open requests, in milliseconds. */
 const DRAIN_POLL_MS = 25;
 
-/** Share of the time to stop during which new requests are still taken: the balancer lags. */
-const TAKE_SHARE = 0.4;
-
-/** Share of the time to stop after which what is still open is cut. */
-const CUT_SHARE = 0.86;
-
-/** Share of the time to stop after which the process ends. */
-const END_SHARE = 0.97;
-
 /** Starts and stops a gateway daemon. */
 export class GatewayDaemon {
   private constructor(
@@ -61,23 +53,23 @@
     return new GatewayDaemon(runtime, ingress, own);
   }
 
-  /** Stops gracefully: open connections are served, then everything ends within the time to stop. */
+  /**
+   * Stops gracefully: callers are served while the balancer still sends them, then the listener is
+   * closed and everything ends within the time to stop.
+   */
   async stop(): Promise<void> {
-    const { clock, settings } = this.runtime;
-    const startedAt = clock.now();
-    this.runtime.beginStop();
-    await delay(settings.stopMs * TAKE_SHARE);
-    const server = this.ingress.getHttpServer();
-    server.close();
-    server.closeIdleConnections();
-    const cutAt = startedAt + settings.stopMs * CUT_SHARE;
-    const endAt = startedAt + settings.stopMs * END_SHARE;
-    while (this.runtime.active > 0 && clock.now() < cutAt) {
+    const { clock } = this.runtime;
+    const window = this.runtime.beginStop();
+    while (!mayLeave(window, this.runtime.load, clock.now())) {
       // eslint-disable-next-line no-await-in-loop
       await delay(DRAIN_POLL_MS);
-      server.closeIdleConnections();
+      if (isLateStop(window, clock.now())) this.runtime.shrink();
     }
-    await Promise.race([this.runtime.finishStop(), delay(Math.max(0, endAt - clock.now()))]);
+    const server = this.ingress.getHttpServer();
+    server.close();
+    server.closeIdleConnections();
+    const left = endTime(window) - clock.now();
+    await Promise.race([this.runtime.finishStop(), delay(Math.max(0, left))]);
     await Promise.all(this.own.map((listener) => listener.close()));
   }
 
--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -17,7 +17,7 @@
 import type { CallHead } from './protocol.js';
 import type { RouteTable } from './routetable.js';
 
-/** Delay after which a caller of a daemon without configuration may come back, in milliseconds. */
+/** Delay after which a caller of a daemon that starts or stops may come back, in milliseconds. */
 const NOT_READY_MS = 500;
 
 /**
@@ -51,7 +51,7 @@
     reply.hijack();
     const { runtime } = this;
     const arrivedAt = runtime.clock.now();
-    runtime.active += 1;
+    runtime.arrived();
     runtime.metrics.open.inc();
     try {
       await this.#serve(request, reply, arrivedAt);
@@ -59,7 +59,7 @@
       runtime.recorder.record('requestFailed', { detail: String(err) });
       reply.raw.destroy();
     } finally {
-      runtime.active -= 1;
+      runtime.ended();
       runtime.metrics.open.dec();
     }
   }
@@ -97,14 +97,13 @@
 
   #policyOf(head: CallHead, host: string, target: string): CallPolicy | Failure {
     const { table } = this.runtime.inForce;
-    if (!table || !this.runtime.calls) {
-      return { ...failure('not-ready', target), retryAfterMs: NOT_READY_MS };
-    }
+    const notReady = { ...failure('not-ready', target), retryAfterMs: NOT_READY_MS };
+    if (!table || !this.runtime.calls) return notReady;
     const route = table.route(host, target);
     if (!route) return failure('unknown-route', `${host}${target}`);
     const workspace = this.#workspaceOf(table, head, route.isPublic);
     if (workspace === 'unknown') return failure('unknown-key', route.name);
-    return { table, route, workspace };
+    return this.runtime.takes(route, head.deadlineMs) ? { table, route, workspace } : notReady;
   }
 
   #workspaceOf(
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -5,16 +5,20 @@
 import { RetryBudget } from '../route/index.js';
 import { Allowances } from './allowances.js';
 import { Announcements } from './announcements.js';
+import { Durations } from './durations.js';
 import { FleetView } from './fleetview.js';
 import { InForce } from './inforce.js';
 import { Membership } from './membership.js';
 import { GatewayMetrics } from './metrics.js';
+import { takesDuringStop } from './stopping.js';
 
 import type { PlacementOptions } from '../route/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { PlatformAdapter } from './adapter.js';
 import type { CallContext } from './callrun.js';
+import type { GatewayRoute } from './configuration.js';
 import type { GatewaySettings } from './settings.js';
+import type { StopLoad, StopWindow } from './stopping.js';
 
 /** Part of the fleet's repeats that is left unused: daemons do not see each other's. */
 const RETRY_MARGIN = 0.7;
@@ -51,8 +55,9 @@
 
   readonly fleet: FleetView;
 
-  /** Requests that have not ended. */
-  active = 0;
+  readonly durations = new Durations();
+
+  #load: StopLoad = { active: 0, arrivedAt: Number.NEGATIVE_INFINITY };
 
   #membership: Membership | undefined;
 
@@ -60,7 +65,9 @@
 
   #allowances: Allowances | undefined;
 
-  #stopping = false;
+  #stop: StopWindow | undefined;
+
+  #isShrunk = false;
 
   /** Called when this process must not go on. */
   onFenced: () => void = () => undefined;
@@ -116,6 +123,7 @@
       }),
       recorder: this.recorder,
       metrics: this.metrics,
+      durations: this.durations,
       clock: this.clock,
       random: Math.random,
     };
@@ -128,18 +136,56 @@
 
   /** Whether the balancer should send callers here. */
   get isReady(): boolean {
-    return !this.#stopping && this.calls !== undefined;
+    return this.#stop === undefined && this.calls !== undefined;
   }
 
   /** Whether a graceful stop has begun. */
   get isStopping(): boolean {
-    return this.#stopping;
+    return this.#stop !== undefined;
+  }
+
+  /** Requests that have not ended, and when the last one came. */
+  get load(): StopLoad {
+    return this.#load;
+  }
+
+  /** Takes note of a request that arrives. */
+  arrived(): void {
+    this.#load = { active: this.#load.active + 1, arrivedAt: this.clock.now() };
+  }
+
+  /** Takes note of a request that has ended. */
+  ended(): void {
+    this.#load = { ...this.#load, active: this.#load.active - 1 };
+  }
+
+  /**
+   * Decides whether a request is taken now: all of them, but during a stop.
+   * @param route - its route
+   * @param deadlineMs - time that its caller gives it, in milliseconds; undefined for no bound
+   * @returns whether it ends before this process does
+   */
+  takes({ name, timeoutMs }: GatewayRoute, deadlineMs: number | undefined): boolean {
+    if (!this.#stop) return true;
+    const boundMs = Math.min(timeoutMs, deadlineMs ?? timeoutMs);
+    return takesDuringStop(this.#stop, this.durations.longest(name, boundMs), this.clock.now());
+  }
+
+  /**
+   * Begins a graceful stop: the balancer is told, callers are served on.
+   * @returns the time that it has
+   */
+  beginStop(): StopWindow {
+    this.#stop = { startedAt: this.clock.now(), stopMs: this.settings.stopMs };
+    this.recorder.record('daemonStopping', { facts: { active: this.#load.active } });
+    return this.#stop;
   }
 
-  /** Begins a graceful stop: the balancer is told, open connections are served on. */
-  beginStop(): void {
-    this.#stopping = true;
-    this.recorder.record('daemonStopping', { facts: { active: this.active } });
+  /** Gives back, once, the units that few requests will need: the balancer has left this daemon. */
+  shrink(): void {
+    if (this.#isShrunk) return;
+    this.#isShrunk = true;
+    this.#allowances?.shrink();
   }
 
   /** Gives unspent units back and leaves the fleet. */
@@ -148,7 +194,7 @@
     await this.#allowances?.stop();
     await this.#membership?.stop();
     this.fleet.close();
-    this.recorder.record('daemonStopped', { facts: { active: this.active } });
+    this.recorder.record('daemonStopped', { facts: { active: this.#load.active } });
     this.recorder.flush();
   }
 
@@ -162,7 +208,7 @@
       clock: this.clock,
       policy: () => ({
         aloneSeconds,
-        exposure,
+        exposure: this.#isShrunk ? 0 : exposure,
         idlePart,
         daemons: membership.size,
         smoothingMs: DEMAND_MS,
