A standby elsewhere gives way to a daemon of the own data centre; draws tell what is ready and reserved

Cause (proof serves-while-cut, test 'a data centre that is cut off'): a daemon that joins before the other one of its data centre is live takes a standby elsewhere, and chooseKeepers kept any standby that answers. Cut off, such a daemon has no keeper it reaches and refuses everything as no-durability: half of the requests where one of two is so. Ruled out: the time limits of the copies (the refusals go on through the whole cut). Change: while neither keeper is near, one near that answers takes the standby's place.

--- a/src/daemon/backups.ts
+++ b/src/daemon/backups.ts
@@ -85,6 +85,26 @@
     return this.#firstOf(standbyCandidates(self, dataCentre, network.peers()), excluded);
   }
 
+  /**
+   * Looks for a daemon in the same data centre that takes copies.
+   * @param excluded - incarnations that will not do
+   * @returns an incarnation that answers now; null if there is none
+   */
+  chooseNear(excluded: readonly Incarnation[]): Promise<Incarnation | null> {
+    const near = this.network.peers().filter((peer) => peer.dataCentre === this.dataCentre);
+    return this.#firstOf(standbyCandidates(this.self, this.dataCentre, near), excluded);
+  }
+
+  /**
+   * Says whether an incarnation runs in the same data centre.
+   * @param keeper - the incarnation
+   * @returns false also for one that is not listed
+   */
+  isNear(keeper: Incarnation): boolean {
+    const found = this.network.peers().find(({ name }) => name === instanceOf(keeper));
+    return found?.dataCentre === this.dataCentre;
+  }
+
   async #firstOf(
     names: readonly InstanceName[],
     excluded: readonly Incarnation[],
--- a/src/daemon/keepers.ts
+++ b/src/daemon/keepers.ts
@@ -17,6 +17,17 @@
   readonly isOnRecord: boolean;
 }
 
+/** A standby elsewhere, taken before the own data centre had another daemon, is given up for one there. */
+async function chooseStandby(
+  backups: Backups,
+  { backup, kept }: { readonly backup: Incarnation | null; readonly kept: Incarnation | null },
+  excluded: readonly Incarnation[],
+): Promise<Incarnation | null> {
+  if (kept === null || kept === backup) return backups.chooseStandby(excluded);
+  const isOneNear = backups.isNear(kept) || (backup !== null && backups.isNear(backup));
+  return isOneNear ? kept : ((await backups.chooseNear(excluded)) ?? kept);
+}
+
 /**
  * Keeps those on record that answer, and looks for others in the place of those that do not.
  * @param backups - asks the candidates
@@ -35,8 +46,7 @@
   const taken = kept === null ? gone : [...gone, kept];
   const backup = (isPreferredThere ? preferred : await backups.choose(taken)) ?? kept;
   const excluded = backup === null ? gone : [...gone, backup];
-  const isKept = kept !== null && kept !== backup;
-  const standby = isKept ? kept : await backups.chooseStandby(excluded);
+  const standby = await chooseStandby(backups, { backup, kept }, excluded);
   const pair = [backup, standby].filter((keeper) => keeper !== null);
   const isSame = pair.length === keepers.length && pair.every((keeper) => keepers.includes(keeper));
   return { backup, standby, isOnRecord: isSame && backup === preferred };
--- a/src/gateway/allowancerows.ts
+++ b/src/gateway/allowancerows.ts
@@ -178,7 +178,16 @@
       this.holdings.set(workspace, holding);
       const gained = granted - rowGrant(before.escrow);
       if (gained <= 0) return;
-      const facts = { gained, granted, spent, free: view.free - granted, unspent: view.unspent };
+      const { escrow } = holding;
+      const facts = {
+        gained,
+        granted,
+        spent,
+        ready: available(escrow),
+        reserved: escrow.reserved,
+        free: view.free - granted,
+        unspent: view.unspent,
+      };
       this.ctx.recorder.record('allowanceDrawn', { budget: workspace, facts });
     });
   }
--- a/testbed/memoryhub.ts
+++ b/testbed/memoryhub.ts
@@ -12,8 +12,12 @@
   /**
    * Creates a hub.
    * @param fate - draws what becomes of the next request
+   * @param dataCentreOf - data centre of an instance; default the same for all
    */
-  constructor(readonly fate: () => LinkFate) {}
+  constructor(
+    readonly fate: () => LinkFate,
+    readonly dataCentreOf: (instance: InstanceName) => string = () => 'x',
+  ) {}
 
   /**
    * Adds a daemon, in place of an earlier life of its instance.
--- a/testbed/memorynetwork.ts
+++ b/testbed/memorynetwork.ts
@@ -22,6 +22,7 @@
   /** Draws what becomes of the next request. */
   readonly fate: () => LinkFate;
   readonly instances: readonly InstanceName[];
+  readonly dataCentreOf: (instance: InstanceName) => string;
   readonly node: (instance: InstanceName) => PeerNode | undefined;
 }
 
@@ -69,7 +70,10 @@
   override peers(): readonly Instance[] {
     return this.hub.instances
       .filter((name) => name !== instanceOf(this.self))
-      .map((name) => ({ name, dataCentre: 'x', peerAddress: '', state: 'live' }));
+      .map((name) => {
+        const dataCentre = this.hub.dataCentreOf(name);
+        return { name, dataCentre, peerAddress: '', state: 'live' };
+      });
   }
 
   override incarnationOf(instance: InstanceName): Incarnation | undefined {
