--- a/src/gateway/allowancerows.ts
+++ b/src/gateway/allowancerows.ts
@@ -187,6 +187,7 @@
         reserved: escrow.reserved,
         free: view.free - granted,
         unspent: view.unspent,
+        paid: this.ctx.paidOf(workspace) ?? 0,
       };
       this.ctx.recorder.record('allowanceDrawn', { budget: workspace, facts });
     });
--- a/src/gateway/callrun.ts
+++ b/src/gateway/callrun.ts
@@ -81,6 +81,8 @@
 
   #reserved = 0;
 
+  #charged = 0;
+
   /** Whether an upstream may have read the prompt. */
   #mayHaveRun = false;
 
@@ -284,6 +286,7 @@
     const output = this.call.events.events * (model?.tokensPerEvent ?? 1);
     const used = this.#mayHaveRun ? (usage?.promptTokens ?? 0) + output : 0;
     const charged = Math.min(used, this.#reserved);
+    this.#charged = charged;
     this.ctx.allowances.settle(workspace.name, this.#reserved, charged);
     this.ctx.metrics.units.inc({ workspace: workspace.name }, charged);
   }
@@ -311,6 +314,7 @@
       events: this.call.events.events,
       connection: this.#ending,
       route,
+      ...(this.#reserved > 0 && { units: this.#charged }),
       ...(refusal?.retryAfterMs !== undefined && { retryAfterMs: refusal.retryAfterMs }),
     };
     const name = { refused: 'callRefused', failed: 'callFailed' } as const;
