A body above the limit is read to its end before it is refused; the gateway keeps the limit in force

The gateway read bodies of any length. Ruled out: the test's client (the same with a plain socket that reads only after it has written). Change: one readBody for both, which drops what is beyond the limit, up to four limits more, and then answers.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -3,10 +3,15 @@
 
 import { setTimeout as delay } from 'node:timers/promises';
 
+import type { Readable } from 'node:stream';
+
 import { NestFactory } from '@nestjs/core';
 import { FastifyAdapter } from '@nestjs/platform-fastify';
 
 import type { NestFastifyApplication } from '@nestjs/platform-fastify';
+import type { FastifyRequest } from 'fastify';
+import { failure, FailureError } from '../kernel/index.js';
+import { readBody } from '../request/index.js';
 import { AppModule } from './app.module.js';
 import { FailureFilter } from './failure.filter.js';
 import { Runtime } from './runtime.js';
@@ -42,7 +47,6 @@
   static async start(settings: Settings): Promise<Daemon> {
     const runtime = new Runtime(settings);
     const adapter = new FastifyAdapter({
-      bodyLimit: settings.limits.bodyBytes,
       // The controllers refuse new work during a stop, with a body that names the outcome.
       return503OnClosing: false,
     });
@@ -58,9 +62,9 @@
       done();
     });
     fastify.removeAllContentTypeParsers();
-    fastify.addContentTypeParser('*', { parseAs: 'buffer' }, (_req, body, done) => {
-      done(null, body);
-    });
+    fastify.addContentTypeParser('*', (_req: FastifyRequest, payload: Readable) =>
+      Daemon.#parseBody(payload, settings.limits.bodyBytes),
+    );
     app.useGlobalFilters(new FailureFilter());
     await runtime.start();
     const { host, port } = splitAddress(settings.listen.callers);
@@ -68,6 +72,12 @@
     return new Daemon(runtime, app);
   }
 
+  static async #parseBody(payload: Readable, limitBytes: number): Promise<Buffer> {
+    const { bytes, isTooLarge } = await readBody(payload, limitBytes);
+    if (isTooLarge) throw new FailureError(failure('body-too-large', 'body'));
+    return bytes ?? Buffer.alloc(0);
+  }
+
   /** Stops gracefully: no new work, open requests finish, then the links close. */
   async stop(): Promise<void> {
     this.runtime.beginStop();
--- a/src/daemon/tests/refusals.test.ts
+++ b/src/daemon/tests/refusals.test.ts
@@ -3,6 +3,7 @@
 
 import { API_KEY } from '../../../testbed/documents.js';
 import { Fleet } from '../../../testbed/fleet.js';
+import { postSlowly } from '../../../testbed/slowwriter.js';
 import { FAILURE_KINDS } from '../../kernel/index.js';
 
 import type { FailureBody } from '../../kernel/index.js';
@@ -37,6 +38,19 @@
   { title: 'an unknown path', path: '/v2/chat', body: '{}', code: 'not-found' },
 ] as const;
 
+test('a caller that writes its whole body before it reads gets the answer to one that is too large', async (t) => {
+  const fleet = await Fleet.start({ daemons: 1, units: 10_000 });
+  t.teardown(() => fleet.stop());
+  const headers = [`authorization: Bearer ${API_KEY}`];
+  const answer = await postSlowly({
+    url: fleet.daemon(0).url,
+    path: CHAT,
+    headers,
+    size: 8_000_000,
+  });
+  t.regex(answer, /^HTTP\/1\.1 413 [^]*"code":"body-too-large"/);
+});
+
 test('each bad request has its code, its status, a remedy and the outcome "not-run"', async (t) => {
   const fleet = await Fleet.start({ daemons: 1, units: 10_000 });
   t.teardown(() => fleet.stop());
--- a/src/daemon/tests/wholeanswer.test.ts
+++ b/src/daemon/tests/wholeanswer.test.ts
@@ -9,8 +9,9 @@
 const ASKS = 16;
 
 interface Completion {
-  readonly choices: readonly { readonly message: { readonly content: string } }[];
-  readonly usage: { readonly completion_tokens: number };
+  readonly choices?: readonly { readonly message: { readonly content: string } }[];
+  readonly usage?: { readonly completion_tokens: number };
+  readonly error?: { readonly code: string; readonly message: string };
 }
 
 function expected(prompt: string): string {
@@ -37,9 +38,9 @@
   const prompts = Array.from({ length: ASKS }, (_, index) => `ledger ${index} of the berths`);
   const answers = await Promise.all(prompts.map((prompt) => complete(fleet.daemon(0).url, prompt)));
   t.deepEqual(
-    answers.map(({ choices }) => choices[0]?.message.content),
+    answers.map(({ choices, error }) => choices?.[0]?.message.content ?? error),
     prompts.map(expected),
   );
-  t.true(answers.every(({ usage }) => usage.completion_tokens === TOKENS));
+  t.true(answers.every(({ usage }) => usage?.completion_tokens === TOKENS));
   t.true((fleet.engines[0]?.counts.requests ?? 0) > 0, 'no attempt was cut: nothing was tested');
 });
--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -1,10 +1,9 @@
 /** Takes callers' requests as they are, whatever their method, path or type. */
 import { All, Controller, Inject, Req, Res } from '@nestjs/common';
 
-import type { IncomingMessage } from 'node:http';
-
 import type { FastifyReply, FastifyRequest } from 'fastify';
 import { failure } from '../kernel/index.js';
+import { readBody } from '../request/index.js';
 import { answerFailure } from './answerfailure.js';
 import { CallRun } from './callrun.js';
 import { EventStream } from './eventstream.js';
@@ -14,23 +13,16 @@
 import type { Failure, FailureCode } from '../kernel/index.js';
 import type { Call } from './attempt.js';
 import type { CallPolicy } from './callrun.js';
+import type { ReadBody } from '../request/index.js';
+import type { CallerLimits } from './configuration.js';
 import type { CallHead } from './protocol.js';
 import type { RouteTable } from './routetable.js';
 
 /** Delay after which a caller of a daemon that starts or stops may come back, in milliseconds. */
 const NOT_READY_MS = 500;
 
-/**
- * Reads the body of a request.
- * @param req - the request
- * @returns the body; undefined where there is none
- * @throws if the caller closes its connection before the end
- */
-async function readBody(req: IncomingMessage): Promise<Buffer | undefined> {
-  const chunks: Buffer[] = [];
-  for await (const chunk of req) chunks.push(chunk as Buffer);
-  return chunks.length === 0 ? undefined : Buffer.concat(chunks);
-}
+/** Bounds before a configuration is in force. */
+const DEFAULT_LIMITS: Pick<CallerLimits, 'bodyBytes'> = { bodyBytes: 4_194_304 };
 
 /** Serves callers. */
 @Controller()
@@ -69,15 +61,18 @@
     const caller = new HttpReply(reply.raw, () => this.runtime.isStopping);
     const { headers: codec } = this.runtime.adapter;
     const head = codec.decodeCall(req.rawHeaders);
-    let body: Buffer | undefined;
+    const { bodyBytes } = this.runtime.inForce.table?.configuration.limits ?? DEFAULT_LIMITS;
+    let body: ReadBody;
     try {
-      body = await readBody(req);
+      body = await readBody(req, bodyBytes);
     } catch (err) {
       // The caller left before its request was complete.
       this.runtime.recorder.record('callEnded', { request: head.id, detail: String(err) });
       return;
     }
-    const found = this.#policyOf(head, req.headers.host ?? '', target);
+    const found = body.isTooLarge
+      ? failure('body-too-large', target)
+      : this.#policyOf(head, req.headers.host ?? '', target);
     const { calls } = this.runtime;
     if ('code' in found || !calls) {
       const refusal = 'code' in found ? found : failure('not-ready', target);
@@ -88,7 +83,7 @@
       head,
       method: req.method ?? 'GET',
       target,
-      body,
+      body: body.bytes,
       reply: caller,
       events: new EventStream(),
     };
--- a/src/request/index.ts
+++ b/src/request/index.ts
@@ -1,4 +1,5 @@
 /** Request aggregate: keys, claims and outcomes. */
+export * from './body.js';
 export * from './claim.js';
 export * from './keyrecord.js';
 export * from './keytable.js';
