An upstream that began to leave while its connection was opened gets nothing

Cause: the registry was asked before an attempt took a connection; a new one may take up to 400 ms, and the request left then. Change: the attempt asks again when its connection is open, right before the first byte.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -33,6 +33,8 @@
   /** Whether only whole events go to the caller, so that another attempt can go on. */
   readonly resumable: boolean;
   readonly relaysFailure: boolean;
+  /** Asked when the connection is open: the upstream may have begun to leave in the meantime. */
+  readonly mayStart: () => boolean;
   /** Called when bytes of the request leave. */
   readonly onSent: () => void;
   /** Called with each sign of life of the upstream. */
@@ -97,6 +99,11 @@
       controller.abort(new Error('abandoned'));
       return;
     }
+    if (!this.cfg.mayStart()) {
+      controller.abort(new Error('leaving'));
+      this.#abandon({ kind: 'unsent', why: 'leaving' });
+      return;
+    }
     this.#controller = controller;
     this.#stage = 'sent';
     this.cfg.onSent();
--- a/src/gateway/callrun.ts
+++ b/src/gateway/callrun.ts
@@ -196,9 +196,8 @@
     const { clock, metrics } = this.ctx;
     const { route } = this.policy;
     // An upstream may have begun to leave while this request waited.
-    if (!this.ctx.registry.mayReceive(record, clock.now())) {
-      return { type: 'sent', outcome: { kind: 'unsent', why: 'leaving' } };
-    }
+    const mayStart = (): boolean => this.ctx.registry.mayReceive(record, clock.now());
+    if (!mayStart()) return { type: 'sent', outcome: { kind: 'unsent', why: 'leaving' } };
     const { memoryTokens } = this.#placement;
     const open = stats.begin({
       sentAt: clock.now(),
@@ -219,6 +218,7 @@
           : undefined,
       resumable: route.resumable,
       relaysFailure,
+      mayStart,
       onSent: () => {
         this.#mayHaveRun = true;
         this.ctx.announcements.tell(record.id, uncachedTokens);
