--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -7,6 +7,7 @@
 import { Announcements } from './announcements.js';
 import { Durations } from './durations.js';
 import { FleetView } from './fleetview.js';
+import { Holders } from './holders.js';
 import { InForce } from './inforce.js';
 import { Membership } from './membership.js';
 import { GatewayMetrics } from './metrics.js';
@@ -31,6 +32,8 @@
 
 /** Delays that a placement counts with beside the reading of prompts. */
 const DELAYS: Omit<PlacementOptions, 'tokensPerMs'> = {
+  // Prompts that are read again cost the fleet about twice the time that their caller waits.
+  rereadWeight: 2,
   // A request more in a batch lengthens each step by hundredths of a millisecond.
   loadMs: 0.3,
   // A whole answer of the model pool takes about this long.
@@ -199,20 +202,26 @@
   }
 
   #makeAllowances(membership: Membership): Allowances {
-    const { shards, aloneSeconds, exposure, idlePart } = this.settings.allowances;
+    const { shards, aloneSeconds, exposure, idlePart, holders } = this.settings.allowances;
+    const { clock, recorder } = this;
+    const { network } = membership;
+    const { dataCentre } = this.settings;
+    const self = recorder.source;
+    const keepers = new Holders({ self, dataCentre, network, clock, perDataCentre: holders });
     return new Allowances({
-      self: this.recorder.source,
+      self,
       store: this.adapter.store,
-      network: membership.network,
-      recorder: this.recorder,
-      clock: this.clock,
-      policy: () => ({
+      network,
+      recorder,
+      clock,
+      policy: (workspace) => ({
         aloneSeconds,
-        exposure: this.#isShrunk ? 0 : exposure,
+        exposure: this.#isShrunk || !keepers.isHolder(workspace) ? 0 : exposure,
         idlePart,
-        daemons: membership.size,
+        daemons: keepers.count(workspace),
         smoothingMs: DEMAND_MS,
       }),
+      holders: keepers,
       shards,
       paidOf: (workspace) => this.inForce.table?.named(workspace)?.paidUnits,
       workspaces: () => this.inForce.table?.configuration.workspaces?.map(({ name }) => name) ?? [],
--- a/src/route/placement.ts
+++ b/src/route/placement.ts
@@ -53,6 +53,11 @@
 export interface PlacementOptions {
   /** Prompt tokens that an upstream reads in a millisecond. */
   readonly tokensPerMs: number;
+  /**
+   * Price of reading shared tokens at a second upstream, as a multiple of the time that it takes: they
+   * displace the prompts of others, which the answer of this request does not show.
+   */
+  readonly rereadWeight: number;
   /** Delay that a request more causes the others, in milliseconds. */
   readonly loadMs: number;
   /** Time that a request which has to wait for a slot waits, in milliseconds. */
@@ -119,7 +124,9 @@
 ): number {
   const { load, capacity, waiting, freeTokens, isNear, isEjected, silentMs } = candidate;
   const cached = isHome ? request.sharedTokens * HOME_SHARE : 0;
-  const reading = (candidate.pendingTokens + request.promptTokens - cached) / options.tokensPerMs;
+  const again = (request.sharedTokens - cached) * options.rereadWeight;
+  const tokens = candidate.pendingTokens + request.promptTokens - cached + again;
+  const reading = tokens / options.tokensPerMs;
   const ahead = Math.max(0, load + 1 - capacity) + waiting;
   const queued = (ahead / Math.max(1, capacity)) * options.slotMs;
   const memory = request.memoryTokens > freeTokens ? options.slotMs : 0;
--- a/src/route/tests/placement.test.ts
+++ b/src/route/tests/placement.test.ts
@@ -7,6 +7,7 @@
 
 const OPTIONS: PlacementOptions = {
   tokensPerMs: 60,
+  rereadWeight: 0,
   loadMs: 0.3,
   slotMs: 1_500,
   farMs: 4,
