In a large data centre one daemon keeps the units of a workspace ready, and the others borrow from it

Each daemon kept a part of each of 24 workspaces: parts smaller than a request, and 83 writers on two objects. Change: holders by rendezvous over the registered daemons (all of a data centre of up to three, one of a larger one); the others borrow just what a request lacks and take a holder's word for what is unspent; a holder draws before it refuses a loan; first draws come when a fleet that starts together knows itself; idle units beyond 2% of what is unspent are given back at once; eight shards; a pause after changes of the daemons' list. A daemon that stops before its first draw does not draw any more (its test process did not end).

--- a/src/allowance/holding.ts
+++ b/src/allowance/holding.ts
@@ -44,6 +44,9 @@
 /** Share of what is unspent from which spending is reported at once. */
 const REPORT_SHARE = 0.02;
 
+/** Share of what is unspent from which idle units are given back at once. */
+const SHED_SHARE = 0.02;
+
 /** Least share of the smoothing that counts for a daemon's first requests: one is no trend. */
 const MIN_WEIGHT = 0.6;
 
@@ -153,6 +156,11 @@
   return { line: { workspace: escrow.budget, granted: grant, spent, rate }, grant };
 }
 
+/** Units of the own row that are more than twice what should be ready. */
+function idleOf({ escrow }: AllowanceHolding, target: number): number {
+  return Math.min(idleUnits(available(escrow), target), rowGrant(escrow) - netSpent(escrow));
+}
+
 /**
  * Gives up units that other daemons may need more, before the store is told.
  * @param holding - the holding
@@ -167,8 +175,7 @@
 ): AllowanceHolding {
   const { escrow, view } = holding;
   if (!view) return holding;
-  const target = readyTarget(holding, view, policy, now);
-  const idle = Math.min(idleUnits(available(escrow), target), rowGrant(escrow) - netSpent(escrow));
+  const idle = idleOf(holding, readyTarget(holding, view, policy, now));
   return idle > 0 ? { ...holding, escrow: returnUnits(escrow, idle) } : holding;
 }
 
@@ -197,7 +204,7 @@
  * @param holding - the holding
  * @param policy - how much is kept ready
  * @param now - milliseconds
- * @returns whether the units run low while some are free, or much has been spent since the last time
+ * @returns whether the units run low while some are free, or much was spent or became idle since
  */
 export function wantsDraw(
   holding: AllowanceHolding,
@@ -210,6 +217,7 @@
   const isDue = now - reportedAt > REPORT_MS || unreported > view.unspent * REPORT_SHARE;
   if (unreported > 0 && isDue) return true;
   const target = readyTarget(holding, view, policy, now);
+  if (idleOf(holding, target) > view.unspent * SHED_SHARE) return true;
   return view.free - rowGrant(escrow) > 0 && isLow(available(escrow), target);
 }
 
--- /dev/null
+++ b/src/allowance/tests/holding.test.ts
@@ -0,0 +1,44 @@
+import test from 'ava';
+
+import { receiveGrant } from '../../budget/index.js';
+import { openHolding, shedIdle, wantsDraw } from '../holding.js';
+
+import type { AllowanceHolding, AllowancePolicy } from '../holding.js';
+
+const POLICY: AllowancePolicy = {
+  aloneSeconds: 10,
+  exposure: 0.2,
+  idlePart: 0.5,
+  daemons: 10,
+  smoothingMs: 1_000,
+};
+
+/** A workspace with 100,000 unspent units: without demand a daemon keeps 1,000 ready. */
+function holdingOf(granted: number, free: number): AllowanceHolding {
+  const holding = openHolding('w', POLICY, 0);
+  const view = { workspace: 'w', free, unspent: 100_000, othersRate: 0, others: [] };
+  return { ...holding, escrow: receiveGrant(holding.escrow, granted), view };
+}
+
+const ROWS = [
+  { title: 'as much as it should have', granted: 1_000, policy: POLICY, draws: false, left: 1_000 },
+  { title: 'too little', granted: 100, policy: POLICY, draws: true, left: 100 },
+  { title: 'a little too much', granted: 1_900, policy: POLICY, draws: false, left: 1_900 },
+  { title: 'much too much', granted: 9_000, policy: POLICY, draws: true, left: 1_000 },
+  {
+    title: 'some, though it should keep none ready',
+    granted: 3_000,
+    policy: { ...POLICY, exposure: 0 },
+    draws: true,
+    left: 0,
+  },
+] as const;
+
+ROWS.forEach(({ title, granted, policy, draws, left }) => {
+  test(`a daemon that holds ${title} ${draws ? 'writes at once' : 'waits'}`, (t) => {
+    const holding = holdingOf(granted, 50_000);
+    t.is(wantsDraw(holding, policy, 0), draws);
+    const { escrow } = shedIdle(holding, policy, 0);
+    t.is(escrow.granted - escrow.returned, left);
+  });
+});
--- a/src/budget/messages.ts
+++ b/src/budget/messages.ts
@@ -30,6 +30,8 @@
     isDurable: z.boolean(),
     /** Budget of a loan that nobody asked for, from a daemon that stops; absent in a reply. */
     budget: z.string().optional(),
+    /** Units of the budget that nobody has spent, as the lender last saw it; absent if unknown. */
+    unspent: z.number().int().optional(),
   })
   .readonly();
 
--- a/src/gateway/allowancecontext.ts
+++ b/src/gateway/allowancecontext.ts
@@ -4,6 +4,7 @@
 import type { PeerNetwork } from '../link/index.js';
 import type { SnapshotStore } from '../store/index.js';
 import type { Recorder } from '../telemetry/index.js';
+import type { Holders } from './holders.js';
 
 /** Store, peers and what is in force. */
 export interface AllowanceContext {
@@ -12,7 +13,9 @@
   readonly network: PeerNetwork;
   readonly recorder: Recorder;
   readonly clock: Clock;
-  readonly policy: () => AllowancePolicy;
+  /** How much this daemon keeps ready of a workspace. */
+  readonly policy: (workspace: string) => AllowancePolicy;
+  readonly holders: Holders;
   /** Number of shard objects; the same at every daemon. */
   readonly shards: number;
   /** Units that a workspace has paid for; undefined for one without a limit. */
--- a/src/gateway/allowanceloans.ts
+++ b/src/gateway/allowanceloans.ts
@@ -1,10 +1,10 @@
 /** Loans of prepaid units between daemons. */
-import { loanUnits } from '../allowance/index.js';
+import { loanUnits, netSpent } from '../allowance/index.js';
 import { available, counterOf, passUnits, receiveLoan } from '../budget/index.js';
 import { instanceOf, rendezvous } from '../kernel/index.js';
 
 import type { Incarnation } from '../kernel/index.js';
-import type { PeerMessageOf, PeerNetwork } from '../link/index.js';
+import type { PeerMessageOf } from '../link/index.js';
 import type { AllowanceContext } from './allowancecontext.js';
 import type { Holdings } from './holdings.js';
 
@@ -17,18 +17,30 @@
 /** Multiple of a shortage that the richest peer must hold to be asked before the store. */
 const RICH = 1.5;
 
+/** What the holders of a workspace said last. */
+interface Seen {
+  /** Whether one of them answered in the last round. */
+  readonly isAnswered: boolean;
+  /** Units that nobody has spent; undefined while none has said so. */
+  readonly unspent: number | undefined;
+}
+
 /** Lends to other daemons and borrows from them. */
 export class AllowanceLoans {
   readonly #borrowing = new Map<string, Promise<boolean>>();
 
+  readonly #seen = new Map<string, Seen>();
+
   /**
    * Creates both sides.
    * @param ctx - links to the other daemons
    * @param holdings - what is lent, and where loans are kept
+   * @param restock - draws for a daemon that keeps none ready itself
    */
   constructor(
     private readonly ctx: AllowanceContext,
     private readonly holdings: Holdings,
+    private readonly restock: (workspace: string) => Promise<void>,
   ) {
     ctx.network.handle('borrow', (message, from) => this.#lend(message, from));
     ctx.network.handle('lent', (message) => this.#receive(message));
@@ -46,6 +58,24 @@
     return view?.others.some(({ held }) => held > lacking * RICH) ?? false;
   }
 
+  /**
+   * Says whether a holder answered the last round of a shortage.
+   * @param workspace - who pays
+   * @returns whether another way would find no more
+   */
+  hasAnswered(workspace: string): boolean {
+    return this.#seen.get(workspace)?.isAnswered ?? false;
+  }
+
+  /**
+   * Gives what holders last said to be unspent.
+   * @param workspace - who pays
+   * @returns units; undefined while none has said so
+   */
+  unspentSeen(workspace: string): number | undefined {
+    return this.#seen.get(workspace)?.unspent;
+  }
+
   /**
    * Borrows for a shortage; one round at a time for each workspace.
    * @param workspace - who pays
@@ -126,16 +156,18 @@
   }
 
   async #askPeers(workspace: string, units: number, most: number): Promise<boolean> {
-    const { network, recorder } = this.ctx;
+    const { recorder } = this.ctx;
     const before = available(this.holdings.of(workspace).escrow);
-    const peers = this.#richestFirst(workspace).slice(0, most);
+    const isHolder = this.ctx.holders.isHolder(workspace);
+    const peers = this.#candidates(workspace).slice(0, most);
+    this.#seen.set(workspace, { isAnswered: false, unspent: this.unspentSeen(workspace) });
     for (const peer of peers) {
       const needed = Math.max(this.holdings.missing(workspace), units);
       const missing = needed - available(this.holdings.of(workspace).escrow);
       if (missing <= 0) break;
       // One peer after the other: each may cover the whole shortage.
       // eslint-disable-next-line no-await-in-loop
-      await this.#askPeer(network, peer, workspace, missing);
+      await this.#askPeer(peer, workspace, missing, isHolder ? missing : 0);
     }
     const gained = available(this.holdings.of(workspace).escrow) - before;
     const facts = { asked: peers.length, units, gained };
@@ -143,17 +175,13 @@
     return gained > 0;
   }
 
-  async #askPeer(
-    network: PeerNetwork,
-    peer: string,
-    workspace: string,
-    missing: number,
-  ): Promise<void> {
+  async #askPeer(peer: string, workspace: string, missing: number, wanted: number): Promise<void> {
+    const { network } = this.ctx;
     const { escrow, view } = this.holdings.of(workspace);
     const incarnation = network.incarnationOf(peer);
     const known = incarnation ? counterOf(escrow.borrowed, incarnation) : 0;
     const outlook = { unspent: Math.max(0, view?.unspent ?? 0), totalRate: view?.othersRate ?? 0 };
-    const asked = { budget: workspace, missing, wanted: missing, outlook, known };
+    const asked = { budget: workspace, missing, wanted, outlook, known };
     const reply = await network.request({
       to: peer,
       body: { type: 'borrow', ...asked },
@@ -161,32 +189,54 @@
       timeoutMs: PEER_MS,
     });
     if (reply.err) return;
+    this.#seen.set(workspace, { isAnswered: true, unspent: reply.val.unspent });
     this.#receive({ ...reply.val, budget: workspace });
   }
 
-  /** Peers by what the store last showed them to hold. */
-  #richestFirst(workspace: string): readonly string[] {
+  /** Holders by what the store last showed them to hold; near ones first where it showed nothing. */
+  #candidates(workspace: string): readonly string[] {
     const held = new Map(
       this.holdings
         .of(workspace)
         .view?.others.map((other) => [instanceOf(other.holder), other.held]),
     );
-    const names = this.ctx.network.peers().map(({ name }) => name);
+    const names = this.ctx.holders.others(workspace);
     return [...names].sort((a, b) => (held.get(b) ?? 0) - (held.get(a) ?? 0));
   }
 
-  #lend(message: PeerMessageOf<'borrow'>, from: Incarnation): PeerMessageOf<'lent'> {
+  async #lend(message: PeerMessageOf<'borrow'>, from: Incarnation): Promise<PeerMessageOf<'lent'>> {
     const { budget, missing, wanted } = message;
+    const { holders, self } = this.ctx;
+    const isForAnother = missing > 0 && !holders.isHolder(budget, from);
+    if (isForAnother && holders.isHolder(budget)) await this.#prepare(budget, missing);
     const holding = this.holdings.of(budget);
     const units = this.holdings.isClosed
       ? 0
       : loanUnits(this.holdings.spare(budget), missing, wanted);
     const escrow = units > 0 ? passUnits(holding.escrow, from, units) : holding.escrow;
     this.holdings.set(budget, { ...holding, escrow });
+    if (isForAnother && units > 0) this.holdings.noteLent(budget, units);
     const left = available(escrow);
     const facts = { units, missing, left };
     this.ctx.recorder.record('allowanceLent', { budget, peer: from, facts });
     const passed = counterOf(escrow.passed, from);
-    return { type: 'lent', lender: this.ctx.self, passed, left, isDurable: true };
+    const { view } = holding;
+    const unspent = view && Math.max(0, view.unspent - netSpent(escrow));
+    return {
+      type: 'lent',
+      lender: self,
+      passed,
+      left,
+      isDurable: true,
+      ...(unspent !== undefined && { unspent }),
+    };
+  }
+
+  /** Draws before a loan that would not cover what the borrower lacks. */
+  async #prepare(workspace: string, missing: number): Promise<void> {
+    if (this.holdings.spare(workspace) >= missing) return;
+    this.holdings.noteMissing(workspace, missing);
+    await this.restock(workspace);
+    this.holdings.noteMissing(workspace, -missing);
   }
 }
--- a/src/gateway/allowancerows.ts
+++ b/src/gateway/allowancerows.ts
@@ -99,7 +99,6 @@
 
   #planDraw(shard: number, stored: AllowanceShard): PlannedWrite | undefined {
     const { self, clock } = this.ctx;
-    const policy = this.ctx.policy();
     if (this.#entered.has(shard) && !hasRow(stored, self)) {
       this.#fence(shard);
       return undefined;
@@ -108,10 +107,11 @@
     const joined = this.#entered.has(shard) ? stored : closeEarlierLives(stored, self);
     const draws = this.ctx
       .workspaces()
-      .filter((workspace) => this.shardOf(workspace) === shard)
+      .filter((workspace) => this.shardOf(workspace) === shard && this.#concerns(workspace))
       .flatMap((workspace) => {
         const paid = this.ctx.paidOf(workspace);
         if (paid === undefined) return [];
+        const policy = this.ctx.policy(workspace);
         const view = viewAllowance(joined, self, workspace, paid);
         const holding = shedIdle({ ...this.holdings.of(workspace), view }, policy, now);
         this.holdings.set(workspace, holding);
@@ -122,6 +122,13 @@
     return { shard: withLines(joined, self, lines), draws };
   }
 
+  /** Whether this daemon keeps units ready, has some in its row, or needs some now. */
+  #concerns(workspace: string): boolean {
+    const isInRow = rowGrant(this.holdings.of(workspace).escrow) > 0;
+    const isNeeded = this.holdings.missing(workspace) > 0;
+    return isInRow || isNeeded || this.ctx.holders.isHolder(workspace);
+  }
+
   /** Writes a shard conditionally, again after a conflict; the plan sees what is in force. */
   async #update(
     shard: number,
--- a/src/gateway/allowances.ts
+++ b/src/gateway/allowances.ts
@@ -1,7 +1,7 @@
 /** Prepaid units of this daemon: decides whether a request may spend, and where more comes from. */
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { netSpent, wantsDraw } from '../allowance/index.js';
+import { netSpent, rowGrant, wantsDraw } from '../allowance/index.js';
 import { Err, failure, Ok } from '../kernel/index.js';
 import { AllowanceLoans } from './allowanceloans.js';
 import { AllowanceRows } from './allowancerows.js';
@@ -45,7 +45,7 @@
   constructor(private readonly ctx: AllowanceContext) {
     this.#holdings = new Holdings(ctx.policy, ctx.clock);
     this.#rows = new AllowanceRows(ctx, this.#holdings);
-    this.#loans = new AllowanceLoans(ctx, this.#holdings);
+    this.#loans = new AllowanceLoans(ctx, this.#holdings, (workspace) => this.#restock(workspace));
   }
 
   /**
@@ -56,8 +56,9 @@
     this.#rows.onFenced = onFenced;
   }
 
-  /** Draws a first part of every workspace and reports at intervals from then on. */
+  /** Draws a first part of every workspace and reports at intervals from then on; nothing after a stop. */
   start(): void {
+    if (this.#holdings.isClosed) return;
     this.refresh();
     this.#timer = setInterval(() => this.refresh(), REFRESH_MS);
   }
@@ -67,8 +68,10 @@
     const now = this.ctx.clock.now();
     const due = this.ctx
       .workspaces()
-      .filter((workspace) => this.ctx.paidOf(workspace) !== undefined)
-      .filter((workspace) => wantsDraw(this.#holdings.of(workspace), this.ctx.policy(), now))
+      .filter((workspace) => this.ctx.paidOf(workspace) !== undefined && this.#keeps(workspace))
+      .filter((workspace) =>
+        wantsDraw(this.#holdings.of(workspace), this.ctx.policy(workspace), now),
+      )
       .map((workspace) => this.#rows.shardOf(workspace));
     new Set(due).forEach((shard) => {
       void this.#rows.draw(shard);
@@ -129,15 +132,31 @@
     });
   }
 
+  /** Draws for a daemon that asks for more than is ready. */
+  async #restock(workspace: string): Promise<void> {
+    if (!this.ctx.isStoreUp()) return;
+    const drawn = this.#rows.draw(this.#rows.shardOf(workspace));
+    await Promise.race([drawn, sleep(STORE_FIRST_MS)]);
+  }
+
+  /** Whether this daemon has a part in the row of a workspace to look after. */
+  #keeps(workspace: string): boolean {
+    const isInRow = rowGrant(this.#holdings.of(workspace).escrow) > 0;
+    return isInRow || this.ctx.holders.isHolder(workspace);
+  }
+
   /** Asks peers and the store in turn until the units are reserved. */
   async #gather(workspace: string, units: number, waitMs: number): Promise<boolean> {
     const until = this.ctx.clock.now() + waitMs;
     const reserved = (): boolean => this.#holdings.tryReserve(workspace, units);
     // A call to the store has its price, and peers that hold more than they need answer as fast.
-    if (this.#loans.peersHold(workspace, units)) {
+    const isHolder = this.ctx.holders.isHolder(workspace);
+    if (!isHolder || this.#loans.peersHold(workspace, units)) {
       await this.#loans.borrow(workspace, units, FIRST_PEERS);
     }
     if (reserved()) return true;
+    // Holders that answer have asked the store already.
+    if (!isHolder && this.#loans.hasAnswered(workspace)) return false;
     const drawn = this.#rows.draw(this.#rows.shardOf(workspace));
     if (this.ctx.isStoreUp()) await Promise.race([drawn, sleep(STORE_FIRST_MS)]);
     if (reserved()) return true;
@@ -151,8 +170,11 @@
   /** Exhausted only where the store has shown that nobody can have enough. */
   #shortage(workspace: string, units: number, paid: number): Failure {
     const { view, escrow } = this.#holdings.of(workspace);
-    const unspent = view ? view.unspent - netSpent(escrow) : paid;
-    const isExhausted = view !== undefined && unspent < units;
+    const own = view ? view.unspent - netSpent(escrow) : paid;
+    const unspent = this.ctx.holders.isHolder(workspace)
+      ? own
+      : (this.#loans.unspentSeen(workspace) ?? paid);
+    const isExhausted = unspent < units;
     const code = isExhausted ? 'budget-exhausted' : 'budget-unreachable';
     const retryAfterMs = this.ctx.isStoreUp() ? RETRY_MS : RETRY_AWAY_MS;
     return { ...failure(code, workspace), ...(!isExhausted && { retryAfterMs }) };
--- a/src/gateway/followedinstances.ts
+++ b/src/gateway/followedinstances.ts
@@ -17,7 +17,7 @@
   readonly #instances = new Map<string, Instance>();
 
   override fetch(): Promise<Result<readonly Instance[], string>> {
-    return Promise.resolve(Ok([...this.#instances.values()]));
+    return Promise.resolve(Ok(this.all));
   }
 
   /**
@@ -32,7 +32,7 @@
   }
 
   /** Daemons that are registered. */
-  get size(): number {
-    return this.#instances.size;
+  get all(): readonly Instance[] {
+    return [...this.#instances.values()];
   }
 }
--- a/src/gateway/holdings.ts
+++ b/src/gateway/holdings.ts
@@ -1,6 +1,6 @@
 /** Holdings of one daemon: its part of each prepaid workspace. */
 import { netSpent, openHolding, reserveUnits, rowGrant, settleUnits } from '../allowance/index.js';
-import { available } from '../budget/index.js';
+import { available, noteUse } from '../budget/index.js';
 
 import type { AllowanceHolding, AllowancePolicy } from '../allowance/index.js';
 import type { Clock } from '../kernel/index.js';
@@ -21,7 +21,7 @@
    * @param clock - time
    */
   constructor(
-    private readonly policy: () => AllowancePolicy,
+    private readonly policy: (workspace: string) => AllowancePolicy,
     private readonly clock: Clock,
   ) {}
 
@@ -38,7 +38,7 @@
   of(workspace: string): AllowanceHolding {
     const found = this.#byWorkspace.get(workspace);
     if (found) return found;
-    const holding = openHolding(workspace, this.policy(), this.clock.now());
+    const holding = openHolding(workspace, this.policy(workspace), this.clock.now());
     this.#byWorkspace.set(workspace, holding);
     return holding;
   }
@@ -76,6 +76,17 @@
     this.set(workspace, settled);
   }
 
+  /**
+   * Takes note of units that a daemon which keeps none ready has borrowed for a request.
+   * @param workspace - who pays
+   * @param units - units
+   */
+  noteLent(workspace: string, units: number): void {
+    const holding = this.of(workspace);
+    const demand = noteUse(holding.demand, units, this.clock.now());
+    this.set(workspace, { ...holding, demand });
+  }
+
   /**
    * Gives what waiting requests lack.
    * @param workspace - the workspace
--- a/src/gateway/membership.ts
+++ b/src/gateway/membership.ts
@@ -9,7 +9,7 @@
 
 import type { Clock, Incarnation } from '../kernel/index.js';
 import type { PeerNetwork } from '../link/index.js';
-import type { SnapshotStore } from '../store/index.js';
+import type { Instance, SnapshotStore } from '../store/index.js';
 import type { Recorder } from '../telemetry/index.js';
 
 /** Object that holds the key of the peer links. */
@@ -21,6 +21,9 @@
 /** Longest wait of a watch of the daemons, in milliseconds: nothing depends on hearing soon. */
 const WATCH_MS = 20_000;
 
+/** Pause after a change of the daemons, in milliseconds: a fleet that starts is read in a few calls. */
+const REST_MS = 2_000;
+
 /** Delay before a failed registration is tried again, in milliseconds. */
 const RETRY_MS = 500;
 
@@ -41,6 +44,13 @@
 
   #isStopped = false;
 
+  #onListed: () => void = () => undefined;
+
+  /** Resolves when the other daemons have been listed once. */
+  readonly listed = new Promise<void>((resolve) => {
+    this.#onListed = resolve;
+  });
+
   private constructor(
     private readonly cfg: MembershipConfig,
     private readonly links: WsPeerNetwork,
@@ -51,13 +61,17 @@
       cfg.store,
       DAEMONS_PREFIX,
       {
-        onSnapshot: ({ objects }) => objects.forEach((object) => this.instances.change(object)),
+        onSnapshot: ({ objects }) => {
+          objects.forEach((object) => this.instances.change(object));
+          this.#onListed();
+        },
         onChanges: (changes) => changes.forEach((change) => this.instances.change(change)),
         onLost: () => undefined,
         onRegained: () => undefined,
       },
       cfg.clock,
       WATCH_MS,
+      REST_MS,
     );
   }
 
@@ -80,9 +94,9 @@
     return this.links;
   }
 
-  /** Daemons that are registered, this one included. */
-  get size(): number {
-    return Math.max(1, this.instances.size);
+  /** Daemons that are registered. */
+  get daemons(): readonly Instance[] {
+    return this.instances.all;
   }
 
   /** Registers this daemon and follows the others. */
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -1,4 +1,6 @@
 /** Composes the tasks of one gateway daemon. */
+import { setTimeout as delay } from 'node:timers/promises';
+
 import { makeRecorder } from '../daemon/recording.js';
 import { splitAddress } from '../daemon/settings.js';
 import { SteadyClock } from '../kernel/index.js';
@@ -14,6 +16,7 @@
 import { takesDuringStop } from './stopping.js';
 
 import type { PlacementOptions } from '../route/index.js';
+import type { Instance } from '../store/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { PlatformAdapter } from './adapter.js';
 import type { CallContext } from './callrun.js';
@@ -30,6 +33,9 @@
 /** Time constant of the measured use of prepaid units, in milliseconds: some reports long. */
 const DEMAND_MS = 8_000;
 
+/** Time after which a fleet that starts together knows its members, in milliseconds: one pause of the list. */
+const FLEET_MS = 2_500;
+
 /** Delays that a placement counts with beside the reading of prompts. */
 const DELAYS: Omit<PlacementOptions, 'tokensPerMs'> = {
   // Prompts that are read again cost the fleet about twice the time that their caller waits.
@@ -112,7 +118,8 @@
     this.#allowances = allowances;
     allowances.whenFenced(() => this.onFenced());
     this.inForce.onConfiguration = () => allowances.refresh();
-    allowances.start();
+    // How much a daemon keeps ready depends on the others, who may be starting as well.
+    void membership.listed.then(() => delay(FLEET_MS)).then(() => allowances.start());
     const { perRequest, reserve } = this.settings.retries;
     this.#calls = {
       codec: this.adapter.headers,
@@ -202,12 +209,13 @@
   }
 
   #makeAllowances(membership: Membership): Allowances {
-    const { shards, aloneSeconds, exposure, idlePart, holders } = this.settings.allowances;
+    const { shards, aloneSeconds, exposure, idlePart, holdersUpTo } = this.settings.allowances;
     const { clock, recorder } = this;
     const { network } = membership;
     const { dataCentre } = this.settings;
     const self = recorder.source;
-    const keepers = new Holders({ self, dataCentre, network, clock, perDataCentre: holders });
+    const daemons = (): readonly Instance[] => membership.daemons;
+    const keepers = new Holders({ self, dataCentre, daemons, clock, allUpTo: holdersUpTo });
     return new Allowances({
       self,
       store: this.adapter.store,
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -43,7 +43,7 @@
     allowances: z
       .strictObject({
         /** Shard objects in the store; the same at every daemon. */
-        shards: z.number().int().positive().default(2),
+        shards: z.number().int().positive().default(8),
         /** Time that a daemon should be able to serve without store and peers, in seconds. */
         aloneSeconds: z.number().positive().default(10),
         /**
@@ -53,6 +53,11 @@
         exposure: z.number().positive().max(1).default(0.2),
         /** Part of that share which they keep ready without demand. */
         idlePart: z.number().min(0).max(1).default(0.5),
+        /**
+         * Most daemons of a data centre in which all of them keep units ready; in a larger one a single
+         * daemon does for each workspace, and the others borrow from it. The same at every daemon.
+         */
+        holdersUpTo: z.number().int().positive().default(3),
       })
       .readonly()
       .prefault({}),
--- a/src/gateway/tests/overspend.test.ts
+++ b/src/gateway/tests/overspend.test.ts
@@ -7,6 +7,7 @@
 import { newIncarnation, SteadyClock, SystemClock } from '../../kernel/index.js';
 import { Recorder } from '../../telemetry/index.js';
 import { Allowances } from '../allowances.js';
+import { Holders } from '../holders.js';
 
 import type { CallFate } from '../../../testbed/latestore.js';
 import type { LinkFate } from '../../../testbed/memorynetwork.js';
@@ -16,6 +17,9 @@
 const STEPS = 400;
 const WORLDS = 60;
 
+/** Size of the data centre up to which all of the four keep units ready: all, or one of them. */
+const HOLDERS = [4, 1] as const;
+
 interface Open {
   readonly units: number;
 }
@@ -50,7 +54,10 @@
 
   readonly #hub: MemoryHub;
 
-  constructor(private readonly draw: Draw) {
+  constructor(
+    private readonly draw: Draw,
+    private readonly holders: number,
+  ) {
     const fates: readonly CallFate[] = ['lost-before', 'lost-after', 'late', 'refused'];
     const links: readonly LinkFate[] = ['lost-before', 'lost-after'];
     this.store = new LateStore(() =>
@@ -68,12 +75,21 @@
       logger: pino({ level: 'silent' }),
       metrics: undefined,
     });
+    const network = this.#hub.join(self);
+    const clock = new SteadyClock();
     const allowances = new Allowances({
       self,
       store: this.store,
-      network: this.#hub.join(self),
+      network,
       recorder,
-      clock: new SteadyClock(),
+      clock,
+      holders: new Holders({
+        self,
+        dataCentre: 'x',
+        daemons: () => network.peers(),
+        clock,
+        allUpTo: this.holders,
+      }),
       policy: () => ({
         aloneSeconds: 10,
         exposure: 0.5,
@@ -150,38 +166,40 @@
   }
 }
 
-test('no order of lost, late and refused calls, deaths and loans spends more than was paid', async (t) => {
-  for (let index = 0; index < WORLDS; index += 1) {
-    const seed = DEFAULT_SEED + index;
-    const world = new World(drawsOf(seed));
-    for (let step = 0; step < STEPS; step += 1) {
-      // Steps follow one another.
-      // eslint-disable-next-line no-await-in-loop
-      await world.step();
-      if (world.exposure > world.paid) {
-        t.fail(`seed ${seed}, step ${step}: ${world.exposure} of ${world.paid} paid units`);
-        return;
+HOLDERS.forEach((holders) => {
+  test(`all of up to ${holders} keep units: no order of lost, late and refused calls, deaths and loans spends more than was paid`, async (t) => {
+    for (let index = 0; index < WORLDS; index += 1) {
+      const seed = DEFAULT_SEED + index;
+      const world = new World(drawsOf(seed), holders);
+      for (let step = 0; step < STEPS; step += 1) {
+        // Steps follow one another.
+        // eslint-disable-next-line no-await-in-loop
+        await world.step();
+        if (world.exposure > world.paid) {
+          t.fail(`seed ${seed}, step ${step}: ${world.exposure} of ${world.paid} paid units`);
+          return;
+        }
       }
     }
-  }
-  t.pass();
-});
-
-test('where nobody dies, refusals begin only when 97% of what was paid are spent', async (t) => {
-  const world = new World(drawsOf(DEFAULT_SEED));
-  let refusals = 0;
-  for (let round = 0; refusals < INSTANCES.length && round < world.paid; round += 1) {
-    const instance = INSTANCES[round % INSTANCES.length] ?? 'a';
-    const daemon = world.daemons.get(instance);
-    // eslint-disable-next-line no-await-in-loop
-    await world.reserve(instance, 20);
-    const open = daemon?.open.shift();
-    if (open) {
-      daemon?.allowances.settle(WORKSPACE, open.units, open.units);
-      world.spent += open.units;
-      refusals = 0;
-    } else refusals += 1;
-  }
-  t.true(world.spent >= world.paid * 0.97, `${world.spent} of ${world.paid} were spent`);
-  t.true(world.spent <= world.paid);
+    t.pass();
+  });
+
+  test(`all of up to ${holders} keep units: where nobody dies, refusals begin only when 97% of what was paid are spent`, async (t) => {
+    const world = new World(drawsOf(DEFAULT_SEED), holders);
+    let refusals = 0;
+    for (let round = 0; refusals < INSTANCES.length && round < world.paid; round += 1) {
+      const instance = INSTANCES[round % INSTANCES.length] ?? 'a';
+      const daemon = world.daemons.get(instance);
+      // eslint-disable-next-line no-await-in-loop
+      await world.reserve(instance, 20);
+      const open = daemon?.open.shift();
+      if (open) {
+        daemon?.allowances.settle(WORKSPACE, open.units, open.units);
+        world.spent += open.units;
+        refusals = 0;
+      } else refusals += 1;
+    }
+    t.true(world.spent >= world.paid * 0.97, `${world.spent} of ${world.paid} were spent`);
+    t.true(world.spent <= world.paid);
+  });
 });
--- a/src/gateway/tests/settings.test.ts
+++ b/src/gateway/tests/settings.test.ts
@@ -21,10 +21,11 @@
 test('gateway settings: a short file is accepted with its defaults', (t) => {
   const parsed = safeParseGatewaySettings('g.yaml', GOOD).unwrap();
   t.deepEqual(parsed.allowances, {
-    shards: 2,
+    shards: 8,
     aloneSeconds: 10,
     exposure: 0.2,
     idlePart: 0.5,
+    holdersUpTo: 3,
   });
   t.is(parsed.stopMs, 8_000);
 });
--- a/src/store/follower.ts
+++ b/src/store/follower.ts
@@ -46,6 +46,8 @@
    * @param events - what the owner is told
    * @param clock - time
    * @param waitMs - longest wait of one watch, in milliseconds
+   * @param restMs - pause after a batch of changes, in milliseconds: what changes meanwhile comes with one
+   * call
    */
   constructor(
     private readonly store: SnapshotStore,
@@ -53,6 +55,7 @@
     private readonly events: FollowerEvents,
     private readonly clock: Clock,
     private readonly waitMs = WATCH_MS,
+    private readonly restMs = 0,
   ) {}
 
   /** Follows until it is stopped. */
@@ -92,7 +95,9 @@
     }
     this.#answered();
     this.#position = Math.max(this.#position ?? 0, batch.val.position);
-    if (batch.val.changes.length > 0) this.events.onChanges(batch.val.changes);
+    if (batch.val.changes.length === 0) return undefined;
+    this.events.onChanges(batch.val.changes);
+    if (this.restMs > 0) await sleep(this.restMs);
     return undefined;
   }
 
