--- a/src/route/tests/placement.test.ts
+++ b/src/route/tests/placement.test.ts
@@ -7,7 +7,7 @@
 
 const OPTIONS: PlacementOptions = {
   tokensPerMs: 60,
-  rereadWeight: 0,
+  rereadWeight: 2,
   loadMs: 0.3,
   slotMs: 1_500,
   farMs: 4,
@@ -136,6 +136,24 @@
   t.is(new Set(homes).size, 1);
 });
 
+const READINGS = [
+  { title: 'one reading of the prompt', behind: 1, stays: true },
+  { title: 'two readings', behind: 2, stays: true },
+  { title: 'three readings', behind: 3, stays: false },
+] as const;
+
+READINGS.forEach(({ title, behind, stays }) => {
+  test(`a request ${stays ? 'stays at' : 'leaves'} a home that is ${title} behind`, (t) => {
+    const request = shared('s');
+    const home = placeRequest(idleWorkers(), request, OPTIONS, 0)?.id;
+    const loaded = idleWorkers().map((worker) => ({
+      ...worker,
+      pendingTokens: worker.id === home ? request.sharedTokens * behind : 0,
+    }));
+    t.is(placeRequest(loaded, request, OPTIONS, 0)?.id === home, stays);
+  });
+});
+
 /** Requests of the load that is replayed: 87 subjects, one of them asked for as often as the share says. */
 function replay(hotShare: number): ReadonlyMap<string, number> {
   const random = seededRandom(DEFAULT_SEED);
--- a/src/store/tests/follower.test.ts
+++ b/src/store/tests/follower.test.ts
@@ -1,3 +1,5 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
 import test from 'ava';
 
 import { Err, Ok, SteadyClock } from '../../kernel/index.js';
@@ -126,3 +128,21 @@
     t.deepEqual(seen, events);
   });
 });
+
+test('a follower that rests after changes asks again only after its pause', async (t) => {
+  const store = new PreparedStore(['snapshot', 'changes', 'nothing']);
+  const nothing = (): void => undefined;
+  const handlers = {
+    onSnapshot: nothing,
+    onChanges: nothing,
+    onLost: nothing,
+    onRegained: nothing,
+  };
+  const follower = new Follower(store, 'k/', handlers, new SteadyClock(), 900, 80);
+  void follower.run();
+  await delay(40);
+  t.deepEqual(store.calls, ['list', 'watch 5 900']);
+  await delay(120);
+  follower.stop();
+  t.deepEqual(store.calls, ['list', 'watch 5 900', 'watch 6 900', 'watch 6 900']);
+});
