--- a/src/allowance/shard.ts
+++ b/src/allowance/shard.ts
@@ -105,6 +105,8 @@
   readonly free: number;
   /** Units that nobody has spent, wherever they are. */
   readonly unspent: number;
+  /** Units that count as spent by rows that have been closed. */
+  readonly retired: number;
   /** Use of the other daemons together, in units a second. */
   readonly othersRate: number;
   /** Other daemons with units of the workspace. */
@@ -136,6 +138,7 @@
     workspace,
     free: paid - retired - sum(({ granted }) => granted),
     unspent: paid - retired - sum(({ spent }) => spent),
+    retired,
     othersRate: sum(({ rate }) => rate),
     others: lines.map(({ holder: other, line }) => ({
       holder: other,
--- a/src/allowance/tests/holding.test.ts
+++ b/src/allowance/tests/holding.test.ts
@@ -16,7 +16,7 @@
 /** A workspace with 100,000 unspent units: without demand a daemon keeps 1,000 ready. */
 function holdingOf(granted: number, free: number): AllowanceHolding {
   const holding = openHolding('w', POLICY, 0);
-  const view = { workspace: 'w', free, unspent: 100_000, othersRate: 0, others: [] };
+  const view = { workspace: 'w', free, unspent: 100_000, retired: 0, othersRate: 0, others: [] };
   return { ...holding, escrow: receiveGrant(holding.escrow, granted), view };
 }
 
--- a/src/gateway/allowanceloans.ts
+++ b/src/gateway/allowanceloans.ts
@@ -19,8 +19,8 @@
 
 /** What the holders of a workspace said last. */
 interface Seen {
-  /** Whether one of them answered in the last round. */
-  readonly isAnswered: boolean;
+  /** How many of them answered in the last round. */
+  readonly answered: number;
   /** Units that nobody has spent; undefined while none has said so. */
   readonly unspent: number | undefined;
 }
@@ -64,7 +64,7 @@
    * @returns whether another way would find no more
    */
   hasAnswered(workspace: string): boolean {
-    return this.#seen.get(workspace)?.isAnswered ?? false;
+    return (this.#seen.get(workspace)?.answered ?? 0) > 0;
   }
 
   /**
@@ -160,7 +160,7 @@
     const before = available(this.holdings.of(workspace).escrow);
     const isHolder = this.ctx.holders.isHolder(workspace);
     const peers = this.#candidates(workspace).slice(0, most);
-    this.#seen.set(workspace, { isAnswered: false, unspent: this.unspentSeen(workspace) });
+    this.#seen.set(workspace, { answered: 0, unspent: this.unspentSeen(workspace) });
     for (const peer of peers) {
       const needed = Math.max(this.holdings.missing(workspace), units);
       const missing = needed - available(this.holdings.of(workspace).escrow);
@@ -170,7 +170,8 @@
       await this.#askPeer(peer, workspace, missing, isHolder ? missing : 0);
     }
     const gained = available(this.holdings.of(workspace).escrow) - before;
-    const facts = { asked: peers.length, units, gained };
+    const answered = this.#seen.get(workspace)?.answered ?? 0;
+    const facts = { asked: peers.length, answered, units, gained };
     recorder.record('allowanceBorrowed', { budget: workspace, facts });
     return gained > 0;
   }
@@ -189,7 +190,8 @@
       timeoutMs: PEER_MS,
     });
     if (reply.err) return;
-    this.#seen.set(workspace, { isAnswered: true, unspent: reply.val.unspent });
+    const answered = (this.#seen.get(workspace)?.answered ?? 0) + 1;
+    this.#seen.set(workspace, { answered, unspent: reply.val.unspent });
     this.#receive({ ...reply.val, budget: workspace });
   }
 
--- a/src/gateway/allowancerows.ts
+++ b/src/gateway/allowancerows.ts
@@ -194,6 +194,9 @@
         reserved: escrow.reserved,
         free: view.free - granted,
         unspent: view.unspent,
+        retired: view.retired,
+        held: view.others.reduce((sum, { held }) => sum + held, 0),
+        rows: view.others.length,
         paid: this.ctx.paidOf(workspace) ?? 0,
       };
       this.ctx.recorder.record('allowanceDrawn', { budget: workspace, facts });
--- a/src/gateway/allowances.ts
+++ b/src/gateway/allowances.ts
@@ -13,6 +13,9 @@
 /** Interval at which holdings are looked at, in milliseconds: a fraction of what they last. */
 const REFRESH_MS = 1_000;
 
+/** Interval at which the log tells what is ready, in refreshes. */
+const TOLD_EVERY = 5;
+
 /** Time that a waiting request gives the store alone, in milliseconds: some of its answers. */
 const STORE_FIRST_MS = 30;
 
@@ -38,6 +41,8 @@
 
   #timer: NodeJS.Timeout | undefined;
 
+  #refreshes = 0;
+
   /**
    * Creates the task.
    * @param ctx - store, peers and what is in force
@@ -65,6 +70,7 @@
 
   /** Draws what runs low and reports what was spent. */
   refresh(): void {
+    this.#tell();
     const now = this.ctx.clock.now();
     const due = this.ctx
       .workspaces()
@@ -132,6 +138,14 @@
     });
   }
 
+  /** Tells now and then what is ready: units that nobody uses show up here. */
+  #tell(): void {
+    this.#refreshes += 1;
+    if (this.#refreshes % TOLD_EVERY !== 0) return;
+    const totals = this.#holdings.totals((workspace) => this.ctx.holders.isHolder(workspace));
+    this.ctx.recorder.record('allowancesHeld', { facts: { ...totals } });
+  }
+
   /** Draws for a daemon that asks for more than is ready. */
   async #restock(workspace: string): Promise<void> {
     if (!this.ctx.isStoreUp()) return;
--- a/src/gateway/holdings.ts
+++ b/src/gateway/holdings.ts
@@ -5,6 +5,16 @@
 import type { AllowanceHolding, AllowancePolicy } from '../allowance/index.js';
 import type { Clock } from '../kernel/index.js';
 
+/** Units of all workspaces that one daemon has, by why it has them. */
+export interface HoldingTotals {
+  /** Ready at a daemon that keeps them for others. */
+  readonly asHolder: number;
+  /** Ready at a daemon that borrowed them for requests that needed less. */
+  readonly leftOver: number;
+  /** Worst cases of the requests that are running. */
+  readonly reserved: number;
+}
+
 /** Keeps the holdings and what waiting requests lack. */
 export class Holdings {
   readonly #byWorkspace = new Map<string, AllowanceHolding>();
@@ -115,6 +125,20 @@
     return Math.min(available(escrow), rowGrant(escrow) - netSpent(escrow));
   }
 
+  /**
+   * Adds up what is ready.
+   * @param isHolder - whether this daemon keeps units of a workspace ready for others
+   * @returns units by why this daemon has them
+   */
+  totals(isHolder: (workspace: string) => boolean): HoldingTotals {
+    const totals = { asHolder: 0, leftOver: 0, reserved: 0 };
+    this.#byWorkspace.forEach(({ escrow }, workspace) => {
+      totals[isHolder(workspace) ? 'asHolder' : 'leftOver'] += available(escrow);
+      totals.reserved += escrow.reserved;
+    });
+    return totals;
+  }
+
   /**
    * Gives what counts as spent when the rows are closed now.
    * @returns units by workspace; requests that still run count at their largest
--- a/src/gateway/membership.ts
+++ b/src/gateway/membership.ts
@@ -61,11 +61,15 @@
       cfg.store,
       DAEMONS_PREFIX,
       {
-        onSnapshot: ({ objects }) => {
+        onSnapshot: ({ objects, position }) => {
           objects.forEach((object) => this.instances.change(object));
+          this.#tell(position);
           this.#onListed();
         },
-        onChanges: (changes) => changes.forEach((change) => this.instances.change(change)),
+        onChanges: (changes) => {
+          changes.forEach((change) => this.instances.change(change));
+          this.#tell(Math.max(...changes.map(({ version }) => version)));
+        },
         onLost: () => undefined,
         onRegained: () => undefined,
       },
@@ -115,6 +119,15 @@
     await this.links.stop();
   }
 
+  #tell(revision: number): void {
+    const facts = {
+      registered: this.daemons.length,
+      reachable: this.network.peers().length,
+      revision,
+    };
+    this.cfg.recorder.record('daemonsListed', { facts });
+  }
+
   /** One daemon makes the key; whoever loses that race reads it. */
   static async #fleetKey(store: SnapshotStore): Promise<string> {
     for (;;) {
--- /dev/null
+++ b/testbed/endlessserver.ts
@@ -0,0 +1,58 @@
+/** Server whose answers never end. */
+import { createServer } from 'node:net';
+
+import type { Server, Socket } from 'node:net';
+import { listenAnywhere } from './listening.js';
+import { ID_PLACEHOLDER } from './rawupstream.js';
+
+/** Answers every call with bytes that never end. */
+export class EndlessServer {
+  readonly #sockets = new Set<Socket>();
+
+  /** Bytes that were written. */
+  written = 0;
+
+  private constructor(
+    private readonly server: Server,
+    readonly address: string,
+  ) {}
+
+  /**
+   * Starts a stand-in.
+   * @param head - first bytes of each answer; the id of the attempt stands for a placeholder
+   * @param piece - bytes that follow again and again
+   * @param pauseMs - pause between pieces, in milliseconds; 0 for none but what the reader imposes
+   * @returns the stand-in, once it listens
+   */
+  static async start(head: string, piece: string, pauseMs: number): Promise<EndlessServer> {
+    const server = createServer();
+    const endless = new EndlessServer(server, await listenAnywhere(server));
+    server.on('connection', (socket) => {
+      endless.#sockets.add(socket);
+      socket.on('error', () => undefined);
+      socket.on('close', () => endless.#sockets.delete(socket));
+      const write = (): void => {
+        if (socket.destroyed) return;
+        endless.written += piece.length;
+        const isTaken = socket.write(piece);
+        if (!isTaken) socket.once('drain', write);
+        else if (pauseMs > 0) setTimeout(write, pauseMs);
+        else setImmediate(write);
+      };
+      socket.once('data', (bytes) => {
+        const id = /^attempt-id: (\S+)/im.exec(bytes.toString('latin1'))?.[1] ?? '';
+        socket.write(head.replaceAll(ID_PLACEHOLDER, id));
+        write();
+      });
+    });
+    return endless;
+  }
+
+  /** Stops the stand-in. */
+  async stop(): Promise<void> {
+    this.#sockets.forEach((socket) => socket.destroy());
+    await new Promise<void>((resolve) => {
+      this.server.close(() => resolve());
+    });
+  }
+}
