A daemon knows its peers as soon as the store has listed them, not 5 s later

Cause: the links kept a copy of the list of daemons, taken once at the start, before the first listing had come, and then every 5 s. Class: a polled copy of state that is already kept up to date elsewhere. Change: Directory is abstract; the registered daemons are one themselves, and the chat interface keeps its polled list. A peer that proves the key of the fleet is accepted before its registration was heard of: while the watch rests for 2 s it was refused. Looked for elsewhere: Holders reads the live list; the daemon of the chat interface polls a list that lags anyway.

--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -1,6 +1,6 @@
 /** Composes the tasks and clients of one daemon. */
 import { SystemClock } from '../kernel/index.js';
-import { Directory, WsPeerNetwork } from '../link/index.js';
+import { PolledDirectory, WsPeerNetwork } from '../link/index.js';
 import { HttpInstanceList, HttpObjectStore } from '../store/index.js';
 import {
   HttpLoadSource,
@@ -63,7 +63,7 @@
 
   readonly #executor: PlanExecutor;
 
-  readonly #directory: Directory;
+  readonly #directory: PolledDirectory;
 
   readonly #reports: LoadReports;
 
@@ -87,7 +87,7 @@
     const { recorder } = this;
     const self = recorder.source;
     const store = new HttpObjectStore(settings.platform.objects);
-    this.#directory = new Directory(new HttpInstanceList(settings.platform.instances));
+    this.#directory = new PolledDirectory(new HttpInstanceList(settings.platform.instances));
     this.network = new WsPeerNetwork({
       self,
       fleetKey: settings.fleetKey,
--- a/src/gateway/followedinstances.ts
+++ b/src/gateway/followedinstances.ts
@@ -1,10 +1,8 @@
 /** Daemons as they register themselves in the store. */
 import { z } from 'zod';
 
-import { Ok } from '../kernel/index.js';
-import { InstanceList } from '../store/index.js';
+import { Directory } from '../link/index.js';
 
-import type { Result } from '../kernel/index.js';
 import type { Instance, ObjectChange } from '../store/index.js';
 
 /** Start of the keys under which daemons register themselves. */
@@ -13,11 +11,16 @@
 const daemonSchema = z.object({ dataCentre: z.string(), peerAddress: z.string() }).readonly();
 
 /** Daemons as they stand in the store. */
-export class FollowedInstances extends InstanceList {
+export class FollowedInstances extends Directory {
   readonly #instances = new Map<string, Instance>();
 
-  override fetch(): Promise<Result<readonly Instance[], string>> {
-    return Promise.resolve(Ok(this.all));
+  override instances(): readonly Instance[] {
+    return [...this.#instances.values()];
+  }
+
+  /** The key of the fleet is proof enough: a peer may have registered after the last batch of changes. */
+  override async knows(): Promise<boolean> {
+    return true;
   }
 
   /**
@@ -30,9 +33,4 @@
     if (parsed.success) this.#instances.set(name, { name, ...parsed.data, state: 'live' });
     else this.#instances.delete(name);
   }
-
-  /** Daemons that are registered. */
-  get all(): readonly Instance[] {
-    return [...this.#instances.values()];
-  }
 }
--- a/src/gateway/membership.ts
+++ b/src/gateway/membership.ts
@@ -3,7 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { instanceOf } from '../kernel/index.js';
-import { Directory, WsPeerNetwork } from '../link/index.js';
+import { WsPeerNetwork } from '../link/index.js';
 import { Follower } from '../store/index.js';
 import { DAEMONS_PREFIX, FollowedInstances } from './followedinstances.js';
 
@@ -54,7 +54,6 @@
   private constructor(
     private readonly cfg: MembershipConfig,
     private readonly links: WsPeerNetwork,
-    private readonly directory: Directory,
     private readonly instances: FollowedInstances,
   ) {
     this.#follower = new Follower(
@@ -86,11 +85,17 @@
    */
   static async join(cfg: MembershipConfig): Promise<Membership> {
     const instances = new FollowedInstances();
-    const directory = new Directory(instances);
     const fleetKey = await Membership.#fleetKey(cfg.store);
     const { self, host, port, recorder } = cfg;
-    const links = new WsPeerNetwork({ self, fleetKey, host, port, directory, recorder });
-    return new Membership(cfg, links, directory, instances);
+    const links = new WsPeerNetwork({
+      self,
+      fleetKey,
+      host,
+      port,
+      directory: instances,
+      recorder,
+    });
+    return new Membership(cfg, links, instances);
   }
 
   /** Links to the other daemons. */
@@ -100,13 +105,12 @@
 
   /** Daemons that are registered. */
   get daemons(): readonly Instance[] {
-    return this.instances.all;
+    return this.instances.instances();
   }
 
   /** Registers this daemon and follows the others. */
   start(): void {
     this.links.start();
-    void this.directory.start();
     void this.#follower.run();
     void this.#register();
   }
@@ -115,7 +119,6 @@
   async stop(): Promise<void> {
     this.#isStopped = true;
     this.#follower.stop();
-    this.directory.stop();
     await this.links.stop();
   }
 
--- a/src/link/directory.ts
+++ b/src/link/directory.ts
@@ -1,4 +1,4 @@
-/** Keeps the platform's instance list at hand. */
+/** Instances of the fleet that links may connect. */
 import type { Instance, InstanceList } from '../store/index.js';
 
 /** Interval between fetches, in milliseconds. */
@@ -7,8 +7,24 @@
 /** Least time between fetches that an unknown instance causes, in milliseconds. */
 const RECHECK_MS = 500;
 
-/** Refreshes the instance list; during an outage the last list stays. */
-export class Directory {
+/** Knows the instances of the fleet. */
+export abstract class Directory {
+  /**
+   * Lists what is known now.
+   * @returns the instances
+   */
+  abstract instances(): readonly Instance[];
+
+  /**
+   * Says whether an instance that proved the key of the fleet may link to this one.
+   * @param name - instance name
+   * @returns whether it belongs to the fleet
+   */
+  abstract knows(name: string): Promise<boolean>;
+}
+
+/** Fetches the instance list at intervals; during an outage the last list stays. */
+export class PolledDirectory extends Directory {
   #instances: readonly Instance[] = [];
 
   #fetchedAt = 0;
@@ -19,7 +35,9 @@
    * Creates a directory.
    * @param list - the platform's list
    */
-  constructor(private readonly list: InstanceList) {}
+  constructor(private readonly list: InstanceList) {
+    super();
+  }
 
   /** Fetches the list now and then at intervals. */
   async start(): Promise<void> {
@@ -34,11 +52,7 @@
     clearInterval(this.#timer);
   }
 
-  /**
-   * Lists what is known.
-   * @returns the instances of the last list
-   */
-  instances(): readonly Instance[] {
+  override instances(): readonly Instance[] {
     return this.#instances;
   }
 
@@ -47,7 +61,7 @@
    * @param name - instance name
    * @returns whether it is listed
    */
-  async knows(name: string): Promise<boolean> {
+  override async knows(name: string): Promise<boolean> {
     if (this.#find(name)) return true;
     if (performance.now() - this.#fetchedAt > RECHECK_MS) await this.#refresh();
     return this.#find(name) !== undefined;
--- a/src/link/tests/links.test.ts
+++ b/src/link/tests/links.test.ts
@@ -9,7 +9,7 @@
 import { Ok, SystemClock } from '../../kernel/index.js';
 import { InstanceList } from '../../store/index.js';
 import { Recorder } from '../../telemetry/index.js';
-import { Directory } from '../directory.js';
+import { PolledDirectory } from '../directory.js';
 import { WsPeerNetwork } from '../wspeernetwork.js';
 
 import type { Instance } from '../../store/index.js';
@@ -50,7 +50,7 @@
   const self = `${name}~1`;
   const sinks = { logger: pino({ level: 'silent' }), metrics: new StatsD({ mock: true }) };
   const recorder = new Recorder(self, new SystemClock(), sinks);
-  const directory = new Directory(new FixedList(listed));
+  const directory = new PolledDirectory(new FixedList(listed));
   await directory.start();
   const network = new WsPeerNetwork({
     self,
