Units are given only to a peer that has just answered

A peer that lost power counts as linked for 3 s, and units that are passed on to it in that time are lost. Gifts are made one at a time for each workspace.

--- a/src/gateway/allowancereturns.ts
+++ b/src/gateway/allowancereturns.ts
@@ -14,6 +14,9 @@
 
 /** Gives units away. */
 export class AllowanceReturns {
+  /** Workspaces that are being given back. */
+  readonly #giving = new Set<string>();
+
   /** Workspaces whose last counter a peer has not confirmed, by its incarnation. */
   readonly #unconfirmed = new Map<Incarnation, Set<string>>();
 
@@ -30,17 +33,16 @@
   ) {}
 
   /**
-   * Gives a holder what a daemon that keeps none ready has left. A peer that has not confirmed the last
-   * units gets no more: if it is dead, they are lost.
+   * Gives a holder what a daemon that keeps none ready has left; one at a time for each workspace.
    * @param workspace - who pays
    */
   async giveBack(workspace: string): Promise<void> {
-    if (!this.#isLeftOver(workspace)) return;
-    const peer = this.ctx.holders
-      .others(workspace)
-      .map((name) => this.ctx.network.incarnationOf(name))
-      .find((incarnation) => incarnation !== undefined && !this.#unconfirmed.has(incarnation));
-    if (peer) await this.#pass(peer, workspace);
+    if (this.#giving.has(workspace) || !this.#isLeftOver(workspace)) return;
+    this.#giving.add(workspace);
+    const peer = await this.#findTaker(this.ctx.holders.others(workspace));
+    // A request may have taken the units meanwhile.
+    if (peer && this.#isLeftOver(workspace)) await this.#pass(peer, workspace);
+    this.#giving.delete(workspace);
   }
 
   /** Repeats what was not confirmed, and gives back what is still left over. */
@@ -56,19 +58,25 @@
   async handOver(workspaces: readonly string[]): Promise<void> {
     const { network, self, recorder } = this.ctx;
     const names = network.peers().map(({ name }) => name);
-    for (const name of rendezvous(self, names)) {
-      // A link tells the incarnation of the peer, which the loan is made out to.
+    const peer = await this.#findTaker(rendezvous(self, names));
+    if (!peer) {
+      recorder.record('handoverDelayed', { facts: { peers: names.length } });
+      return;
+    }
+    await Promise.all(workspaces.map((workspace) => this.#pass(peer, workspace)));
+    recorder.record('handoverDone', { peer });
+  }
+
+  /** Finds a peer that answers now: what is given to a dead one is lost. */
+  async #findTaker(names: readonly InstanceName[]): Promise<Incarnation | undefined> {
+    for (const name of names) {
       // eslint-disable-next-line no-await-in-loop
       const isReached = await this.#greet(name);
-      const peer = network.incarnationOf(name);
-      if (isReached && peer) {
-        // eslint-disable-next-line no-await-in-loop
-        await Promise.all(workspaces.map((workspace) => this.#pass(peer, workspace)));
-        recorder.record('handoverDone', { peer });
-        return;
-      }
+      // A link tells the incarnation of the peer, which the loan is made out to.
+      const peer = this.ctx.network.incarnationOf(name);
+      if (isReached && peer && !this.#unconfirmed.has(peer)) return peer;
     }
-    recorder.record('handoverDelayed', { facts: { peers: names.length } });
+    return undefined;
   }
 
   #isLeftOver(workspace: string): boolean {
