Units given up in a write that failed are written off again, not stranded in the row

Callers saw: budget-unreachable while the store showed units as held that no daemon counted. Cause: idle units are given up locally before the row is written. When that write met a conflict or failed, the daemon no longer counted itself as a part of the row (its own grant was 0 by then), so that neither the next plan nor the next refresh wrote the line: the old grant stayed in the store until the instance started again. Class: a decision taken on the intended state instead of the stored one. Change: a holding remembers what its row grants in the store; a line is written while that or the own grant is above 0, and units given up count as idle until the store has them. Looked for elsewhere: the report of spending compares with what was written; the closing of a row reads the store first.

--- a/src/allowance/holding.ts
+++ b/src/allowance/holding.ts
@@ -56,6 +56,8 @@
   readonly demand: Demand;
   /** What the store last showed. */
   readonly view: AllowanceView | undefined;
+  /** Units that the own row grants in the store, as far as is known. */
+  readonly stored: number;
   /** Net spending as it was last written to the store. */
   readonly reported: number;
   /** When it was written, in milliseconds. */
@@ -75,7 +77,14 @@
   now: number,
 ): AllowanceHolding {
   const demand = noDemand(now, { smoothingMs: policy.smoothingMs, minWeight: MIN_WEIGHT });
-  return { escrow: emptyEscrow(workspace), demand, view: undefined, reported: 0, reportedAt: now };
+  return {
+    escrow: emptyEscrow(workspace),
+    demand,
+    view: undefined,
+    stored: 0,
+    reported: 0,
+    reportedAt: now,
+  };
 }
 
 /**
@@ -121,6 +130,15 @@
   return Math.floor(Math.max(Math.min(full, exposed * share), idle));
 }
 
+/**
+ * Says whether a daemon has a part in its row to look after.
+ * @param holding - its holding
+ * @returns whether the row grants units, here or in the store
+ */
+export function isInRow({ escrow, stored }: AllowanceHolding): boolean {
+  return rowGrant(escrow) > 0 || stored > 0;
+}
+
 /** What a daemon writes for one workspace, and what it gains by it. */
 export interface AllowanceDraw {
   readonly line: AllowanceLine;
@@ -195,8 +213,14 @@
 ): AllowanceHolding {
   const { escrow } = holding;
   const granted = draw.grant + escrow.returned;
-  const reported = draw.line.spent;
-  return { ...holding, escrow: receiveGrant(escrow, granted), view, reported, reportedAt: now };
+  return {
+    ...holding,
+    escrow: receiveGrant(escrow, granted),
+    view,
+    stored: draw.grant,
+    reported: draw.line.spent,
+    reportedAt: now,
+  };
 }
 
 /**
@@ -211,13 +235,15 @@
   policy: AllowancePolicy,
   now: number,
 ): boolean {
-  const { view, escrow, reported, reportedAt } = holding;
+  const { view, escrow, stored, reported, reportedAt } = holding;
   if (!view) return true;
   const unreported = netSpent(escrow) - reported;
   const isDue = now - reportedAt > REPORT_MS || unreported > view.unspent * REPORT_SHARE;
   if (unreported > 0 && isDue) return true;
   const target = readyTarget(holding, view, policy, now);
-  if (idleOf(holding, target) > view.unspent * SHED_SHARE) return true;
+  // Units that were given up locally are free for others only once the store has been told.
+  const givenUp = Math.max(0, stored - rowGrant(escrow));
+  if (idleOf(holding, target) + givenUp > view.unspent * SHED_SHARE) return true;
   return view.free - rowGrant(escrow) > 0 && isLow(available(escrow), target);
 }
 
--- a/src/gateway/allowancerows.ts
+++ b/src/gateway/allowancerows.ts
@@ -5,6 +5,7 @@
   closeRow,
   drawLine,
   hasRow,
+  isInRow,
   parseAllowances,
   receiveDrawn,
   rowGrant,
@@ -124,9 +125,8 @@
 
   /** Whether this daemon keeps units ready, has some in its row, or needs some now. */
   #concerns(workspace: string): boolean {
-    const isInRow = rowGrant(this.holdings.of(workspace).escrow) > 0;
     const isNeeded = this.holdings.missing(workspace) > 0;
-    return isInRow || isNeeded || this.ctx.holders.isHolder(workspace);
+    return isInRow(this.holdings.of(workspace)) || isNeeded || this.ctx.holders.isHolder(workspace);
   }
 
   /** Writes a shard conditionally, again after a conflict; the plan sees what is in force. */
--- a/src/gateway/allowances.ts
+++ b/src/gateway/allowances.ts
@@ -1,7 +1,7 @@
 /** Prepaid units of this daemon: decides whether a request may spend, and where more comes from. */
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { netSpent, rowGrant, wantsDraw } from '../allowance/index.js';
+import { isInRow, netSpent, wantsDraw } from '../allowance/index.js';
 import { Err, failure, Ok } from '../kernel/index.js';
 import { AllowanceLoans } from './allowanceloans.js';
 import { AllowanceReturns } from './allowancereturns.js';
@@ -163,8 +163,7 @@
 
   /** Whether this daemon has a part in the row of a workspace to look after. */
   #keeps(workspace: string): boolean {
-    const isInRow = rowGrant(this.#holdings.of(workspace).escrow) > 0;
-    return isInRow || this.ctx.holders.isHolder(workspace);
+    return isInRow(this.#holdings.of(workspace)) || this.ctx.holders.isHolder(workspace);
   }
 
   /** Asks peers and the store in turn until the units are reserved. */
--- a/src/gateway/tests/leftovers.test.ts
+++ b/src/gateway/tests/leftovers.test.ts
@@ -1,3 +1,5 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
 import test from 'ava';
 
 import { AllowanceFleet, WORKSPACE } from '../../../testbed/allowancefleet.js';
@@ -6,6 +8,9 @@
 /** Share of what was paid that may be out of use. */
 const STRANDED = 0.03;
 
+/** Time that a daemon needs for its first draw, in milliseconds. */
+const SETTLE_MS = 50;
+
 const WORST_CASE = 12_000;
 
 const SHAPE = { dataCentres: ['x', 'y', 'z'], perDataCentre: 12, paid: 1_000_000 } as const;
@@ -69,3 +74,22 @@
     t.is(reserved?.ok, ok);
   });
 });
+
+test('units that are given up in a write that fails are free after the next one', async (t) => {
+  const fleet = new AllowanceFleet({ dataCentres: ['x'], perDataCentre: 4, paid: 1_000 });
+  const members = [...fleet.members.values()];
+  const alone = members.find(({ holders }) => !holders.isHolder(WORKSPACE));
+  const holder = members.find(({ holders }) => holders.isHolder(WORKSPACE));
+  fleet.linkFate = 'lost-before';
+  await alone?.allowances.reserve(WORKSPACE, 800, 200);
+  alone?.allowances.settle(WORKSPACE, 800, 0);
+  fleet.storeFate = 'refused';
+  await delay(SETTLE_MS);
+  alone?.allowances.refresh();
+  await delay(SETTLE_MS);
+  fleet.storeFate = 'answered';
+  alone?.allowances.refresh();
+  await delay(SETTLE_MS);
+  const reserved = await holder?.allowances.reserve(WORKSPACE, 900, 200);
+  t.is(reserved?.ok, true);
+});
--- a/testbed/allowancefleet.ts
+++ b/testbed/allowancefleet.ts
@@ -10,6 +10,7 @@
 
 import type { Incarnation } from '../src/kernel/index.js';
 import type { PeerNetwork } from '../src/link/index.js';
+import type { CallFate } from './latestore.js';
 import type { LinkFate } from './memorynetwork.js';
 
 /** Workspace that everybody spends from. */
@@ -37,13 +38,16 @@
 
 /** Daemons on a sound store and links that the test may harm. */
 export class AllowanceFleet {
-  readonly store = new LateStore(() => 'answered');
+  readonly store = new LateStore(() => this.storeFate);
 
   readonly members = new Map<string, FleetMember>();
 
   /** Units that were settled. */
   spent = 0;
 
+  /** What becomes of the next call to the store. */
+  storeFate: CallFate = 'answered';
+
   /** What becomes of the next message. */
   linkFate: LinkFate = 'answered';
 
@@ -68,6 +72,14 @@
     [...this.#places.keys()].forEach((name) => this.start(name));
   }
 
+  /**
+   * Delays every reply between daemons.
+   * @param delayMs - milliseconds
+   */
+  delay(delayMs: number): void {
+    this.#hub.delayMs = delayMs;
+  }
+
   /**
    * Starts a daemon, in place of an earlier life of it.
    * @param name - its instance
--- a/testbed/memoryhub.ts
+++ b/testbed/memoryhub.ts
@@ -7,6 +7,8 @@
 
 /** Connects the daemons of one test. */
 export class MemoryHub implements PeerDirectory {
+  delayMs = 0;
+
   readonly #nodes = new Map<InstanceName, MemoryNetwork>();
 
   /**
--- a/testbed/memorynetwork.ts
+++ b/testbed/memorynetwork.ts
@@ -1,4 +1,6 @@
 /** Peer network inside one process, with links that can be cut. */
+import { setTimeout as sleep } from 'node:timers/promises';
+
 import { Err, failure, instanceOf, Ok } from '../src/kernel/index.js';
 import { PeerNetwork } from '../src/link/index.js';
 
@@ -21,6 +23,8 @@
 export interface PeerDirectory {
   /** Draws what becomes of the next request. */
   readonly fate: () => LinkFate;
+  /** Delay of every reply, in milliseconds. */
+  readonly delayMs: number;
   readonly instances: readonly InstanceName[];
   readonly dataCentreOf: (instance: InstanceName) => string;
   readonly node: (instance: InstanceName) => PeerNode | undefined;
@@ -54,6 +58,7 @@
   override async request<Reply extends PeerMessageType>({
     to,
     body,
+    timeoutMs,
   }: PeerRequest<Reply>): Promise<Result<PeerMessageOf<Reply>, Failure>> {
     const fate = this.hub.fate();
     const peer = this.hub.node(to);
@@ -62,7 +67,10 @@
     const reply = await Promise.resolve()
       .then(() => peer.receive(body, this.self))
       .catch(() => undefined);
-    if (!reply || fate === 'lost-after') return Err(failure('peer-unreachable', to));
+    const { delayMs } = this.hub;
+    if (delayMs > 0) await sleep(Math.min(delayMs, timeoutMs));
+    const isLost = fate === 'lost-after' || delayMs > timeoutMs;
+    if (!reply || isLost) return Err(failure('peer-unreachable', to));
     return Ok(reply as PeerMessageOf<Reply>);
   }
 
