--- a/src/gateway/allowanceloans.ts
+++ b/src/gateway/allowanceloans.ts
@@ -1,5 +1,7 @@
 /** Loans of prepaid units between daemons. */
 import { loanUnits, netSpent } from '../allowance/index.js';
+import { setTimeout as sleep } from 'node:timers/promises';
+
 import { available, counterOf, passUnits } from '../budget/index.js';
 import { instanceOf } from '../kernel/index.js';
 
@@ -11,6 +13,9 @@
 /** Longest wait for one peer, in milliseconds: peers answer within a few. */
 const PEER_MS = 60;
 
+/** Time for which an answer is still taken, in milliseconds: until a silent link is replaced. */
+const LATE_MS = 3_000;
+
 /** Multiple of a shortage that the richest peer must hold to be asked before the store. */
 const RICH = 1.5;
 
@@ -128,17 +133,31 @@
     const known = incarnation ? counterOf(escrow.borrowed, incarnation) : 0;
     const outlook = { unspent: Math.max(0, view?.unspent ?? 0), totalRate: view?.othersRate ?? 0 };
     const asked = { budget: workspace, missing, wanted, outlook, known };
-    const reply = await network.request({
-      to: peer,
-      body: { type: 'borrow', ...asked },
-      reply: 'lent',
-      timeoutMs: PEER_MS,
-    });
-    if (reply.err) return;
+    const askedAt = this.ctx.clock.now();
+    const taken = network
+      .request({
+        to: peer,
+        body: { type: 'borrow', ...asked },
+        reply: 'lent',
+        timeoutMs: LATE_MS,
+      })
+      .then((reply) => {
+        if (reply.ok) this.#take(workspace, reply.val, this.ctx.clock.now() - askedAt);
+      });
+    await Promise.race([taken, sleep(PEER_MS)]);
+  }
+
+  /** Takes a loan, also a late one: the lender has counted it. */
+  #take(workspace: string, loan: PeerMessageOf<'lent'>, tookMs: number): void {
+    const { lender, passed, unspent } = loan;
+    const units = this.holdings.noteBorrowed(workspace, { peer: lender, units: passed });
+    if (tookMs > PEER_MS) {
+      const facts = { units, tookMs: Math.round(tookMs) };
+      this.ctx.recorder.record('allowanceLate', { budget: workspace, peer: lender, facts });
+      return;
+    }
     const answered = (this.#seen.get(workspace)?.answered ?? 0) + 1;
-    this.#seen.set(workspace, { answered, unspent: reply.val.unspent });
-    const { lender, passed } = reply.val;
-    this.holdings.noteBorrowed(workspace, { peer: lender, units: passed });
+    this.#seen.set(workspace, { answered, unspent });
   }
 
   /** Holders by what the store last showed them to hold; near ones first where it showed nothing. */
--- a/src/gateway/tests/leftovers.test.ts
+++ b/src/gateway/tests/leftovers.test.ts
@@ -8,6 +8,9 @@
 /** Share of what was paid that may be out of use. */
 const STRANDED = 0.03;
 
+/** Delay of an answer that comes too late, in milliseconds. */
+const LATE_MS = 150;
+
 /** Time that a daemon needs for its first draw, in milliseconds. */
 const SETTLE_MS = 50;
 
@@ -93,3 +96,20 @@
   const reserved = await holder?.allowances.reserve(WORKSPACE, 900, 200);
   t.is(reserved?.ok, true);
 });
+
+test('a loan whose answer comes after its request was refused is not lost', async (t) => {
+  const fleet = new AllowanceFleet({ dataCentres: ['x'], perDataCentre: 4, paid: 1_000 });
+  const members = [...fleet.members.values()];
+  const borrower = members.find(({ holders }) => !holders.isHolder(WORKSPACE));
+  const holder = members.find(({ holders }) => holders.isHolder(WORKSPACE));
+  holder?.allowances.refresh();
+  await delay(SETTLE_MS);
+  fleet.delay(LATE_MS);
+  await borrower?.allowances.reserve(WORKSPACE, 800, 1);
+  await delay(2 * LATE_MS);
+  fleet.delay(0);
+  fleet.refresh();
+  await delay(SETTLE_MS);
+  const reserved = await holder?.allowances.reserve(WORKSPACE, 900, 200);
+  t.is(reserved?.ok, true);
+});
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -88,6 +88,7 @@
   allowanceFenced: { number: 8105, level: 'error', text: 'the row of this daemon was closed' },
   allowancesHeld: { number: 8106, level: 'info', text: 'prepaid units that this daemon has ready' },
   allowanceReturned: { number: 8107, level: 'info', text: 'prepaid units passed on unasked' },
+  allowanceLate: { number: 8108, level: 'info', text: 'a loan came after its time limit' },
   settingsReloaded: { number: 1009, level: 'info', text: 'settings file read again' },
   linesDropped: { number: 1010, level: 'warn', text: 'log lines dropped: the receiver is slow' },
   attemptCancelled: { number: 7002, level: 'debug', text: 'attempt cancelled at the engine' },
