A slow link is no silent store: answers are bounded by silence, size and a time for the body

After a failure the watch was asked for an answer at once, from the same position, so that 0.7 s were left for a body that only grew. A daemon behind a slow link, or one whose link callers fill, never caught up. The failures also opened the breaker, which stopped the draws of prepaid units. Class: a time limit on work without a bound. What exceeds time or size is 'oversized': the follower lists instead, since a listing is bounded by what there is, and neither breaker nor upstreams take it for an outage.

--- a/src/store/follower.ts
+++ b/src/store/follower.ts
@@ -90,8 +90,10 @@
     const waitMs = this.#failures > 0 ? AT_ONCE_MS : this.waitMs;
     const batch = await this.store.watch(this.prefix, this.#position ?? 0, waitMs);
     if (batch.err) {
-      if (batch.val.problem === 'compacted') this.#position = undefined;
-      return batch.val;
+      const { problem } = batch.val;
+      if (problem === 'compacted' || problem === 'oversized') this.#position = undefined;
+      // A listing is bounded by what there is, a watch by nothing: history grows while it is read.
+      return problem === 'oversized' ? undefined : batch.val;
     }
     this.#answered();
     this.#position = Math.max(this.#position ?? 0, batch.val.position);
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -3,6 +3,7 @@
 export * from './httpobjectstore.js';
 export * from './instancelist.js';
 export * from './objectstore.js';
+export * from './answerlimits.js';
 export * from './follower.js';
 export * from './snapshotstore.js';
 export * from './update.js';
--- a/src/store/objectstore.ts
+++ b/src/store/objectstore.ts
@@ -30,8 +30,9 @@
  * "refused": certainly without effect (rate limit, size).
  * "lost": it may have taken effect.
  * "compacted": the history that a watch asked for is gone; list again.
+ * "oversized": the answer is too large to be read in time; list again.
  */
-export type StoreProblem = 'conflict' | 'refused' | 'lost' | 'compacted';
+export type StoreProblem = 'conflict' | 'refused' | 'lost' | 'compacted' | 'oversized';
 
 /** A store call that failed. */
 export interface StoreError {
--- a/src/store/tests/follower.test.ts
+++ b/src/store/tests/follower.test.ts
@@ -11,7 +11,7 @@
 import type { Snapshot } from '../snapshotstore.js';
 
 /** What a prepared store answers to its next call. */
-type Answer = 'snapshot' | 'changes' | 'nothing' | 'lost' | 'compacted';
+type Answer = 'snapshot' | 'changes' | 'nothing' | 'lost' | 'compacted' | 'oversized';
 
 /** The answer that never comes. */
 const NEVER = new Promise<never>(() => {});
@@ -61,7 +61,7 @@
     this.calls.push(call);
     const answer = this.answers.shift();
     if (answer === undefined) return NEVER;
-    if (answer === 'lost' || answer === 'compacted') {
+    if (answer === 'lost' || answer === 'compacted' || answer === 'oversized') {
       return Err({ problem: answer, key: 'k/', text: 'prepared' });
     }
     return Ok(value());
@@ -94,6 +94,12 @@
     calls: ['list', 'watch 5 900', 'list', 'watch 5 900'],
     events: ['snapshot', 'lost', 'regained', 'snapshot'],
   },
+  {
+    title: 'changes that cannot be read in time are replaced by a listing, and the store is not lost',
+    answers: ['snapshot', 'oversized', 'snapshot'],
+    calls: ['list', 'watch 5 900', 'list', 'watch 5 900'],
+    events: ['snapshot', 'snapshot'],
+  },
   {
     title: 'a store that does not answer at first is listed later',
     answers: ['lost', 'lost', 'snapshot'],
