Of versions that come at once only the newest is decoded

Class: work in proportion to history where only the state matters. Evidence: inforce.test.ts decoded 1, 2, 3, 4 where only 4 matters before, and decodes 4 now. Change: the newest readable version of a batch is put in force; one that cannot be read gives way to the one before it. Looked for elsewhere: entries of upstreams are small and each one counts.

--- a/src/gateway/allowanceloans.ts
+++ b/src/gateway/allowanceloans.ts
@@ -1,6 +1,6 @@
 /** Loans of prepaid units between daemons. */
-import { loanUnits, netSpent } from '../allowance/index.js';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { loanUnits, netSpent } from '../allowance/index.js';
 
 import { available, counterOf, passUnits } from '../budget/index.js';
 import { instanceOf } from '../kernel/index.js';
--- a/src/gateway/inforce.ts
+++ b/src/gateway/inforce.ts
@@ -46,8 +46,8 @@
     const configurationPrefix = configurationKey.slice(0, configurationKey.indexOf('/') + 1);
     this.#followers = [
       this.#follow(configurationPrefix, {
-        onSnapshot: ({ objects }) => objects.forEach((object) => this.#configure(object)),
-        onChanges: (changes) => changes.forEach((change) => this.#configure(change)),
+        onSnapshot: ({ objects }) => this.#configureNewest(objects),
+        onChanges: (changes) => this.#configureNewest(changes),
       }),
       this.#follow(upstreamsPrefix, {
         onSnapshot: (snapshot) => this.#replaceUpstreams(snapshot),
@@ -113,23 +113,32 @@
     this.recorder.record('storeRegained', { facts: { prefix } });
   }
 
-  #configure({ key, version, value }: ObjectChange): void {
-    if (key !== this.adapter.configurationKey) return;
+  /** Puts the newest version in force that can be read: decoding each of a storm takes seconds. */
+  #configureNewest(changes: readonly ObjectChange[]): void {
+    const versions = changes
+      .filter(({ key }) => key === this.adapter.configurationKey)
+      .sort((a, b) => b.version - a.version);
+    versions.some((change) => this.#configure(change));
+  }
+
+  /** Decodes one version; tells whether it could be read. */
+  #configure({ version, value }: ObjectChange): boolean {
     const decoded = this.adapter.decodeConfiguration(value);
     if (decoded.err) {
       const kept = this.#table?.configuration.version ?? 0;
       const facts = { revision: version, kept };
       this.recorder.record('configRejected', { detail: decoded.val, facts });
-      return;
+      return false;
     }
     const next = decoded.val;
     const before = this.#table?.configuration.version ?? 0;
     // A stale read must not bring an older version back.
-    if (next.version <= before) return;
+    if (next.version <= before) return true;
     this.#table = new RouteTable(next);
     const facts = { version: next.version, before, revision: version, routes: next.routes.length };
     this.recorder.record('configApplied', { facts });
     this.onConfiguration();
+    return true;
   }
 
   #replaceUpstreams({ objects, position }: Snapshot): void {
--- a/src/gateway/routetable.ts
+++ b/src/gateway/routetable.ts
@@ -3,7 +3,7 @@
 
 /** A configuration, indexed for requests. */
 export class RouteTable {
-  readonly #byHost = new Map<string, readonly GatewayRoute[]>();
+  readonly #byHost = new Map<string, GatewayRoute[]>();
 
   readonly #byKey = new Map<string, GatewayWorkspace>();
 
@@ -16,7 +16,9 @@
       (a, b) => b.pathPrefix.length - a.pathPrefix.length,
     );
     longestFirst.forEach((route) => {
-      this.#byHost.set(route.host, [...(this.#byHost.get(route.host) ?? []), route]);
+      const routes = this.#byHost.get(route.host);
+      if (routes) routes.push(route);
+      else this.#byHost.set(route.host, [route]);
     });
     configuration.workspaces?.forEach((workspace) => {
       workspace.keys.forEach((key) => this.#byKey.set(key, workspace));
--- /dev/null
+++ b/src/gateway/tests/inforce.test.ts
@@ -0,0 +1,80 @@
+import test from 'ava';
+import { pino } from 'pino';
+
+import { LateStore } from '../../../testbed/latestore.js';
+import { waitFor } from '../../../testbed/wait.js';
+import { Err, newIncarnation, Ok, SteadyClock, SystemClock } from '../../kernel/index.js';
+import { Recorder } from '../../telemetry/index.js';
+import { InForce } from '../inforce.js';
+
+import type { Result } from '../../kernel/index.js';
+import type { ObjectChange, StoreError, WatchBatch } from '../../store/index.js';
+import type { PlatformAdapter } from '../adapter.js';
+import type { GatewayConfiguration } from '../configuration.js';
+
+const KEY = 'config/main';
+
+function configuration(version: number): GatewayConfiguration {
+  const limits = { headerBytes: 1, bodyBytes: 1, headerMs: 1, idleMs: 1 };
+  return { version, routes: [], services: [], workspaces: undefined, limits };
+}
+
+/** Gives prepared changes with the first watch of the configuration. */
+class StormStore extends LateStore {
+  #isGiven = false;
+
+  constructor(private readonly changes: readonly ObjectChange[]) {
+    super(() => 'answered');
+  }
+
+  override async watch(
+    prefix: string,
+    position: number,
+    waitMs: number,
+  ): Promise<Result<WatchBatch, StoreError>> {
+    if (!KEY.startsWith(prefix) || this.#isGiven) return super.watch(prefix, position, waitMs);
+    this.#isGiven = true;
+    return Ok({ changes: this.changes, position: this.changes.length });
+  }
+}
+
+interface Row {
+  readonly title: string;
+  /** Versions as one watch brings them; 0 for one that cannot be read. */
+  readonly versions: readonly number[];
+  /** Versions that are decoded, in order. */
+  readonly decoded: readonly number[];
+  readonly inForce: number | undefined;
+}
+
+const ROWS: readonly Row[] = [
+  { title: 'a storm', versions: [1, 2, 3, 4], decoded: [4], inForce: 4 },
+  { title: 'one change', versions: [7], decoded: [7], inForce: 7 },
+  { title: 'a last version that cannot be read', versions: [1, 2, 0], decoded: [0, 2], inForce: 2 },
+  { title: 'nothing that can be read', versions: [0, 0], decoded: [0, 0], inForce: undefined },
+];
+
+ROWS.forEach(({ title, versions, decoded, inForce }) => {
+  test(`of versions that come at once only the newest is decoded: ${title}`, async (t) => {
+    const seen: number[] = [];
+    const changes = versions.map((value, index) => ({ key: KEY, version: index + 1, value }));
+    const adapter = {
+      store: new StormStore(changes),
+      configurationKey: KEY,
+      upstreamsPrefix: 'upstreams/',
+      decodeConfiguration: (value: unknown) => {
+        seen.push(value as number);
+        return value === 0 ? Err('unreadable') : Ok(configuration(value as number));
+      },
+      decodeUpstream: () => Err('none'),
+    } as unknown as PlatformAdapter;
+    const sinks = { logger: pino({ level: 'silent' }), metrics: undefined };
+    const recorder = new Recorder(newIncarnation('a'), new SystemClock(), sinks);
+    const followed = new InForce(adapter, recorder, new SteadyClock());
+    followed.start();
+    t.teardown(() => followed.stop());
+    await waitFor('all is decoded', () => seen.length >= decoded.length);
+    t.deepEqual(seen, [...decoded]);
+    t.is(followed.table?.configuration.version, inForce);
+  });
+});
