Answers of upstreams that never end no longer hold a request or the memory

Callers saw: a request that its upstream had refused as not run was held to its deadline and ended as timed out, where the refusal had a body without an end; a stream that may be resumed kept any number of bytes of an event without an end. Cause: an answer that is not passed on was read to its end, to use the connection again; the unfinished event had no bound. A head without an end was bounded already, by size and by the time of the request. Change: an answer that is dropped has 100 ms and 64 KB, then its connection is given up; an unfinished event has 1 MB.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -49,6 +49,12 @@
 /** Status codes from which an answer counts as a failure of the upstream. */
 const FAILURE_STATUS = 500;
 
+/** Longest time in which an answer that is dropped may end, in milliseconds: worth less than a new connection. */
+const DROP_MS = 100;
+
+/** Most bytes of an answer that is dropped, for the same reason. */
+const DROP_BYTES = 65_536;
+
 /** Names and values in turns, from the parsed headers of an answer. */
 function flatten(headers: Readonly<Record<string, string | string[] | undefined>>): string[] {
   return Object.entries(headers).flatMap(([name, value]) =>
@@ -64,6 +70,10 @@
 
   readonly #answerLimit: NodeJS.Timeout | undefined;
 
+  #dropLimit: NodeJS.Timeout | undefined;
+
+  #droppedBytes = 0;
+
   #stage: Stage = 'queued';
 
   #head: AnswerHead | undefined;
@@ -128,12 +138,23 @@
     const isFailure = status >= FAILURE_STATUS;
     const isResumed = this.cfg.call.reply.isBegun;
     this.#isDropped = head.isNotRun || (isFailure && (!this.cfg.relaysFailure || isResumed));
+    if (this.#isDropped) {
+      this.#dropLimit = setTimeout(() => this.#abandon(this.#dropped(head)), DROP_MS);
+    }
   }
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (this.#stage === 'done' || this.#isDropped) return;
+    if (this.#stage === 'done') return;
+    if (this.#isDropped) {
+      this.#drop(chunk.length);
+      return;
+    }
     this.cfg.onProgress(undefined);
     const bytes = this.#passable(chunk);
+    if (this.cfg.call.events.isOversized) {
+      this.#broken('an event without an end');
+      return;
+    }
     if (bytes.length === 0) return;
     this.#begin();
     if (!this.cfg.call.reply.write(bytes)) controller.pause();
@@ -171,6 +192,12 @@
     return ending === undefined || (ending === 'closed' && !isFramed);
   }
 
+  /** Reads on, so that the connection can be used again, but not for long. */
+  #drop(bytes: number): void {
+    this.#droppedBytes += bytes;
+    if (this.#droppedBytes > DROP_BYTES && this.#head) this.#abandon(this.#dropped(this.#head));
+  }
+
   #dropped({ status, isNotRun }: AnswerHead): SendOutcome {
     return isNotRun ? { kind: 'not-run', status } : { kind: 'failed', status };
   }
@@ -217,6 +244,7 @@
     this.#stage = 'done';
     clearTimeout(this.#limit);
     clearTimeout(this.#answerLimit);
+    clearTimeout(this.#dropLimit);
     const { reply, events } = this.cfg.call;
     reply.onGone = () => undefined;
     reply.onDrain = () => undefined;
--- a/src/gateway/eventstream.ts
+++ b/src/gateway/eventstream.ts
@@ -3,6 +3,9 @@
 /** Ends an event. */
 const EVENT_END = Buffer.from('\n\n');
 
+/** Largest unfinished event that is held, in bytes: thousands of usual ones. */
+const MAX_PARTIAL_BYTES = 1_048_576;
+
 const ID_FIELD = /^id:\s*(.*)$/m;
 
 /** Whole events that a chunk completed. */
@@ -26,6 +29,11 @@
     return this.#partial.length > 0;
   }
 
+  /** Whether an event is larger than may be held. */
+  get isOversized(): boolean {
+    return this.#partial.length > MAX_PARTIAL_BYTES;
+  }
+
   /**
    * Takes bytes as they arrive.
    * @param chunk - the bytes
