A daemon that keeps no units asks every holder before it refuses

Cause: two holders were asked, and an answer of either counted as the last word, since a holder draws before it answers; one that the store turns away cannot. Class: an answer without knowledge taken for a negative answer. Evidence: the test failed before (refused with 33,000 units ready at the third holder) and passes now.

--- a/src/gateway/allowances.ts
+++ b/src/gateway/allowances.ts
@@ -23,7 +23,7 @@
 /** Peers that are asked for one shortage. */
 const MAX_PEERS = 6;
 
-/** Peers that are asked before the store. */
+/** Peers that a holder asks before the store. */
 const FIRST_PEERS = 2;
 
 /** Delay after which a refused caller may come back, in milliseconds: running requests settle. */
@@ -173,7 +173,7 @@
     // A call to the store has its price, and peers that hold more than they need answer as fast.
     const isHolder = this.ctx.holders.isHolder(workspace);
     if (!isHolder || this.#loans.peersHold(workspace, units)) {
-      await this.#loans.borrow(workspace, units, FIRST_PEERS);
+      await this.#loans.borrow(workspace, units, isHolder ? FIRST_PEERS : MAX_PEERS);
     }
     if (reserved()) return true;
     // Holders that answer have asked the store already.
--- a/src/gateway/tests/leftovers.test.ts
+++ b/src/gateway/tests/leftovers.test.ts
@@ -78,6 +78,18 @@
   });
 });
 
+test('a daemon that keeps no units asks every holder before it refuses', async (t) => {
+  const fleet = new AllowanceFleet(SHAPE);
+  const members = [...fleet.members.values()];
+  const borrower = members.find(({ holders }) => !holders.isHolder(WORKSPACE));
+  const last = borrower?.holders.others(WORKSPACE).at(-1) ?? '';
+  fleet.members.get(last)?.allowances.refresh();
+  await delay(SETTLE_MS);
+  fleet.storeFate = 'refused';
+  const reserved = await borrower?.allowances.reserve(WORKSPACE, WORST_CASE, 200);
+  t.is(reserved?.ok, true);
+});
+
 test('units that are given up in a write that fails are free after the next one', async (t) => {
   const fleet = new AllowanceFleet({ dataCentres: ['x'], perDataCentre: 4, paid: 1_000 });
   const members = [...fleet.members.values()];
