A store that had nothing free a moment ago is not asked again for each refusal

Cause: each request that found too little at a holder made it write its row, also where the store had shown a moment before that nothing was free. Class: retries against an exhausted resource without a pause. Change: for half a second after the row was last written without free units left, no draw is made for a request.

--- a/src/allowance/holding.ts
+++ b/src/allowance/holding.ts
@@ -47,6 +47,9 @@
 /** Share of what is unspent from which idle units are given back at once. */
 const SHED_SHARE = 0.02;
 
+/** Time for which a store that had nothing free is not asked again, in milliseconds: half of a refused caller's delay. */
+const DRAINED_MS = 500;
+
 /** Least share of the smoothing that counts for a daemon's first requests: one is no trend. */
 const MIN_WEIGHT = 0.6;
 
@@ -247,6 +250,17 @@
   return view.free - rowGrant(escrow) > 0 && isLow(available(escrow), target);
 }
 
+/**
+ * Says whether another draw would find nothing.
+ * @param holding - the holding
+ * @param now - milliseconds
+ * @returns whether the store had no free units a moment ago
+ */
+export function isDrained({ view, escrow, reportedAt }: AllowanceHolding, now: number): boolean {
+  if (!view || now - reportedAt >= DRAINED_MS) return false;
+  return view.free - rowGrant(escrow) <= 0;
+}
+
 /** Whether a reservation fitted. */
 export interface AllowanceReservation {
   readonly holding: AllowanceHolding;
--- a/src/gateway/allowances.ts
+++ b/src/gateway/allowances.ts
@@ -1,7 +1,7 @@
 /** Prepaid units of this daemon: decides whether a request may spend, and where more comes from. */
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { isInRow, netSpent, wantsDraw } from '../allowance/index.js';
+import { isDrained, isInRow, netSpent, wantsDraw } from '../allowance/index.js';
 import { Err, failure, Ok } from '../kernel/index.js';
 import { AllowanceLoans } from './allowanceloans.js';
 import { AllowanceReturns } from './allowancereturns.js';
@@ -157,8 +157,13 @@
   /** Draws for a daemon that asks for more than is ready. */
   async #restock(workspace: string): Promise<void> {
     if (!this.ctx.isStoreUp()) return;
-    const drawn = this.#rows.draw(this.#rows.shardOf(workspace));
-    await Promise.race([drawn, sleep(STORE_FIRST_MS)]);
+    await Promise.race([this.#draw(workspace), sleep(STORE_FIRST_MS)]);
+  }
+
+  /** Draws for a request, unless the store had nothing free a moment ago. */
+  #draw(workspace: string): Promise<boolean> {
+    const isVain = isDrained(this.#holdings.of(workspace), this.ctx.clock.now());
+    return isVain ? Promise.resolve(false) : this.#rows.draw(this.#rows.shardOf(workspace));
   }
 
   /** Whether this daemon has a part in the row of a workspace to look after. */
@@ -178,7 +183,7 @@
     if (reserved()) return true;
     // Holders that answer have asked the store already.
     if (!isHolder && this.#loans.hasAnswered(workspace)) return false;
-    const drawn = this.#rows.draw(this.#rows.shardOf(workspace));
+    const drawn = this.#draw(workspace);
     if (this.ctx.isStoreUp()) await Promise.race([drawn, sleep(STORE_FIRST_MS)]);
     if (reserved()) return true;
     await this.#loans.borrow(workspace, units, MAX_PEERS);
