The number of shard objects is kept in the store

Change: the first fleet stores its number, all later daemons use that one and log 8109 where their settings ask for another. The key of the peer links is agreed on by the same function.

--- a/src/gateway/membership.ts
+++ b/src/gateway/membership.ts
@@ -5,6 +5,7 @@
 import { instanceOf } from '../kernel/index.js';
 import { WsPeerNetwork } from '../link/index.js';
 import { Follower } from '../store/index.js';
+import { agreeOn } from './agreement.js';
 import { DAEMONS_PREFIX, FollowedInstances } from './followedinstances.js';
 
 import type { Clock, Incarnation } from '../kernel/index.js';
@@ -85,7 +86,12 @@
    */
   static async join(cfg: MembershipConfig): Promise<Membership> {
     const instances = new FollowedInstances();
-    const fleetKey = await Membership.#fleetKey(cfg.store);
+    const fleetKey = await agreeOn(
+      cfg.store,
+      FLEET_KEY,
+      (value) => typeof value === 'string',
+      () => randomBytes(KEY_BYTES).toString('hex'),
+    );
     const { self, host, port, recorder } = cfg;
     const links = new WsPeerNetwork({
       self,
@@ -131,23 +137,6 @@
     this.cfg.recorder.record('daemonsListed', { facts });
   }
 
-  /** One daemon makes the key; whoever loses that race reads it. */
-  static async #fleetKey(store: SnapshotStore): Promise<string> {
-    for (;;) {
-      // eslint-disable-next-line no-await-in-loop
-      const found = await store.read(FLEET_KEY);
-      if (found.ok && typeof found.val.value === 'string') return found.val.value;
-      if (found.ok) {
-        const key = randomBytes(KEY_BYTES).toString('hex');
-        // eslint-disable-next-line no-await-in-loop
-        const written = await store.write(FLEET_KEY, key, found.val.version);
-        if (written.ok) return key;
-      }
-      // eslint-disable-next-line no-await-in-loop
-      await sleep(RETRY_MS * Math.random());
-    }
-  }
-
   async #register(): Promise<void> {
     const { self, store, dataCentre, host, port } = this.cfg;
     const key = `${DAEMONS_PREFIX}${instanceOf(self)}`;
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -6,6 +6,7 @@
 import { SteadyClock } from '../kernel/index.js';
 import { RetryBudget } from '../route/index.js';
 import { Allowances } from './allowances.js';
+import { agreeOn } from './agreement.js';
 import { Announcements } from './announcements.js';
 import { Durations } from './durations.js';
 import { FleetView } from './fleetview.js';
@@ -24,6 +25,9 @@
 import type { GatewaySettings } from './settings.js';
 import type { StopLoad, StopWindow } from './stopping.js';
 
+/** Object that holds the number of shard objects. */
+const SHARDS_KEY = 'fleet/allowance-shards';
+
 /** Part of the fleet's repeats that is left unused: daemons do not see each other's. */
 const RETRY_MARGIN = 0.7;
 
@@ -114,7 +118,7 @@
     });
     membership.start();
     this.#membership = membership;
-    const allowances = this.#makeAllowances(membership);
+    const allowances = this.#makeAllowances(membership, await this.#agreeOnShards());
     this.#allowances = allowances;
     allowances.whenFenced(() => this.onFenced());
     this.inForce.onConfiguration = () => allowances.refresh();
@@ -208,8 +212,18 @@
     this.recorder.flush();
   }
 
-  #makeAllowances(membership: Membership): Allowances {
-    const { shards, aloneSeconds, exposure, idlePart, holdersUpTo } = this.settings.allowances;
+  /** Rows under another number of shards would not be found, and what was spent would be forgotten. */
+  async #agreeOnShards(): Promise<number> {
+    const { shards: wanted } = this.settings.allowances;
+    const isCount = (value: unknown): value is number =>
+      Number.isInteger(value) && Number(value) > 0;
+    const shards = await agreeOn(this.adapter.store, SHARDS_KEY, isCount, () => wanted);
+    if (shards !== wanted) this.recorder.record('shardsKept', { facts: { shards, wanted } });
+    return shards;
+  }
+
+  #makeAllowances(membership: Membership, shards: number): Allowances {
+    const { aloneSeconds, exposure, idlePart, holdersUpTo } = this.settings.allowances;
     const { clock, recorder } = this;
     const { network } = membership;
     const { dataCentre } = this.settings;
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -42,7 +42,7 @@
       .prefault({}),
     allowances: z
       .strictObject({
-        /** Shard objects in the store; the same at every daemon. */
+        /** Shard objects in the store; the number that a fleet started with stays. */
         shards: z.number().int().positive().default(8),
         /** Time that a daemon should be able to serve without store and peers, in seconds. */
         aloneSeconds: z.number().positive().default(10),
--- /dev/null
+++ b/src/gateway/tests/agreement.test.ts
@@ -0,0 +1,63 @@
+import test from 'ava';
+
+import { LateStore } from '../../../testbed/latestore.js';
+import { agreeOn } from '../agreement.js';
+
+import type { CallFate } from '../../../testbed/latestore.js';
+
+const KEY = 'fleet/number';
+
+interface Row {
+  readonly title: string;
+  readonly stored: unknown;
+  readonly proposed: number;
+  /** What becomes of the first calls. */
+  readonly fates: readonly CallFate[];
+  readonly agreed: number;
+}
+
+const ROWS: readonly Row[] = [
+  { title: 'nothing is stored', stored: undefined, proposed: 8, fates: [], agreed: 8 },
+  { title: 'another value is stored', stored: 2, proposed: 8, fates: [], agreed: 2 },
+  { title: 'what is stored cannot be used', stored: 'x', proposed: 8, fates: [], agreed: 8 },
+  {
+    title: 'the answer to the write is lost',
+    stored: undefined,
+    proposed: 8,
+    fates: ['answered', 'lost-after'],
+    agreed: 8,
+  },
+  {
+    title: 'the store refuses at first',
+    stored: 2,
+    proposed: 8,
+    fates: ['refused', 'lost-before'],
+    agreed: 2,
+  },
+];
+
+function isNumber(value: unknown): value is number {
+  return typeof value === 'number';
+}
+
+ROWS.forEach(({ title, stored, proposed, fates, agreed }) => {
+  test(`daemons share a value: ${title}`, async (t) => {
+    const left = [...fates];
+    let isPrepared = false;
+    const store = new LateStore(() => (isPrepared ? (left.shift() ?? 'answered') : 'answered'));
+    if (stored !== undefined) await store.write(KEY, stored, 0);
+    isPrepared = true;
+    t.is(await agreeOn(store, KEY, isNumber, () => proposed), agreed);
+    t.is(store.peek(KEY), agreed);
+  });
+});
+
+test('daemons that propose different values at once share one', async (t) => {
+  const store = new LateStore(() => 'answered');
+  const proposals = [1, 2, 3, 4, 5];
+  const agreed = await Promise.all(
+    proposals.map((proposal) => agreeOn(store, KEY, isNumber, () => proposal)),
+  );
+  t.deepEqual(new Set(agreed).size, 1);
+  t.is(store.peek(KEY), agreed[0]);
+});
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -89,6 +89,7 @@
   allowancesHeld: { number: 8106, level: 'info', text: 'prepaid units that this daemon has ready' },
   allowanceReturned: { number: 8107, level: 'info', text: 'prepaid units passed on unasked' },
   allowanceLate: { number: 8108, level: 'info', text: 'a loan came after its time limit' },
+  shardsKept: { number: 8109, level: 'warn', text: 'the stored number of shard objects counts' },
   settingsReloaded: { number: 1009, level: 'info', text: 'settings file read again' },
   linesDropped: { number: 1010, level: 'warn', text: 'log lines dropped: the receiver is slow' },
   attemptCancelled: { number: 7002, level: 'debug', text: 'attempt cancelled at the engine' },
