Daemons that start at once draw their first units at different moments

Callers saw: after a restart of all daemons, requests refused for the lack of units that were free in the store. Cause: all daemons drew in the same moment and then at the same moments of every second. Class: timers that start together stay together. Tried and dropped: a random pause after the second conflict (7 of 16 daemons had units after 1 s): the version that a conflict shows is stale by the time it is used; and more writes before giving up, with that pause (14 of 16). Change: the first draw comes at a random moment of the refresh interval. Draws for requests do not wait for it.

--- a/src/gateway/allowances.ts
+++ b/src/gateway/allowances.ts
@@ -67,11 +67,17 @@
     this.#rows.onFenced = onFenced;
   }
 
-  /** Draws a first part of every workspace and reports at intervals from then on; nothing after a stop. */
+  /**
+   * Draws a first part of every workspace and reports at intervals from then on; nothing after a stop.
+   * The first draw comes at a random moment of the interval: daemons that start at once would all write
+   * to the same objects at the same moments.
+   */
   start(): void {
-    if (this.#holdings.isClosed) return;
-    this.refresh();
-    this.#timer = setInterval(() => this.refresh(), REFRESH_MS);
+    this.#timer = setTimeout(() => {
+      if (this.#holdings.isClosed) return;
+      this.refresh();
+      this.#timer = setInterval(() => this.refresh(), REFRESH_MS);
+    }, REFRESH_MS * Math.random());
   }
 
   /** Draws what runs low and reports what was spent. */
--- a/testbed/allowancefleet.ts
+++ b/testbed/allowancefleet.ts
@@ -34,6 +34,8 @@
   readonly dataCentres: readonly string[];
   readonly perDataCentre: number;
   readonly paid: number;
+  /** Most daemons of a data centre in which all of them keep units; default 3. */
+  readonly allUpTo?: number;
 }
 
 /** Daemons on a sound store and links that the test may harm. */
@@ -97,7 +99,7 @@
       daemons: () =>
         [...this.#places].map(([other, place]) => ({ name: other, dataCentre: place })),
       clock,
-      allUpTo: 3,
+      allUpTo: this.shape.allUpTo ?? 3,
     });
     const network = this.#hub.join(self);
     const allowances = new Allowances({
--- a/testbed/latestore.ts
+++ b/testbed/latestore.ts
@@ -36,6 +36,9 @@
   /** Calls so far. */
   calls = 0;
 
+  /** Time that every read and write takes, in milliseconds. */
+  answerMs = 0;
+
   /**
    * Creates a store.
    * @param fate - draws what becomes of the next call
@@ -46,6 +49,7 @@
 
   override async read(key: string): Promise<Result<StoredObject, StoreError>> {
     this.calls += 1;
+    if (this.answerMs > 0) await sleep(this.answerMs);
     const fate = this.fate();
     if (fate === 'refused') return this.#err(key, 'refused');
     if (fate !== 'answered') return this.#err(key, 'lost');
@@ -58,6 +62,7 @@
     expected: number,
   ): Promise<Result<number, StoreError>> {
     this.calls += 1;
+    if (this.answerMs > 0) await sleep(this.answerMs);
     const fate = this.fate();
     const write = { key, value: structuredClone(value), expected };
     if (fate === 'refused') return this.#err(key, 'refused');
