A daemon that is ending takes no units, and a question without a shortage leaves no log line

Callers saw: nothing traced to it; found by reading. Units that are passed on to a holder whose rows are closed were lost. Evidence: 'a daemon that has closed its rows is given no units' failed before (800 of 1,000 units gone) and passes now. Change: such a daemon answers neither the question nor the gift; the giver goes on to the next holder or keeps the units. 8103 is written only where units were asked for or lent: the question before each gift had doubled its lines. The wait for a peer ends its timer.

--- a/src/gateway/allowanceloans.ts
+++ b/src/gateway/allowanceloans.ts
@@ -99,6 +99,7 @@
   #receive(message: PeerMessageOf<'lent'>): PeerMessageOf<'lent'> {
     const { budget, borrower, lender, passed } = message;
     if (borrower !== this.ctx.self) throw new Error(`units for another life: ${borrower}`);
+    if (this.holdings.isClosed) throw new Error('units for a daemon that is ending');
     if (budget === undefined) return message;
     const units = this.holdings.noteBorrowed(budget, { peer: lender, units: passed });
     this.holdings.noteReturned(budget, units);
@@ -144,7 +145,10 @@
       .then((reply) => {
         if (reply.ok) this.#take(workspace, reply.val, this.ctx.clock.now() - askedAt);
       });
-    await Promise.race([taken, sleep(PEER_MS)]);
+    const waited = new AbortController();
+    const limit = sleep(PEER_MS, undefined, { signal: waited.signal }).catch(() => undefined);
+    await Promise.race([taken, limit]);
+    waited.abort();
   }
 
   /** Takes a loan, also a late one: the lender has counted it. */
@@ -174,6 +178,8 @@
   async #lend(message: PeerMessageOf<'borrow'>, from: Incarnation): Promise<PeerMessageOf<'lent'>> {
     const { budget, missing, wanted } = message;
     const { holders, self } = this.ctx;
+    // A peer that asks for nothing looks for a daemon that may be given units.
+    if (missing === 0 && this.holdings.isClosed) throw new Error('asked a daemon that is ending');
     const isForAnother = missing > 0 && !holders.isHolder(budget, from);
     if (isForAnother && holders.isHolder(budget)) await this.#prepare(budget, missing);
     const holding = this.holdings.of(budget);
@@ -185,7 +191,9 @@
     if (isForAnother && units > 0) this.holdings.noteLent(budget, units);
     const left = available(escrow);
     const facts = { units, missing, left };
-    this.ctx.recorder.record('allowanceLent', { budget, peer: from, facts });
+    if (missing > 0 || units > 0) {
+      this.ctx.recorder.record('allowanceLent', { budget, peer: from, facts });
+    }
     const passed = counterOf(escrow.passed, from);
     const { view } = holding;
     const unspent = view && Math.max(0, view.unspent - netSpent(escrow));
