--- a/src/daemon/tests/arming.test.ts
+++ b/src/daemon/tests/arming.test.ts
@@ -12,9 +12,14 @@
 /** Time after which every daemon has the platform's new list, in milliseconds. */
 const LIST_MS = 6_000;
 
+/** Time in which a plan must not move on, in milliseconds: some steps of its executor. */
+const STILL_MS = 2_000;
+
 /** Longest time until a killed daemon has been recovered, in milliseconds. */
 const RECOVERY_MS = 30_000;
 
+const PLAN = { kind: 'upstream', name: 'leave', upstream: 'engine-1', orders: [] } as const;
+
 test('a plan is not armed while a daemon off the list holds units and has not ended', async (t) => {
   const fleet = await Fleet.start({ daemons: 3, units: 10_000 });
   t.teardown(() => fleet.stop());
@@ -24,14 +29,17 @@
   fleet.list.set([first.listed, second.listed]);
   await delay(LIST_MS);
 
-  const plan = { kind: 'upstream', name: 'leave', upstream: 'engine-1', orders: [] } as const;
-  await fleet.publish({ ...fleet.documents, plans: [plan] });
+  // A daemon that carries the plan out knows of it, also one off the list: another has to declare it.
+  hidden.child.signal('SIGSTOP');
+  await fleet.publish({ ...fleet.documents, plans: [PLAN] });
   const stored = (): PlanState => fleet.store.peek('plans/leave') as PlanState;
+  await waitFor('the plan is declared', () => stored().phase === 'declared');
+  hidden.child.signal('SIGCONT');
   await waitFor('the plan waits for the hidden daemon', () =>
     stored().waitsFor.includes(`${hidden.options.name}~`),
   );
   await first.order('plans/leave', { action: 'start', operation: 'start-1' });
-  await delay(2_000);
+  await delay(STILL_MS);
   t.is(stored().phase, 'declared');
 
   hidden.child.signal('SIGKILL');
