--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -49,10 +49,10 @@
 /** Status codes from which an answer counts as a failure of the upstream. */
 const FAILURE_STATUS = 500;
 
-/** Longest time in which an answer that is dropped may end, in milliseconds: worth less than a new connection. */
+/** Longest time for reading a dropped answer to its end, so that its connection can be used again, in milliseconds. */
 const DROP_MS = 100;
 
-/** Most bytes of an answer that is dropped, for the same reason. */
+/** Most bytes of a dropped answer that are read for the same reason. */
 const DROP_BYTES = 65_536;
 
 /** Names and values in turns, from the parsed headers of an answer. */
