--- a/src/link/directory.ts
+++ b/src/link/directory.ts
@@ -1,11 +1,5 @@
 /** Instances of the fleet that links may connect. */
-import type { Instance, InstanceList } from '../store/index.js';
-
-/** Interval between fetches, in milliseconds. */
-const REFRESH_MS = 5_000;
-
-/** Least time between fetches that an unknown instance causes, in milliseconds. */
-const RECHECK_MS = 500;
+import type { Instance } from '../store/index.js';
 
 /** Knows the instances of the fleet. */
 export abstract class Directory {
@@ -22,58 +16,3 @@
    */
   abstract knows(name: string): Promise<boolean>;
 }
-
-/** Fetches the instance list at intervals; during an outage the last list stays. */
-export class PolledDirectory extends Directory {
-  #instances: readonly Instance[] = [];
-
-  #fetchedAt = 0;
-
-  #timer: NodeJS.Timeout | undefined;
-
-  /**
-   * Creates a directory.
-   * @param list - the platform's list
-   */
-  constructor(private readonly list: InstanceList) {
-    super();
-  }
-
-  /** Fetches the list now and then at intervals. */
-  async start(): Promise<void> {
-    await this.#refresh();
-    this.#timer = setInterval(() => {
-      void this.#refresh();
-    }, REFRESH_MS);
-  }
-
-  /** Ends the refreshes. */
-  stop(): void {
-    clearInterval(this.#timer);
-  }
-
-  override instances(): readonly Instance[] {
-    return this.#instances;
-  }
-
-  /**
-   * Says whether the platform lists an instance, fetching again if it is not at hand.
-   * @param name - instance name
-   * @returns whether it is listed
-   */
-  override async knows(name: string): Promise<boolean> {
-    if (this.#find(name)) return true;
-    if (performance.now() - this.#fetchedAt > RECHECK_MS) await this.#refresh();
-    return this.#find(name) !== undefined;
-  }
-
-  #find(name: string): Instance | undefined {
-    return this.#instances.find((instance) => instance.name === name);
-  }
-
-  async #refresh(): Promise<void> {
-    this.#fetchedAt = performance.now();
-    const fetched = await this.list.fetch();
-    if (fetched.ok) this.#instances = fetched.val;
-  }
-}
--- a/src/link/index.ts
+++ b/src/link/index.ts
@@ -2,4 +2,5 @@
 export * from './directory.js';
 export * from './messages.js';
 export * from './peernetwork.js';
+export * from './polleddirectory.js';
 export * from './wspeernetwork.js';
--- a/src/link/tests/links.test.ts
+++ b/src/link/tests/links.test.ts
@@ -9,7 +9,7 @@
 import { Ok, SystemClock } from '../../kernel/index.js';
 import { InstanceList } from '../../store/index.js';
 import { Recorder } from '../../telemetry/index.js';
-import { PolledDirectory } from '../directory.js';
+import { PolledDirectory } from '../polleddirectory.js';
 import { WsPeerNetwork } from '../wspeernetwork.js';
 
 import type { Instance } from '../../store/index.js';
