A stop ends in its time while a connection to one of the daemon's own listeners is silent

Cause: when the time was over the listeners for readiness and metrics were closed without a bound. A listener closes only when every connection has ended; one that is silent, or has sent no request yet, does not end. Class: an unbounded wait at the end of a bounded one. Change: closing these listeners is part of what the end of the time cuts short.

--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -69,7 +69,12 @@
     server.close();
     server.closeIdleConnections();
     const left = endTime(window) - clock.now();
-    await Promise.race([this.runtime.finishStop(), delay(Math.max(0, left))]);
+    // A listener closes only when every connection to it has ended, also a silent one.
+    await Promise.race([this.#finish(), delay(Math.max(0, left))]);
+  }
+
+  async #finish(): Promise<void> {
+    await this.runtime.finishStop();
     await Promise.all(this.own.map((listener) => listener.close()));
   }
 
