--- a/src/gateway/tests/inforce.test.ts
+++ b/src/gateway/tests/inforce.test.ts
@@ -12,7 +12,7 @@
 import type { PlatformAdapter } from '../adapter.js';
 import type { GatewayConfiguration } from '../configuration.js';
 
-const KEY = 'config/main';
+const KEY = 'configuration/current';
 
 function configuration(version: number): GatewayConfiguration {
   const limits = { headerBytes: 1, bodyBytes: 1, headerMs: 1, idleMs: 1 };
--- a/testbed/endlessserver.ts
+++ b/testbed/endlessserver.ts
@@ -5,6 +5,18 @@
 import { listenAnywhere } from './listening.js';
 import { ID_PLACEHOLDER } from './rawupstream.js';
 
+/** What the server writes. */
+export interface EndlessAnswer {
+  /** First bytes; the id of the request stands for a placeholder, see ID_PLACEHOLDER. */
+  readonly head: string;
+  /** Bytes that follow again and again. */
+  readonly piece: string;
+  /** Pause between pieces, in milliseconds; 0 for none but what the reader imposes. */
+  readonly pauseMs: number;
+  /** Header that names a request. */
+  readonly idHeader: string;
+}
+
 /** Answers every call with bytes that never end. */
 export class EndlessServer {
   readonly #sockets = new Set<Socket>();
@@ -19,12 +31,10 @@
 
   /**
    * Starts a stand-in.
-   * @param head - first bytes of each answer; the id of the attempt stands for a placeholder
-   * @param piece - bytes that follow again and again
-   * @param pauseMs - pause between pieces, in milliseconds; 0 for none but what the reader imposes
+   * @param answer - what it writes to each connection
    * @returns the stand-in, once it listens
    */
-  static async start(head: string, piece: string, pauseMs: number): Promise<EndlessServer> {
+  static async start({ head, piece, pauseMs, idHeader }: EndlessAnswer): Promise<EndlessServer> {
     const server = createServer();
     const endless = new EndlessServer(server, await listenAnywhere(server));
     server.on('connection', (socket) => {
@@ -40,7 +50,8 @@
         else setImmediate(write);
       };
       socket.once('data', (bytes) => {
-        const id = /^attempt-id: (\S+)/im.exec(bytes.toString('latin1'))?.[1] ?? '';
+        const id =
+          new RegExp(`^${idHeader}: (\\S+)`, 'im').exec(bytes.toString('latin1'))?.[1] ?? '';
         socket.write(head.replaceAll(ID_PLACEHOLDER, id));
         write();
       });
