The log and the metrics tell of a late event loop, and how long a request waited before it was sent

Event 1011 and comfreyreel_loop_delay_seconds sample the loop's delay ten times a second, at most a line a second; 8002 carries waitedMs, connectionMs and earlier. No logic is changed.

--- a/src/gateway/callrun.ts
+++ b/src/gateway/callrun.ts
@@ -11,6 +11,7 @@
 import type { Allowances } from './allowances.js';
 import type { Announcements } from './announcements.js';
 import type { Call } from './attempt.js';
+import type { Arrival } from './callerconnections.js';
 import type { GatewayRoute, GatewayWorkspace } from './configuration.js';
 import type { Durations } from './durations.js';
 import type { FleetView, KnownUpstream } from './fleetview.js';
@@ -96,15 +97,15 @@
    * @param ctx - what the run uses
    * @param call - the request
    * @param policy - what is in force for it
-   * @param arrivedAt - when it began to arrive, in milliseconds
+   * @param arrival - when it began to arrive, and on what connection
    */
   constructor(
     private readonly ctx: CallContext,
     private readonly call: Call,
     private readonly policy: CallPolicy,
-    arrivedAt: number,
+    private readonly arrival: Arrival,
   ) {
-    this.#startedAt = arrivedAt;
+    this.#startedAt = arrival.at;
     this.#service = RouteTable.service(policy.route, ctx.random());
     this.#placement = placementOf(call);
   }
@@ -170,7 +171,13 @@
     }
     const { placement, upstream } = found;
     this.#placed = { upstream, uncachedTokens: placement.uncachedTokens };
+    const { connectionMs, earlier } = this.arrival;
+    const waitedMs = this.ctx.clock.now() - this.#startedAt;
+    if (!isRepeat) this.ctx.metrics.sendDelay.observe(waitedMs / 1_000);
     const facts = {
+      waitedMs: Math.round(waitedMs),
+      connectionMs: Math.round(connectionMs),
+      earlier,
       delayMs: Math.round(placement.delayMs),
       load: upstream.stats.estimate(this.ctx.clock.now()),
       version: table.configuration.version,
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -47,6 +47,8 @@
     const runtime = new GatewayRuntime(settings, adapter);
     const own = await GatewayDaemon.#ownListeners(runtime);
     const ingress = await GatewayDaemon.#ingress(runtime);
+    const server = ingress.getHttpServer();
+    server.on('connection', (socket) => runtime.callers.accepted(socket));
     const { host, port } = splitAddress(settings.listen.callers);
     await ingress.listen(port, host);
     void runtime.start();
--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -14,6 +14,7 @@
 import type { Call } from './attempt.js';
 import type { CallPolicy } from './callrun.js';
 import type { ReadBody } from '../request/index.js';
+import type { Arrival } from './callerconnections.js';
 import type { CallerLimits } from './configuration.js';
 import type { CallHead } from './protocol.js';
 import type { RouteTable } from './routetable.js';
@@ -42,11 +43,11 @@
   async take(@Req() request: FastifyRequest, @Res() reply: FastifyReply): Promise<void> {
     reply.hijack();
     const { runtime } = this;
-    const arrivedAt = runtime.clock.now();
+    const arrival = runtime.callers.arrived(request.raw.socket);
     runtime.arrived();
     runtime.metrics.open.inc();
     try {
-      await this.#serve(request, reply, arrivedAt);
+      await this.#serve(request, reply, arrival);
     } catch (err) {
       runtime.recorder.record('requestFailed', { detail: String(err) });
       reply.raw.destroy();
@@ -56,7 +57,7 @@
     }
   }
 
-  async #serve(request: FastifyRequest, reply: FastifyReply, arrivedAt: number): Promise<void> {
+  async #serve(request: FastifyRequest, reply: FastifyReply, arrival: Arrival): Promise<void> {
     const { raw: req, originalUrl: target } = request;
     const caller = new HttpReply(reply.raw, () => this.runtime.isStopping);
     const { headers: codec } = this.runtime.adapter;
@@ -87,7 +88,7 @@
       reply: caller,
       events: new EventStream(),
     };
-    await new CallRun(calls, call, found, arrivedAt).run();
+    await new CallRun(calls, call, found, arrival).run();
   }
 
   #policyOf(head: CallHead, host: string, target: string): CallPolicy | Failure {
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -4,6 +4,9 @@
 /** Upper bounds of the latency buckets, in seconds: from a store call to a long stream. */
 const LATENCY_BUCKETS = [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 15];
 
+/** Upper bounds of the buckets for delays inside a daemon, in seconds. */
+const DELAY_BUCKETS = [0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2];
+
 /** Metrics of the gateway. */
 export class GatewayMetrics {
   readonly #registry = new Registry();
@@ -57,6 +60,22 @@
     registers: [this.#registry],
   });
 
+  /** How late timers are: work that runs in one piece, or a processor that is not there. */
+  readonly loopDelay = new Histogram({
+    name: 'comfreyreel_loop_delay_seconds',
+    help: 'Delay of the event loop, sampled ten times a second',
+    buckets: DELAY_BUCKETS,
+    registers: [this.#registry],
+  });
+
+  /** Time from the arrival of a request to its first send. */
+  readonly sendDelay = new Histogram({
+    name: 'comfreyreel_send_delay_seconds',
+    help: 'Time from the arrival of a request to its first send',
+    buckets: DELAY_BUCKETS,
+    registers: [this.#registry],
+  });
+
   /** Requests in progress. */
   readonly open = new Gauge({
     name: 'comfreyreel_open_requests',
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -8,10 +8,12 @@
 import { Allowances } from './allowances.js';
 import { agreeOn } from './agreement.js';
 import { Announcements } from './announcements.js';
+import { CallerConnections } from './callerconnections.js';
 import { Durations } from './durations.js';
 import { FleetView } from './fleetview.js';
 import { Holders } from './holders.js';
 import { InForce } from './inforce.js';
+import { LoopDelay } from './loopdelay.js';
 import { Membership } from './membership.js';
 import { GatewayMetrics } from './metrics.js';
 import { takesDuringStop } from './stopping.js';
@@ -62,6 +64,8 @@
 
   readonly metrics = new GatewayMetrics();
 
+  readonly callers = new CallerConnections(this.clock);
+
   readonly recorder: Recorder;
 
   readonly inForce: InForce;
@@ -70,6 +74,8 @@
 
   readonly durations = new Durations();
 
+  readonly #loopDelay: LoopDelay;
+
   #load: StopLoad = { active: 0, arrivedAt: Number.NEGATIVE_INFINITY };
 
   #membership: Membership | undefined;
@@ -96,6 +102,7 @@
   ) {
     const { instance, dataCentre, logLevel } = settings;
     this.recorder = makeRecorder({ instance, dataCentre, logLevel });
+    this.#loopDelay = new LoopDelay(this.clock, this.recorder, this.metrics);
     this.inForce = new InForce(adapter, this.recorder, this.clock);
     const { tokensPerMs } = settings.engines;
     const options = { ...DELAYS, tokensPerMs };
@@ -105,6 +112,7 @@
   /** Follows the store and joins the fleet; comes back once the store has answered. */
   async start(): Promise<void> {
     this.recorder.record('daemonStarted', { peer: this.recorder.source });
+    this.#loopDelay.start();
     this.inForce.start();
     const { host, port } = splitAddress(this.settings.listen.peers);
     const membership = await Membership.join({
@@ -208,6 +216,7 @@
     await this.#allowances?.stop();
     await this.#membership?.stop();
     this.fleet.close();
+    this.#loopDelay.stop();
     this.recorder.record('daemonStopped', { facts: { active: this.#load.active } });
     this.recorder.flush();
   }
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -91,6 +91,7 @@
   allowanceLate: { number: 8108, level: 'info', text: 'a loan came after its time limit' },
   shardsKept: { number: 8109, level: 'warn', text: 'the stored number of shard objects counts' },
   settingsReloaded: { number: 1009, level: 'info', text: 'settings file read again' },
+  loopDelayed: { number: 1011, level: 'warn', text: 'the event loop was late for its work' },
   linesDropped: { number: 1010, level: 'warn', text: 'log lines dropped: the receiver is slow' },
   attemptCancelled: { number: 7002, level: 'debug', text: 'attempt cancelled at the engine' },
 } as const satisfies Readonly<Record<string, EventKind>>;
