Reproduction of GONE: requests of callers that have left reach an upstream

40 callers send a request to a daemon whose event loop is busy and leave 150 ms later, long before it gets to them. 40 of 40 requests reach the upstream, for GET and POST, on new and on kept connections, for a close, a destroyed and a half-closed connection; after a reset none does.

--- /dev/null
+++ b/testbed/leavingcallersthread.ts
@@ -0,0 +1,47 @@
+/** The thread of callers that leave. */
+import { once } from 'node:events';
+import { createConnection } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
+import { parentPort, workerData } from 'node:worker_threads';
+
+import type { Socket } from 'node:net';
+import { CALLER_PLACEHOLDER } from './leavingcallers.js';
+
+import type { LeavingPlan } from './leavingcallers.js';
+
+type Message = 'ready' | 'left';
+
+function leave(socket: Socket, how: LeavingPlan['how']): void {
+  if (how === 'reset') socket.resetAndDestroy();
+  else if (how === 'destroy') socket.destroy();
+  else socket.end();
+}
+
+async function open({ host, port, earlier, how }: LeavingPlan): Promise<Socket> {
+  const socket = createConnection({ host, port, allowHalfOpen: how === 'half-close' });
+  // The daemon may reset a connection that its caller has left.
+  socket.on('error', () => undefined);
+  if (earlier === undefined) return socket;
+  socket.write(earlier);
+  await once(socket, 'data');
+  return socket;
+}
+
+async function play(plan: LeavingPlan): Promise<void> {
+  const port = parentPort;
+  if (!port) return;
+  const say = (message: Message): void => port.postMessage(message);
+  const callers = Array.from({ length: plan.callers });
+  const early = plan.earlier === undefined ? [] : await Promise.all(callers.map(() => open(plan)));
+  say('ready');
+  await once(port, 'message');
+  const sockets = early.length > 0 ? early : await Promise.all(callers.map(() => open(plan)));
+  sockets.forEach((socket, caller) => {
+    socket.write(plan.request.replaceAll(CALLER_PLACEHOLDER, String(caller)));
+  });
+  await delay(plan.leaveAfterMs);
+  sockets.forEach((socket) => leave(socket, plan.how));
+  say('left');
+}
+
+await play(workerData as LeavingPlan);
