Requests begin only after their caller's connection was read once more

Cause: the event loop of Node 20 accepts one connection in a turn, and reads the end of a connection a turn after the last request on it. Under a burst a turn took as long as all that had arrived in it, so that a queue grew in the kernel, unseen; a request was read, sent to an upstream in the same turn, and its caller's end read in the next one. Class: work begun on what is known before the newest input was looked at, behind a queue without an owner.

Change: src/ingress. A request that was read whole waits for one more poll of the sockets, and requests begin one in a turn, so that connections are accepted as fast as requests begin, and ahead of them for up to 10 ms. The end of the caller's connection ends the wait. HttpReply follows the connection instead of the response alone.

A caller that closes only its writing side still counts as one that has left: it cannot be told apart.

--- a/src/gateway/callrun.ts
+++ b/src/gateway/callrun.ts
@@ -5,13 +5,13 @@
 import { RouteTable } from './routetable.js';
 import { serveCall } from './serve.js';
 
+import type { Arrival } from '../ingress/index.js';
 import type { Clock, Failure } from '../kernel/index.js';
 import type { PlacementRequest, RetryBudget } from '../route/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { Allowances } from './allowances.js';
 import type { Announcements } from './announcements.js';
 import type { Call } from './attempt.js';
-import type { Arrival } from './callerconnections.js';
 import type { GatewayRoute, GatewayWorkspace } from './configuration.js';
 import type { Durations } from './durations.js';
 import type { FleetView, KnownUpstream } from './fleetview.js';
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -48,7 +48,7 @@
     const own = await GatewayDaemon.#ownListeners(runtime);
     const ingress = await GatewayDaemon.#ingress(runtime);
     const server = ingress.getHttpServer();
-    server.on('connection', (socket) => runtime.callers.accepted(socket));
+    server.on('connection', (socket) => runtime.accepted(socket));
     const { host, port } = splitAddress(settings.listen.callers);
     await ingress.listen(port, host);
     void runtime.start();
--- a/src/gateway/httpreply.ts
+++ b/src/gateway/httpreply.ts
@@ -3,6 +3,7 @@
 
 import { CallerReply } from './reply.js';
 
+import type { CallerConnection } from '../ingress/index.js';
 import type { AnswerHead } from './protocol.js';
 
 /** A caller on an HTTP connection. */
@@ -15,18 +16,20 @@
   /**
    * Wraps a response.
    * @param res - response of the server
+   * @param connection - connection of the request: a response that waits behind another one has no socket
    * @param isStopping - whether the connection is to close after the answer
    */
   constructor(
     private readonly res: ServerResponse,
+    connection: CallerConnection,
     private readonly isStopping: () => boolean,
   ) {
     super();
     res.on('drain', () => this.onDrain());
+    const forget = connection.onEnd(() => this.#leave());
     res.on('close', () => {
-      if (res.writableFinished) return;
-      this.isGone = true;
-      this.onGone();
+      forget();
+      this.#leave();
     });
     // A caller that resets its connection is noticed by "close".
     res.on('error', () => undefined);
@@ -72,6 +75,12 @@
     this.res.end(body);
   }
 
+  #leave(): void {
+    if (this.isGone || this.res.writableFinished) return;
+    this.isGone = true;
+    this.onGone();
+  }
+
   #closeIfStopping(): void {
     if (this.isStopping()) this.res.shouldKeepAlive = false;
   }
--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -11,10 +11,10 @@
 import { GatewayRuntime } from './runtime.js';
 
 import type { Failure, FailureCode } from '../kernel/index.js';
+import type { Arrival, CallerConnection } from '../ingress/index.js';
 import type { Call } from './attempt.js';
 import type { CallPolicy } from './callrun.js';
 import type { ReadBody } from '../request/index.js';
-import type { Arrival } from './callerconnections.js';
 import type { CallerLimits } from './configuration.js';
 import type { CallHead } from './protocol.js';
 import type { RouteTable } from './routetable.js';
@@ -25,6 +25,13 @@
 /** Bounds before a configuration is in force. */
 const DEFAULT_LIMITS: Pick<CallerLimits, 'bodyBytes'> = { bodyBytes: 4_194_304 };
 
+/** A request on its connection. */
+interface Exchange {
+  readonly caller: HttpReply;
+  readonly connection: CallerConnection;
+  readonly arrival: Arrival;
+}
+
 /** Serves callers. */
 @Controller()
 export class IngressController {
@@ -43,11 +50,13 @@
   async take(@Req() request: FastifyRequest, @Res() reply: FastifyReply): Promise<void> {
     reply.hijack();
     const { runtime } = this;
-    const arrival = runtime.callers.arrived(request.raw.socket);
+    const connection = runtime.callers.of(request.raw.socket);
+    const arrival = connection.arrived(runtime.clock.now());
     runtime.arrived();
     runtime.metrics.open.inc();
     try {
-      await this.#serve(request, reply, arrival);
+      const caller = new HttpReply(reply.raw, connection, () => runtime.isStopping);
+      await this.#serve(request, { caller, connection, arrival });
     } catch (err) {
       runtime.recorder.record('requestFailed', { detail: String(err) });
       reply.raw.destroy();
@@ -57,9 +66,9 @@
     }
   }
 
-  async #serve(request: FastifyRequest, reply: FastifyReply, arrival: Arrival): Promise<void> {
+  async #serve(request: FastifyRequest, exchange: Exchange): Promise<void> {
+    const { caller, connection, arrival } = exchange;
     const { raw: req, originalUrl: target } = request;
-    const caller = new HttpReply(reply.raw, () => this.runtime.isStopping);
     const { headers: codec } = this.runtime.adapter;
     const head = codec.decodeCall(req.rawHeaders);
     const { bodyBytes } = this.runtime.inForce.table?.configuration.limits ?? DEFAULT_LIMITS;
@@ -71,6 +80,10 @@
       this.runtime.recorder.record('callEnded', { request: head.id, detail: String(err) });
       return;
     }
+    if (!(await this.runtime.intake.turn(connection))) {
+      this.#left(head.id, arrival);
+      return;
+    }
     const found = body.isTooLarge
       ? failure('body-too-large', target)
       : this.#policyOf(head, req.headers.host ?? '', target);
@@ -111,6 +124,14 @@
     return table.workspace(key) ?? 'unknown';
   }
 
+  /** Takes note of a caller that left before its request cost anything. */
+  #left(request: string, { at, connectionMs, earlier }: Arrival): void {
+    this.runtime.metrics.requests.inc({ route: 'none', end: 'left' });
+    const waitedMs = Math.round(this.runtime.clock.now() - at);
+    const facts = { end: 'left', waitedMs, connectionMs: Math.round(connectionMs), earlier };
+    this.runtime.recorder.record('callEnded', { request, facts });
+  }
+
   #refuse(caller: HttpReply, head: CallHead, refusal: Failure): void {
     answerFailure(caller, refusal, this.runtime.adapter.headers);
     const version = this.runtime.inForce.table?.configuration.version ?? 0;
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -1,14 +1,15 @@
 /** Composes the tasks of one gateway daemon. */
 import { setTimeout as delay } from 'node:timers/promises';
 
+import type { Socket } from 'node:net';
 import { makeRecorder } from '../daemon/recording.js';
 import { splitAddress } from '../daemon/settings.js';
+import { CallerConnections, Intake } from '../ingress/index.js';
 import { SteadyClock } from '../kernel/index.js';
 import { RetryBudget } from '../route/index.js';
 import { Allowances } from './allowances.js';
 import { agreeOn } from './agreement.js';
 import { Announcements } from './announcements.js';
-import { CallerConnections } from './callerconnections.js';
 import { Durations } from './durations.js';
 import { FleetView } from './fleetview.js';
 import { Holders } from './holders.js';
@@ -66,6 +67,8 @@
 
   readonly callers = new CallerConnections(this.clock);
 
+  readonly intake = new Intake(this.clock);
+
   readonly recorder: Recorder;
 
   readonly inForce: InForce;
@@ -171,6 +174,15 @@
     return this.#load;
   }
 
+  /**
+   * Takes note of a connection that a caller has opened.
+   * @param socket - the connection
+   */
+  accepted(socket: Socket): void {
+    this.callers.of(socket);
+    this.intake.accepted();
+  }
+
   /** Takes note of a request that arrives. */
   arrived(): void {
     this.#load = { active: this.#load.active + 1, arrivedAt: this.clock.now() };
--- /dev/null
+++ b/src/ingress/callerconnections.ts
@@ -0,0 +1,29 @@
+/** Connections of callers. */
+import type { Socket } from 'node:net';
+import { CallerConnection } from './callerconnection.js';
+
+import type { Clock } from '../kernel/index.js';
+
+/** Keeps the open connections. */
+export class CallerConnections {
+  readonly #known = new WeakMap<Socket, CallerConnection>();
+
+  /**
+   * Creates an empty set.
+   * @param clock - steady clock
+   */
+  constructor(private readonly clock: Clock) {}
+
+  /**
+   * Gives the connection on a socket; a new one counts as just accepted.
+   * @param socket - the socket
+   * @returns its connection
+   */
+  of(socket: Socket): CallerConnection {
+    const known = this.#known.get(socket);
+    if (known) return known;
+    const connection = new CallerConnection(socket, this.clock.now());
+    this.#known.set(socket, connection);
+    return connection;
+  }
+}
--- /dev/null
+++ b/src/ingress/tests/intake.test.ts
@@ -0,0 +1,122 @@
+import { EventEmitter } from 'node:events';
+
+import test from 'ava';
+
+import { Clock } from '../../kernel/index.js';
+import { CallerConnection, Intake } from '../index.js';
+
+class ManualClock extends Clock {
+  constructor(private readonly read: () => number) {
+    super();
+  }
+
+  override now(): number {
+    return this.read();
+  }
+}
+
+/** What happens in one turn of the event loop before the requests that wait are looked at. */
+interface Turn {
+  /** Requests that are read whole. */
+  readonly arrive?: readonly string[];
+  /** Callers whose end is read. */
+  readonly leave?: readonly string[];
+  /** Whether a connection is accepted. */
+  readonly accepts?: boolean;
+  /** How long the turn takes, in milliseconds. */
+  readonly ms?: number;
+  /** Requests that begin, and callers that are known to have left, after it. */
+  readonly begun?: readonly string[];
+  readonly left?: readonly string[];
+}
+
+interface Row {
+  readonly title: string;
+  readonly turns: readonly Turn[];
+}
+
+const ROWS: readonly Row[] = [
+  {
+    title: 'a request alone begins after one more poll',
+    turns: [{ arrive: ['a'] }, { begun: ['a'] }, {}],
+  },
+  {
+    title: 'a caller whose end follows its request costs nothing',
+    turns: [{ arrive: ['a'] }, { leave: ['a'], left: ['a'] }, {}],
+  },
+  {
+    title: 'requests that arrive at once begin in turn, in their order',
+    turns: [
+      { arrive: ['a', 'b', 'c'] },
+      { begun: ['a'] },
+      { leave: ['c'], begun: ['b'], left: ['c'] },
+      {},
+    ],
+  },
+  {
+    title: 'connections that wait to be accepted go first, for a bounded time',
+    turns: [
+      { arrive: ['a'], accepts: true },
+      { accepts: true, ms: 4 },
+      { accepts: true, ms: 4 },
+      { accepts: true, ms: 4, begun: ['a'] },
+    ],
+  },
+  {
+    title: 'a request begins at once after the last connection',
+    turns: [{ arrive: ['a'], accepts: true }, { accepts: true }, { begun: ['a'] }],
+  },
+  {
+    title: 'long turns hold nobody back for another one',
+    turns: [
+      { arrive: ['a', 'b'], accepts: true },
+      { accepts: true, ms: 50, begun: ['a'] },
+      { accepts: true, ms: 50, begun: ['b'] },
+    ],
+  },
+  {
+    title: 'a request behind others waits for a poll of its own',
+    turns: [
+      { arrive: ['a'] },
+      { arrive: ['b'], begun: ['a'] },
+      { begun: ['b'] },
+      { arrive: ['c'] },
+      { begun: ['c'] },
+    ],
+  },
+];
+
+ROWS.forEach(({ title, turns }) => {
+  test(`a burst on one daemon: ${title}`, async (t) => {
+    const time = { now: 0 };
+    const deferred: (() => void)[] = [];
+    const intake = new Intake(new ManualClock(() => time.now), (task) => {
+      deferred.push(task);
+    });
+    const callers = new Map<string, EventEmitter>();
+    for (const [index, turn] of turns.entries()) {
+      const begun: string[] = [];
+      const left: string[] = [];
+      time.now += turn.ms ?? 0;
+      if (turn.accepts) intake.accepted();
+      turn.arrive?.forEach((name) => {
+        const socket = new EventEmitter();
+        callers.set(name, socket);
+        const connection = new CallerConnection(socket, time.now);
+        void intake.turn(connection).then((isWanted) => callers.set(`${name} ${isWanted}`, socket));
+      });
+      turn.leave?.forEach((name) => callers.get(name)?.emit('end'));
+      deferred.splice(0).forEach((task) => task());
+      // eslint-disable-next-line no-await-in-loop
+      await Promise.resolve().then(() => undefined);
+      [...callers.keys()].forEach((key) => {
+        const [name = '', wanted] = key.split(' ');
+        if (wanted === undefined) return;
+        (wanted === 'true' ? begun : left).push(name);
+        callers.delete(key);
+      });
+      t.deepEqual({ begun, left }, { begun: turn.begun ?? [], left: turn.left ?? [] }, `${index}`);
+    }
+    t.is(intake.length, 0);
+  });
+});
