A caller that leaves ends the search for its units

Change: Allowances.reserve takes a signal; a round of borrowing counts only those who still wait; a request whose caller has left is neither placed nor logged as sent.

--- a/src/gateway/allowanceloans.ts
+++ b/src/gateway/allowanceloans.ts
@@ -81,14 +81,13 @@
   /**
    * Borrows for a shortage; one round at a time for each workspace.
    * @param workspace - who pays
-   * @param units - worst case of the request
    * @param peers - most peers that are asked
    * @returns whether anything was lent
    */
-  borrow(workspace: string, units: number, peers: number): Promise<boolean> {
+  borrow(workspace: string, peers: number): Promise<boolean> {
     const running = this.#borrowing.get(workspace);
     if (running) return running;
-    const borrowing = this.#askPeers(workspace, units, peers).finally(() => {
+    const borrowing = this.#askPeers(workspace, peers).finally(() => {
       this.#borrowing.delete(workspace);
     });
     this.#borrowing.set(workspace, borrowing);
@@ -106,23 +105,27 @@
     return message;
   }
 
-  async #askPeers(workspace: string, units: number, most: number): Promise<boolean> {
+  async #askPeers(workspace: string, most: number): Promise<boolean> {
     const { recorder } = this.ctx;
     const before = available(this.holdings.of(workspace).escrow);
     const isHolder = this.ctx.holders.isHolder(workspace);
     const peers = this.#candidates(workspace).slice(0, most);
     this.#seen.set(workspace, { answered: 0, unspent: this.unspentSeen(workspace) });
+    const units = this.holdings.missing(workspace);
+    let asked = 0;
     for (const peer of peers) {
-      const needed = Math.max(this.holdings.missing(workspace), units);
-      const missing = needed - available(this.holdings.of(workspace).escrow);
+      // Asked again for each peer: whoever lacked units may have left in the meantime.
+      const missing =
+        this.holdings.missing(workspace) - available(this.holdings.of(workspace).escrow);
       if (missing <= 0) break;
+      asked += 1;
       // One peer after the other: each may cover the whole shortage.
       // eslint-disable-next-line no-await-in-loop
       await this.#askPeer(peer, workspace, missing, isHolder ? missing : 0);
     }
     const gained = available(this.holdings.of(workspace).escrow) - before;
     const answered = this.#seen.get(workspace)?.answered ?? 0;
-    const facts = { asked: peers.length, answered, units, gained };
+    const facts = { asked, answered, units, gained };
     recorder.record('allowanceBorrowed', { budget: workspace, facts });
     return gained > 0;
   }
--- a/src/gateway/allowances.ts
+++ b/src/gateway/allowances.ts
@@ -1,4 +1,5 @@
 /** Prepaid units of this daemon: decides whether a request may spend, and where more comes from. */
+import { once } from 'node:events';
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { isDrained, isInRow, netSpent, wantsDraw } from '../allowance/index.js';
@@ -110,16 +111,22 @@
    * @param workspace - who pays
    * @param units - worst case
    * @param waitMs - longest wait for store and peers, in milliseconds
+   * @param signal - ends the wait when nobody needs the units any more
    * @returns nothing, or why the units cannot be had
    */
-  async reserve(workspace: string, units: number, waitMs: number): Promise<Result<void, Failure>> {
+  async reserve(
+    workspace: string,
+    units: number,
+    waitMs: number,
+    signal?: AbortSignal,
+  ): Promise<Result<void, Failure>> {
     const paid = this.ctx.paidOf(workspace);
     if (paid === undefined) return Ok(undefined);
     if (this.#holdings.isClosed) return Err(failure('not-ready', workspace));
     if (this.#holdings.tryReserve(workspace, units)) return Ok(undefined);
     this.#holdings.noteMissing(workspace, units);
     try {
-      if (await this.#gather(workspace, units, waitMs)) return Ok(undefined);
+      if (await this.#gather(workspace, units, waitMs, signal)) return Ok(undefined);
     } finally {
       this.#holdings.noteMissing(workspace, -units);
     }
@@ -178,25 +185,36 @@
   }
 
   /** Asks peers and the store in turn until the units are reserved. */
-  async #gather(workspace: string, units: number, waitMs: number): Promise<boolean> {
+  async #gather(
+    workspace: string,
+    units: number,
+    waitMs: number,
+    signal: AbortSignal | undefined,
+  ): Promise<boolean> {
     const until = this.ctx.clock.now() + waitMs;
     const reserved = (): boolean => this.#holdings.tryReserve(workspace, units);
+    const isOver = (): boolean => signal?.aborted ?? false;
+    const ended = signal ? [once(signal, 'abort')] : [];
     // A call to the store has its price, and peers that hold more than they need answer as fast.
     const isHolder = this.ctx.holders.isHolder(workspace);
     if (!isHolder || this.#loans.peersHold(workspace, units)) {
-      await this.#loans.borrow(workspace, units, isHolder ? FIRST_PEERS : MAX_PEERS);
+      const borrowed = this.#loans.borrow(workspace, isHolder ? FIRST_PEERS : MAX_PEERS);
+      await Promise.race([borrowed, ...ended]);
     }
+    if (isOver()) return false;
     if (reserved()) return true;
     // Holders that answer have asked the store already.
     if (!isHolder && this.#loans.hasAnswered(workspace)) return false;
     const drawn = this.#draw(workspace);
-    if (this.ctx.isStoreUp()) await Promise.race([drawn, sleep(STORE_FIRST_MS)]);
+    if (this.ctx.isStoreUp()) await Promise.race([drawn, sleep(STORE_FIRST_MS), ...ended]);
+    if (isOver()) return false;
     if (reserved()) return true;
-    await this.#loans.borrow(workspace, units, MAX_PEERS);
+    await Promise.race([this.#loans.borrow(workspace, MAX_PEERS), ...ended]);
+    if (isOver()) return false;
     if (reserved()) return true;
     const left = until - this.ctx.clock.now();
-    if (left > 0) await Promise.race([drawn, sleep(left)]);
-    return reserved();
+    if (left > 0) await Promise.race([drawn, sleep(left), ...ended]);
+    return !isOver() && reserved();
   }
 
   /** Exhausted only where the store has shown that nobody can have enough. */
--- a/src/gateway/callrun.ts
+++ b/src/gateway/callrun.ts
@@ -148,15 +148,22 @@
     };
     const units = promptTokens + outputTokens;
     const waitMs = Math.min(route.targetMs * UNITS_SHARE, this.#leftMs());
-    const reserved = await allowances.reserve(workspace?.name ?? '', units, waitMs);
+    const waiting = new AbortController();
+    const { reply } = this.call;
+    reply.onGone = () => waiting.abort();
+    const { signal } = waiting;
+    const reserved = await allowances.reserve(workspace?.name ?? '', units, waitMs, signal);
+    reply.onGone = () => undefined;
+    if (reserved.ok) this.#reserved = units;
+    if (reply.isGone) return { type: 'left' };
     if (reserved.err) return { type: 'refused', refusal: reserved.val };
-    this.#reserved = units;
     return { type: 'reserved' };
   }
 
   #place(excluded: readonly string[], isRepeat: boolean): ServeEvent {
     const { fleet, retries, random } = this.ctx;
     const { route, table } = this.policy;
+    if (this.call.reply.isGone) return { type: 'left' };
     if (this.#leftMs() < MIN_SEND_MS) return this.#unplaced(failure('overloaded', route.name));
     const service = this.#service ?? '';
     const model = table.configuration.services.find(({ name }) => name === service)?.model;
--- a/src/gateway/serve.ts
+++ b/src/gateway/serve.ts
@@ -49,6 +49,8 @@
   | { readonly type: 'reserved' }
   | { readonly type: 'placed'; readonly upstream: UpstreamRecord }
   | { readonly type: 'refused'; readonly refusal: Failure }
+  /** The caller has gone in the meantime. */
+  | { readonly type: 'left' }
   | { readonly type: 'sent'; readonly outcome: SendOutcome };
 
 /** How a request ended. */
@@ -133,6 +135,7 @@
     if (reserved.type === 'refused') {
       return { kind: 'refused', refusal: reserved.refusal, attempts: 0 };
     }
+    if (reserved.type === 'left') return { kind: 'left', attempts: 0 };
   }
   let progress: Progress = {
     attempts: 0,
@@ -145,6 +148,7 @@
     const { excluded, attempts } = progress;
     const placed = yield { type: 'place', excluded, isRepeat: attempts > 0 };
     if (placed.type === 'refused') return ending(progress, placed.refusal.subject, placed.refusal);
+    if (placed.type === 'left') return { kind: 'left', attempts };
     if (placed.type !== 'placed') throw new Error(`unexpected event ${placed.type}`);
     const { upstream } = placed;
     const relaysFailure = !mayRepeat(input) || attempts + 1 >= input.maxAttempts;
--- a/src/gateway/tests/borrowing.test.ts
+++ b/src/gateway/tests/borrowing.test.ts
@@ -1,3 +1,5 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
 import test from 'ava';
 
 import { AllowanceFleet, WORKSPACE } from '../../../testbed/allowancefleet.js';
@@ -33,3 +35,30 @@
     if (reserved?.err) t.is(reserved.val.code, 'budget-exhausted');
   });
 });
+
+test('a caller that leaves ends the search for its units', async (t) => {
+  const fleet = new AllowanceFleet({
+    dataCentres: ['x', 'y', 'z'],
+    perDataCentre: 5,
+    paid: 10_000,
+  });
+  const borrower = [...fleet.members.values()].find(({ holders }) => !holders.isHolder(WORKSPACE));
+  if (!borrower) throw new Error('nobody borrows');
+  // Each of three holders is waited for in turn.
+  fleet.delay(1_000);
+  const caller = new AbortController();
+  const startedAt = performance.now();
+  const reserving = borrower.allowances.reserve(WORKSPACE, 400, 2_000, caller.signal);
+  await delay(20);
+  caller.abort();
+  const reserved = await reserving;
+  const took = performance.now() - startedAt;
+  t.true(reserved.err);
+  t.true(took < 100, `${took} ms`);
+  await delay(200);
+  const rounds = borrower.recorder.timeline
+    .list()
+    .filter(({ name }) => name === 'allowanceBorrowed')
+    .map(({ subject }) => subject.facts?.asked);
+  t.deepEqual(rounds, [1]);
+});
--- a/src/gateway/tests/serve.test.ts
+++ b/src/gateway/tests/serve.test.ts
@@ -158,6 +158,26 @@
   });
 });
 
+test('a caller that left while its request waited for units ends it before it is placed', (t) => {
+  const procedure = serveCall({ ...STREAM, isPrepaid: true });
+  procedure.next();
+  t.deepEqual(procedure.next({ type: 'left' }), {
+    done: true,
+    value: { kind: 'left', attempts: 0 },
+  });
+});
+
+test('a caller that left after a failed attempt ends its request before the next one', (t) => {
+  const procedure = serveCall(SAFE);
+  procedure.next();
+  procedure.next({ type: 'placed', upstream: upstream(1) });
+  t.like(procedure.next({ type: 'sent', outcome: FAILED }).value, { type: 'place' });
+  t.deepEqual(procedure.next({ type: 'left' }), {
+    done: true,
+    value: { kind: 'left', attempts: 1 },
+  });
+});
+
 test('upstreams that were tried are left out of the next choice', (t) => {
   const procedure = serveCall(SAFE);
   procedure.next();
