--- a/src/daemon/callers.controller.ts
+++ b/src/daemon/callers.controller.ts
@@ -167,9 +167,11 @@
   #input(exchange: Exchange, admitted: Admitted, units: number): RunInput {
     const { reply, key, keyGiven } = exchange;
     const caller = new AbortController();
-    reply.raw.once('close', () => {
+    const { callers } = this.runtime;
+    const forget = callers.of(exchange.req.raw.socket).onEnd(() => {
       if (!reply.raw.writableEnded) caller.abort();
     });
+    reply.raw.once('close', forget);
     const { tenant, route } = admitted;
     const { serving } = this.runtime;
     const { signal } = caller;
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -5,11 +5,12 @@
 
 import type { Readable } from 'node:stream';
 
+import type { Socket } from 'node:net';
 import { NestFactory } from '@nestjs/core';
 import { FastifyAdapter } from '@nestjs/platform-fastify';
 
 import type { NestFastifyApplication } from '@nestjs/platform-fastify';
-import type { FastifyRequest } from 'fastify';
+import type { FastifyReply, FastifyRequest } from 'fastify';
 import { failure, FailureError } from '../kernel/index.js';
 import { readBody } from '../request/index.js';
 import { AppModule } from './app.module.js';
@@ -61,6 +62,13 @@
       if (runtime.stopping) void reply.header('connection', 'close');
       done();
     });
+    fastify.addHook('preHandler', async (req, reply) => {
+      if (isCallerPath(req.url)) await Daemon.#await(runtime, req, reply);
+    });
+    app.getHttpServer().on('connection', (socket: Socket) => {
+      runtime.callers.of(socket);
+      runtime.intake.accepted();
+    });
     fastify.removeAllContentTypeParsers();
     fastify.addContentTypeParser('*', (_req: FastifyRequest, payload: Readable) =>
       Daemon.#parseBody(payload, settings.limits.bodyBytes),
@@ -72,6 +80,13 @@
     return new Daemon(runtime, app);
   }
 
+  /** Waits for the turn of a request; nothing is done for a caller that has left. */
+  static async #await(runtime: Runtime, req: FastifyRequest, reply: FastifyReply): Promise<void> {
+    if (await runtime.intake.turn(runtime.callers.of(req.raw.socket))) return;
+    runtime.recorder.record('requestLeft', { detail: req.url });
+    reply.hijack();
+  }
+
   static async #parseBody(payload: Readable, limitBytes: number): Promise<Buffer> {
     const { bytes, isTooLarge } = await readBody(payload, limitBytes);
     if (isTooLarge) throw new FailureError(failure('body-too-large', 'body'));
--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -1,5 +1,6 @@
 /** Composes the tasks and clients of one daemon. */
-import { SystemClock } from '../kernel/index.js';
+import { CallerConnections, Intake } from '../ingress/index.js';
+import { SteadyClock, SystemClock } from '../kernel/index.js';
 import { PolledDirectory, WsPeerNetwork } from '../link/index.js';
 import { HttpInstanceList, HttpObjectStore } from '../store/index.js';
 import {
@@ -59,6 +60,12 @@
 
   readonly active = new ActiveRequests();
 
+  readonly #steady = new SteadyClock();
+
+  readonly callers = new CallerConnections(this.#steady);
+
+  readonly intake = new Intake(this.#steady);
+
   readonly #handover: Handover;
 
   readonly #executor: PlanExecutor;
--- /dev/null
+++ b/src/daemon/tests/leavingcallers.test.ts
@@ -0,0 +1,57 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
+import test from 'ava';
+
+import { API_KEY } from '../../../testbed/documents.js';
+import { Fleet } from '../../../testbed/fleet.js';
+import { LeavingCallers } from '../../../testbed/leavingcallers.js';
+
+const CALLERS = 40;
+
+/** Time for which the daemon is frozen, in milliseconds. */
+const FROZEN_MS = 600;
+
+/** Time after which nothing of a request may reach the engine, in milliseconds. */
+const GONE_MS = 500;
+
+const BODY = JSON.stringify({
+  model: 'drafts',
+  stream: true,
+  max_tokens: 4,
+  messages: [{ role: 'user', content: 'summary' }],
+});
+
+test('requests reach no engine after their callers have left a frozen daemon', async (t) => {
+  const fleet = await Fleet.start({ daemons: 1, units: 100_000 });
+  t.teardown(() => fleet.stop());
+  const { url, child } = fleet.daemon(0);
+  const { hostname, port } = new URL(url);
+  const callers = await LeavingCallers.start({
+    host: hostname,
+    port: Number(port),
+    callers: CALLERS,
+    request: [
+      'POST /v1/chat/completions HTTP/1.1',
+      `host: ${hostname}`,
+      `authorization: Bearer ${API_KEY}`,
+      'content-type: application/json',
+      `content-length: ${BODY.length}`,
+      '',
+      BODY,
+    ].join('\r\n'),
+    earlier: undefined,
+    leaveAfterMs: 150,
+    how: 'close',
+  });
+  t.teardown(() => callers.stop());
+  child.signal('SIGSTOP');
+  callers.send();
+  await delay(FROZEN_MS);
+  child.signal('SIGCONT');
+  await delay(GONE_MS);
+  const counts = fleet.engines.map(({ counts: { requests } }) => requests);
+  t.deepEqual(
+    counts,
+    counts.map(() => 0),
+  );
+});
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -29,6 +29,11 @@
     level: 'error',
     text: 'the daemon failed while it served a request',
   },
+  requestLeft: {
+    number: 2007,
+    level: 'info',
+    text: 'the caller left before its request was served',
+  },
   requestCut: { number: 2005, level: 'warn', text: 'answer cut before its end' },
   grantDrawn: { number: 3001, level: 'info', text: 'units drawn from the store' },
   grantRefused: { number: 3002, level: 'info', text: 'the store had no units left to grant' },
