A request whose time would end before its turn is refused at once

With the intake requests wait in the daemon, without a bound. By the mean time between two turns a request now knows whether its turn comes before its time-out or its caller's deadline; where it does not, it is answered 429 with a time to come back, and the log tells what decided (waiting, intervalMs). Test: intake.test.ts. What is refused anyway (unknown route or key) no longer waits for a turn.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -63,7 +63,7 @@
       done();
     });
     fastify.addHook('preHandler', async (req, reply) => {
-      if (isCallerPath(req.url)) await Daemon.#await(runtime, req, reply);
+      if (isCallerPath(req.url)) await Daemon.#takeTurn(runtime, req, reply);
     });
     app.getHttpServer().on('connection', (socket: Socket) => {
       runtime.callers.of(socket);
@@ -81,9 +81,14 @@
   }
 
   /** Waits for the turn of a request; nothing is done for a caller that has left. */
-  static async #await(runtime: Runtime, req: FastifyRequest, reply: FastifyReply): Promise<void> {
-    if (await runtime.intake.turn(runtime.callers.of(req.raw.socket))) return;
-    runtime.recorder.record('requestLeft', { detail: req.url });
+  static async #takeTurn(
+    { callers, intake, recorder }: Runtime,
+    req: FastifyRequest,
+    reply: FastifyReply,
+  ): Promise<void> {
+    const outcome = await intake.turn(callers.of(req.raw.socket), Number.POSITIVE_INFINITY);
+    if (outcome === 'begin') return;
+    recorder.record('requestLeft', { detail: req.url });
     reply.hijack();
   }
 
--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -14,6 +14,7 @@
 import type { Arrival, CallerConnection } from '../ingress/index.js';
 import type { Call } from './attempt.js';
 import type { CallPolicy } from './callrun.js';
+import type { EventSubject } from '../telemetry/index.js';
 import type { ReadBody } from '../request/index.js';
 import type { CallerLimits } from './configuration.js';
 import type { CallHead } from './protocol.js';
@@ -22,9 +23,17 @@
 /** Delay after which a caller of a daemon that starts or stops may come back, in milliseconds. */
 const NOT_READY_MS = 500;
 
+/** Least delay after which a caller of a busy daemon may come back, in milliseconds: it reaches another one. */
+const ELSEWHERE_MS = 100;
+
 /** Bounds before a configuration is in force. */
 const DEFAULT_LIMITS: Pick<CallerLimits, 'bodyBytes'> = { bodyBytes: 4_194_304 };
 
+/** Delay after which a caller of a busy daemon may come back, spread so that not all return at once. */
+function elsewhereMs(): number {
+  return ELSEWHERE_MS * (1 + Math.random());
+}
+
 /** A request on its connection. */
 interface Exchange {
   readonly caller: HttpReply;
@@ -80,10 +89,6 @@
       this.runtime.recorder.record('callEnded', { request: head.id, detail: String(err) });
       return;
     }
-    if (!(await this.runtime.intake.turn(connection))) {
-      this.#left(head.id, arrival);
-      return;
-    }
     const found = body.isTooLarge
       ? failure('body-too-large', target)
       : this.#policyOf(head, req.headers.host ?? '', target);
@@ -93,6 +98,19 @@
       this.#refuse(caller, head, refusal);
       return;
     }
+    const { intake, clock } = this.runtime;
+    const givenMs = Math.min(found.route.timeoutMs, head.deadlineMs ?? Number.POSITIVE_INFINITY);
+    const leftMs = givenMs - (clock.now() - arrival.at);
+    const outcome = await intake.turn(connection, leftMs);
+    if (outcome === 'left') {
+      this.#left(head.id, arrival);
+      return;
+    }
+    if (outcome === 'overloaded') {
+      const refusal = failure('overloaded', found.route.name);
+      this.#refuse(caller, head, { ...refusal, retryAfterMs: elsewhereMs() }, intake.facts);
+      return;
+    }
     const call: Call = {
       head,
       method: req.method ?? 'GET',
@@ -132,7 +150,12 @@
     this.runtime.recorder.record('callEnded', { request, facts });
   }
 
-  #refuse(caller: HttpReply, head: CallHead, refusal: Failure): void {
+  #refuse(
+    caller: HttpReply,
+    head: CallHead,
+    refusal: Failure,
+    inputs: EventSubject['facts'] = {},
+  ): void {
     answerFailure(caller, refusal, this.runtime.adapter.headers);
     const version = this.runtime.inForce.table?.configuration.version ?? 0;
     const end: FailureCode = refusal.code;
@@ -140,7 +163,7 @@
     this.runtime.recorder.record('callRefused', {
       request: head.id,
       detail: refusal.subject,
-      facts: { end, version },
+      facts: { end, version, ...inputs },
     });
   }
 }
--- a/src/ingress/intake.ts
+++ b/src/ingress/intake.ts
@@ -1,6 +1,6 @@
 /**
- * Lets requests wait for their turn. Answers the load of a burst on one daemon: callers that have left, and
- * connections that nobody has accepted yet, behind requests that each take a part of the processor.
+ * Lets requests wait for their turn, or turns them away. Answers the load of a burst on one daemon: callers that
+ * have left, and connections that nobody has accepted yet, behind requests that each take a part of the processor.
  */
 import type { Clock } from '../kernel/index.js';
 import type { CallerConnection } from './callerconnection.js';
@@ -11,18 +11,24 @@
  */
 const ARRIVALS_FIRST_MS = 10;
 
+/** Weight of the newest interval in the mean time between two turns: some tens of requests count. */
+const INTERVAL_WEIGHT = 0.05;
+
 /** Runs a task after the event loop has polled its sockets. */
 export type Defer = (task: () => void) => void;
 
+/** What comes of a request: it begins, its caller has left, or its time would end before its turn. */
+export type TurnOutcome = 'begin' | 'left' | 'overloaded';
+
 interface Waiting {
-  readonly begin: (isWanted: boolean) => void;
+  readonly end: (outcome: TurnOutcome) => void;
   /** Number of the turn in which it began to wait. */
   readonly since: number;
 }
 
 /**
- * Begins one request in each turn of the event loop, and only after the sockets were polled once more since it
- * was read: the end of a connection is read a turn after the last request on it.
+ * Begins one request in each turn of the event loop, and only after the sockets were polled once more since it was
+ * read: the end of a connection is read a turn after the last request on it.
  */
 export class Intake {
   /** In the order of arrival. */
@@ -39,6 +45,9 @@
   /** When a request began, or the first one began to wait, in milliseconds. */
   #begunAt = 0;
 
+  /** Mean time between the beginnings of two requests while others wait, in milliseconds. */
+  #intervalMs = 0;
+
   /**
    * Creates an empty intake.
    * @param clock - steady clock
@@ -54,6 +63,11 @@
     return this.#waiting.size;
   }
 
+  /** What decides whether a request may wait, for the log. */
+  get facts(): Readonly<Record<string, number>> {
+    return { waiting: this.#waiting.size, intervalMs: Math.round(this.#intervalMs) };
+  }
+
   /** Takes note of a connection that was accepted. */
   accepted(): void {
     this.#hasAccepted = true;
@@ -62,22 +76,24 @@
   /**
    * Waits for the turn of a request that was read whole.
    * @param connection - its connection
-   * @returns whether the caller is still there
+   * @param leftMs - time from now until it ends unanswered, in milliseconds
+   * @returns whether it begins; at once where it would not begin in that time
    */
-  turn(connection: CallerConnection): Promise<boolean> {
+  turn(connection: CallerConnection, leftMs: number): Promise<TurnOutcome> {
+    if (this.length * this.#intervalMs > leftMs) return Promise.resolve('overloaded');
+    if (this.length === 0) this.#begunAt = this.clock.now();
     return new Promise((resolve) => {
       let forget = (): void => undefined;
       const waiting: Waiting = {
         since: this.#turn,
-        begin: (isWanted) => {
+        end: (outcome) => {
           this.#waiting.delete(waiting);
           forget();
-          resolve(isWanted);
+          resolve(outcome);
         },
       };
-      if (this.#waiting.size === 0) this.#begunAt = this.clock.now();
       this.#waiting.add(waiting);
-      forget = connection.onEnd(() => waiting.begin(false));
+      forget = connection.onEnd(() => waiting.end('left'));
       this.#schedule();
     });
   }
@@ -95,10 +111,11 @@
     this.#hasAccepted = false;
     const [first] = this.#waiting;
     if (first && first.since < this.#turn && !areArrivalsFirst) {
+      this.#intervalMs += (now - this.#begunAt - this.#intervalMs) * INTERVAL_WEIGHT;
       this.#begunAt = now;
-      first.begin(true);
+      first.end('begin');
     }
     this.#turn += 1;
-    if (this.#waiting.size > 0) this.#schedule();
+    if (this.length > 0) this.#schedule();
   }
 }
--- a/src/ingress/tests/intake.test.ts
+++ b/src/ingress/tests/intake.test.ts
@@ -5,6 +5,8 @@
 import { Clock } from '../../kernel/index.js';
 import { CallerConnection, Intake } from '../index.js';
 
+import type { TurnOutcome } from '../index.js';
+
 class ManualClock extends Clock {
   constructor(private readonly read: () => number) {
     super();
@@ -17,7 +19,7 @@
 
 /** What happens in one turn of the event loop before the requests that wait are looked at. */
 interface Turn {
-  /** Requests that are read whole. */
+  /** Requests that are read whole, with the time until they end unanswered; default 500 ms. */
   readonly arrive?: readonly string[];
   /** Callers whose end is read. */
   readonly leave?: readonly string[];
@@ -28,6 +30,8 @@
   /** Requests that begin, and callers that are known to have left, after it. */
   readonly begun?: readonly string[];
   readonly left?: readonly string[];
+  /** Requests that are turned away. */
+  readonly overloaded?: readonly string[];
 }
 
 interface Row {
@@ -74,6 +78,17 @@
       { accepts: true, ms: 50, begun: ['b'] },
     ],
   },
+  {
+    title: 'a request whose time would end before its turn is turned away at once',
+    turns: [
+      { arrive: ['a', 'b'] },
+      // The mean interval becomes 10 ms.
+      { ms: 200, begun: ['a'] },
+      { arrive: ['c 19', 'd 19', 'e 19', 'f 29'], begun: ['b'], overloaded: ['d', 'e'] },
+      { begun: ['c'] },
+      { begun: ['f'] },
+    ],
+  },
   {
     title: 'a request behind others waits for a poll of its own',
     turns: [
@@ -94,28 +109,24 @@
       deferred.push(task);
     });
     const callers = new Map<string, EventEmitter>();
+    const ended: Record<TurnOutcome, string[]> = { begin: [], left: [], overloaded: [] };
     for (const [index, turn] of turns.entries()) {
-      const begun: string[] = [];
-      const left: string[] = [];
       time.now += turn.ms ?? 0;
       if (turn.accepts) intake.accepted();
-      turn.arrive?.forEach((name) => {
+      turn.arrive?.forEach((entry) => {
+        const [name = '', leftMs = '500'] = entry.split(' ');
         const socket = new EventEmitter();
         callers.set(name, socket);
         const connection = new CallerConnection(socket, time.now);
-        void intake.turn(connection).then((isWanted) => callers.set(`${name} ${isWanted}`, socket));
+        void intake.turn(connection, Number(leftMs)).then((outcome) => ended[outcome].push(name));
       });
       turn.leave?.forEach((name) => callers.get(name)?.emit('end'));
       deferred.splice(0).forEach((task) => task());
       // eslint-disable-next-line no-await-in-loop
       await Promise.resolve().then(() => undefined);
-      [...callers.keys()].forEach((key) => {
-        const [name = '', wanted] = key.split(' ');
-        if (wanted === undefined) return;
-        (wanted === 'true' ? begun : left).push(name);
-        callers.delete(key);
-      });
-      t.deepEqual({ begun, left }, { begun: turn.begun ?? [], left: turn.left ?? [] }, `${index}`);
+      const { begun = [], left = [], overloaded = [] } = turn;
+      t.deepEqual(ended, { begin: begun, left, overloaded }, `turn ${index}`);
+      Object.values(ended).forEach((names) => names.splice(0));
     }
     t.is(intake.length, 0);
   });
