--- a/src/ingress/callerconnection.ts
+++ b/src/ingress/callerconnection.ts
@@ -33,11 +33,6 @@
     socket.once('close', () => this.#end());
   }
 
-  /** Whether the caller has closed it. */
-  get isEnded(): boolean {
-    return this.#isEnded;
-  }
-
   /**
    * Takes note of a request.
    * @param now - milliseconds
