The time that a request has is worked out in one place

The minimum of a route's time-out and its caller's deadline stood three times: in CallRun, in GatewayRuntime.takes and, since the intake, in the ingress controller. givenMs in configuration.ts serves all three; behaviour stays as it is (a missing deadline was the time-out itself or no bound, both give the time-out).

--- a/src/gateway/callrun.ts
+++ b/src/gateway/callrun.ts
@@ -2,6 +2,7 @@
 import { drive, failure } from '../kernel/index.js';
 import { answerFailure } from './answerfailure.js';
 import { attemptCall } from './attempt.js';
+import { givenMs } from './configuration.js';
 import { RouteTable } from './routetable.js';
 import { serveCall } from './serve.js';
 
@@ -287,8 +288,7 @@
   /** Time that is left for the request, in milliseconds. */
   #leftMs(): number {
     const { deadlineMs } = this.call.head;
-    const whole = Math.min(this.policy.route.timeoutMs, deadlineMs ?? Number.POSITIVE_INFINITY);
-    return whole - (this.ctx.clock.now() - this.#startedAt);
+    return givenMs(this.policy.route, deadlineMs) - (this.ctx.clock.now() - this.#startedAt);
   }
 
   /** Charges the prompt once and the output that was delivered. */
--- a/src/gateway/configuration.ts
+++ b/src/gateway/configuration.ts
@@ -74,3 +74,16 @@
   readonly workspaces: readonly GatewayWorkspace[] | undefined;
   readonly limits: CallerLimits;
 }
+
+/**
+ * Gives the time that a request has: the time-out of its route, or less where its caller waits less.
+ * @param route - its route
+ * @param deadlineMs - time that its caller gives it, in milliseconds; undefined for no bound
+ * @returns milliseconds from its arrival
+ */
+export function givenMs(
+  { timeoutMs }: Pick<GatewayRoute, 'timeoutMs'>,
+  deadlineMs: number | undefined,
+): number {
+  return Math.min(timeoutMs, deadlineMs ?? Number.POSITIVE_INFINITY);
+}
--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -6,6 +6,7 @@
 import { readBody } from '../request/index.js';
 import { answerFailure } from './answerfailure.js';
 import { CallRun } from './callrun.js';
+import { givenMs } from './configuration.js';
 import { EventStream } from './eventstream.js';
 import { HttpReply } from './httpreply.js';
 import { GatewayRuntime } from './runtime.js';
@@ -99,8 +100,7 @@
       return;
     }
     const { intake, clock } = this.runtime;
-    const givenMs = Math.min(found.route.timeoutMs, head.deadlineMs ?? Number.POSITIVE_INFINITY);
-    const leftMs = givenMs - (clock.now() - arrival.at);
+    const leftMs = givenMs(found.route, head.deadlineMs) - (clock.now() - arrival.at);
     const outcome = await intake.turn(connection, leftMs);
     if (outcome === 'left') {
       this.#left(head.id, arrival);
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -10,6 +10,7 @@
 import { Allowances } from './allowances.js';
 import { agreeOn } from './agreement.js';
 import { Announcements } from './announcements.js';
+import { givenMs } from './configuration.js';
 import { Durations } from './durations.js';
 import { FleetView } from './fleetview.js';
 import { Holders } from './holders.js';
@@ -199,10 +200,14 @@
    * @param deadlineMs - time that its caller gives it, in milliseconds; undefined for no bound
    * @returns whether it ends before this process does
    */
-  takes({ name, timeoutMs }: GatewayRoute, deadlineMs: number | undefined): boolean {
+  takes(route: GatewayRoute, deadlineMs: number | undefined): boolean {
     if (!this.#stop) return true;
-    const boundMs = Math.min(timeoutMs, deadlineMs ?? timeoutMs);
-    return takesDuringStop(this.#stop, this.durations.longest(name, boundMs), this.clock.now());
+    const boundMs = givenMs(route, deadlineMs);
+    return takesDuringStop(
+      this.#stop,
+      this.durations.longest(route.name, boundMs),
+      this.clock.now(),
+    );
   }
 
   /**
