Large fleets: few strong holders, batches of changes, no repeated search for units that nobody has

Long prompts were announced to the same 8 of 71 daemons. A shortage at all holders is remembered for 250 ms while the store is away, and what it rules out is refused at once. Watches pause 400 ms after a batch. Fleets of more than 9 daemons announce nothing.

--- a/src/gateway/allowanceloans.ts
+++ b/src/gateway/allowanceloans.ts
@@ -28,12 +28,27 @@
  */
 const SURPLUS_FACTOR = 1.5;
 
+/**
+ * Time for which a shortage at all holders is remembered, in milliseconds. Units are freed when running requests end, a
+ * few in this time; without the memory each further request would ask every holder in turn.
+ */
+const SHORTAGE_MEMORY_MS = 250;
+
+/** A round of borrowing in which all holders together could not lend the missing units. */
+interface Shortage {
+  readonly at: number;
+  /** Units that a request could have obtained from this daemon and all holders. */
+  readonly obtainable: number;
+}
+
 /** What the holders of a workspace have replied. */
 interface HolderAnswers {
   /** Number of holders that replied in time in the last round of borrowing. */
   readonly answered: number;
   /** Unspent units of the workspace as last reported by a holder; undefined before that. */
   readonly unspent: number | undefined;
+  /** Units that the holders which replied kept. */
+  readonly left: number;
 }
 
 /** Lends to other daemons and borrows from them. */
@@ -42,6 +57,8 @@
 
   readonly #holderAnswers = new Map<string, HolderAnswers>();
 
+  readonly #shortages = new Map<string, Shortage>();
+
   /**
    * Registers the handlers for loan requests and transfers of other daemons.
    * @param ctx - links to the other daemons, and the holders of each workspace
@@ -88,6 +105,18 @@
     return this.#holderAnswers.get(workspace)?.unspent;
   }
 
+  /**
+   * Checks whether the holders were all found short of the units of a request just before.
+   * @param workspace - workspace that pays
+   * @param units - worst-case units of the request
+   * @returns whether another round of borrowing would most likely fail
+   */
+  isKnownShort(workspace: string, units: number): boolean {
+    const shortage = this.#shortages.get(workspace);
+    if (!shortage || this.ctx.clock.now() - shortage.at >= SHORTAGE_MEMORY_MS) return false;
+    return units > shortage.obtainable;
+  }
+
   /**
    * Borrows missing units from peers. Concurrent calls for one workspace share one round.
    * @param workspace - workspace that pays
@@ -121,7 +150,8 @@
     const before = available(this.holdings.of(workspace).escrow);
     const isHolder = this.ctx.holders.isHolder(workspace);
     const peers = this.#candidates(workspace).slice(0, maxPeers);
-    this.#holderAnswers.set(workspace, { answered: 0, unspent: this.lastKnownUnspent(workspace) });
+    const noAnswers = { answered: 0, unspent: this.lastKnownUnspent(workspace), left: 0 };
+    this.#holderAnswers.set(workspace, noAnswers);
     const units = this.holdings.missing(workspace);
     let asked = 0;
     for (const peer of peers) {
@@ -135,8 +165,14 @@
       // eslint-disable-next-line no-await-in-loop
       await this.#askPeer(peer, workspace, missing, isHolder ? missing : 0);
     }
-    const gained = available(this.holdings.of(workspace).escrow) - before;
-    const answered = this.#holderAnswers.get(workspace)?.answered ?? 0;
+    const after = available(this.holdings.of(workspace).escrow);
+    const gained = after - before;
+    const { answered, left } = this.#holderAnswers.get(workspace) ?? noAnswers;
+    const isAllAsked = answered === this.ctx.holders.others(workspace).length;
+    if (isAllAsked && after < this.holdings.missing(workspace)) {
+      const obtainable = after + left;
+      this.#shortages.set(workspace, { at: this.ctx.clock.now(), obtainable });
+    }
     const facts = { asked, answered, units, gained };
     recorder.record('allowanceBorrowed', { budget: workspace, facts });
     return gained > 0;
@@ -173,15 +209,19 @@
    * the reply itself does not count as an answer in the round, which no longer waits for it.
    */
   #acceptLoan(workspace: string, loan: PeerMessageOf<'lent'>, tookMs: number): void {
-    const { lender, passed, unspent } = loan;
+    const { lender, passed, unspent, left } = loan;
     const units = this.holdings.noteBorrowed(workspace, { peer: lender, units: passed });
     if (tookMs > PEER_WAIT_MS) {
       const facts = { units, tookMs: Math.round(tookMs) };
       this.ctx.recorder.record('allowanceLate', { budget: workspace, peer: lender, facts });
       return;
     }
-    const answered = (this.#holderAnswers.get(workspace)?.answered ?? 0) + 1;
-    this.#holderAnswers.set(workspace, { answered, unspent });
+    const before = this.#holderAnswers.get(workspace);
+    this.#holderAnswers.set(workspace, {
+      answered: (before?.answered ?? 0) + 1,
+      unspent,
+      left: (before?.left ?? 0) + left,
+    });
   }
 
   /**
--- a/src/gateway/allowances.ts
+++ b/src/gateway/allowances.ts
@@ -155,6 +155,10 @@
     if (paid === undefined) return Ok(undefined);
     if (this.#holdings.isClosed) return Err(failure('not-ready', workspace));
     if (this.#holdings.tryReserve(workspace, units)) return Ok(undefined);
+    // A draw from the store may end the shortage at any time, if the store can be reached.
+    if (!this.ctx.isStoreUp() && this.#loans.isKnownShort(workspace, units)) {
+      return Err(this.#shortageFailure(workspace, units, paid));
+    }
     this.#holdings.adjustMissing(workspace, units);
     try {
       if (await this.#acquire(workspace, units, waitMs, signal)) return Ok(undefined);
--- a/src/gateway/announcements.ts
+++ b/src/gateway/announcements.ts
@@ -10,7 +10,10 @@
  */
 const MIN_ANNOUNCED_TOKENS = 6_000;
 
-/** Maximum number of daemons that receive an announcement; it limits the traffic in a large fleet. */
+/**
+ * Maximum number of other daemons up to which prompts are announced, to all of them. In a larger fleet, announcements to a
+ * few daemons would tell little of the load, and announcements to all would grow with the square of the fleet.
+ */
 const MAX_PEERS = 8;
 
 /** Timeout of an announcement, in milliseconds: one that arrives later is of no use. */
@@ -34,22 +37,21 @@
   }
 
   /**
-   * Announces a prompt to other daemons, if it is long enough.
+   * Announces a prompt to the other daemons of a small fleet, if it is long enough.
    * @param upstream - id of the upstream that it is sent to
    * @param tokens - prompt tokens that the upstream probably has to process
    */
   announce(upstream: string, tokens: number): void {
     if (tokens < MIN_ANNOUNCED_TOKENS) return;
-    this.network
-      .peers()
-      .slice(0, MAX_PEERS)
-      .forEach(({ name }) => {
-        void this.network.request({
-          to: name,
-          body: { type: 'promptSent', upstream, tokens },
-          reply: 'promptSent',
-          timeoutMs: ANNOUNCE_TIMEOUT_MS,
-        });
+    const peers = this.network.peers();
+    if (peers.length > MAX_PEERS) return;
+    peers.forEach(({ name }) => {
+      void this.network.request({
+        to: name,
+        body: { type: 'promptSent', upstream, tokens },
+        reply: 'promptSent',
+        timeoutMs: ANNOUNCE_TIMEOUT_MS,
       });
+    });
   }
 }
--- a/src/gateway/followedinstances.ts
+++ b/src/gateway/followedinstances.ts
@@ -8,13 +8,26 @@
 /** Key prefix of the daemons' entries in the store. */
 export const DAEMONS_PREFIX = 'daemons/';
 
-const daemonSchema = z.object({ dataCentre: z.string(), peerAddress: z.string() }).readonly();
+const daemonSchema = z
+  .object({
+    dataCentre: z.string(),
+    peerAddress: z.string(),
+    /** Processor capacity of the instance, in cores. */
+    cores: z.number().positive().default(1),
+  })
+  .readonly();
+
+/** A registered daemon. */
+export interface RegisteredDaemon extends Instance {
+  /** Processor capacity of its instance, in cores; 1 if its entry does not state it. */
+  readonly cores: number;
+}
 
 /** Daemons with a valid entry in the store. */
 export class FollowedInstances extends InstanceDirectory {
-  readonly #instances = new Map<string, Instance>();
+  readonly #instances = new Map<string, RegisteredDaemon>();
 
-  override instances(): readonly Instance[] {
+  override instances(): readonly RegisteredDaemon[] {
     return [...this.#instances.values()];
   }
 
--- a/src/gateway/holders.ts
+++ b/src/gateway/holders.ts
@@ -2,17 +2,19 @@
  * Chooses the holders of each workspace: the daemons that keep its units available and lend them to
  * the others.
  */
-import { chooseHolders } from '../allowance/index.js';
+import { chooseHolders, groupHolders } from '../allowance/index.js';
 import { instanceOf, rendezvous } from '../kernel/index.js';
 
-import type { HolderCandidate, HolderChoice } from '../allowance/index.js';
+import type { HolderCandidate, HolderChoice, HolderGroups } from '../allowance/index.js';
 import type { Clock, Incarnation } from '../kernel/index.js';
 
-/** Time for which a choice of holders is cached, in milliseconds: the set of daemons changes less often. */
+/** Time for which the choice of holders is kept, in milliseconds: the set of daemons changes less often. */
 const CHOICE_TTL_MS = 1_000;
 
-interface CachedChoice {
-  readonly choice: HolderChoice;
+/** Choices for one state of the fleet. */
+interface CachedChoices {
+  readonly groups: HolderGroups;
+  readonly byWorkspace: Map<string, HolderChoice>;
   readonly expiresAt: number;
 }
 
@@ -20,6 +22,8 @@
 export interface HoldersConfig {
   readonly self: Incarnation;
   readonly dataCentre: string;
+  /** Processor capacity of this instance, in cores. */
+  readonly cores: number;
   /** Registered daemons; this one need not be among them. */
   readonly daemons: () => readonly HolderCandidate[];
   readonly clock: Clock;
@@ -29,7 +33,7 @@
 
 /** Chooses the holders of each workspace and caches the choice. */
 export class Holders {
-  readonly #cachedChoices = new Map<string, CachedChoice>();
+  #cached: CachedChoices | undefined;
 
   /**
    * Creates an empty cache.
@@ -74,15 +78,22 @@
   }
 
   #choice(workspace: string): HolderChoice {
+    const { groups, byWorkspace } = this.#choices();
+    const found = byWorkspace.get(workspace);
+    if (found) return found;
+    const choice = chooseHolders(workspace, groups, this.cfg.dataCentre);
+    byWorkspace.set(workspace, choice);
+    return choice;
+  }
+
+  #choices(): CachedChoices {
     const now = this.cfg.clock.now();
-    const found = this.#cachedChoices.get(workspace);
-    if (found && found.expiresAt > now) return found.choice;
-    const { self, dataCentre, daemons, allUpTo } = this.cfg;
+    if (this.#cached && this.#cached.expiresAt > now) return this.#cached;
+    const { self, dataCentre, cores, daemons, allUpTo } = this.cfg;
     const own = instanceOf(self);
     const others = daemons().filter(({ name }) => name !== own);
-    const fleet = [...others, { name: own, dataCentre }];
-    const choice = chooseHolders(workspace, fleet, dataCentre, allUpTo);
-    this.#cachedChoices.set(workspace, { choice, expiresAt: now + CHOICE_TTL_MS });
-    return choice;
+    const groups = groupHolders([...others, { name: own, dataCentre, cores }], allUpTo);
+    this.#cached = { groups, byWorkspace: new Map(), expiresAt: now + CHOICE_TTL_MS };
+    return this.#cached;
   }
 }
--- a/src/gateway/membership.ts
+++ b/src/gateway/membership.ts
@@ -10,8 +10,9 @@
 
 import type { Clock, Incarnation } from '../kernel/index.js';
 import type { PeerNetwork } from '../link/index.js';
-import type { Instance, SnapshotStore } from '../store/index.js';
+import type { SnapshotStore } from '../store/index.js';
 import type { Recorder } from '../telemetry/index.js';
+import type { RegisteredDaemon } from './followedinstances.js';
 
 /** Key of the object that stores the shared secret of the peer links. */
 const FLEET_KEY = 'fleet/key';
@@ -40,6 +41,8 @@
   readonly dataCentre: string;
   readonly host: string;
   readonly port: number;
+  /** Processor capacity of this instance, in cores. */
+  readonly cores: number;
   readonly store: SnapshotStore;
   readonly recorder: Recorder;
   readonly clock: Clock;
@@ -116,7 +119,7 @@
   }
 
   /** Daemons with an entry in the store, possibly including this one. */
-  get daemons(): readonly Instance[] {
+  get daemons(): readonly RegisteredDaemon[] {
     return this.instances.instances();
   }
 
@@ -144,9 +147,9 @@
   }
 
   async #register(): Promise<void> {
-    const { self, store, dataCentre, host, port } = this.cfg;
+    const { self, store, dataCentre, host, port, cores } = this.cfg;
     const key = `${DAEMONS_PREFIX}${instanceOf(self)}`;
-    const value = { dataCentre, peerAddress: `${host}:${port}` };
+    const value = { dataCentre, peerAddress: `${host}:${port}`, cores };
     while (!this.#isStopped) {
       // eslint-disable-next-line no-await-in-loop
       const found = await store.read(key);
--- a/src/gateway/routingstate.ts
+++ b/src/gateway/routingstate.ts
@@ -14,6 +14,13 @@
  */
 const STORE_TIMEOUT_MS = 4_500;
 
+/**
+ * Pause of a watch after a batch of changes, in milliseconds. The changes of a starting fleet, of a release or of a series
+ * of configurations then arrive in few calls; each of them would otherwise wake the watch of each daemon. It is a
+ * fraction of the time in which a change must be in force.
+ */
+const BATCH_DELAY_MS = 400;
+
 function nameOf(key: string): string {
   return key.slice(key.indexOf('/') + 1);
 }
@@ -102,7 +109,7 @@
       onLost: (err: StoreError) => this.#onLost(prefix, err),
       onRegained: () => this.#onRegained(prefix),
     };
-    return new Follower(this.adapter.store, prefix, events, this.clock);
+    return new Follower(this.adapter.store, prefix, events, this.clock, undefined, BATCH_DELAY_MS);
   }
 
   #onLost(prefix: string, { problem, text }: StoreError): void {
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -18,14 +18,15 @@
 import { LoopDelay } from './loopdelay.js';
 import { Membership } from './membership.js';
 import { GatewayMetrics } from './metrics.js';
+import { processorCores } from './settings.js';
 import { acceptsDuringStop } from './stopping.js';
 
 import type { PlacementOptions } from '../route/index.js';
-import type { Instance } from '../store/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { PlatformAdapter } from './adapter.js';
 import type { CallContext } from './callrun.js';
 import type { GatewayRoute } from './configuration.js';
+import type { RegisteredDaemon } from './followedinstances.js';
 import type { GatewaySettings } from './settings.js';
 import type { StopLoad, StopWindow } from './stopping.js';
 
@@ -149,6 +150,7 @@
       dataCentre: this.settings.dataCentre,
       host,
       port,
+      cores: processorCores(this.settings),
       store: this.adapter.store,
       recorder: this.recorder,
       clock: this.clock,
@@ -287,10 +289,11 @@
     const { network } = membership;
     const { dataCentre } = this.settings;
     const self = recorder.source;
-    const daemons = (): readonly Instance[] => membership.daemons;
+    const daemons = (): readonly RegisteredDaemon[] => membership.daemons;
     const workspaceHolders = new Holders({
       self,
       dataCentre,
+      cores: processorCores(this.settings),
       daemons,
       clock,
       allUpTo: holdersUpTo,
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -29,6 +29,15 @@
     /** Address of the platform's store. */
     store: addressSchema,
     logLevel: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info'),
+    processor: z
+      .strictObject({
+        /** Share of a core that the instance gives to the daemon. */
+        share: z.number().positive().default(1),
+        /** Speed of its core, as a multiple of the usual one. */
+        speed: z.number().positive().default(1),
+      })
+      .readonly()
+      .prefault({}),
     /** Time from the stop signal until the process is killed, in milliseconds. */
     stopMs: z.number().positive().default(8_000),
     retries: z
@@ -75,6 +84,15 @@
 /** Settings of a gateway daemon. */
 export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>;
 
+/**
+ * Returns the processor capacity of an instance. Daemons with more of it hold the prepaid units of others.
+ * @param settings - settings of its daemon
+ * @returns cores of the usual speed
+ */
+export function processorCores({ processor }: GatewaySettings): number {
+  return processor.share * processor.speed;
+}
+
 /**
  * Parses and validates a settings file.
  * @param file - name of the file, for messages
--- a/src/gateway/tests/borrowing.test.ts
+++ b/src/gateway/tests/borrowing.test.ts
@@ -62,3 +62,40 @@
     .map(({ subject }) => subject.facts?.asked);
   t.deepEqual(rounds, [1]);
 });
+
+const SHORTAGES = [
+  {
+    title: 'another large request is refused without a message',
+    units: 5_000,
+    waitMs: 0,
+    rounds: 1,
+  },
+  { title: 'a request that the rest covers is served', units: 100, waitMs: 0, rounds: 1 },
+  { title: 'the holders are asked again later', units: 5_000, waitMs: 300, rounds: 2 },
+] as const;
+
+SHORTAGES.forEach(({ title, units, waitMs, rounds }) => {
+  test(`after all holders were found short while the store is away: ${title}`, async (t) => {
+    const fleet = new AllowanceFleet({
+      dataCentres: ['x', 'y', 'z'],
+      perDataCentre: 5,
+      paid: 20_000,
+    });
+    const [borrower] = [...fleet.members.values()].filter(
+      ({ holders }) => !holders.isHolder(WORKSPACE),
+    );
+    if (!borrower) throw new Error('no daemon is a borrower');
+    fleet.refresh();
+    await delay(20);
+    fleet.storeOutcome = 'lost-before';
+    fleet.isStoreUp = false;
+    // The holders together keep a fifth of the paid units, fewer than this request needs.
+    t.false(await fleet.serve(borrower, 5_000, 5_000));
+    await delay(waitMs);
+    t.is(await fleet.serve(borrower, units, units), units === 100);
+    const asked = borrower.recorder.timeline
+      .list()
+      .filter(({ name }) => name === 'allowanceBorrowed');
+    t.is(asked.length, rounds);
+  });
+});
--- a/src/gateway/tests/membership.test.ts
+++ b/src/gateway/tests/membership.test.ts
@@ -26,6 +26,7 @@
     self,
     dataCentre: 'x',
     host: HOST,
+    cores: 1,
     port: await freePort(),
     store,
     recorder: new Recorder(self, new SystemClock(), sinks),
--- a/src/gateway/tests/overspend.test.ts
+++ b/src/gateway/tests/overspend.test.ts
@@ -86,7 +86,8 @@
       holders: new Holders({
         self,
         dataCentre: 'x',
-        daemons: () => network.peers(),
+        cores: 1,
+        daemons: () => network.peers().map((peer) => ({ ...peer, cores: 1 })),
         clock,
         allUpTo: this.holders,
       }),
--- a/testbed/allowancefleet.ts
+++ b/testbed/allowancefleet.ts
@@ -52,6 +52,9 @@
   /** Outcome of every store call until it is changed. */
   storeOutcome: CallOutcome = 'answered';
 
+  /** Whether the daemons believe that the store answers. */
+  isStoreUp = true;
+
   /** Outcome of every request between daemons until it is changed. */
   deliveryOutcome: DeliveryOutcome = 'answered';
 
@@ -97,9 +100,14 @@
     const holders = new Holders({
       self,
       dataCentre,
+      cores: 1,
       // Killed daemons stay listed, as the entries of dead daemons stay in the store.
       daemons: () =>
-        [...this.#dataCentres].map(([other, place]) => ({ name: other, dataCentre: place })),
+        [...this.#dataCentres].map(([other, place]) => ({
+          name: other,
+          dataCentre: place,
+          cores: 1,
+        })),
       clock,
       allUpTo: this.shape.allUpTo ?? 3,
     });
@@ -121,7 +129,7 @@
       shards: 1,
       paidOf: () => this.shape.paid,
       workspaces: () => [WORKSPACE],
-      isStoreUp: () => true,
+      isStoreUp: () => this.isStoreUp,
     });
     this.members.set(name, { name, self, allowances, holders, recorder, network });
   }
