Retry limits are split by the size of the fleet

Cause: each daemon had 0.7/8 of the fleet's reserve, whatever the number of daemons: 195 daemons could make 17 times the reserve of 430, 83 daemons 7 times that of 206 (computed; seen in the code at the landing before). The check right before a send and the fleet's size no longer walk lists.

--- a/src/gateway/followedinstances.ts
+++ b/src/gateway/followedinstances.ts
@@ -27,6 +27,11 @@
 export class FollowedInstances extends InstanceDirectory {
   readonly #instances = new Map<string, RegisteredDaemon>();
 
+  /** Number of daemons with a valid entry. */
+  get size(): number {
+    return this.#instances.size;
+  }
+
   override instances(): readonly RegisteredDaemon[] {
     return [...this.#instances.values()];
   }
--- a/src/gateway/holders.ts
+++ b/src/gateway/holders.ts
@@ -13,6 +13,7 @@
 
 /** Choices for one state of the fleet. */
 interface CachedChoices {
+  readonly fleetSize: number;
   readonly groups: HolderGroups;
   readonly byWorkspace: Map<string, HolderChoice>;
   readonly expiresAt: number;
@@ -67,8 +68,7 @@
 
   /** Number of registered daemons, this one included. */
   get fleetSize(): number {
-    const own = instanceOf(this.cfg.self);
-    return this.cfg.daemons().filter(({ name }) => name !== own).length + 1;
+    return this.#choices().fleetSize;
   }
 
   /** Returns the number of holders of a workspace, at least 1. */
@@ -92,8 +92,13 @@
     const { self, dataCentre, cores, daemons, allUpTo } = this.cfg;
     const own = instanceOf(self);
     const others = daemons().filter(({ name }) => name !== own);
-    const groups = groupHolders([...others, { name: own, dataCentre, cores }], allUpTo);
-    this.#cached = { groups, byWorkspace: new Map(), expiresAt: now + CHOICE_TTL_MS };
+    const fleet = [...others, { name: own, dataCentre, cores }];
+    this.#cached = {
+      fleetSize: fleet.length,
+      groups: groupHolders(fleet, allUpTo),
+      byWorkspace: new Map(),
+      expiresAt: now + CHOICE_TTL_MS,
+    };
     return this.#cached;
   }
 }
--- a/src/gateway/membership.ts
+++ b/src/gateway/membership.ts
@@ -123,6 +123,11 @@
     return this.instances.instances();
   }
 
+  /** Number of daemons with an entry in the store. */
+  get size(): number {
+    return this.instances.size;
+  }
+
   /** Opens the listener for peers, registers this daemon and follows the list of daemons. */
   start(): void {
     this.links.start();
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -18,6 +18,7 @@
 import { LoopDelay } from './loopdelay.js';
 import { Membership } from './membership.js';
 import { GatewayMetrics } from './metrics.js';
+import { retryLimits } from './retrylimits.js';
 import { processorCores } from './settings.js';
 import { acceptsDuringStop } from './stopping.js';
 
@@ -33,18 +34,6 @@
 /** Key of the object that stores the number of allowance shards. */
 const SHARD_COUNT_KEY = 'fleet/allowance-shards';
 
-/**
- * Share of the configured retry limits of the fleet that is used. The rest is a margin, as daemons do not
- * know each other's retries.
- */
-const RETRY_BUDGET_SHARE = 0.7;
-
-/**
- * Divisor that gives each daemon's part of the configured retry reserve, whatever the size of the fleet: n
- * daemons together get 0.7 * n / 8 of the reserve. That is more than the whole reserve from 12 daemons on.
- */
-const RETRY_RESERVE_DIVISOR = 8;
-
 /**
  * Time constant of the moving average of prepaid units used, in milliseconds: longer than the interval at
  * which daemons report their use to the store.
@@ -164,17 +153,14 @@
     // The number of units that a daemon keeps depends on the other daemons. These may be starting as well, so
     // the first draw waits until they have had time to register.
     void membership.listed.then(() => delay(FLEET_DISCOVERY_MS)).then(() => allowances.start());
-    const { perRequest, reserve } = this.settings.retries;
+    const { retries } = this.settings;
     this.#callContext = {
       codec: this.adapter.headers,
       allowances,
       announcements: new Announcements(membership.network, this.upstreamPool),
       upstreamPool: this.upstreamPool,
       registry: this.routingState.upstreams,
-      retries: new RetryBudget({
-        perRequest: perRequest * RETRY_BUDGET_SHARE,
-        reserve: (reserve * RETRY_BUDGET_SHARE) / RETRY_RESERVE_DIVISOR,
-      }),
+      retries: new RetryBudget(() => retryLimits(retries, membership.size)),
       recorder: this.recorder,
       metrics: this.metrics,
       durations: this.durations,
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -118,9 +118,10 @@
    * @returns whether the same incarnation may still receive requests
    */
   mayReceive({ id, service, startedAt }: UpstreamRecord, now: number): boolean {
-    return this.serving(service, now).some(
-      (record) => record.id === id && record.startedAt === startedAt,
-    );
+    const entry = this.#entries.get(id);
+    if (!entry || (entry.missingUntil !== undefined && entry.missingUntil <= now)) return false;
+    const { record } = entry;
+    return record.service === service && record.startedAt === startedAt && !record.isLeaving;
   }
 
   /**
--- a/src/route/retrybudget.ts
+++ b/src/route/retrybudget.ts
@@ -14,6 +14,11 @@
   readonly reserve: number;
 }
 
+const DEFAULT_LIMITS: RetryBudgetOptions = {
+  perRequest: RETRIES_PER_REQUEST,
+  reserve: MAX_SAVED_RETRIES,
+};
+
 /** Token bucket of retries: requests fill it, retries drain it. */
 export class RetryBudget {
   #saved: number;
@@ -24,15 +29,10 @@
 
   /**
    * Creates a full budget.
-   * @param options - limits of the budget
+   * @param limits - returns the current limits of the budget; they may change with the fleet
    */
-  constructor(
-    private readonly options: RetryBudgetOptions = {
-      perRequest: RETRIES_PER_REQUEST,
-      reserve: MAX_SAVED_RETRIES,
-    },
-  ) {
-    this.#saved = options.reserve;
+  constructor(private readonly limits: () => RetryBudgetOptions = () => DEFAULT_LIMITS) {
+    this.#saved = limits().reserve;
   }
 
   /** Requests recorded so far, without retries. */
@@ -48,7 +48,7 @@
   /** Records a request, which earns a fraction of a retry. */
   addRequest(): void {
     this.#requests += 1;
-    const { perRequest, reserve } = this.options;
+    const { perRequest, reserve } = this.limits();
     this.#saved = Math.min(reserve, this.#saved + perRequest);
   }
 
