The wait of a watch follows the bounds of the platform

Cause: an idle daemon makes two watches every 3 s whatever the bounds; at 195 daemons that is 6,500 calls in 50 s (worked out), the second part of the store's price after the watches that registrations wake. Tests: settings; routing state and follower as before.

--- a/src/gateway/routingstate.ts
+++ b/src/gateway/routingstate.ts
@@ -1,5 +1,5 @@
 /** Follows the current configuration and the registered upstreams in the store. */
-import { Follower } from '../store/index.js';
+import { DEFAULT_WATCH_WAIT_MS, Follower } from '../store/index.js';
 import { RouteTable } from './routetable.js';
 import { UpstreamRegistry } from './upstreams.js';
 
@@ -9,10 +9,10 @@
 import type { PlatformAdapter } from './adapter.js';
 
 /**
- * Time since the last answer of the store to a follower after which the store counts as unavailable, in
- * milliseconds: longer than the store keeps a watch request open while nothing changes.
+ * Time since the last answer of the store to a follower after which the store counts as unavailable, as a multiple of the
+ * time for which it holds a watch while nothing changes.
  */
-const STORE_TIMEOUT_MS = 4_500;
+const STORE_TIMEOUT_WATCHES = 1.5;
 
 /**
  * Pause of a watch after a batch of changes, in milliseconds. The changes of a starting fleet, of a release or of a series
@@ -46,11 +46,13 @@
    * @param adapter - store and decoders
    * @param recorder - log and timeline
    * @param clock - time
+   * @param watchMs - longest time for which the store holds one watch, in milliseconds
    */
   constructor(
     private readonly adapter: PlatformAdapter,
     private readonly recorder: Recorder,
     private readonly clock: Clock,
+    private readonly watchMs = DEFAULT_WATCH_WAIT_MS,
   ) {
     const { configurationKey, upstreamsPrefix } = adapter;
     const configurationPrefix = configurationKey.slice(0, configurationKey.indexOf('/') + 1);
@@ -92,7 +94,7 @@
   get isStoreUp(): boolean {
     const now = this.clock.now();
     const isRecent = this.#followers.every(
-      ({ lastAnswerAt }) => now - lastAnswerAt < STORE_TIMEOUT_MS,
+      ({ lastAnswerAt }) => now - lastAnswerAt < this.watchMs * STORE_TIMEOUT_WATCHES,
     );
     return isRecent && this.#lostFollowers === 0;
   }
@@ -109,7 +111,14 @@
       onLost: (err: StoreError) => this.#onLost(prefix, err),
       onRegained: () => this.#onRegained(prefix),
     };
-    return new Follower(this.adapter.store, prefix, events, this.clock, undefined, BATCH_DELAY_MS);
+    return new Follower(
+      this.adapter.store,
+      prefix,
+      events,
+      this.clock,
+      this.watchMs,
+      BATCH_DELAY_MS,
+    );
   }
 
   #onLost(prefix: string, { problem, text }: StoreError): void {
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -117,7 +117,7 @@
     const { instance, dataCentre, logLevel } = settings;
     this.recorder = makeRecorder({ instance, dataCentre, logLevel });
     this.#loopDelay = new LoopDelay(this.clock, this.recorder, this.metrics);
-    this.routingState = new RoutingState(adapter, this.recorder, this.clock);
+    this.routingState = new RoutingState(adapter, this.recorder, this.clock, settings.watchMs);
     const { tokensPerMs } = settings.engines;
     const options = { ...PLACEMENT_COSTS, tokensPerMs };
     this.upstreamPool = new UpstreamPool(
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -28,6 +28,11 @@
     readinessPath: z.string().startsWith('/').default('/readyz'),
     /** Address of the platform's store. */
     store: addressSchema,
+    /**
+     * Longest time for which the store holds one watch of the configuration or the upstreams, in milliseconds. A connection to
+     * the store that went silent is noticed when it ends; a longer wait saves calls.
+     */
+    watchMs: z.number().positive().max(30_000).default(3_000),
     logLevel: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info'),
     processor: z
       .strictObject({
--- a/src/store/follower.ts
+++ b/src/store/follower.ts
@@ -6,7 +6,7 @@
 import type { Snapshot, SnapshotStore } from './snapshotstore.js';
 
 /** Default wait of a watch, in milliseconds: an idle watch returns after it and so confirms the connection. */
-const DEFAULT_WATCH_WAIT_MS = 3_000;
+export const DEFAULT_WATCH_WAIT_MS = 3_000;
 
 /** Wait of a watch that must return immediately, in milliseconds. */
 const PROBE_WAIT_MS = 1;
