Placement: common prompt parts that too many requests share are cached at many upstreams

Cause: the preferred upstream followed the first part that covers half of what is shared. A daemon that sends such an upstream a request every few seconds sees neither its own backlog nor a fresh report. Change: a daemon knows the share of each part in its own recent prompts, which is that of the fleet; a part with more than twice the mean share of an upstream gives way to the next one.

--- a/src/gateway/upstreampool.ts
+++ b/src/gateway/upstreampool.ts
@@ -1,6 +1,6 @@
 /** Connections and load of each upstream, and placement of requests on the upstreams. */
 import { hash32 } from '../kernel/index.js';
-import { placeRequest, UpstreamStats } from '../route/index.js';
+import { HotParts, placeRequest, UpstreamStats } from '../route/index.js';
 import { UpstreamConnections } from './connections.js';
 
 import type { Clock } from '../kernel/index.js';
@@ -44,6 +44,9 @@
 export class UpstreamPool {
   readonly #known = new Map<string, KnownUpstream>();
 
+  /** Frequent prompt parts, by service. */
+  readonly #hotParts = new Map<string, HotParts>();
+
   #sweptAt = 0;
 
   /**
@@ -77,7 +80,11 @@
       .filter(({ id }) => !query.excluded.includes(id))
       .map((record) => this.#of(record));
     const candidates = upstreams.map((known) => this.#candidate(known, query, now));
-    const placement = placeRequest(candidates, query.request, this.options, draw);
+    const hotParts = this.#hotParts.get(query.service) ?? new HotParts();
+    this.#hotParts.set(query.service, hotParts);
+    const affinityPart = hotParts.choose(query.request, candidates.length, now);
+    const request = { ...query.request, affinityPart };
+    const placement = placeRequest(candidates, request, this.options, draw);
     const upstream = upstreams.find(({ record }) => record.id === placement?.id);
     return placement && upstream ? { placement, upstream } : undefined;
   }
--- a/src/route/index.ts
+++ b/src/route/index.ts
@@ -9,6 +9,7 @@
 export * from './health.js';
 export * from './prefixrates.js';
 export * from './leastload.js';
+export * from './hotparts.js';
 export * from './placement.js';
 export * from './pool.js';
 export * from './poweroftwo.js';
--- a/src/route/placement.ts
+++ b/src/route/placement.ts
@@ -46,6 +46,11 @@
 export interface PlacementRequest {
   /** Shared parts in prompt order; empty for requests without a prompt. */
   readonly sharedParts: readonly SharedPart[];
+  /**
+   * Shared part that determines the preferred upstream; undefined for a request without shared parts. It is chosen by
+   * `HotParts`.
+   */
+  readonly affinityPart?: string | undefined;
   /** Total prompt tokens of the shared parts. */
   readonly sharedTokens: number;
   /** Total prompt tokens; 0 for requests without a prompt. */
@@ -85,28 +90,11 @@
 /** Seed of the hash of the affinity part, for rendezvous hashing. */
 const AFFINITY_SEED = 7;
 
-/** Share of the shared tokens that the affinity part and all parts before it must cover. */
-const AFFINITY_PART_COVERAGE = 0.5;
-
-/**
- * Finds the affinity part, which determines the preferred upstream: the first part that, together with
- * all parts before it, covers at least half of the shared tokens. Requests that differ only in later
- * parts go to the same upstream, so that the common parts are processed only there.
- */
-function affinityPart({ sharedParts, sharedTokens }: PlacementRequest): string | undefined {
-  let covered = 0;
-  return sharedParts.find(({ tokens }) => {
-    covered += tokens;
-    return covered >= sharedTokens * AFFINITY_PART_COVERAGE;
-  })?.id;
-}
-
 /** Finds the preferred upstream of a shared prompt by rendezvous hashing; equal in every daemon. */
 function preferredUpstream(
-  request: PlacementRequest,
+  part: string | undefined,
   candidates: readonly PlacementCandidate[],
 ): string | undefined {
-  const part = affinityPart(request);
   if (part === undefined) return undefined;
   const key = hash32(part, AFFINITY_SEED);
   const scored = candidates
@@ -178,7 +166,7 @@
   options: PlacementOptions,
   draw: number,
 ): Placement | undefined {
-  const preferred = preferredUpstream(request, candidates);
+  const preferred = preferredUpstream(request.affinityPart, candidates);
   const offset = Math.floor(draw * candidates.length);
   let best: Placement | undefined;
   candidates.forEach((_, index) => {
--- a/src/route/tests/placement.test.ts
+++ b/src/route/tests/placement.test.ts
@@ -2,6 +2,7 @@
 
 import { hash32 } from '../../kernel/index.js';
 import { DEFAULT_SEED, seededRandom } from '../../../testbed/seed.js';
+import { HotParts } from '../hotparts.js';
 import { placeRequest } from '../placement.js';
 
 import type { PlacementCandidate, PlacementOptions, PlacementRequest } from '../placement.js';
@@ -116,12 +117,22 @@
 
 const WORKERS = ['u1', 'u2', 'u3', 'u4', 'u5', 'u6'];
 
+/** Chooses the affinity part as a daemon does that has seen nothing else. */
+function withAffinity(request: PlacementRequest): PlacementRequest {
+  return { ...request, affinityPart: new HotParts().choose(request, WORKERS.length, 0) };
+}
+
 function shared(subject: string): PlacementRequest {
   const sharedParts = [
     { id: 'all', tokens: 512 },
     { id: subject, tokens: 4_870 },
   ];
-  return { sharedParts, sharedTokens: 5_382, promptTokens: 12_000, memoryTokens: 12_384 };
+  return withAffinity({
+    sharedParts,
+    sharedTokens: 5_382,
+    promptTokens: 12_000,
+    memoryTokens: 12_384,
+  });
 }
 
 function idleWorkers(): PlacementCandidate[] {
@@ -143,7 +154,7 @@
       { id: deeper, tokens: 227 },
     ];
     const request = { sharedParts, sharedTokens: 568, promptTokens: 2_368, memoryTokens: 2_400 };
-    return placeRequest(idleWorkers(), request, OPTIONS, 0)?.id;
+    return placeRequest(idleWorkers(), withAffinity(request), OPTIONS, 0)?.id;
   });
   t.is(new Set(homes).size, 1);
 });
