--- a/bench/start.ts
+++ b/bench/start.ts
@@ -1,9 +1,10 @@
 /** Benchmark of a start of the bundled daemon, beside a start of Node.js alone. */
 import { execFile } from 'node:child_process';
-import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 
+import { readRunCommand } from '../tools/runcommand.js';
 import { BenchGroup } from './figure.js';
 
 import type { BenchContext, Figure } from './figure.js';
@@ -54,14 +55,6 @@
   return [...values].sort((a, b) => a - b)[Math.floor(values.length / 2)] ?? 0;
 }
 
-/** Reads the arguments of Node.js in the deploy file. */
-async function runArguments(): Promise<readonly string[]> {
-  const file = await readFile('deploy/system.toml', 'utf8');
-  const words = /^run = "node (.*)"$/m.exec(file)?.[1]?.split(' ');
-  if (!words) throw new Error('deploy/system.toml: no line that begins with: run = "node');
-  return words;
-}
-
 /** Starts of the daemon and of Node.js, in turn. */
 export class StartBench extends BenchGroup {
   override readonly name = 'start';
@@ -70,14 +63,13 @@
     const dir = await mkdtemp(join(tmpdir(), 'bench-start-'));
     const usageModule = join(dir, 'usage.cjs');
     await writeFile(usageModule, USAGE_MODULE);
-    const args = await runArguments();
-    const flags = args.slice(0, -1);
+    const { flags, script } = await readRunCommand();
     const starts: { daemon: StartUse; bare: StartUse }[] = [];
     for (let round = 0; round < ROUNDS; round += 1) {
       say(`start ${round + 1} of ${ROUNDS}`);
       // Starts run one at a time: concurrent ones would compete for the processor caches.
       // eslint-disable-next-line no-await-in-loop
-      const daemon = await measureStart(usageModule, args);
+      const daemon = await measureStart(usageModule, [...flags, script]);
       // eslint-disable-next-line no-await-in-loop
       const bare = await measureStart(usageModule, [...flags, '-e', '0']);
       starts.push({ daemon, bare });
--- a/tools/bundle.js
+++ b/tools/bundle.js
@@ -1,11 +1,12 @@
 /** Bundles the platform's daemon into one script with a code cache, so that it starts fast. */
 import { execFile } from 'node:child_process';
-import { readFile } from 'node:fs/promises';
 import { fileURLToPath } from 'node:url';
 import { promisify } from 'node:util';
 
 import { build } from 'esbuild';
 
+import { readRunCommand } from '../dist/tools/runcommand.js';
+
 /** Packages that Nest loads only where they are installed. */
 const OPTIONAL = [
   '@nestjs/microservices',
@@ -50,14 +51,6 @@
   charset: 'ascii',
 };
 
-/** Returns the words between "node" and the program in the deploy file's "run": the flags of the daemon. */
-async function runFlags() {
-  const file = await readFile('deploy/system.toml', 'utf8');
-  const words = /^run = "node (.*)"$/m.exec(file)?.[1]?.split(' ');
-  if (!words) throw new Error('deploy/system.toml: no line that begins with: run = "node');
-  return { flags: words.slice(0, -1), launcher: words.at(-1) };
-}
-
 await build({
   ...SCRIPT,
   entryPoints: ['dist/platform/program.js'],
@@ -69,7 +62,7 @@
   banner: { js: '(function (exports, require, module) {' },
   footer: { js: '})' },
 });
-const { flags, launcher } = await runFlags();
-await build({ ...SCRIPT, entryPoints: ['dist/platform/launch.js'], outfile: launcher });
+const { flags, script } = await readRunCommand();
+await build({ ...SCRIPT, entryPoints: ['dist/platform/launch.js'], outfile: script });
 // V8 accepts a code cache only with the flags that it was made with.
-await promisify(execFile)(process.execPath, [...flags, launcher, '--write-code-cache']);
+await promisify(execFile)(process.execPath, [...flags, script, '--write-code-cache']);
