--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -18,6 +18,7 @@
 import type { EventSubject } from '../telemetry/index.js';
 import type { ReadBody } from '../request/index.js';
 import type { CallerLimits } from './configuration.js';
+import type { RequestHandle } from './openrequests.js';
 import type { CallHead } from './protocol.js';
 import type { RouteTable } from './routetable.js';
 
@@ -43,6 +44,7 @@
   readonly caller: HttpReply;
   readonly connection: CallerConnection;
   readonly arrival: Arrival;
+  readonly open: RequestHandle;
 }
 
 /** Serves callers. */
@@ -65,22 +67,22 @@
     const { runtime } = this;
     const connection = runtime.callers.of(request.raw.socket);
     const arrival = connection.arrived(runtime.clock.now());
-    runtime.arrived();
+    const open = runtime.openRequests.add();
     runtime.metrics.open.inc();
     try {
       const caller = new HttpReply(reply.raw, connection, () => runtime.isStopping);
-      await this.#serve(request, { caller, connection, arrival });
+      await this.#serve(request, { caller, connection, arrival, open });
     } catch (err) {
       runtime.recorder.record('requestFailed', { detail: String(err) });
       reply.raw.destroy();
     } finally {
-      runtime.ended();
+      open.end();
       runtime.metrics.open.dec();
     }
   }
 
   async #serve(request: FastifyRequest, exchange: Exchange): Promise<void> {
-    const { caller, connection, arrival } = exchange;
+    const { caller, connection, arrival, open } = exchange;
     const { raw: req, originalUrl: target } = request;
     const { headers: codec } = this.runtime.adapter;
     const head = codec.decodeCall(req.rawHeaders);
@@ -102,6 +104,7 @@
       this.#refuse(caller, head, refusal);
       return;
     }
+    open.describe(head.id, found.route.name);
     const { requestQueue, clock } = this.runtime;
     const leftMs = timeLimitMs(found.route, head.deadlineMs) - (clock.now() - arrival.at);
     const outcome = await requestQueue.waitForTurn(connection, leftMs);
@@ -133,7 +136,7 @@
     if (!route) return failure('unknown-route', `${host}${target}`);
     const workspace = this.#workspaceOf(table, head, route.isPublic);
     if (workspace === 'unknown') return failure('unknown-key', route.name);
-    return this.runtime.acceptsRequest(route, head.deadlineMs)
+    return this.runtime.acceptsRequest(head.id, route, head.deadlineMs)
       ? { table, route, workspace }
       : notReady;
   }
--- /dev/null
+++ b/src/gateway/openrequests.ts
@@ -0,0 +1,83 @@
+/** Requests of callers that have not ended. */
+import type { Clock } from '../kernel/index.js';
+import type { StopLoad } from './stopping.js';
+
+/** One open request. */
+interface OpenRequest {
+  /** Id of the caller's attempt; empty until the headers are decoded. */
+  id: string;
+  /** Name of its route; "none" until it is known. */
+  route: string;
+  /** When it arrived, in milliseconds. */
+  readonly since: number;
+}
+
+/** One open request, as listed. */
+export interface ListedRequest {
+  readonly id: string;
+  readonly route: string;
+  /** Time since its arrival, in milliseconds. */
+  readonly openMs: number;
+}
+
+/** Handle of one open request. */
+export interface RequestHandle {
+  /**
+   * Adds what is known of the request once its headers are decoded.
+   * @param id - id of the caller's attempt
+   * @param route - name of its route
+   */
+  readonly describe: (id: string, route: string) => void;
+  /** Removes the request; called when its answer has ended. */
+  readonly end: () => void;
+}
+
+/** Keeps the open requests of one daemon. */
+export class OpenRequests {
+  readonly #open = new Set<OpenRequest>();
+
+  #arrivedAt = Number.NEGATIVE_INFINITY;
+
+  /**
+   * Creates an empty set.
+   * @param clock - steady clock
+   */
+  constructor(private readonly clock: Clock) {}
+
+  /** Number of open requests, and when the last one arrived. */
+  get load(): StopLoad {
+    return { active: this.#open.size, arrivedAt: this.#arrivedAt };
+  }
+
+  /**
+   * Adds a request that arrives.
+   * @returns its handle
+   */
+  add(): RequestHandle {
+    this.#arrivedAt = this.clock.now();
+    const request: OpenRequest = { id: '', route: 'none', since: this.#arrivedAt };
+    this.#open.add(request);
+    return {
+      describe: (id, route) => {
+        request.id = id;
+        request.route = route;
+      },
+      end: () => {
+        this.#open.delete(request);
+      },
+    };
+  }
+
+  /**
+   * Lists the open requests.
+   * @returns the requests in the order of their arrival
+   */
+  list(): readonly ListedRequest[] {
+    const now = this.clock.now();
+    return [...this.#open].map(({ id, route, since }) => ({
+      id,
+      route,
+      openMs: Math.round(now - since),
+    }));
+  }
+}
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -20,7 +20,8 @@
 import { GatewayMetrics } from './metrics.js';
 import { retryLimits } from './retrylimits.js';
 import { processorCores } from './settings.js';
-import { acceptsDuringStop } from './stopping.js';
+import { OpenRequests } from './openrequests.js';
+import { acceptsDuringStop, cutTime, isPastAcceptAll } from './stopping.js';
 
 import type { PlacementOptions } from '../route/index.js';
 import type { Recorder } from '../telemetry/index.js';
@@ -87,7 +88,7 @@
 
   readonly #loopDelay: LoopDelay;
 
-  #load: StopLoad = { active: 0, arrivedAt: Number.NEGATIVE_INFINITY };
+  readonly openRequests = new OpenRequests(this.clock);
 
   #membership: Membership | undefined;
 
@@ -186,7 +187,7 @@
 
   /** Number of open requests, and when the last one arrived. */
   get load(): StopLoad {
-    return this.#load;
+    return this.openRequests.load;
   }
 
   /**
@@ -198,30 +199,32 @@
     this.requestQueue.accepted();
   }
 
-  /** Counts a request that arrives. */
-  arrived(): void {
-    this.#load = { active: this.#load.active + 1, arrivedAt: this.clock.now() };
-  }
-
-  /** Counts a request that has ended. */
-  ended(): void {
-    this.#load = { ...this.#load, active: this.#load.active - 1 };
-  }
-
   /**
    * Decides whether a request is accepted now. Requests are refused only during a stop.
+   * @param request - its id, for the log
    * @param route - its route
    * @param deadlineMs - time that its caller waits, in milliseconds; undefined for no limit
    * @returns whether it is accepted
    */
-  acceptsRequest(route: GatewayRoute, deadlineMs: number | undefined): boolean {
-    if (!this.#stopWindow) return true;
-    const boundMs = timeLimitMs(route, deadlineMs);
-    return acceptsDuringStop(
-      this.#stopWindow,
-      this.durations.upperBoundMs(route.name, boundMs),
-      this.clock.now(),
-    );
+  acceptsRequest(request: string, route: GatewayRoute, deadlineMs: number | undefined): boolean {
+    const window = this.#stopWindow;
+    if (!window) return true;
+    const limitMs = timeLimitMs(route, deadlineMs);
+    const expectedMs = this.durations.upperBoundMs(route.name, limitMs);
+    const now = this.clock.now();
+    const isAccepted = acceptsDuringStop(window, expectedMs, now);
+    if (isPastAcceptAll(window, now)) {
+      const facts = {
+        isAccepted,
+        route: route.name,
+        stoppingMs: Math.round(now - window.startedAt),
+        leftMs: Math.round(cutTime(window) - now),
+        limitMs,
+        expectedMs: Math.round(expectedMs),
+      };
+      this.recorder.record('callInStop', { request, facts });
+    }
+    return isAccepted;
   }
 
   /**
@@ -230,7 +233,7 @@
    */
   beginStop(): StopWindow {
     this.#stopWindow = { startedAt: this.clock.now(), stopMs: this.settings.stopMs };
-    this.recorder.record('daemonStopping', { facts: { active: this.#load.active } });
+    this.recorder.record('daemonStopping', { facts: { active: this.load.active } });
     return this.#stopWindow;
   }
 
@@ -251,7 +254,10 @@
     await this.#membership?.stop();
     this.upstreamPool.close();
     this.#loopDelay.stop();
-    this.recorder.record('daemonStopped', { facts: { active: this.#load.active } });
+    this.openRequests.list().forEach(({ id, route, openMs }) => {
+      this.recorder.record('callCutByStop', { request: id, facts: { route, openMs } });
+    });
+    this.recorder.record('daemonStopped', { facts: { active: this.load.active } });
     this.recorder.flush();
   }
 
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -120,6 +120,16 @@
   callAttemptFailed: { number: 8003, level: 'warn', text: 'an attempt at an upstream failed' },
   callRefused: { number: 8004, level: 'info', text: 'request refused; it has not run' },
   callFailed: { number: 8005, level: 'warn', text: 'request failed; it may have run' },
+  callInStop: {
+    number: 8006,
+    level: 'info',
+    text: 'request arrived late in a graceful stop',
+  },
+  callCutByStop: {
+    number: 8007,
+    level: 'warn',
+    text: 'request was still open when the time for a graceful stop ended',
+  },
   allowanceDrawn: { number: 8101, level: 'info', text: 'prepaid units drawn or reported' },
   allowanceDelayed: { number: 8102, level: 'warn', text: 'prepaid units could not be drawn' },
   allowanceLent: { number: 8103, level: 'info', text: 'prepaid units lent to another daemon' },
