--- a/testbed/rawupstream.ts
+++ b/testbed/rawupstream.ts
@@ -12,6 +12,8 @@
   readonly text: string;
   /** What the server does with the connection after it has written the bytes. */
   readonly then: 'keep' | 'close' | 'reset';
+  /** Time from the request to the answer, in milliseconds; 0 if it is left out. */
+  readonly afterMs?: number;
 }
 
 /** Delay between the last byte and the end of the connection, in milliseconds. */
@@ -76,6 +78,11 @@
     this.requests.push(request);
     if (!answer) return;
     const id = new RegExp(`${this.idHeader}: (\\S+)`, 'i').exec(request)?.[1] ?? '';
+    if (answer.afterMs === undefined) RawUpstream.#write(socket, answer, id);
+    else setTimeout(() => RawUpstream.#write(socket, answer, id), answer.afterMs);
+  }
+
+  static #write(socket: Socket, answer: RawAnswer, id: string): void {
     socket.write(answer.text.replaceAll(ID_PLACEHOLDER, id));
     if (answer.then === 'keep') return;
     setTimeout(() => {
