A stopping daemon accepts late requests only if their time limit falls within the stop

What callers saw: a request that was sent to a daemon 3.2 s after its SIGTERM, mostly on a connection kept from before, was accepted, sent to an upstream, and cut when the daemon exited 6.9 s after the signal (LOST). One that may not be repeated would have been lost for good.

A promise rested on an estimate that knows neither the size of the request nor the state of its upstream.

Why this works: the request ends at its time limit whatever the upstream does, plus the 40 ms by which an attempt may exceed it, and only what ends so before the cut is accepted. Quick routes are served as before, since their limits are short: 1.5 s fit until 5.3 s after the signal.

--- a/src/gateway/callrun.ts
+++ b/src/gateway/callrun.ts
@@ -17,7 +17,6 @@
 import type { Announcements } from './announcements.js';
 import type { Call } from './attempt.js';
 import type { GatewayRoute, GatewayWorkspace } from './configuration.js';
-import type { Durations } from './durations.js';
 import type { UpstreamPool, KnownUpstream } from './upstreampool.js';
 import type { GatewayMetrics } from './metrics.js';
 import type { HeaderCodec } from './protocol.js';
@@ -31,7 +30,7 @@
  * Time by which an attempt may exceed the time limit of its request before this daemon aborts it, in
  * milliseconds: the upstream knows the limit and can end the request itself by then.
  */
-const TIMEOUT_SLACK_MS = 40;
+export const TIMEOUT_SLACK_MS = 40;
 
 /** Time that must be left before the time limit of a request for it to be sent, in milliseconds. */
 const MIN_ATTEMPT_MS = 10;
@@ -55,7 +54,6 @@
   readonly retries: RetryBudget;
   readonly recorder: Recorder;
   readonly metrics: GatewayMetrics;
-  readonly durations: Durations;
   readonly clock: Clock;
   /** Random numbers in [0, 1). */
   readonly random: () => number;
@@ -330,7 +328,6 @@
     const { clock, metrics, recorder } = this.ctx;
     const route = this.policy.route.name;
     const tookMs = clock.now() - this.#startedAt;
-    if (kind === 'relayed') this.ctx.durations.note(route, tookMs);
     metrics.requests.inc({ route, end: refusal?.code ?? kind });
     metrics.duration.observe({ route }, tookMs / 1_000);
     if (this.#firstByteAt !== undefined) {
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -10,8 +10,8 @@
 import { Allowances } from './allowances.js';
 import { readOrCreate } from './sharedvalue.js';
 import { Announcements } from './announcements.js';
+import { TIMEOUT_SLACK_MS } from './callrun.js';
 import { timeLimitMs } from './configuration.js';
-import { Durations } from './durations.js';
 import { UpstreamPool } from './upstreampool.js';
 import { Holders } from './holders.js';
 import { RoutingState } from './routingstate.js';
@@ -84,8 +84,6 @@
 
   readonly upstreamPool: UpstreamPool;
 
-  readonly durations = new Durations();
-
   readonly #loopDelay: LoopDelay;
 
   readonly openRequests = new OpenRequests(this.clock);
@@ -164,7 +162,6 @@
       retries: new RetryBudget(() => retryLimits(retries, membership.size)),
       recorder: this.recorder,
       metrics: this.metrics,
-      durations: this.durations,
       clock: this.clock,
       random: Math.random,
     };
@@ -209,10 +206,9 @@
   acceptsRequest(request: string, route: GatewayRoute, deadlineMs: number | undefined): boolean {
     const window = this.#stopWindow;
     if (!window) return true;
-    const limitMs = timeLimitMs(route, deadlineMs);
-    const expectedMs = this.durations.upperBoundMs(route.name, limitMs);
+    const limitMs = timeLimitMs(route, deadlineMs) + TIMEOUT_SLACK_MS;
     const now = this.clock.now();
-    const isAccepted = acceptsDuringStop(window, expectedMs, now);
+    const isAccepted = acceptsDuringStop(window, limitMs, now);
     if (isPastAcceptAll(window, now)) {
       const facts = {
         isAccepted,
@@ -220,7 +216,6 @@
         stoppingMs: Math.round(now - window.startedAt),
         leftMs: Math.round(cutTime(window) - now),
         limitMs,
-        expectedMs: Math.round(expectedMs),
       };
       this.recorder.record('callInStop', { request, facts });
     }
--- a/src/gateway/stopping.ts
+++ b/src/gateway/stopping.ts
@@ -66,24 +66,25 @@
  * Checks whether the first phase of a stop is over, in which the load balancer may not have noticed it.
  * @param window - start and duration of the stop
  * @param now - current time, in milliseconds
- * @returns whether it is; from then on, only requests that should end before the daemon stops waiting for open
- * requests are accepted
+ * @returns whether it is; from then on, only requests that are certain to end before the daemon stops waiting for
+ * open requests are accepted
  */
 export function isPastAcceptAll({ startedAt, stopMs }: StopWindow, now: number): boolean {
   return now - startedAt >= stopMs * ACCEPT_ALL_SHARE;
 }
 
 /**
- * Decides whether a request is accepted during a stop. Requests still arrive after the first phase: if most
- * daemons of a data centre stop, the load balancer keeps routing requests to all of them.
+ * Decides whether a request is accepted during a stop. Requests still arrive after the first phase: callers keep
+ * their connections, and if most daemons of a data centre stop, the load balancer keeps routing requests to all of
+ * them.
  * @param window - start and duration of the stop
- * @param expectedMs - upper estimate of the duration of the request, in milliseconds
+ * @param limitMs - time after which the request has ended at the latest, in milliseconds
  * @param now - current time, in milliseconds
- * @returns whether it is accepted; after the first phase, whether it should end before the daemon stops
- * waiting for open requests
+ * @returns whether it is accepted; after the first phase, whether it ends before the daemon stops waiting for open
+ * requests, however long it takes
  */
-export function acceptsDuringStop(window: StopWindow, expectedMs: number, now: number): boolean {
-  return !isPastAcceptAll(window, now) || now + expectedMs <= cutTime(window);
+export function acceptsDuringStop(window: StopWindow, limitMs: number, now: number): boolean {
+  return !isPastAcceptAll(window, now) || now + limitMs <= cutTime(window);
 }
 
 /**
