A stopping daemon waits until its answers have been sent, not only written

Found while looking for the cause of LOST elsewhere: a request counted as ended once its last byte was written, also while parts of its answer waited in the process for a caller that reads slowly. A stop that saw no open request could then exit with these parts unsent.

Now a request stays open until its answer was handed to the operating system or its connection ended, and a part of an answer that still waits when the stop ends is aborted, so that it cannot look complete. The daemon polls for this at the end of the stop, for as long as the stop may take.

--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -34,6 +34,9 @@
 /** Interval at which a graceful stop checks whether the listener for callers may be closed, in milliseconds. */
 const DRAIN_POLL_MS = 25;
 
+/** Interval at which a stopping daemon checks whether the last answers have been sent, in milliseconds. */
+const END_POLL_MS = 5;
+
 /** Starts and stops a gateway daemon. */
 export class GatewayDaemon {
   private constructor(
@@ -83,6 +86,11 @@
   }
 
   async #finish(): Promise<void> {
+    while (this.runtime.load.active > 0) {
+      // The answers that end open requests still have to be sent.
+      // eslint-disable-next-line no-await-in-loop
+      await delay(END_POLL_MS);
+    }
     await this.runtime.finishStop();
     await Promise.all(this.internalListeners.map((listener) => listener.close()));
   }
--- a/src/gateway/httpreply.ts
+++ b/src/gateway/httpreply.ts
@@ -10,6 +10,9 @@
 export class HttpReply extends CallerReply {
   isDisconnected = false;
 
+  /** Resolves once all bytes of the answer have been handed to the operating system, or the connection has ended. */
+  readonly finished: Promise<void>;
+
   /**
    * Whether the answer is delimited by a length or chunks rather than by the end of the connection.
    */
@@ -29,6 +32,10 @@
   ) {
     super();
     res.on('drain', () => this.onDrain());
+    this.finished = new Promise((resolve) => {
+      res.on('finish', resolve);
+      res.on('close', resolve);
+    });
     const unsubscribe = connection.onEnd(() => this.#markDisconnected());
     res.on('close', () => {
       unsubscribe();
--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -72,6 +72,7 @@
     try {
       const caller = new HttpReply(reply.raw, connection, () => runtime.isStopping);
       await this.#serve(request, { caller, connection, arrival, open });
+      if (caller.isBegun) await caller.finished;
     } catch (err) {
       runtime.recorder.record('requestFailed', { detail: String(err) });
       reply.raw.destroy();
@@ -126,7 +127,12 @@
       events: new EventStream(),
     };
     const run = new CallRun(callContext, call, found, arrival);
-    open.onStop(() => run.stop());
+    open.onStop(() => {
+      const wasBegun = caller.isBegun;
+      run.stop();
+      // The run may have ended while parts of its answer wait for the caller to read.
+      if (wasBegun) caller.abortAnswer();
+    });
     await run.run();
   }
 
