Callers that a stopping daemon refuses are told to return at once, not after half a second

What callers saw: since late requests with a long time limit are refused in a stop, their callers waited 500 ms before they tried again, although another daemon is there at once. That delay is meant for a daemon that has yet to read its configuration.

Now a stopping daemon gives the same short, spread delay as an overloaded one (100 to 200 ms). The eight refused cases of platform/tests/stopping.test.ts check it; with the delay of 500 ms each fails.

--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -22,21 +22,21 @@
 import type { CallHead } from './protocol.js';
 import type { RouteTable } from './routetable.js';
 
-/** Retry delay sent to callers while the daemon starts or stops, in milliseconds. */
+/** Retry delay sent to callers while the daemon starts, in milliseconds. */
 const NOT_READY_RETRY_MS = 500;
 
 /**
- * Least retry delay sent to callers of an overloaded daemon, in milliseconds. It is short, as the retry
- * usually reaches another daemon.
+ * Least retry delay sent to callers of an overloaded or stopping daemon, in milliseconds. It is short, as the
+ * retry usually reaches another daemon.
  */
-const BUSY_RETRY_MS = 100;
+const OTHER_DAEMON_RETRY_MS = 100;
 
 /** Limits on callers' requests before the first configuration is applied. */
 const DEFAULT_LIMITS: Pick<CallerLimits, 'bodyBytes'> = { bodyBytes: 4_194_304 };
 
-/** Returns a random retry delay for a caller of an overloaded daemon, so that callers do not all retry at once. */
-function busyRetryMs(): number {
-  return BUSY_RETRY_MS * (1 + Math.random());
+/** Returns a random retry delay for a caller that should use another daemon, so that callers do not all retry at once. */
+function otherDaemonRetryMs(): number {
+  return OTHER_DAEMON_RETRY_MS * (1 + Math.random());
 }
 
 /** Reply, connection and arrival of one request. */
@@ -115,7 +115,12 @@
     }
     if (outcome === 'overloaded') {
       const refusal = failure('overloaded', found.route.name);
-      this.#refuse(caller, head, { ...refusal, retryAfterMs: busyRetryMs() }, requestQueue.facts);
+      this.#refuse(
+        caller,
+        head,
+        { ...refusal, retryAfterMs: otherDaemonRetryMs() },
+        requestQueue.facts,
+      );
       return;
     }
     const call: Call = {
@@ -146,7 +151,7 @@
     if (workspace === 'unknown') return failure('unknown-key', route.name);
     return this.runtime.acceptsRequest(head.id, route, head.deadlineMs)
       ? { table, route, workspace }
-      : notReady;
+      : { ...failure('not-ready', target), retryAfterMs: otherDaemonRetryMs() };
   }
 
   #workspaceOf(
