--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -73,7 +73,8 @@
     while (!mayCloseListener(window, this.runtime.load, clock.now())) {
       // eslint-disable-next-line no-await-in-loop
       await delay(DRAIN_POLL_MS);
-      if (isPastAcceptAll(window, clock.now())) this.runtime.releaseExcess();
+      const { stopWindow = window } = this.runtime;
+      if (isPastAcceptAll(stopWindow, clock.now())) this.runtime.releaseExcess();
     }
     const server = this.createIngress.getHttpServer();
     server.close();
@@ -126,7 +127,8 @@
     const { listen, readinessPath } = runtime.settings;
     const readiness = Fastify();
     readiness.get(readinessPath, (_req, reply) => {
-      void reply.status(runtime.isReady ? 200 : 503).send({ ready: runtime.isReady });
+      const ready = runtime.checkReadiness();
+      void reply.status(ready ? 200 : 503).send({ ready });
     });
     const metrics = Fastify();
     metrics.get('/metrics', async (_req, reply) => {
