--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -73,8 +73,7 @@
     while (!mayCloseListener(window, this.runtime.load, clock.now())) {
       // eslint-disable-next-line no-await-in-loop
       await delay(DRAIN_POLL_MS);
-      const { stopWindow = window } = this.runtime;
-      if (isPastAcceptAll(stopWindow, clock.now())) this.runtime.releaseExcess();
+      if (isPastAcceptAll(window, clock.now())) this.runtime.releaseExcess();
     }
     const server = this.createIngress.getHttpServer();
     server.close();
@@ -127,8 +126,7 @@
     const { listen, readinessPath } = runtime.settings;
     const readiness = Fastify();
     readiness.get(readinessPath, (_req, reply) => {
-      const ready = runtime.checkReadiness();
-      void reply.status(ready ? 200 : 503).send({ ready });
+      void reply.status(runtime.isReady ? 200 : 503).send({ ready: runtime.isReady });
     });
     const metrics = Fastify();
     metrics.get('/metrics', async (_req, reply) => {
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -177,21 +177,6 @@
     return this.#stopWindow === undefined && this.callContext !== undefined;
   }
 
-  /**
-   * Answers a readiness check of the load balancer, and counts those that fail during a stop.
-   * @returns whether the daemon is ready
-   */
-  checkReadiness(): boolean {
-    const window = this.#stopWindow;
-    if (window) this.#stopWindow = { ...window, failedChecks: window.failedChecks + 1 };
-    return this.isReady;
-  }
-
-  /** Start and duration of the graceful stop; undefined before it. */
-  get stopWindow(): StopWindow | undefined {
-    return this.#stopWindow;
-  }
-
   /** Whether a graceful stop has begun. */
   get isStopping(): boolean {
     return this.#stopWindow !== undefined;
@@ -229,7 +214,6 @@
         isAccepted,
         route: route.name,
         stoppingMs: Math.round(now - window.startedAt),
-        failedChecks: window.failedChecks,
         leftMs: Math.round(cutTime(window) - now),
         limitMs,
       };
@@ -243,8 +227,7 @@
    * @returns start and duration of the stop
    */
   beginStop(): StopWindow {
-    const { stopMs } = this.settings;
-    this.#stopWindow = { startedAt: this.clock.now(), stopMs, failedChecks: 0 };
+    this.#stopWindow = { startedAt: this.clock.now(), stopMs: this.settings.stopMs };
     this.recorder.record('daemonStopping', { facts: { active: this.load.active } });
     return this.#stopWindow;
   }
--- a/src/gateway/stopping.ts
+++ b/src/gateway/stopping.ts
@@ -6,8 +6,6 @@
   readonly startedAt: number;
   /** Time from the signal until the process is killed, in milliseconds. */
   readonly stopMs: number;
-  /** Number of failed readiness checks since the signal. */
-  readonly failedChecks: number;
 }
 
 /** Requests of a stopping daemon. */
@@ -19,14 +17,11 @@
 }
 
 /**
- * Largest share of the stop time in which every request is accepted: the load balancer notices the stop only
+ * Share of the stop time in which every request is accepted: the load balancer notices the stop only
  * with a delay.
  */
 const ACCEPT_ALL_SHARE = 0.37;
 
-/** Number of failed readiness checks in a row after which the load balancer routes no more connections to a daemon. */
-const NOTICED_CHECKS = 2;
-
 /**
  * Least share of the stop time for which the listener stays open, even if the daemon is idle: until then
  * the load balancer may still route requests to it.
@@ -68,16 +63,14 @@
 }
 
 /**
- * Checks whether the first phase of a stop is over, in which the load balancer may not have noticed it. Requests on
- * connections that callers have kept still arrive afterwards.
+ * Checks whether the first phase of a stop is over, in which the load balancer may not have noticed it.
  * @param window - start and duration of the stop
  * @param now - current time, in milliseconds
  * @returns whether it is; from then on, only requests that are certain to end before the daemon stops waiting for
  * open requests are accepted
  */
-export function isPastAcceptAll(window: StopWindow, now: number): boolean {
-  const { startedAt, stopMs, failedChecks } = window;
-  return failedChecks >= NOTICED_CHECKS || now - startedAt >= stopMs * ACCEPT_ALL_SHARE;
+export function isPastAcceptAll({ startedAt, stopMs }: StopWindow, now: number): boolean {
+  return now - startedAt >= stopMs * ACCEPT_ALL_SHARE;
 }
 
 /**
