--- a/src/gateway/stopping.ts
+++ b/src/gateway/stopping.ts
@@ -38,7 +38,7 @@
  * Share of the stop time after which the daemon stops waiting for open requests. Those that still run
  * when the process ends are aborted.
  */
-const CUT_SHARE = 0.86;
+const CUT_SHARE = 0.9;
 
 /** Share of the stop time after which the process ends, even if the stop is not complete. */
 const EXIT_SHARE = 0.97;
