A stopping daemon returns its units even if a request does not end

What callers saw: nothing at once; the workspace missed its units. Since a stopping daemon waits until the answers of all open requests have been sent, without a limit of its own. One request that does not end (an upload whose caller pauses, a refusal that nobody reads) kept it from closing its rows: the process exited at the end of the stop with the units still in its name, without "1004", and they counted as out of reach until the instance had started again.

Now the daemon waits for answers until 0.9 of the stop time at most; the rest of the stop is for the units. A row that is closed while a reservation is open counts it as spent, as before.

--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -12,10 +12,11 @@
 import { splitAddress } from '../daemon/settings.js';
 import { GatewayModule } from './gateway.module.js';
 import { GatewayRuntime } from './runtime.js';
-import { exitTime, isPastAcceptAll, mayCloseListener } from './stopping.js';
+import { exitTime, isPastAcceptAll, lastAnswerTime, mayCloseListener } from './stopping.js';
 
 import type { PlatformAdapter } from './adapter.js';
 import type { GatewaySettings } from './settings.js';
+import type { StopWindow } from './stopping.js';
 
 /**
  * Path that the framework's router sees for every request, so that it does not decode the path as sent.
@@ -82,11 +83,12 @@
     const remainingMs = exitTime(window) - clock.now();
     // Closing a listener waits until all its connections have ended, even idle ones. The time limit bounds this
     // wait.
-    await Promise.race([this.#finish(), delay(Math.max(0, remainingMs))]);
+    await Promise.race([this.#finish(window), delay(Math.max(0, remainingMs))]);
   }
 
-  async #finish(): Promise<void> {
-    while (this.runtime.load.active > 0) {
+  async #finish(window: StopWindow): Promise<void> {
+    const { clock } = this.runtime;
+    while (this.runtime.load.active > 0 && clock.now() < lastAnswerTime(window)) {
       // The answers that end open requests still have to be sent.
       // eslint-disable-next-line no-await-in-loop
       await delay(END_POLL_MS);
--- a/src/gateway/stopping.ts
+++ b/src/gateway/stopping.ts
@@ -40,6 +40,9 @@
  */
 const CUT_SHARE = 0.86;
 
+/** Share of the stop time after which the daemon no longer waits until its last answers have been sent. */
+const LAST_ANSWER_SHARE = 0.9;
+
 /** Share of the stop time after which the process ends, even if the stop is not complete. */
 const EXIT_SHARE = 0.97;
 
@@ -53,6 +56,16 @@
   return startedAt + stopMs * CUT_SHARE;
 }
 
+/**
+ * Returns the time at which the daemon stops waiting until the answers that end open requests have been sent. What
+ * remains of the stop is for the return of unspent units.
+ * @param window - start and duration of the stop
+ * @returns time in milliseconds
+ */
+export function lastAnswerTime({ startedAt, stopMs }: StopWindow): number {
+  return startedAt + stopMs * LAST_ANSWER_SHARE;
+}
+
 /**
  * Returns the time at which the process ends at the latest.
  * @param window - start and duration of the stop
