A request whose body is unfinished at the end of a stop is refused

What callers saw: a caller that was still sending its request when the stop ended got the end of its connection without an answer. The request had no owner until its body was complete: what ends open requests at the end of a stop had nothing to call for it, and it stayed open until the process exited.

Now it is refused as not run, with the end of the connection.

--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -89,13 +89,24 @@
     const head = codec.decodeCall(req.rawHeaders);
     const { bodyBytes } = this.runtime.routingState.table?.configuration.limits ?? DEFAULT_LIMITS;
     let body: ReadBody;
+    if (!this.runtime.openRequests.isStopped) {
+      open.onStop(() => {
+        const refusal = failure('not-ready', target);
+        this.#refuse(caller, head, { ...refusal, retryAfterMs: otherDaemonRetryMs() });
+        // An answer that is sent before the end of the body does not end the wait for the rest.
+        void caller.finished.then(() => req.destroy());
+      });
+    }
     try {
       body = await readBody(req, bodyBytes);
     } catch (err) {
+      if (caller.isBegun) return;
       // The caller disconnected before its request was complete.
       this.runtime.recorder.record('callEnded', { request: head.id, detail: String(err) });
       return;
     }
+    if (caller.isBegun) return;
+    open.onStop(() => undefined);
     const found = body.isTooLarge
       ? failure('body-too-large', target)
       : this.#policyOf(head, req.headers.host ?? '', target);
--- a/src/gateway/openrequests.ts
+++ b/src/gateway/openrequests.ts
@@ -58,6 +58,11 @@
     return { active: this.#open.size, arrivedAt: this.#arrivedAt };
   }
 
+  /** Whether all open requests were ended, as the process is about to exit. */
+  get isStopped(): boolean {
+    return this.#isStopped;
+  }
+
   /**
    * Adds a request that arrives.
    * @returns its handle
