An answer that waits behind another is no longer open once its connection has closed

What callers saw: nothing at once. A request that was refused or answered while it waited behind an earlier one on its connection stayed open for ever if the caller left meanwhile: the HTTP server emits neither "finish" nor "close" for a response that never had the socket. Each such request was kept in memory, counted in the gauge of open requests, and made every later stop last until its end instead of closing early.

Now the close of the connection ends the wait as well. The half-close of a caller does not, as the rest of an answer can still be sent.

--- a/src/gateway/httpreply.ts
+++ b/src/gateway/httpreply.ts
@@ -33,8 +33,14 @@
     super();
     res.on('drain', () => this.onDrain());
     this.finished = new Promise((resolve) => {
-      res.on('finish', resolve);
-      res.on('close', resolve);
+      // A pipelined response that still waits when its connection closes emits neither event of its own.
+      const unsubscribe = connection.onClose(resolve);
+      const finish = (): void => {
+        unsubscribe();
+        resolve();
+      };
+      res.on('finish', finish);
+      res.on('close', finish);
     });
     const unsubscribe = connection.onEnd(() => this.#markDisconnected());
     res.on('close', () => {
--- a/src/ingress/callerconnection.ts
+++ b/src/ingress/callerconnection.ts
@@ -1,6 +1,8 @@
 /** One connection of a caller, with its age, its number of requests and its end. */
 import type { EventEmitter } from 'node:events';
 
+import { Occurrence } from './occurrence.js';
+
 /** Arrival time of a request, and age and use of its connection. */
 export interface Arrival {
   /** Time at which the head of the request was read, in milliseconds. */
@@ -13,11 +15,11 @@
 
 /** One connection of a caller. */
 export class CallerConnection {
-  readonly #listeners = new Set<() => void>();
+  readonly #end = new Occurrence();
 
-  #requests = 0;
+  readonly #close = new Occurrence();
 
-  #isEnded = false;
+  #requests = 0;
 
   /**
    * Starts to listen for the end of a connection.
@@ -30,8 +32,11 @@
   ) {
     // A caller that has only half-closed its connection cannot be distinguished from one that has closed it. Both
     // count as the end.
-    socket.once('end', () => this.#end());
-    socket.once('close', () => this.#end());
+    socket.once('end', () => this.#end.happen());
+    socket.once('close', () => {
+      this.#end.happen();
+      this.#close.happen();
+    });
   }
 
   /**
@@ -46,23 +51,21 @@
   }
 
   /**
-   * Adds a listener for the end of the connection; it is called at once if the connection has ended.
+   * Adds a listener for the end of the caller's side; it is called at once if the connection has ended.
    * @param listener - called at most once
    * @returns function that removes the listener
    */
   onEnd(listener: () => void): () => void {
-    if (this.#isEnded) listener();
-    else this.#listeners.add(listener);
-    return () => {
-      this.#listeners.delete(listener);
-    };
+    return this.#end.listen(listener);
   }
 
-  #end(): void {
-    if (this.#isEnded) return;
-    this.#isEnded = true;
-    const listeners = [...this.#listeners];
-    this.#listeners.clear();
-    listeners.forEach((listener) => listener());
+  /**
+   * Adds a listener for the end of both sides, after which nothing can be sent; it is called at once if the
+   * connection is closed.
+   * @param listener - called at most once
+   * @returns function that removes the listener
+   */
+  onClose(listener: () => void): () => void {
+    return this.#close.listen(listener);
   }
 }
