A stopping daemon does not drop pipelined requests that it has accepted

What callers saw: of two requests on one connection, both sent to upstreams before the stop, the first got its answer with "Connection: close", and the connection was closed behind it: the second ran and got no answer. A request that arrived behind an answer which had announced the close was sent to an upstream too, although its answer could never be written.

Cause: every answer of a stopping daemon closed its connection, whether or not a later request waited for an answer on it.

Evidence: the new tests on the code before: 1 answer, 2 expected; 2 requests at the upstream, 1 expected.

Now only the answer to the last request that has arrived announces the close, and a request that arrives after the announcement is not run (RFC 9112, section 9.6). An answer without a length or chunks still ends the connection; requests that are already open behind it get no answer. That is not changed here.

--- a/src/gateway/httpreply.ts
+++ b/src/gateway/httpreply.ts
@@ -27,7 +27,7 @@
    */
   constructor(
     private readonly res: ServerResponse,
-    connection: CallerConnection,
+    private readonly connection: CallerConnection,
     private readonly isStopping: () => boolean,
   ) {
     super();
@@ -64,7 +64,7 @@
       this.res.removeHeader('transfer-encoding');
       this.res.shouldKeepAlive = false;
     }
-    this.res.writeHead(status, [...forward]);
+    this.#writeHead(status, [...forward]);
   }
 
   override write(bytes: Buffer): boolean {
@@ -85,7 +85,7 @@
   override answer(status: number, headers: Readonly<Record<string, string>>, body: string): void {
     if (this.isDisconnected || this.res.headersSent) return;
     this.#closeIfStopping();
-    this.res.writeHead(status, {
+    this.#writeHead(status, {
       ...headers,
       'content-type': 'application/json',
       'content-length': Buffer.byteLength(body),
@@ -99,6 +99,11 @@
     this.onDisconnect();
   }
 
+  #writeHead(status: number, headers: string[] | Readonly<Record<string, string | number>>): void {
+    if (!this.res.shouldKeepAlive) this.connection.announceClose();
+    this.res.writeHead(status, headers);
+  }
+
   #closeIfStopping(): void {
     if (this.isStopping()) this.res.shouldKeepAlive = false;
   }
--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -66,11 +66,20 @@
     reply.hijack();
     const { runtime } = this;
     const connection = runtime.callers.of(request.raw.socket);
+    if (connection.isClosing) {
+      runtime.recorder.record('callEnded', {
+        detail: 'not run: an earlier answer closes the connection',
+      });
+      // Reading on shows when the caller leaves.
+      request.raw.resume();
+      return;
+    }
     const arrival = connection.arrived(runtime.clock.now());
     const open = runtime.openRequests.add();
     runtime.metrics.open.inc();
     try {
-      const caller = new HttpReply(reply.raw, connection, () => runtime.isStopping);
+      const isClosing = (): boolean => runtime.isStopping && connection.isLast(arrival);
+      const caller = new HttpReply(reply.raw, connection, isClosing);
       await this.#serve(request, { caller, connection, arrival, open });
       if (caller.isBegun) await caller.finished;
     } catch (err) {
--- a/src/ingress/callerconnection.ts
+++ b/src/ingress/callerconnection.ts
@@ -21,6 +21,8 @@
 
   #requests = 0;
 
+  #isClosing = false;
+
   /**
    * Starts to listen for the end of a connection.
    * @param socket - the connection
@@ -50,6 +52,25 @@
     return { at: now, connectionMs: now - this.acceptedAt, earlier };
   }
 
+  /** Whether the connection closes after an answer that has begun, so that no later request gets one. */
+  get isClosing(): boolean {
+    return this.#isClosing;
+  }
+
+  /** Records that an answer has begun which announces the close of the connection. */
+  announceClose(): void {
+    this.#isClosing = true;
+  }
+
+  /**
+   * Checks whether a request is the last one that has arrived.
+   * @param arrival - arrival of the request
+   * @returns whether no later request has arrived on the connection
+   */
+  isLast({ earlier }: Arrival): boolean {
+    return earlier === this.#requests - 1;
+  }
+
   /**
    * Adds a listener for the end of the caller's side; it is called at once if the connection has ended.
    * @param listener - called at most once
