Units that a stopping daemon has borrowed and not used are returned

What callers saw: each stop of a daemon that borrows from holders took units out of a workspace for good, up to the worst case of each request that ended just before; the budget was exhausted early.

Cause: at a stop only rows are closed. Borrowed units count as spent in the row of their lender; the borrower has no row, or one that grants none, so that nothing frees them. What a request releases shortly before is returned by a task that gives up as soon as the daemon closes its balances.

Now a stopping daemon transfers to a peer the available units of each workspace for which its row grants none, beside closing its rows, as it did before only while the store was unavailable. Units that its row grants still return through the store.

--- a/src/gateway/allowances.ts
+++ b/src/gateway/allowances.ts
@@ -180,18 +180,27 @@
   }
 
   /**
-   * Returns all unspent units before the process ends: to the store, or to another daemon while the
-   * store is unavailable.
+   * Returns all unspent units before the process ends: to the store, or to another daemon if they are borrowed
+   * or the store is unavailable.
    */
   async stop(): Promise<void> {
     clearInterval(this.#timer);
     this.#holdings.isClosed = true;
-    await this.#rows.end((shard) => {
+    const ended = this.#rows.end((shard) => {
       const ofShard = this.#holdings.workspaces.filter(
         (name) => this.#rows.shardOf(name) === shard,
       );
       return this.#returns.handOver(ofShard);
     });
+    await Promise.all([ended, this.#returnBorrowed()]);
+  }
+
+  /** Transfers the borrowed units of workspaces in whose row this daemon has none: the close of the row does not free them. */
+  async #returnBorrowed(): Promise<void> {
+    const left = this.#holdings.workspaces.filter(
+      (name) => !hasGrantedUnits(this.#holdings.of(name)) && this.#holdings.lendableUnits(name) > 0,
+    );
+    if (left.length > 0) await this.#returns.handOver(left);
   }
 
   /** Logs the available units every few refreshes, so that units which stay unused can be seen. */
