A request that waits for its turn when a stop ends does not wait for units

What callers saw: suspected, not seen in a run of a fleet: a request that was still queued at the end of a stop began to wait for prepaid units, for up to 0.4 of the target time of its route, although nothing could be sent any more. With a target above a second the process would have exited before the answer.

Cause: the run of a request was told to end before it had begun; placement checks that, the reservation did not.

Evidence: the new test on the code before got 402 after a search for units; now it gets 503, not run, at once.

--- a/src/gateway/callrun.ts
+++ b/src/gateway/callrun.ts
@@ -161,6 +161,7 @@
   async #reserve(): Promise<ServeEvent> {
     const { allowances } = this.ctx;
     const { route, workspace } = this.policy;
+    if (this.#isStopped) return this.#refusedEvent(failure('not-ready', route.name));
     const { promptTokens, outputTokens } = this.call.head.usage ?? {
       promptTokens: 0,
       outputTokens: 0,
