--- a/src/gateway/httpreply.ts
+++ b/src/gateway/httpreply.ts
@@ -27,14 +27,20 @@
    */
   constructor(
     private readonly res: ServerResponse,
-    connection: CallerConnection,
+    private readonly connection: CallerConnection,
     private readonly isStopping: () => boolean,
   ) {
     super();
     res.on('drain', () => this.onDrain());
     this.finished = new Promise((resolve) => {
-      res.on('finish', resolve);
-      res.on('close', resolve);
+      // A pipelined response that still waits when its connection closes emits neither event of its own.
+      const unsubscribe = connection.onClose(resolve);
+      const finish = (): void => {
+        unsubscribe();
+        resolve();
+      };
+      res.on('finish', finish);
+      res.on('close', finish);
     });
     const unsubscribe = connection.onEnd(() => this.#markDisconnected());
     res.on('close', () => {
@@ -58,7 +64,7 @@
       this.res.removeHeader('transfer-encoding');
       this.res.shouldKeepAlive = false;
     }
-    this.res.writeHead(status, [...forward]);
+    this.#writeHead(status, [...forward]);
   }
 
   override write(bytes: Buffer): boolean {
@@ -79,7 +85,7 @@
   override answer(status: number, headers: Readonly<Record<string, string>>, body: string): void {
     if (this.isDisconnected || this.res.headersSent) return;
     this.#closeIfStopping();
-    this.res.writeHead(status, {
+    this.#writeHead(status, {
       ...headers,
       'content-type': 'application/json',
       'content-length': Buffer.byteLength(body),
@@ -93,6 +99,11 @@
     this.onDisconnect();
   }
 
+  #writeHead(status: number, headers: string[] | Readonly<Record<string, string | number>>): void {
+    if (!this.res.shouldKeepAlive) this.connection.announceClose();
+    this.res.writeHead(status, headers);
+  }
+
   #closeIfStopping(): void {
     if (this.isStopping()) this.res.shouldKeepAlive = false;
   }
--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -66,11 +66,20 @@
     reply.hijack();
     const { runtime } = this;
     const connection = runtime.callers.of(request.raw.socket);
+    if (connection.isClosing) {
+      runtime.recorder.record('callEnded', {
+        detail: 'not run: an earlier answer closes the connection',
+      });
+      // Reading on shows when the caller leaves.
+      request.raw.resume();
+      return;
+    }
     const arrival = connection.arrived(runtime.clock.now());
     const open = runtime.openRequests.add();
     runtime.metrics.open.inc();
     try {
-      const caller = new HttpReply(reply.raw, connection, () => runtime.isStopping);
+      const isClosing = (): boolean => runtime.isStopping && connection.isLast(arrival);
+      const caller = new HttpReply(reply.raw, connection, isClosing);
       await this.#serve(request, { caller, connection, arrival, open });
       if (caller.isBegun) await caller.finished;
     } catch (err) {
@@ -89,13 +98,24 @@
     const head = codec.decodeCall(req.rawHeaders);
     const { bodyBytes } = this.runtime.routingState.table?.configuration.limits ?? DEFAULT_LIMITS;
     let body: ReadBody;
+    if (!this.runtime.openRequests.isStopped) {
+      open.onStop(() => {
+        const refusal = failure('not-ready', target);
+        this.#refuse(caller, head, { ...refusal, retryAfterMs: otherDaemonRetryMs() });
+        // An answer that is sent before the end of the body does not end the wait for the rest.
+        void caller.finished.then(() => req.destroy());
+      });
+    }
     try {
       body = await readBody(req, bodyBytes);
     } catch (err) {
+      if (caller.isBegun) return;
       // The caller disconnected before its request was complete.
       this.runtime.recorder.record('callEnded', { request: head.id, detail: String(err) });
       return;
     }
+    if (caller.isBegun) return;
+    open.onStop(() => undefined);
     const found = body.isTooLarge
       ? failure('body-too-large', target)
       : this.#policyOf(head, req.headers.host ?? '', target);
--- a/src/ingress/callerconnection.ts
+++ b/src/ingress/callerconnection.ts
@@ -1,6 +1,8 @@
 /** One connection of a caller, with its age, its number of requests and its end. */
 import type { EventEmitter } from 'node:events';
 
+import { Occurrence } from './occurrence.js';
+
 /** Arrival time of a request, and age and use of its connection. */
 export interface Arrival {
   /** Time at which the head of the request was read, in milliseconds. */
@@ -13,11 +15,13 @@
 
 /** One connection of a caller. */
 export class CallerConnection {
-  readonly #listeners = new Set<() => void>();
+  readonly #end = new Occurrence();
+
+  readonly #close = new Occurrence();
 
   #requests = 0;
 
-  #isEnded = false;
+  #isClosing = false;
 
   /**
    * Starts to listen for the end of a connection.
@@ -30,8 +34,11 @@
   ) {
     // A caller that has only half-closed its connection cannot be distinguished from one that has closed it. Both
     // count as the end.
-    socket.once('end', () => this.#end());
-    socket.once('close', () => this.#end());
+    socket.once('end', () => this.#end.happen());
+    socket.once('close', () => {
+      this.#end.happen();
+      this.#close.happen();
+    });
   }
 
   /**
@@ -45,24 +52,41 @@
     return { at: now, connectionMs: now - this.acceptedAt, earlier };
   }
 
+  /** Whether the connection closes after an answer that has begun, so that no later request gets one. */
+  get isClosing(): boolean {
+    return this.#isClosing;
+  }
+
+  /** Records that an answer has begun which announces the close of the connection. */
+  announceClose(): void {
+    this.#isClosing = true;
+  }
+
+  /**
+   * Checks whether a request is the last one that has arrived.
+   * @param arrival - arrival of the request
+   * @returns whether no later request has arrived on the connection
+   */
+  isLast({ earlier }: Arrival): boolean {
+    return earlier === this.#requests - 1;
+  }
+
   /**
-   * Adds a listener for the end of the connection; it is called at once if the connection has ended.
+   * Adds a listener for the end of the caller's side; it is called at once if the connection has ended.
    * @param listener - called at most once
    * @returns function that removes the listener
    */
   onEnd(listener: () => void): () => void {
-    if (this.#isEnded) listener();
-    else this.#listeners.add(listener);
-    return () => {
-      this.#listeners.delete(listener);
-    };
+    return this.#end.listen(listener);
   }
 
-  #end(): void {
-    if (this.#isEnded) return;
-    this.#isEnded = true;
-    const listeners = [...this.#listeners];
-    this.#listeners.clear();
-    listeners.forEach((listener) => listener());
+  /**
+   * Adds a listener for the end of both sides, after which nothing can be sent; it is called at once if the
+   * connection is closed.
+   * @param listener - called at most once
+   * @returns function that removes the listener
+   */
+  onClose(listener: () => void): () => void {
+    return this.#close.listen(listener);
   }
 }
