--- a/src/gateway/stopping.ts
+++ b/src/gateway/stopping.ts
@@ -41,7 +41,7 @@
 const CUT_SHARE = 0.9;
 
 /** Share of the stop time after which the daemon no longer waits until its last answers have been sent. */
-const LAST_ANSWER_SHARE = 0.9;
+const LAST_ANSWER_SHARE = 0.93;
 
 /** Share of the stop time after which the process ends, even if the stop is not complete. */
 const EXIT_SHARE = 0.97;
