An upstream that cannot be connected to no longer ends its request without an answer

Cause: the HTTP client throws "Invalid URL" when a connection to such an address is created. That happened in the constructor of the attempt, so the promise of the attempt was rejected, the request run ended with an exception, and the controller destroyed the connection. The reserved units and the record of the open request at the upstream were never released.

Fix: an exception while the connection is created, or while the request is handed to the client, is an outcome of the attempt like any other failure: "unsent" as long as nothing was sent, so another upstream gets the request and the failure counts for the health of this one.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -95,10 +95,11 @@
 
   constructor(
     private readonly cfg: AttemptConfig,
+    connection: UpstreamConnection,
     private readonly settle: (outcome: SendOutcome) => void,
   ) {
     const { reply } = cfg.call;
-    this.#connection = cfg.connections.take();
+    this.#connection = connection;
     this.#timeoutTimer = setTimeout(() => this.#onTimeout(), Math.max(0, cfg.timeoutMs));
     if (cfg.answerTimeoutMs !== undefined) {
       this.#answerTimer = setTimeout(() => this.#onAnswerTimeout(), cfg.answerTimeoutMs);
@@ -111,7 +112,11 @@
     const { call, headers } = this.cfg;
     const { method, target, body } = call;
     const options = { method, path: target, headers, body: body ?? null };
-    this.#connection.client.dispatch(options, this);
+    try {
+      this.#connection.client.dispatch(options, this);
+    } catch (err) {
+      this.#failAttempt(String(err));
+    }
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -281,7 +286,13 @@
  */
 export function attemptCall(cfg: AttemptConfig): Promise<SendOutcome> {
   if (cfg.call.reply.isDisconnected) return Promise.resolve({ kind: 'left' });
+  let connection: UpstreamConnection;
+  try {
+    connection = cfg.connections.take();
+  } catch (err) {
+    return Promise.resolve({ kind: 'unsent', why: String(err) });
+  }
   return new Promise((resolve) => {
-    new Attempt(cfg, resolve).start();
+    new Attempt(cfg, connection, resolve).start();
   });
 }
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -21,13 +21,15 @@
    * Returns a connection for one request: of the idle ones that are still open, the most recently used; a new
    * one if there is none.
    * @returns the connection; the user must release or destroy it
+   * @throws TypeError if the address is not valid
    */
   take(): UpstreamConnection {
     for (let found = this.#idle.pop(); found; found = this.#idle.pop()) {
       if (found.isOpen) return found;
     }
+    const connection = new UpstreamConnection(this.address, (gone) => this.#remove(gone));
     this.opened += 1;
-    return new UpstreamConnection(this.address, (gone) => this.#remove(gone));
+    return connection;
   }
 
   /**
