--- a/src/kernel/index.ts
+++ b/src/kernel/index.ts
@@ -1,4 +1,5 @@
 /** Shared kernel: results, failures, identities, time and tasks. */
+export * from './address.js';
 export * from './clock.js';
 export * from './failure.js';
 export * from './hash.js';
