A follower of the store goes on after its handler has thrown

What operators would have seen: the daemon ends by itself. An exception of a handler ended the loop of the follower, whose promise nobody awaits, so it became an unhandled rejection; without that it would have stopped following for good.

No value was found that makes a handler of today's code throw: this is a guard.

Fix: exceptions of handlers are passed to onHandlerError, which logs event 6004, and the follower goes on behind the objects or changes concerned.

--- a/src/gateway/membership.ts
+++ b/src/gateway/membership.ts
@@ -90,6 +90,10 @@
 
   /**
    * Reads or creates the secret of the peer links and creates the membership; "start" opens the links.
+        onHandlerError: (err) => {
+          const facts = { prefix: DAEMONS_PREFIX };
+          cfg.recorder.record('storeHandlerFailed', { detail: String(err), facts });
+        },
    * @param cfg - identity, address and store
    * @returns the membership, once the store has answered
    */
--- a/src/gateway/routingstate.ts
+++ b/src/gateway/routingstate.ts
@@ -119,6 +119,9 @@
       this.watchMs,
       BATCH_DELAY_MS,
     );
+      onHandlerError: (err: unknown) => {
+        this.recorder.record('storeHandlerFailed', { detail: String(err), facts: { prefix } });
+      },
   }
 
   #onLost(prefix: string, { problem, text }: StoreError): void {
--- a/src/store/follower.ts
+++ b/src/store/follower.ts
@@ -27,6 +27,8 @@
   readonly onLost: (err: StoreError) => void;
   /** The store answered after one or more failures. */
   readonly onRegained: () => void;
+  /** Another callback has thrown; the follower goes on behind the objects or changes that it was called with. */
+  readonly onHandlerError: (err: unknown) => void;
 }
 
 /** Follows the objects under one prefix, with one call to the store at a time. */
@@ -82,7 +84,7 @@
     if (found.err) return found.val;
     this.#recordAnswer();
     this.#position = found.val.position;
-    this.events.onSnapshot(found.val);
+    this.#notify(() => this.events.onSnapshot(found.val));
     return undefined;
   }
 
@@ -100,22 +102,30 @@
     this.#recordAnswer();
     this.#position = Math.max(this.#position ?? 0, batch.val.position);
     if (batch.val.changes.length === 0) return undefined;
-    this.events.onChanges(batch.val.changes);
+    this.#notify(() => this.events.onChanges(batch.val.changes));
     if (this.batchDelayMs > 0) await sleep(this.batchDelayMs);
     return undefined;
   }
 
   #recordAnswer(): void {
     this.lastAnswerAt = this.clock.now();
-    if (this.#failures > 0) this.events.onRegained();
+    if (this.#failures > 0) this.#notify(() => this.events.onRegained());
     this.#failures = 0;
   }
 
+  #notify(callback: () => void): void {
+    try {
+      callback();
+    } catch (err) {
+      this.events.onHandlerError(err);
+    }
+  }
+
   async #handleFailure(err: StoreError): Promise<void> {
     this.#failures += 1;
     // The first failure is retried without delay: often only the connection or the history of the watch was lost.
     if (this.#failures === 1) {
-      this.events.onLost(err);
+      this.#notify(() => this.events.onLost(err));
       return;
     }
     const maxDelayMs = Math.min(
--- a/src/store/tests/follower.test.ts
+++ b/src/store/tests/follower.test.ts
@@ -120,6 +120,7 @@
       onChanges: recordEvent('changes'),
       onLost: recordEvent('lost'),
       onRegained: recordEvent('regained'),
+      onHandlerError: recordEvent('handler error'),
     };
     const follower = new Follower(store, 'k/', handlers, new SteadyClock(), 900);
     void follower.run();
@@ -143,6 +144,7 @@
     onChanges: noop,
     onLost: noop,
     onRegained: noop,
+    onHandlerError: noop,
   };
   const follower = new Follower(store, 'k/', handlers, new SteadyClock(), 900, 80);
   void follower.run();
@@ -152,3 +154,37 @@
   follower.stop();
   t.deepEqual(store.calls, ['list', 'watch 5 900', 'watch 6 900', 'watch 6 900']);
 });
+
+['snapshot', 'changes'].forEach((failing) => {
+  test(`follows on after the handler of ${failing} has thrown`, async (t) => {
+    const store = new ScriptedStore(['snapshot', 'changes', 'nothing']);
+    const seen: string[] = [];
+    const recordEvent = (event: string) => (): void => {
+      seen.push(event);
+      if (event === failing) throw new Error('odd entry');
+    };
+    const handlers = {
+      onSnapshot: recordEvent('snapshot'),
+      onChanges: recordEvent('changes'),
+      onLost: recordEvent('lost'),
+      onRegained: recordEvent('regained'),
+      onHandlerError: (err: unknown) => {
+        seen.push(String(err));
+      },
+    };
+    const follower = new Follower(store, 'k/', handlers, new SteadyClock(), 900);
+    const running = follower.run().then(
+      () => 'ended',
+      (err: unknown) => String(err),
+    );
+    t.is(await Promise.race([running, delay(200, 'runs')]), 'runs');
+    follower.stop();
+    t.deepEqual(store.calls, ['list', 'watch 5 900', 'watch 6 900', 'watch 6 900']);
+    t.deepEqual(
+      seen,
+      ['snapshot', 'changes'].flatMap((event) =>
+        event === failing ? [event, 'Error: odd entry'] : [event],
+      ),
+    );
+  });
+});
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -113,6 +113,11 @@
     number: 7003,
     level: 'info',
     text: 'upstreams registered, leaving or removed',
+  storeHandlerFailed: {
+    number: 6004,
+    level: 'error',
+    text: 'objects from the store could not be applied; report this line',
+  },
   },
   upstreamUnreadable: { number: 7004, level: 'warn', text: 'an upstream entry cannot be used' },
   callEnded: { number: 8001, level: 'info', text: 'request ended' },
