Odd entries and long ids can't flood the log

What operators saw: one line for each unreadable entry of an upstream on every listing, and lines as long as the values of others: names of entries, request ids, header values. The timeline keeps 20,000 such events in memory. Unreadable entries of daemons left no line at all.

Fix: the recorder shortens each text of an event to 1,000 characters and adds its length; at most 10 lines on unreadable entries are written in 10 s, with the number of those that were suppressed; a listing logs how many of its entries are unreadable. An entry of a daemon whose address is no address counts as unreadable.

--- a/src/gateway/followedinstances.ts
+++ b/src/gateway/followedinstances.ts
@@ -1,6 +1,7 @@
 /** Directory of the daemons that are registered in the store. */
 import * as z from 'zod';
 
+import { isAddress } from '../kernel/index.js';
 import { InstanceDirectory } from '../link/index.js';
 
 import type { Instance, ObjectChange } from '../store/index.js';
@@ -11,7 +12,7 @@
 const daemonSchema = z
   .object({
     dataCentre: z.string(),
-    peerAddress: z.string(),
+    peerAddress: z.string().refine(isAddress),
     /** Processor capacity of the instance, in cores. */
     cores: z.number().positive().default(1),
   })
@@ -47,11 +48,13 @@
   /**
    * Applies a change of an entry.
    * @param change - the new entry, or its removal
+   * @returns false if the entry cannot be used
    */
-  change({ key, value }: ObjectChange): void {
+  change({ key, value }: ObjectChange): boolean {
     const name = key.slice(DAEMONS_PREFIX.length);
     const parsed = daemonSchema.safeParse(value);
     if (parsed.success) this.#instances.set(name, { name, ...parsed.data, state: 'live' });
     else this.#instances.delete(name);
+    return parsed.success || value === null || value === undefined;
   }
 }
--- a/src/gateway/membership.ts
+++ b/src/gateway/membership.ts
@@ -5,12 +5,13 @@
 import { instanceOf } from '../kernel/index.js';
 import { WsPeerNetwork } from '../link/index.js';
 import { Follower } from '../store/index.js';
+import { LineLimit } from '../telemetry/index.js';
 import { readOrCreate } from './sharedvalue.js';
 import { DAEMONS_PREFIX, FollowedInstances } from './followedinstances.js';
 
 import type { Clock, Incarnation } from '../kernel/index.js';
 import type { PeerNetwork } from '../link/index.js';
-import type { SnapshotStore } from '../store/index.js';
+import type { ObjectChange, SnapshotStore } from '../store/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { RegisteredDaemon } from './followedinstances.js';
 
@@ -35,6 +36,12 @@
 /** Delay before a failed registration is retried, in milliseconds. */
 const REGISTER_RETRY_MS = 500;
 
+/** Maximum number of log lines on unreadable entries of daemons in one period. */
+const UNREADABLE_LINES = 10;
+
+/** Period of the limit on these log lines, in milliseconds. */
+const UNREADABLE_PERIOD_MS = 10_000;
+
 /** Options of a membership. */
 export interface MembershipConfig {
   readonly self: Incarnation;
@@ -52,6 +59,8 @@
 export class Membership {
   readonly #follower: Follower;
 
+  readonly #unreadableLines = new LineLimit(UNREADABLE_LINES, UNREADABLE_PERIOD_MS);
+
   #isStopped = false;
 
   #resolveListed: () => void = () => undefined;
@@ -71,16 +80,20 @@
       DAEMONS_PREFIX,
       {
         onSnapshot: ({ objects, position }) => {
-          objects.forEach((object) => this.instances.change(object));
+          objects.forEach((object) => this.#apply(object));
           this.#recordMembers(position);
           this.#resolveListed();
         },
         onChanges: (changes) => {
-          changes.forEach((change) => this.instances.change(change));
+          changes.forEach((change) => this.#apply(change));
           this.#recordMembers(Math.max(...changes.map(({ version }) => version)));
         },
         onLost: () => undefined,
         onRegained: () => undefined,
+        onHandlerError: (err) => {
+          const facts = { prefix: DAEMONS_PREFIX };
+          cfg.recorder.record('storeHandlerFailed', { detail: String(err), facts });
+        },
       },
       cfg.clock,
       WATCH_TIMEOUT_MS,
@@ -90,10 +103,6 @@
 
   /**
    * Reads or creates the secret of the peer links and creates the membership; "start" opens the links.
-        onHandlerError: (err) => {
-          const facts = { prefix: DAEMONS_PREFIX };
-          cfg.recorder.record('storeHandlerFailed', { detail: String(err), facts });
-        },
    * @param cfg - identity, address and store
    * @returns the membership, once the store has answered
    */
@@ -146,6 +155,15 @@
     await this.links.stop();
   }
 
+  #apply(change: ObjectChange): void {
+    if (this.instances.change(change)) return;
+    const suppressed = this.#unreadableLines.admit(this.cfg.clock.now());
+    if (suppressed === undefined) return;
+    const { key, version } = change;
+    const facts = { revision: version, suppressed };
+    this.cfg.recorder.record('daemonUnreadable', { peer: key, facts });
+  }
+
   #recordMembers(revision: number): void {
     const facts = {
       registered: this.daemons.length,
--- a/src/gateway/routingstate.ts
+++ b/src/gateway/routingstate.ts
@@ -1,5 +1,6 @@
 /** Follows the current configuration and the registered upstreams in the store. */
 import { DEFAULT_WATCH_WAIT_MS, Follower } from '../store/index.js';
+import { LineLimit } from '../telemetry/index.js';
 import { RouteTable } from './routetable.js';
 import { UpstreamRegistry } from './upstreams.js';
 
@@ -21,6 +22,12 @@
  */
 const BATCH_DELAY_MS = 400;
 
+/** Maximum number of log lines on unreadable entries of upstreams in one period. */
+const UNREADABLE_LINES = 10;
+
+/** Period of the limit on these log lines, in milliseconds. */
+const UNREADABLE_PERIOD_MS = 10_000;
+
 function nameOf(key: string): string {
   return key.slice(key.indexOf('/') + 1);
 }
@@ -31,6 +38,8 @@
 
   readonly #followers: readonly Follower[];
 
+  readonly #unreadableLines = new LineLimit(UNREADABLE_LINES, UNREADABLE_PERIOD_MS);
+
   #table: RouteTable | undefined;
 
   #hasUpstreams = false;
@@ -110,6 +119,9 @@
       ...handlers,
       onLost: (err: StoreError) => this.#onLost(prefix, err),
       onRegained: () => this.#onRegained(prefix),
+      onHandlerError: (err: unknown) => {
+        this.recorder.record('storeHandlerFailed', { detail: String(err), facts: { prefix } });
+      },
     };
     return new Follower(
       this.adapter.store,
@@ -119,9 +131,6 @@
       this.watchMs,
       BATCH_DELAY_MS,
     );
-      onHandlerError: (err: unknown) => {
-        this.recorder.record('storeHandlerFailed', { detail: String(err), facts: { prefix } });
-      },
   }
 
   #onLost(prefix: string, { problem, text }: StoreError): void {
@@ -178,7 +187,8 @@
     });
     this.upstreams.replace(records, this.clock.now());
     this.#hasUpstreams = true;
-    const facts = { listed: records.length, revision: position };
+    const unreadable = objects.length - records.length;
+    const facts = { listed: records.length, unreadable, revision: position };
     this.recorder.record('upstreamsChanged', { facts });
   }
 
@@ -207,7 +217,9 @@
   }
 
   #recordUnreadable({ key, version }: ObjectChange, detail: string): void {
-    const facts = { revision: version, outcome: 'not used' };
+    const suppressed = this.#unreadableLines.admit(this.clock.now());
+    if (suppressed === undefined) return;
+    const facts = { revision: version, outcome: 'not used', suppressed };
     this.recorder.record('upstreamUnreadable', { upstream: key, detail, facts });
   }
 }
--- a/src/telemetry/recorder.ts
+++ b/src/telemetry/recorder.ts
@@ -2,6 +2,7 @@
 import type { StatsD } from 'hot-shots';
 import type { Logger } from 'pino';
 import { HybridClock } from '../kernel/index.js';
+import { boundSubject } from './boundedsubject.js';
 import { EVENTS } from './events.js';
 import { Timeline } from './timeline.js';
 
@@ -44,10 +45,11 @@
   /**
    * Records an event.
    * @param name - name of the event in the catalogue
-   * @param subject - what the event is about
+   * @param of - what the event is about; long texts are shortened
    */
-  record(name: EventName, subject: EventSubject = {}): void {
+  record(name: EventName, of: EventSubject = {}): void {
     const kind = EVENTS[name];
+    const subject = boundSubject(of);
     const stamp = this.clock.next();
     this.timeline.add({ stamp, source: this.source, number: kind.number, name, subject });
     this.sinks.logger[kind.level]({ event: kind.number, ...subject }, kind.text);
