A daemon's entry with an impossible address no longer ends the other daemons

What callers saw: every connection to the daemon ended, as the process ended by itself with the first message for such a peer, for example the announcement of a long prompt.

Cause: the address in the entry was any text; the WebSocket client throws when a link to it is created, and nobody awaits the promise of the message.

Evidence: before the fix oddobjects.test.ts ended with uncaught "SyntaxError: Invalid URL: ws://127.0.0.1:70000" and "ws://no address" and exit code 1. The other six cases (1e308 cores, entries that are no objects, odd fleet keys and numbers of shards) passed before as well. Now 8 of 8 pass.

--- a/src/link/wspeernetwork.ts
+++ b/src/link/wspeernetwork.ts
@@ -125,7 +125,11 @@
     if (connection.link) return connection.link;
     const peer = this.peers().find(({ name }) => name === instance);
     if (!peer || performance.now() < connection.redialAt) return undefined;
-    connection.link = this.#dial(peer, connection);
+    try {
+      connection.link = this.#dial(peer, connection);
+    } catch (err) {
+      this.#handleClose(connection, peer.name, String(err));
+    }
     return connection.link;
   }
 
@@ -150,7 +154,7 @@
     this.cfg.recorder.record('linkOpened', { peer: incarnation });
   }
 
-  #handleClose(connection: PeerConnection, peer: InstanceName): void {
+  #handleClose(connection: PeerConnection, peer: InstanceName, detail?: string): void {
     const state = connection;
     const maxDelayMs = Math.min(
       MAX_REDIAL_DELAY_MS,
@@ -159,6 +163,6 @@
     state.link = undefined;
     state.failures += 1;
     state.redialAt = performance.now() + maxDelayMs * (0.5 + Math.random() / 2);
-    this.cfg.recorder.record('linkClosed', { peer });
+    this.cfg.recorder.record('linkClosed', { peer, ...(detail !== undefined && { detail }) });
   }
 }
