An invalid shard object no longer ends the daemon or its requests

What callers saw: requests that use prepaid units ended without an answer, and the daemon ended by itself at its next refresh.

Cause: the object was parsed by a function that throws. The promise of the draw was rejected, in the request as an exception, and in the periodic refresh as an unhandled rejection.

Fix: the draw fails with a log line, and callers get 503 with a retry delay. No units are granted from such an object, as the units of its rows are unknown; it is not replaced either. It is read again once a second at most, which bounds calls and log lines, and units are drawn again as soon as it is valid.

--- a/src/gateway/allowancerows.ts
+++ b/src/gateway/allowancerows.ts
@@ -26,6 +26,9 @@
 /** Maximum number of conditional writes in one update, if writes of other daemons conflict with it. */
 const MAX_WRITE_ATTEMPTS = 6;
 
+/** Time after which an invalid shard object is read again, in milliseconds: bounds calls and log lines. */
+const INVALID_RETRY_MS = 1_000;
+
 /** New content of a shard object, computed but not yet written. */
 interface PlannedWrite {
   readonly shard: AllowanceShard;
@@ -46,6 +49,9 @@
   /** Shards in which this daemon has written a row. */
   readonly #joinedShards = new Set<number>();
 
+  /** Time until which an invalid shard object is not read again, in milliseconds. */
+  readonly #invalidUntil = new Map<number, number>();
+
   readonly #runningDraws = new Map<number, Promise<boolean>>();
 
   /** Called when a later incarnation of this instance has closed a row of this one. */
@@ -79,7 +85,8 @@
   draw(shard: number): Promise<boolean> {
     const running = this.#runningDraws.get(shard);
     if (running) return running;
-    if (this.holdings.isClosed) return Promise.resolve(false);
+    const isInvalid = this.ctx.clock.now() < (this.#invalidUntil.get(shard) ?? 0);
+    if (this.holdings.isClosed || isInvalid) return Promise.resolve(false);
     const drawing = this.#update(shard, (stored) => this.#planDraw(shard, stored)).finally(() => {
       this.#runningDraws.delete(shard);
     });
@@ -160,7 +167,8 @@
       // eslint-disable-next-line no-await-in-loop
       const object = this.#objects.get(shard) ?? (await this.#read(key));
       if (!object) return false;
-      const planned = plan(parseAllowances(object.value));
+      const stored = this.#parse(shard, object);
+      const planned = stored && plan(stored);
       if (!planned) return false;
       // eslint-disable-next-line no-await-in-loop
       const written = await this.ctx.store.write(key, planned.shard, object.version);
@@ -189,6 +197,22 @@
     return false;
   }
 
+  /**
+   * Parses a shard object. One that is invalid grants no units, as those that its rows granted are not known; it is read
+   * again after a while.
+   */
+  #parse(shard: number, { key, value }: StoredObject): AllowanceShard | undefined {
+    try {
+      return parseAllowances(value);
+    } catch (err) {
+      this.#objects.delete(shard);
+      this.#invalidUntil.set(shard, this.ctx.clock.now() + INVALID_RETRY_MS);
+      const detail = `not an allowance shard, so its units cannot be drawn; restore the object: ${String(err)}`;
+      this.ctx.recorder.record('allowanceDelayed', { detail, facts: { key, problem: 'invalid' } });
+      return undefined;
+    }
+  }
+
   async #read(key: string): Promise<StoredObject | undefined> {
     const found = await this.ctx.store.read(key);
     if (found.ok) return found.val;
