A request whose handling throws an exception gets an answer

What callers saw: their connection was closed without an answer, although the request had often not been sent to any upstream. Its reserved units were never released, and the upstream kept counting it as open.

Cause: the controller logged the exception and destroyed the connection, whatever had happened before.

Fix: the run of a request turns an exception into an outcome and settles its units: 503 with a retry delay if no part of the request was sent, 500 without a promise if it may have run, an aborted answer if a part was relayed. The controller does the same for exceptions before the run.

--- a/src/gateway/callrun.ts
+++ b/src/gateway/callrun.ts
@@ -3,7 +3,7 @@
  * its units, completes its answer and logs its outcome.
  */
 import { drive, failure } from '../kernel/index.js';
-import { answerFailure } from './answerfailure.js';
+import { answerFailure, internalFailure } from './answerfailure.js';
 import { attemptCall } from './attempt.js';
 import { timeLimitMs } from './configuration.js';
 import { RouteTable } from './routetable.js';
@@ -136,11 +136,21 @@
     });
     const outcome = await drive<ServeCommand, ServeEvent, ServeOutcome>(procedure, (command) =>
       this.#perform(command),
-    );
+    ).catch((err: unknown) => this.#outcomeOfError(err));
     this.#settle();
     this.#finish(outcome);
   }
 
+  /** Logs an internal error and returns the outcome that the caller is told. */
+  #outcomeOfError(err: unknown): ServeOutcome {
+    const { head, reply } = this.call;
+    this.ctx.recorder.record('requestFailed', { request: head.id, detail: String(err) });
+    const attempts = this.#mayHaveRun ? 1 : 0;
+    if (reply.isBegun) return { kind: 'cut', attempts };
+    const refusal = internalFailure(this.policy.route.name, this.#mayHaveRun);
+    return { kind: this.#mayHaveRun ? 'failed' : 'refused', refusal, attempts };
+  }
+
   #perform(command: ServeCommand): ServeEvent | Promise<ServeEvent> {
     switch (command.type) {
       case 'reserve':
@@ -227,6 +237,7 @@
     const mayStart = (): boolean => this.ctx.registry.mayReceive(record, clock.now());
     if (!mayStart()) return { type: 'sent', outcome: { kind: 'unsent', why: 'leaving' } };
     const { memoryTokens } = this.#placement;
+    const headers = this.#headers(record.id);
     const open = stats.begin({
       sentAt: clock.now(),
       uncachedTokens,
@@ -238,7 +249,7 @@
       call: this.call,
       codec: this.ctx.codec,
       connections: upstream.connections,
-      headers: this.#headers(record.id),
+      headers,
       timeoutMs: this.#remainingMs() + TIMEOUT_SLACK_MS,
       answerTimeoutMs:
         route.repeatability === 'idempotent' && !relaysFailure
--- a/src/gateway/httpreply.ts
+++ b/src/gateway/httpreply.ts
@@ -69,6 +69,11 @@
     else this.res.socket?.resetAndDestroy();
   }
 
+  /** Aborts an answer that was begun, unless it was written completely. */
+  abortUnfinished(): void {
+    if (!this.res.writableEnded) this.abortAnswer();
+  }
+
   override answer(status: number, headers: Readonly<Record<string, string>>, body: string): void {
     if (this.isDisconnected || this.res.headersSent) return;
     this.#closeIfStopping();
--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -4,7 +4,7 @@
 import type { FastifyReply, FastifyRequest } from 'fastify';
 import { failure } from '../kernel/index.js';
 import { readBody } from '../request/index.js';
-import { answerFailure } from './answerfailure.js';
+import { answerFailure, internalFailure } from './answerfailure.js';
 import { CallRun } from './callrun.js';
 import { timeLimitMs } from './configuration.js';
 import { EventStream } from './eventstream.js';
@@ -69,19 +69,29 @@
     const arrival = connection.arrived(runtime.clock.now());
     const open = runtime.openRequests.add();
     runtime.metrics.open.inc();
+    const caller = new HttpReply(reply.raw, connection, () => runtime.isStopping);
+    let run: CallRun | undefined;
     try {
-      const caller = new HttpReply(reply.raw, connection, () => runtime.isStopping);
-      await this.#serve(request, { caller, connection, arrival, open });
+      run = await this.#admit(request, { caller, connection, arrival, open });
+      await run?.run();
     } catch (err) {
       runtime.recorder.record('requestFailed', { detail: String(err) });
-      reply.raw.destroy();
+      if (caller.isBegun) caller.abortUnfinished();
+      else {
+        const refusal = internalFailure(request.originalUrl, run !== undefined);
+        answerFailure(caller, refusal, runtime.adapter.headers);
+      }
     } finally {
       open.end();
       runtime.metrics.open.dec();
     }
   }
 
-  async #serve(request: FastifyRequest, exchange: Exchange): Promise<void> {
+  /**
+   * Reads a request, applies its policy and waits for its turn.
+   * @returns its run, which has not begun; undefined if the request was answered or its caller has disconnected
+   */
+  async #admit(request: FastifyRequest, exchange: Exchange): Promise<CallRun | undefined> {
     const { caller, connection, arrival, open } = exchange;
     const { raw: req, originalUrl: target } = request;
     const { headers: codec } = this.runtime.adapter;
@@ -93,7 +103,7 @@
     } catch (err) {
       // The caller disconnected before its request was complete.
       this.runtime.recorder.record('callEnded', { request: head.id, detail: String(err) });
-      return;
+      return undefined;
     }
     const found = body.isTooLarge
       ? failure('body-too-large', target)
@@ -102,7 +112,7 @@
     if ('code' in found || !callContext) {
       const refusal = 'code' in found ? found : failure('not-ready', target);
       this.#refuse(caller, head, refusal);
-      return;
+      return undefined;
     }
     open.describe(head.id, found.route.name);
     const { requestQueue, clock } = this.runtime;
@@ -110,12 +120,12 @@
     const outcome = await requestQueue.waitForTurn(connection, leftMs);
     if (outcome === 'left') {
       this.#recordDisconnect(head.id, arrival);
-      return;
+      return undefined;
     }
     if (outcome === 'overloaded') {
       const refusal = failure('overloaded', found.route.name);
       this.#refuse(caller, head, { ...refusal, retryAfterMs: busyRetryMs() }, requestQueue.facts);
-      return;
+      return undefined;
     }
     const call: Call = {
       head,
@@ -125,7 +135,7 @@
       reply: caller,
       events: new EventStream(),
     };
-    await new CallRun(callContext, call, found, arrival).run();
+    return new CallRun(callContext, call, found, arrival);
   }
 
   #policyOf(head: CallHead, host: string, target: string): CallPolicy | Failure {
--- a/src/kernel/failure.ts
+++ b/src/kernel/failure.ts
@@ -144,6 +144,11 @@
     text: 'the daemon failed while it served the request',
     remedy: 'repeat the request with the same key, and report the logged event 2006',
   },
+  'internal-not-run': {
+    status: 503,
+    text: 'the daemon failed before it sent the request',
+    remedy: 'repeat the request, and report the logged event 2006',
+  },
   'peer-unreachable': {
     status: 503,
     text: 'the peer daemon does not answer',
