Failures of pass-through routes no longer tell callers to repeat what may have run

What callers saw: the 502 of a request that may run once said "repeat the request with the same key", and it may have run. These routes know no idempotency key; the key that callers do send is their API key. Other texts named headers and settings of the chat interface.

The texts of the chat interface stay, as its callers send idempotency keys.

--- a/src/gateway/callrun.ts
+++ b/src/gateway/callrun.ts
@@ -7,7 +7,7 @@
 import { attemptCall } from './attempt.js';
 import { timeLimitMs } from './configuration.js';
 import { RouteTable } from './routetable.js';
-import { serveCall } from './serve.js';
+import { mayRepeat, serveCall } from './serve.js';
 
 import type { Arrival } from '../ingress/index.js';
 import type { Clock, Failure } from '../kernel/index.js';
@@ -337,7 +337,7 @@
     const { kind, attempts } = outcome;
     if (kind === 'cut') reply.abortAnswer();
     const refusal = kind === 'refused' || kind === 'failed' ? outcome.refusal : undefined;
-    if (refusal) answerFailure(reply, refusal, this.ctx.codec);
+    if (refusal) answerFailure(reply, refusal, this.ctx.codec, mayRepeat(this.policy.route));
     const { clock, metrics, recorder } = this.ctx;
     const route = this.policy.route.name;
     const tookMs = clock.now() - this.#startedAt;
--- a/src/gateway/serve.ts
+++ b/src/gateway/serve.ts
@@ -79,8 +79,15 @@
 /** Maximum number of attempts that send no byte after which another upstream is still tried. */
 const MAX_UNSENT = 3;
 
-/** Whether the request may be sent again although it may have run. */
-function mayRepeat({ repeatability, resumable }: ServeInput): boolean {
+/**
+ * Decides whether a request may run more than once.
+ * @param input - properties of the request, or its route
+ * @returns whether it may be sent again although it may have run
+ */
+export function mayRepeat({
+  repeatability,
+  resumable,
+}: Pick<ServeInput, 'repeatability' | 'resumable'>): boolean {
   return repeatability === 'idempotent' || resumable;
 }
 
--- a/src/kernel/failure.ts
+++ b/src/kernel/failure.ts
@@ -193,16 +193,20 @@
 /**
  * Formats a failure for a caller or an operator.
  * @param fail - the failure
+ * @param remedy - what to do about it; default that of the chat interface, whose callers send idempotency keys
  * @returns the response body, whose message includes the remedy
  */
-export function formatFailure(fail: Failure): FailureBody {
-  const kind = FAILURE_KINDS[fail.code];
+export function formatFailure(
+  fail: Failure,
+  remedy: string = FAILURE_KINDS[fail.code].remedy,
+): FailureBody {
+  const { text } = FAILURE_KINDS[fail.code];
   return {
     error: {
       code: fail.code,
       outcome: fail.outcome,
-      message: `${kind.text}: ${fail.subject}; ${kind.remedy}`,
-      remedy: kind.remedy,
+      message: `${text}: ${fail.subject}; ${remedy}`,
+      remedy,
     },
   };
 }
