A plain service's answer that was reset is no longer passed on as whole

What callers of the chat interface saw: 200 with the part of the body that had arrived, framed as a whole answer, and the call was charged, when the service's answer had neither a length nor chunks and its connection was reset.

Cause: the HTTP client takes each end of a connection for the end of such an answer, also a reset. The gateway records how its sockets end for that reason; the client of plain services did not.

Fix: the connector that records how a socket ends is shared; after a reset such an answer has the outcome "unknown". Each call opens its own connection, as before.

--- a/src/gateway/upstreamconnection.ts
+++ b/src/gateway/upstreamconnection.ts
@@ -1,5 +1,9 @@
 /** One connection to an upstream; carries one request at a time. */
-import { buildConnector, Client } from 'undici';
+import { Client } from 'undici';
+
+import { watchedConnector } from '../upstream/watchedconnector.js';
+
+import type { SocketState } from '../upstream/watchedconnector.js';
 
 /**
  * Time limit for opening a connection, in milliseconds: an address without an upstream may drop
@@ -16,36 +20,6 @@
  */
 const IDLE_MARGIN_MS = 600;
 
-/** State of the socket of a connection. */
-interface SocketState {
-  /** How the socket ended; undefined while it is open. */
-  ending: 'closed' | 'reset' | undefined;
-}
-
-function connector(state: SocketState): buildConnector.connector {
-  const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
-  const noted = state;
-  return (options, callback) => {
-    connect(options, (...result) => {
-      const [err, socket] = result;
-      if (err === null) {
-        // These listeners must run before the HTTP client's own ones. The client treats each of these events as
-        // the end of an answer without a length, and reports that end at once.
-        socket.prependListener('end', () => {
-          noted.ending ??= 'closed';
-        });
-        socket.prependListener('error', () => {
-          noted.ending = 'reset';
-        });
-        socket.prependListener('close', () => {
-          noted.ending ??= 'reset';
-        });
-      }
-      callback(...result);
-    });
-  };
-}
-
 /** One connection, which also records how its socket ended. */
 export class UpstreamConnection {
   readonly client: Client;
@@ -62,7 +36,7 @@
    */
   constructor(address: string, onClosed: (connection: UpstreamConnection) => void) {
     this.client = new Client(`http://${address}`, {
-      connect: connector(this.#state),
+      connect: watchedConnector(this.#state, CONNECT_TIMEOUT_MS),
       pipelining: 1,
       keepAliveTimeout: IDLE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
--- a/src/upstream/httpplainservice.ts
+++ b/src/upstream/httpplainservice.ts
@@ -1,25 +1,43 @@
 /** Client that calls plain services over HTTP. */
-import { Agent } from 'undici';
+import { Client } from 'undici';
 
+import type { Dispatcher } from 'undici';
 import { Err, failure, Ok } from '../kernel/index.js';
 import { PlainService } from './plainservice.js';
 import { wasNeverSent } from './unsent.js';
+import { watchedConnector } from './watchedconnector.js';
 
 import type { Failure, Result } from '../kernel/index.js';
 import type { ServiceAnswer, ServiceCall } from './plainservice.js';
+import type { SocketState } from './watchedconnector.js';
 
 /** Timeout for opening a connection, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 1_000;
 
+/** Statuses whose answers have no body. */
+const EMPTY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+/**
+ * Whether a body that was read to its end is whole. The HTTP client checks lengths and chunks; a body with neither ends with its connection,
+ * which must have been closed rather than reset.
+ */
+function isWhole(
+  { headers, statusCode }: Dispatcher.ResponseData,
+  { ending }: SocketState,
+): boolean {
+  const isFramed = 'content-length' in headers || 'transfer-encoding' in headers;
+  return isFramed || EMPTY_STATUSES.has(statusCode) || ending !== 'reset';
+}
+
 /** Calls plain services over HTTP. */
 export class HttpPlainService extends PlainService {
-  // No connection is reused: if the service closed an idle one as a call was sent, its outcome would be unknown.
-  readonly #agent = new Agent({ pipelining: 0, connect: { timeout: CONNECT_TIMEOUT_MS } });
+  readonly #clients = new Set<Client>();
 
   override async call(url: string, call: ServiceCall): Promise<Result<ServiceAnswer, Failure>> {
+    const state: SocketState = { ending: undefined };
     try {
-      const res = await this.#agent.request({
-        origin: url,
+      const client = this.#open(url, state);
+      const res = await client.request({
         method: call.method,
         path: call.path,
         headers: {
@@ -33,6 +51,7 @@
       });
       const contentType = String(res.headers['content-type'] ?? 'application/octet-stream');
       const body = Buffer.from(await res.body.arrayBuffer());
+      if (!isWhole(res, state)) throw new Error('the connection was reset within the answer');
       return Ok({ status: res.statusCode, contentType, body });
     } catch (err) {
       if (wasNeverSent(err)) return Err(failure('upstream-unavailable', url));
@@ -42,6 +61,24 @@
 
   /** Closes the connections. */
   async close(): Promise<void> {
-    await this.#agent.destroy();
+    await Promise.all([...this.#clients].map((client) => client.destroy()));
+  }
+
+  /**
+   * Creates the client of one call. No connection is reused: if the service closed an idle one as a call was sent, its
+   * outcome would be unknown.
+   */
+  #open(url: string, state: SocketState): Client {
+    const connect = watchedConnector(state, CONNECT_TIMEOUT_MS);
+    const client = new Client(url, { pipelining: 0, connect });
+    this.#clients.add(client);
+    client.once('disconnect', () => {
+      this.#clients.delete(client);
+      client.destroy(() => undefined);
+    });
+    client.once('connectionError', () => {
+      this.#clients.delete(client);
+    });
+    return client;
   }
 }
