Objects and answers of the object API that can't be read no longer end a daemon

What operators would have seen: daemons of the chat interface that end by themselves, again and again, after one odd object or answer: the loops that confirm plans and follow the configuration are awaited by nobody, and parsers threw in them.

Fix: the client validates answers and returns an error; updates return "refused" if the stored object is invalid, so nothing is written over it; an invalid manifest or plan is logged and counts as not confirmed, which is what an unreadable store counts as.

--- a/src/daemon/configtask.ts
+++ b/src/daemon/configtask.ts
@@ -7,6 +7,7 @@
   MANIFEST_KEY,
   parseStoredManifest,
 } from '../config/index.js';
+import { parseObject } from '../store/index.js';
 import { ConfigFollower } from './configfollower.js';
 import { ConfigExchange } from './configexchange.js';
 import { PieceLoader } from './pieceloader.js';
@@ -104,7 +105,10 @@
    */
   async readManifest(): Promise<Result<StoredManifest, StoreError>> {
     const found = await this.ctx.store.read(MANIFEST_KEY);
-    return found.map(({ value }) => parseStoredManifest(value));
+    if (found.err) return found;
+    const parsed = parseObject({ key: MANIFEST_KEY, parse: parseStoredManifest }, found.val.value);
+    if (parsed.err) this.ctx.recorder.record('configRejected', { detail: parsed.val.text });
+    return parsed;
   }
 
   /**
--- a/src/daemon/planfollower.ts
+++ b/src/daemon/planfollower.ts
@@ -11,6 +11,7 @@
   parsePlan,
   PLAN_KEY_PREFIX,
 } from '../plan/index.js';
+import { parseObject } from '../store/index.js';
 
 import type { PeerNetwork, PeerMessageOf } from '../link/index.js';
 import type { Confirmation, KnownPlans, StoredPlan } from '../plan/index.js';
@@ -157,8 +158,11 @@
     );
     const found = await Promise.all(changed.map(({ key }) => this.ctx.store.read(key)));
     const plans = found.flatMap((result) => {
-      const plan = result.ok ? parsePlan(result.val.value) : null;
-      return result.ok && plan ? [{ version: result.val.version, plan }] : [];
+      if (result.err) return [];
+      const { key, version, value } = result.val;
+      const parsed = parseObject({ key, parse: parsePlan }, value);
+      if (parsed.err) this.ctx.recorder.record('plansUnconfirmed', { detail: parsed.val.text });
+      return parsed.ok && parsed.val ? [{ version, plan: parsed.val }] : [];
     });
     this.#merge(plans);
     if (plans.length < changed.length) return false;
--- a/src/store/httpobjectstore.ts
+++ b/src/store/httpobjectstore.ts
@@ -53,8 +53,11 @@
   override async read(key: string): Promise<Result<StoredObject, StoreError>> {
     const answer = await this.#call({ method: 'GET', key, path: this.#objectPath(key) });
     if (answer.err) return answer;
-    const { version, value } = objectSchema.parse(answer.val.body);
-    return Ok({ key, version, value });
+    return this.#decode(key, answer.val, objectSchema).map(({ version, value }) => ({
+      key,
+      version,
+      value,
+    }));
   }
 
   override async write(
@@ -64,19 +67,22 @@
   ): Promise<Result<number, StoreError>> {
     const path = `${this.#objectPath(key)}?expected=${expected}`;
     const answer = await this.#call({ method: 'PUT', key, path, body: JSON.stringify(value) });
-    return answer.map(({ body }) => versionSchema.parse(body).version);
+    if (answer.err) return answer;
+    return this.#decode(key, answer.val, versionSchema).map(({ version }) => version);
   }
 
   override async remove(key: string, expected: number): Promise<Result<number, StoreError>> {
     const path = `${this.#objectPath(key)}?expected=${expected}`;
     const answer = await this.#call({ method: 'DELETE', key, path });
-    return answer.map(({ body }) => versionSchema.parse(body).version);
+    if (answer.err) return answer;
+    return this.#decode(key, answer.val, versionSchema).map(({ version }) => version);
   }
 
   override async list(prefix: string): Promise<Result<readonly ObjectChange[], StoreError>> {
     const path = `/objects?prefix=${encodeURIComponent(prefix)}`;
     const answer = await this.#call({ method: 'GET', key: prefix, path });
-    return answer.map(({ body }) => listSchema.parse(body).changes);
+    if (answer.err) return answer;
+    return this.#decode(prefix, answer.val, listSchema).map(({ changes }) => changes);
   }
 
   override async watch(
@@ -86,7 +92,7 @@
   ): Promise<Result<WatchBatch, StoreError>> {
     const path = `/watch?prefix=${encodeURIComponent(prefix)}&position=${position}&waitMs=${waitMs}`;
     const answer = await this.#call({ method: 'GET', key: prefix, path, waitMs });
-    return answer.map(({ body }) => watchSchema.parse(body));
+    return answer.err ? answer : this.#decode(prefix, answer.val, watchSchema);
   }
 
   /** Closes the connections. */
@@ -94,6 +100,18 @@
     await this.#agent.destroy();
   }
 
+  /** Validates the body of an answer. A call whose answer cannot be read may have taken effect. */
+  #decode<Value>(
+    key: string,
+    { body }: Answer,
+    schema: z.ZodType<Value>,
+  ): Result<Value, StoreError> {
+    const parsed = schema.safeParse(body);
+    if (parsed.success) return Ok(parsed.data);
+    const text = `invalid answer from ${this.base}: ${parsed.error.issues[0]?.message ?? ''}`;
+    return Err({ problem: 'lost', key, text });
+  }
+
   #objectPath(key: string): string {
     return `/objects/${encodeURIComponent(key)}`;
   }
--- a/src/store/update.ts
+++ b/src/store/update.ts
@@ -19,6 +19,27 @@
 /** Attempts before an update gives up after conflicts or lost responses. */
 const MAX_ATTEMPTS = 12;
 
+/** Longest text of a parser's error, in characters. */
+const MAX_ERROR_CHARS = 500;
+
+/**
+ * Parses a stored object.
+ * @param kind - key and parser of the object
+ * @param value - the stored value; null if the object does not exist
+ * @returns the parsed value; an error with problem "refused" if the parser rejects it
+ */
+export function parseObject<Value>(
+  { key, parse }: ObjectKind<Value>,
+  value: unknown,
+): Result<Value, StoreError> {
+  try {
+    return Ok(parse(value));
+  } catch (err) {
+    const text = `invalid object, restore it: ${String(err).slice(0, MAX_ERROR_CHARS)}`;
+    return Err({ problem: 'refused', key, text });
+  }
+}
+
 /**
  * Updates one object by a conditional write, and retries after a conflict or a lost response.
  * After a lost response the write may already have taken effect, so "decide" must recognise its own
@@ -40,7 +61,11 @@
     // eslint-disable-next-line no-await-in-loop
     const found = await store.read(kind.key);
     if (found.err) return Err({ ...found.val, problem: mayHaveTakenEffect ? 'lost' : 'refused' });
-    const decision = decide(kind.parse(found.val.value));
+    const current = parseObject(kind, found.val.value);
+    if (current.err) {
+      return Err({ ...current.val, problem: mayHaveTakenEffect ? 'lost' : 'refused' });
+    }
+    const decision = decide(current.val);
     if (decision.kind === 'keep') return Ok(decision.outcome);
     // eslint-disable-next-line no-await-in-loop
     const written = await store.write(kind.key, decision.value, found.val.version);
