An invalid budget shard no longer keeps the shards after it from being maintained

What operators would have seen: holders of all later shards were not recovered and their statements not folded, as each round ended at the invalid shard.

Evidence: before the fix the test of shardmaintenance.test.ts failed with "timed out after 3000 ms: the second shard". Now it passes.

Fix: an error ends the maintenance of its shard only, and its log line names the shard.

--- a/src/daemon/shardmaintenance.ts
+++ b/src/daemon/shardmaintenance.ts
@@ -95,7 +95,7 @@
     for (let shard = 0; shard < shards && !this.#isStopped; shard += 1) {
       // Shards are processed one by one to stay within the rate limits of the store.
       // eslint-disable-next-line no-await-in-loop
-      if (await this.#isResponsible(shard)) await this.#maintain(shard);
+      if (await this.#isResponsible(shard)) await this.#tryMaintain(shard);
       else this.#folders.get(shard)?.clearCache();
     }
   }
@@ -130,6 +130,16 @@
       : [...maintainers, instanceOf(self)];
   }
 
+  /** Maintains a shard; an error is logged and does not keep the other shards from being maintained. */
+  async #tryMaintain(shard: number): Promise<void> {
+    try {
+      await this.#maintain(shard);
+    } catch (err) {
+      const detail = `${shardKey(shard)}: ${String(err)}`;
+      this.ctx.recorder.record('shardCareFailed', { detail });
+    }
+  }
+
   async #maintain(shard: number): Promise<void> {
     const found = await this.ctx.store.read(shardKey(shard));
     if (found.err || found.val.value === null) return;
