Test: a peer whose address is impossible is unreachable

On the code before both cases failed: the request was rejected with "Invalid URL: ws://127.0.0.1:70000" and "ws://no address". The fix there is reached by this test only at the chat interface, whose list of instances is not filtered.

--- a/src/link/tests/links.test.ts
+++ b/src/link/tests/links.test.ts
@@ -118,3 +118,20 @@
   await waitFor('the link is replaced', () => sendQuery(b, 'a'), 10_000);
   t.true(eventsOf(b).includes('linkSilent'));
 });
+
+['127.0.0.1:70000', 'no address'].forEach((address) => {
+  test(`a peer whose address is impossible is unreachable, and the process goes on: ${address}`, async (t) => {
+    const listed = [instance('entry-2', address)];
+    const port = await freePort();
+    const node = await startNode(t, { name: 'entry-1', port, fleetKey: FLEET_KEY, listed });
+    const { network } = node;
+    const reply = await network.request({
+      to: 'entry-2',
+      body: QUERY,
+      reply: 'key-known',
+      timeoutMs: TIMEOUT_MS,
+    });
+    t.true(reply.err && reply.val.code === 'peer-unreachable');
+    t.true(eventsOf(node).includes('linkClosed'));
+  });
+});
