An entry with the address of another upstream no longer costs every second request

What callers saw: 503 without a run for every request that was placed on such an entry, which goes on until the entry is gone: the upstream at the address answers 421, as the request is addressed to another name. Routes whose requests are sent to one upstream had no second try.

Cause: an answer that says "not run" counted neither for nor against the health of the upstream, and an entry without load is the first choice.

Fix: 421 counts as a failure of the entry that was chosen, so it is ejected like an upstream that can't be reached, and is logged.

--- a/src/gateway/callrun.ts
+++ b/src/gateway/callrun.ts
@@ -45,6 +45,12 @@
  */
 const ANSWER_TIMEOUT_TARGETS = 3;
 
+/** Status with which an upstream answers a request that is addressed to another one: the entry of that one is wrong. */
+const MISDIRECTED_STATUS = 421;
+
+/** Outcomes after which an upstream may be down. */
+const DOWN_KINDS: ReadonlySet<SendOutcome['kind']> = new Set(['unsent', 'lost', 'cut', 'timeout']);
+
 /** Dependencies of a request run. */
 export interface CallContext {
   readonly codec: HeaderCodec;
@@ -285,8 +291,9 @@
         return;
       }
     }
-    if (kind === 'left' || kind === 'not-run') return;
-    const isDown = kind === 'unsent' || kind === 'lost' || kind === 'cut' || kind === 'timeout';
+    const isMisdirected = kind === 'not-run' && outcome.status === MISDIRECTED_STATUS;
+    if (kind === 'left' || (kind === 'not-run' && !isMisdirected)) return;
+    const isDown = isMisdirected || DOWN_KINDS.has(kind);
     const isEjected = isDown && stats.health.recordFailure(now);
     const why = 'why' in outcome ? outcome.why : '';
     const facts = { kind, why, open: stats.open, isEjected };
