--- a/src/gateway/callrun.ts
+++ b/src/gateway/callrun.ts
@@ -3,11 +3,11 @@
  * its units, completes its answer and logs its outcome.
  */
 import { drive, failure } from '../kernel/index.js';
-import { answerFailure } from './answerfailure.js';
+import { answerFailure, internalFailure } from './answerfailure.js';
 import { attemptCall } from './attempt.js';
 import { timeLimitMs } from './configuration.js';
 import { RouteTable } from './routetable.js';
-import { serveCall } from './serve.js';
+import { mayRepeat, serveCall } from './serve.js';
 
 import type { Arrival } from '../ingress/index.js';
 import type { Clock, Failure } from '../kernel/index.js';
@@ -44,6 +44,12 @@
  */
 const ANSWER_TIMEOUT_TARGETS = 3;
 
+/** Status with which an upstream answers a request that is addressed to another one: the entry of that one is wrong. */
+const MISDIRECTED_STATUS = 421;
+
+/** Outcomes after which an upstream may be down. */
+const DOWN_KINDS: ReadonlySet<SendOutcome['kind']> = new Set(['unsent', 'lost', 'cut', 'timeout']);
+
 /** Dependencies of a request run. */
 export interface CallContext {
   readonly codec: HeaderCodec;
@@ -142,11 +148,21 @@
     });
     const outcome = await drive<ServeCommand, ServeEvent, ServeOutcome>(procedure, (command) =>
       this.#perform(command),
-    );
+    ).catch((err: unknown) => this.#outcomeOfError(err));
     this.#settle();
     this.#finish(outcome);
   }
 
+  /** Logs an internal error and returns the outcome that the caller is told. */
+  #outcomeOfError(err: unknown): ServeOutcome {
+    const { head, reply } = this.call;
+    this.ctx.recorder.record('requestFailed', { request: head.id, detail: String(err) });
+    const attempts = this.#mayHaveRun ? 1 : 0;
+    if (reply.isBegun) return { kind: 'cut', attempts };
+    const refusal = internalFailure(this.policy.route.name, this.#mayHaveRun);
+    return { kind: this.#mayHaveRun ? 'failed' : 'refused', refusal, attempts };
+  }
+
   #perform(command: ServeCommand): ServeEvent | Promise<ServeEvent> {
     switch (command.type) {
       case 'reserve':
@@ -237,6 +253,7 @@
     const mayStart = (): boolean => this.ctx.registry.mayReceive(record, clock.now());
     if (!mayStart()) return { type: 'sent', outcome: { kind: 'unsent', why: 'leaving' } };
     const { memoryTokens } = this.#placement;
+    const headers = this.#headers(record.id);
     const open = stats.begin({
       sentAt: clock.now(),
       uncachedTokens,
@@ -248,7 +265,7 @@
       call: this.call,
       codec: this.ctx.codec,
       connections: upstream.connections,
-      headers: this.#headers(record.id),
+      headers,
       timeoutMs: this.#remainingMs() + TIMEOUT_SLACK_MS,
       answerTimeoutMs:
         route.repeatability === 'idempotent' && !relaysFailure
@@ -284,8 +301,9 @@
         return;
       }
     }
-    if (kind === 'left' || kind === 'not-run' || kind === 'stopped') return;
-    const isDown = kind === 'unsent' || kind === 'lost' || kind === 'cut' || kind === 'timeout';
+    const isMisdirected = kind === 'not-run' && outcome.status === MISDIRECTED_STATUS;
+    if (kind === 'left' || kind === 'stopped' || (kind === 'not-run' && !isMisdirected)) return;
+    const isDown = isMisdirected || DOWN_KINDS.has(kind);
     const isEjected = isDown && stats.health.recordFailure(now);
     const why = 'why' in outcome ? outcome.why : '';
     const facts = { kind, why, open: stats.open, isEjected };
@@ -336,7 +354,7 @@
     const { kind, attempts } = outcome;
     if (kind === 'cut') reply.abortAnswer();
     const refusal = kind === 'refused' || kind === 'failed' ? outcome.refusal : undefined;
-    if (refusal) answerFailure(reply, refusal, this.ctx.codec);
+    if (refusal) answerFailure(reply, refusal, this.ctx.codec, mayRepeat(this.policy.route));
     const { clock, metrics, recorder } = this.ctx;
     const route = this.policy.route.name;
     const tookMs = clock.now() - this.#startedAt;
--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -4,7 +4,7 @@
 import type { FastifyReply, FastifyRequest } from 'fastify';
 import { failure } from '../kernel/index.js';
 import { readBody } from '../request/index.js';
-import { answerFailure } from './answerfailure.js';
+import { answerFailure, internalFailure } from './answerfailure.js';
 import { CallRun } from './callrun.js';
 import { timeLimitMs } from './configuration.js';
 import { EventStream } from './eventstream.js';
@@ -77,21 +77,31 @@
     const arrival = connection.arrived(runtime.clock.now());
     const open = runtime.openRequests.add();
     runtime.metrics.open.inc();
+    const isClosing = (): boolean => runtime.isStopping && connection.isLast(arrival);
+    const caller = new HttpReply(reply.raw, connection, isClosing);
+    let run: CallRun | undefined;
     try {
-      const isClosing = (): boolean => runtime.isStopping && connection.isLast(arrival);
-      const caller = new HttpReply(reply.raw, connection, isClosing);
-      await this.#serve(request, { caller, connection, arrival, open });
-      if (caller.isBegun) await caller.finished;
+      run = await this.#admit(request, { caller, connection, arrival, open });
+      await run?.run();
     } catch (err) {
       runtime.recorder.record('requestFailed', { detail: String(err) });
-      reply.raw.destroy();
+      if (caller.isBegun) caller.abortUnfinished();
+      else {
+        const refusal = internalFailure(request.originalUrl, run !== undefined);
+        answerFailure(caller, refusal, runtime.adapter.headers);
+      }
     } finally {
+      if (caller.isBegun) await caller.finished;
       open.end();
       runtime.metrics.open.dec();
     }
   }
 
-  async #serve(request: FastifyRequest, exchange: Exchange): Promise<void> {
+  /**
+   * Reads a request, applies its policy and waits for its turn.
+   * @returns its run, which has not begun; undefined if the request was answered or its caller has disconnected
+   */
+  async #admit(request: FastifyRequest, exchange: Exchange): Promise<CallRun | undefined> {
     const { caller, connection, arrival, open } = exchange;
     const { raw: req, originalUrl: target } = request;
     const { headers: codec } = this.runtime.adapter;
@@ -109,12 +119,12 @@
     try {
       body = await readBody(req, bodyBytes);
     } catch (err) {
-      if (caller.isBegun) return;
+      if (caller.isBegun) return undefined;
       // The caller disconnected before its request was complete.
       this.runtime.recorder.record('callEnded', { request: head.id, detail: String(err) });
-      return;
+      return undefined;
     }
-    if (caller.isBegun) return;
+    if (caller.isBegun) return undefined;
     open.onStop(() => undefined);
     const found = body.isTooLarge
       ? failure('body-too-large', target)
@@ -123,7 +133,7 @@
     if ('code' in found || !callContext) {
       const refusal = 'code' in found ? found : failure('not-ready', target);
       this.#refuse(caller, head, refusal);
-      return;
+      return undefined;
     }
     open.describe(head.id, found.route.name);
     const { requestQueue, clock } = this.runtime;
@@ -131,7 +141,7 @@
     const outcome = await requestQueue.waitForTurn(connection, leftMs);
     if (outcome === 'left') {
       this.#recordDisconnect(head.id, arrival);
-      return;
+      return undefined;
     }
     if (outcome === 'overloaded') {
       const refusal = failure('overloaded', found.route.name);
@@ -141,7 +151,7 @@
         { ...refusal, retryAfterMs: otherDaemonRetryMs() },
         requestQueue.facts,
       );
-      return;
+      return undefined;
     }
     const call: Call = {
       head,
@@ -158,7 +168,7 @@
       // The run may have ended while parts of its answer wait for the caller to read.
       if (wasBegun) caller.abortAnswer();
     });
-    await run.run();
+    return run;
   }
 
   #policyOf(head: CallHead, host: string, target: string): CallPolicy | Failure {
--- a/src/kernel/failure.ts
+++ b/src/kernel/failure.ts
@@ -144,6 +144,11 @@
     text: 'the daemon failed while it served the request',
     remedy: 'repeat the request with the same key, and report the logged event 2006',
   },
+  'internal-not-run': {
+    status: 503,
+    text: 'the daemon failed before it sent the request',
+    remedy: 'repeat the request, and report the logged event 2006',
+  },
   'peer-unreachable': {
     status: 503,
     text: 'the peer daemon does not answer',
@@ -188,16 +193,20 @@
 /**
  * Formats a failure for a caller or an operator.
  * @param fail - the failure
+ * @param remedy - what to do about it; default that of the chat interface, whose callers send idempotency keys
  * @returns the response body, whose message includes the remedy
  */
-export function formatFailure(fail: Failure): FailureBody {
-  const kind = FAILURE_KINDS[fail.code];
+export function formatFailure(
+  fail: Failure,
+  remedy: string = FAILURE_KINDS[fail.code].remedy,
+): FailureBody {
+  const { text } = FAILURE_KINDS[fail.code];
   return {
     error: {
       code: fail.code,
       outcome: fail.outcome,
-      message: `${kind.text}: ${fail.subject}; ${kind.remedy}`,
-      remedy: kind.remedy,
+      message: `${text}: ${fail.subject}; ${remedy}`,
+      remedy,
     },
   };
 }
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -104,10 +104,20 @@
   linkRefused: { number: 5003, level: 'warn', text: 'peer refused: unknown instance or wrong key' },
   linkSilent: { number: 5004, level: 'warn', text: 'peer link timed out; it is replaced' },
   messageRejected: { number: 5005, level: 'warn', text: 'peer message rejected by its schema' },
+  daemonUnreadable: {
+    number: 5007,
+    level: 'warn',
+    text: 'the entry of a daemon cannot be used, so no link to it is opened',
+  },
   daemonsListed: { number: 5006, level: 'info', text: 'registered daemons listed' },
   storeUnavailable: { number: 6001, level: 'warn', text: 'object API does not answer' },
   storeLost: { number: 6002, level: 'warn', text: 'the store does not answer a watch' },
   storeRegained: { number: 6003, level: 'info', text: 'the store answers watch requests again' },
+  storeHandlerFailed: {
+    number: 6004,
+    level: 'error',
+    text: 'objects from the store could not be applied; report this line',
+  },
   upstreamEjected: { number: 7001, level: 'warn', text: 'failing upstream ejected for a while' },
   upstreamsChanged: {
     number: 7003,
