A stopping daemon closes idle connections of callers, from the signal on

Since late requests with a long time limit are refused, they were refused, and some of them for good.

Cause: only the answer to a next request told such a caller to close; the balancer's choice governs new connections only.

Why this works: the next request opens a new connection, which comes to a ready daemon but for the share that the balancer still sends here. One that crosses the close is not read, and its caller may send it again. Connections that have not sent anything yet are not idle for Node.js, and stay.

--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -71,12 +71,14 @@
   async stop(): Promise<void> {
     const { clock } = this.runtime;
     const window = this.runtime.beginStop();
+    const server = this.createIngress.getHttpServer();
     while (!mayCloseListener(window, this.runtime.load, clock.now())) {
+      // Callers that keep a connection would send their next request to this daemon until it is gone.
+      server.closeIdleConnections();
       // eslint-disable-next-line no-await-in-loop
       await delay(DRAIN_POLL_MS);
       if (isPastAcceptAll(window, clock.now())) this.runtime.releaseExcess();
     }
-    const server = this.createIngress.getHttpServer();
     server.close();
     server.closeIdleConnections();
     this.runtime.stopOpenRequests();
