Chat interface: a graceful stop no longer waits for connections without a request

What was seen: a daemon with SIGTERM never exited while one caller kept a connection on which it had sent nothing, half of its headers or half of its body; the platform had to kill it, after which others recover its rows as from a crash.

Cause: two waits without a limit. The daemon counted a request from its headers on and waited for its end, also if the rest never came; and closing the listener waits for all connections, of which Node.js closes only those that are idle after a request.

Running answers were completed before as well: with a key after SIGTERM, a second SIGTERM or SIGINT, and a request on a kept connection was refused as not run; these tests stay.

Why it works: two seconds after the signal only requests that have arrived completely are waited for. The others have not run, and during a stop they would be refused. A second after the listener is closed the remaining connections are closed; none has a request in progress, as the daemon waited for these. What is complete is asked of the parser and not of the stream, since nobody reads the stream of a request without a body: a running call of that kind is completed (test).

--- a/src/daemon/activerequests.ts
+++ b/src/daemon/activerequests.ts
@@ -1,5 +1,5 @@
 /** Counts the requests that a graceful stop waits for. */
-import type { ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 
 /**
  * Counts requests until both their processing and their response have ended. `count` adds up the
@@ -8,6 +8,9 @@
 export class ActiveRequests {
   #count = 0;
 
+  /** Requests with an open response. */
+  readonly #open = new Set<IncomingMessage>();
+
   readonly #workspaces = new Map<string, number>();
 
   /** Number of open responses plus number of requests in processing; 0 when nothing is left. */
@@ -15,6 +18,11 @@
     return this.#count;
   }
 
+  /** Number of open responses whose requests have not been received completely. */
+  get unreadCount(): number {
+    return [...this.#open].filter(({ complete }) => !complete).length;
+  }
+
   /**
    * Returns the number of requests of one workspace that are in processing.
    * @param workspace - workspace name
@@ -26,12 +34,15 @@
 
   /**
    * Counts a response until it is sent completely or its connection is closed.
-   * @param res - response of a caller's request
+   * @param req - a caller's request
+   * @param res - its response
    */
-  trackResponse(res: ServerResponse): void {
+  trackResponse(req: IncomingMessage, res: ServerResponse): void {
     this.#count += 1;
+    this.#open.add(req);
     res.once('close', () => {
       this.#count -= 1;
+      this.#open.delete(req);
     });
   }
 
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -26,6 +26,15 @@
 /** Shortest time for which a stopping daemon keeps answering, in milliseconds. */
 const MIN_DRAIN_MS = 500;
 
+/**
+ * Time for which a stopping daemon waits for the rest of requests that it has received in part, in milliseconds. They
+ * have not run.
+ */
+const UNREAD_DRAIN_MS = 2_000;
+
+/** Time for which a stopped daemon waits until its connections close, in milliseconds. */
+const CLOSE_TIMEOUT_MS = 1_000;
+
 /** Path prefixes of operators and of the load balancer; a graceful stop does not wait for them. */
 const NON_CALLER_PATHS = ['/operator/', '/healthz', '/readyz'];
 
@@ -58,7 +67,7 @@
     });
     const fastify = adapter.getInstance();
     fastify.addHook('onRequest', (req, reply, done) => {
-      if (isCallerPath(req.url)) runtime.active.trackResponse(reply.raw);
+      if (isCallerPath(req.url)) runtime.active.trackResponse(req.raw, reply.raw);
       if (runtime.stopping) void reply.header('connection', 'close');
       done();
     });
@@ -101,15 +110,24 @@
     return bytes ?? Buffer.alloc(0);
   }
 
-  /** Stops gracefully: refuses new requests, waits for active ones, then closes the peer links. */
+  /**
+   * Stops gracefully: refuses new requests, waits for active ones, then closes the peer links. Connections without an
+   * active request are closed at the end, also those on which a request has arrived only in part.
+   */
   async stop(): Promise<void> {
+    const { active } = this.runtime;
     this.runtime.beginStop();
+    const unreadUntil = performance.now() + UNREAD_DRAIN_MS;
     await delay(MIN_DRAIN_MS);
-    while (this.runtime.active.count > 0) {
+    while (active.count > (performance.now() < unreadUntil ? 0 : active.unreadCount)) {
       // eslint-disable-next-line no-await-in-loop
       await delay(DRAIN_POLL_MS);
     }
     await this.runtime.finishStop();
+    const server = this.app.getHttpServer();
+    // Closing waits until all connections have ended, even those on which nothing was sent.
+    const timer = setTimeout(() => server.closeAllConnections(), CLOSE_TIMEOUT_MS);
     await this.app.close();
+    clearTimeout(timer);
   }
 }
