Test relay: a connection that broke is reset and not ended in order

The relay ended both sides in order when one of them was reset, and when a fault cut its connections. For an answer without a length an orderly end means that it is complete, so the relay of the soak completed half answers by itself: npm run soak -- reported "c2-35 got another or a part of an answer" for a plain answer that its worker had broken off with a reset, and e3 had logged it as relayed.

Both are resets now.

--- a/testbed/relay.ts
+++ b/testbed/relay.ts
@@ -60,13 +60,13 @@
 
   /**
    * Sets the mode.
-   * "cut" closes open connections and resets new ones; "silent" accepts and keeps connections but
+   * "cut" resets open and new connections; "silent" accepts and keeps connections but
    * drops their bytes for good; "pass" forwards new connections.
    * @param mode - mode from now on
    */
   setMode(mode: RelayMode): void {
     this.#mode = mode;
-    if (mode === 'cut') this.#connections.forEach((pair) => Relay.#destroy(pair));
+    if (mode === 'cut') this.#connections.forEach((pair) => Relay.#reset(pair));
     if (mode === 'silent') this.silenceOpen();
   }
 
@@ -91,6 +91,12 @@
     far.destroy();
   }
 
+  /** Ends a connection that broke: an orderly end would complete an answer that has no length. */
+  static #reset({ clientSocket: near, targetSocket: far }: RelayedConnection): void {
+    near.resetAndDestroy();
+    far.resetAndDestroy();
+  }
+
   #accept(near: Socket): void {
     if (this.#mode === 'cut') {
       near.resetAndDestroy();
@@ -115,7 +121,7 @@
     from.on('end', () => {
       if (!pair.isSilenced) to.end();
     });
-    from.on('error', () => Relay.#destroy(pair));
+    from.on('error', () => Relay.#reset(pair));
     from.on('close', () => {
       if (pair.isSilenced) return;
       this.#connections.delete(pair);
