Answers without a length are passed on in chunks, so that the death of the daemon does not complete them

What callers saw: a part of an answer that its upstream delimits by the end of the connection, taken for the whole, when the daemon was killed in between or exited at the end of a stop.

Cause: the daemon passed the answer on in the same form, and the operating system closes the connections of a dead process in order, which is how such an answer ends.

Now it goes on in chunks to callers that speak HTTP/1.1. The last chunk is written when the upstream has closed its connection in order, which told the caller no less before; a reset or a death leaves it out.

--- a/src/gateway/httpreply.ts
+++ b/src/gateway/httpreply.ts
@@ -57,10 +57,10 @@
 
   override begin({ status, forward, isFramed }: AnswerHead): void {
     this.#closeIfStopping();
-    this.#isFramed = isFramed;
-    if (!isFramed) {
-      // The last chunk of a chunked answer would tell the caller that the answer is complete, which is not known
-      // if the upstream only closed its connection.
+    // An answer without a length or chunks is passed on in chunks, unless the caller's version of HTTP has none: if
+    // this process is killed, the operating system closes the connection, which would complete the answer.
+    this.#isFramed = isFramed || this.res.useChunkedEncodingByDefault;
+    if (!this.#isFramed) {
       this.res.removeHeader('transfer-encoding');
       this.res.shouldKeepAlive = false;
     }
