Upstreams that announce in an answer that they leave receive no further requests

An upstream that leaves says so in the header of each of its answers, sooner than its entry in the store, which may also be read late or be written again as ready. The header was not decoded: requests went on to reach the upstream until the entry changed.

The announcement is kept apart from the entries (src/gateway/upstreamsignals.ts) by id, start time and address, so that a new read of the registry or a later registration of the same incarnation does not undo it, and a restarted upstream is not affected. It is forgotten 60 s after its incarnation was last listed.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -3,7 +3,7 @@
 import { EventStream } from './eventstream.js';
 
 import type { UpstreamConnections } from './connections.js';
-import type { AnswerHead, CallHead, HeaderCodec, UpstreamLoad } from './protocol.js';
+import type { AnswerHead, CallHead, HeaderCodec } from './protocol.js';
 import type { CallerReply } from './reply.js';
 import type { SendOutcome } from './serve.js';
 import type { UpstreamConnection } from './upstreamconnection.js';
@@ -44,8 +44,8 @@
   readonly mayStart: () => boolean;
   /** Called when the request starts to be sent. */
   readonly onSent: () => void;
-  /** Called for the head and for each chunk of an answer, with the load that the head reports. */
-  readonly onProgress: (load: UpstreamLoad | undefined) => void;
+  /** Called for the head of an answer, and for each chunk without it. */
+  readonly onProgress: (head: AnswerHead | undefined) => void;
 }
 
 type Stage = 'queued' | 'sent' | 'answering' | 'done';
@@ -142,7 +142,7 @@
       this.#abandon({ kind: 'lost', why: `answer to attempt ${head.id ?? 'without an id'}` });
       return;
     }
-    this.cfg.onProgress(head.load);
+    this.cfg.onProgress(head);
     this.#stage = 'answering';
     this.#head = head;
     const isFailure = status >= FIRST_FAILURE_STATUS;
--- a/src/gateway/callrun.ts
+++ b/src/gateway/callrun.ts
@@ -20,9 +20,9 @@
 import type { Durations } from './durations.js';
 import type { UpstreamPool, KnownUpstream } from './upstreampool.js';
 import type { GatewayMetrics } from './metrics.js';
-import type { HeaderCodec } from './protocol.js';
+import type { AnswerHead, HeaderCodec } from './protocol.js';
 import type { SendOutcome, ServeCommand, ServeEvent, ServeOutcome } from './serve.js';
-import type { UpstreamRegistry } from './upstreams.js';
+import type { UpstreamRecord, UpstreamRegistry } from './upstreams.js';
 
 /** Longest wait of a request for prepaid units, as a share of its route's target time to the answer. */
 const UNITS_WAIT_SHARE = 0.4;
@@ -251,9 +251,10 @@
         this.#mayHaveRun = true;
         this.ctx.announcements.announce(record.id, uncachedTokens);
       },
-      onProgress: (load) => {
+      onProgress: (head) => {
         this.#firstByteAt ??= clock.now();
-        stats.recordResponse(open, load, clock.now());
+        stats.recordResponse(open, head?.load, clock.now());
+        if (head) this.#recordSignals(record, head);
       },
     });
     stats.end(open);
@@ -262,6 +263,19 @@
     return { type: 'sent', outcome };
   }
 
+  /** Records what the upstream announces in the head of its answer. */
+  #recordSignals(record: UpstreamRecord, head: AnswerHead): void {
+    const { registry, clock, metrics, recorder } = this.ctx;
+    const { isLeaving, status } = head;
+    if (!isLeaving || !registry.signals.recordLeaving(record, clock.now())) return;
+    metrics.leavingUpstreams.inc();
+    recorder.record('upstreamLeaving', {
+      request: this.call.head.id,
+      upstream: record.id,
+      facts: { status, startedAt: record.startedAt },
+    });
+  }
+
   /** Records the outcome of an attempt in the metrics, the log and the health of the upstream. */
   #recordAttempt({ record, stats }: KnownUpstream, outcome: SendOutcome): void {
     const now = this.ctx.clock.now();
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -63,6 +63,13 @@
     registers: [this.#registry],
   });
 
+  /** Upstreams that announced in an answer that they leave. */
+  readonly leavingUpstreams = new Counter({
+    name: 'comfreyreel_upstream_leaving_total',
+    help: 'Upstreams that announced in an answer that they leave',
+    registers: [this.#registry],
+  });
+
   /** Delay of timers, which long synchronous work or a lack of processor time causes. */
   readonly loopDelay = new Histogram({
     name: 'comfreyreel_loop_delay_seconds',
--- a/src/gateway/protocol.ts
+++ b/src/gateway/protocol.ts
@@ -60,6 +60,8 @@
   readonly id: string | undefined;
   /** Whether the upstream reports that it has not run the request. */
   readonly isNotRun: boolean;
+  /** Whether the upstream announces that it leaves and must receive no further requests. */
+  readonly isLeaving: boolean;
   readonly isEventStream: boolean;
   /** Whether the body is delimited by a length or chunks; otherwise the end of the connection ends it. */
   readonly isFramed: boolean;
--- a/src/gateway/routingstate.ts
+++ b/src/gateway/routingstate.ts
@@ -195,7 +195,11 @@
         return;
       }
       this.upstreams.list(decoded.val, now);
-      this.#recordChange(id, change.version, decoded.val.isLeaving ? 'leaving' : 'serving');
+      this.#recordChange(
+        id,
+        change.version,
+        this.upstreams.isLeaving(decoded.val) ? 'leaving' : 'serving',
+      );
     });
   }
 
--- a/src/gateway/tests/upstreams.test.ts
+++ b/src/gateway/tests/upstreams.test.ts
@@ -18,7 +18,7 @@
 type Step =
   | { readonly at: number; readonly does: 'lists' | 'announces-leaving' | 'unlists' }
   | { readonly at: number; readonly does: 'store-disturbed' }
-  | { readonly at: number; readonly does: 'other-life' };
+  | { readonly at: number; readonly does: 'other-life' | 'answers-leaving' | 'forgets-gone' };
 
 interface Row {
   readonly title: string;
@@ -102,12 +102,72 @@
     ],
     serves: [[11, false]],
   },
+  {
+    title:
+      'an upstream that said in an answer that it leaves receives no requests, although its entry is written again',
+    steps: [
+      { at: 0, does: 'lists' },
+      { at: 10, does: 'answers-leaving' },
+      { at: 20, does: 'lists' },
+    ],
+    serves: [
+      [9, true],
+      [11, false],
+      [21, false],
+    ],
+  },
+  {
+    title:
+      'an upstream that said in an answer that it leaves is removed at once, even in an outage',
+    steps: [
+      { at: 0, does: 'lists' },
+      { at: 10, does: 'answers-leaving' },
+      { at: 10_000, does: 'store-disturbed' },
+      { at: 10_001, does: 'unlists' },
+    ],
+    serves: [[10_002, false]],
+  },
+  {
+    title: 'what an upstream said in an answer counts when its entry comes back after an outage',
+    steps: [
+      { at: 0, does: 'lists' },
+      { at: 10, does: 'answers-leaving' },
+      { at: 100_000, does: 'store-disturbed' },
+      { at: 110_000, does: 'unlists' },
+      { at: 115_000, does: 'forgets-gone' },
+      { at: 120_000, does: 'lists' },
+    ],
+    serves: [[120_001, false]],
+  },
+  {
+    title: 'what an incarnation said in an answer is forgotten some time after it is gone',
+    steps: [
+      { at: 0, does: 'lists' },
+      { at: 10, does: 'answers-leaving' },
+      { at: 10_000, does: 'unlists' },
+      { at: 80_000, does: 'forgets-gone' },
+      { at: 80_001, does: 'lists' },
+    ],
+    serves: [[80_002, true]],
+  },
+  {
+    title: 'what an incarnation said in an answer is remembered as long as it is listed',
+    steps: [
+      { at: 0, does: 'lists' },
+      { at: 10, does: 'answers-leaving' },
+      { at: 500_000, does: 'forgets-gone' },
+      { at: 900_000, does: 'forgets-gone' },
+    ],
+    serves: [[900_001, false]],
+  },
 ];
 
 function applyStep(registry: UpstreamRegistry, { at, does }: Step): void {
   if (does === 'lists') registry.list(RECORD, at);
   else if (does === 'announces-leaving') registry.list({ ...RECORD, isLeaving: true }, at);
   else if (does === 'other-life') registry.list({ ...RECORD, startedAt: 2 }, at);
+  else if (does === 'answers-leaving') registry.signals.recordLeaving(RECORD, at);
+  else if (does === 'forgets-gone') registry.forgetGone(at);
   else if (does === 'store-disturbed') registry.noteDisturbance(at);
   else registry.unlist('u', at);
 }
@@ -137,6 +197,19 @@
   );
 });
 
+test('an announcement in an answer concerns one incarnation, whatever else is at its id or address', (t) => {
+  const registry = new UpstreamRegistry();
+  const next = { ...RECORD, startedAt: 2 };
+  const neighbour = { ...RECORD, id: 'v' };
+  registry.replace([RECORD, neighbour], 0);
+  registry.signals.recordLeaving(RECORD, 1);
+  registry.replace([next, neighbour], 2);
+  t.deepEqual(
+    [RECORD, next, neighbour].map((record) => registry.mayReceive(record, 3)),
+    [false, true, true],
+  );
+});
+
 test('an upstream that left receives no new requests two seconds later, whenever the store was disturbed', (t) => {
   const leftAt = 10_000;
   const used = Array.from({ length: 400 }, (_, index) => index * 10).map((disturbedAt) => {
--- a/src/gateway/upstreampool.ts
+++ b/src/gateway/upstreampool.ts
@@ -2,6 +2,7 @@
 import { hash32 } from '../kernel/index.js';
 import { HotParts, placeRequest, UpstreamStats } from '../route/index.js';
 import { UpstreamConnections } from './connections.js';
+import { incarnationKey } from './upstreamsignals.js';
 
 import type { Clock } from '../kernel/index.js';
 import type {
@@ -36,10 +37,6 @@
   readonly memoryTokens: number | undefined;
 }
 
-function incarnationKey({ id, startedAt, address }: UpstreamRecord): string {
-  return `${id} ${startedAt} ${address}`;
-}
-
 /** Keeps connections and load of the upstreams and places requests on them. */
 export class UpstreamPool {
   readonly #known = new Map<string, KnownUpstream>();
@@ -145,6 +142,7 @@
   #sweep(now: number): void {
     if (now - this.#sweptAt < SWEEP_INTERVAL_MS) return;
     this.#sweptAt = now;
+    this.registry.forgetGone(now);
     const listed = new Set(this.registry.all().map(incarnationKey));
     [...this.#known].forEach(([key, { stats, connections }]) => {
       if (listed.has(key) || stats.open > 0) return;
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -1,17 +1,15 @@
 /** Registered upstreams, and the decision which of them may receive new requests. */
+import { UpstreamSignals } from './upstreamsignals.js';
+
+import type { UpstreamIncarnation } from './upstreamsignals.js';
 
 /** One incarnation of an upstream. */
-export interface UpstreamRecord {
-  readonly id: string;
-  /** Start of this incarnation, in Unix milliseconds; 0 if the upstream does not report it. */
-  readonly startedAt: number;
+export interface UpstreamRecord extends UpstreamIncarnation {
   readonly service: string;
-  /** "IP:port"; another upstream may reuse it after this one has ended. */
-  readonly address: string;
   readonly dataCentre: string;
   /** Requests that it processes concurrently. */
   readonly capacity: number;
-  /** Whether it has announced that it leaves. */
+  /** Whether its entry announces that it leaves. */
   readonly isLeaving: boolean;
   /** Remaining warm-up time after its start, as stated in its entry, in milliseconds; it is slow if above 0. */
   readonly warmupMs: number;
@@ -49,6 +47,9 @@
 export class UpstreamRegistry {
   readonly #entries = new Map<string, Entry>();
 
+  /** Announcements in answers. They stay in force whatever the entries in the store say. */
+  readonly signals = new UpstreamSignals();
+
   /** Time of the last sign of a store outage, in milliseconds. */
   #disturbedAt = Number.NEGATIVE_INFINITY;
 
@@ -80,9 +81,10 @@
   unlist(id: string, now: number): void {
     const entry = this.#entries.get(id);
     if (!entry || entry.missingUntil !== undefined) return;
+    this.signals.retain([entry.record], now);
     const isOutage = now - this.#disturbedAt < LAPSE_WINDOW_MS;
     const mayHaveLapsed = isOutage && entry.listedAt < this.#disturbedAt;
-    if (mayHaveLapsed && !entry.record.isLeaving)
+    if (mayHaveLapsed && !this.isLeaving(entry.record))
       this.#entries.set(id, { ...entry, missingUntil: now + MISSING_GRACE_MS });
     else this.#entries.delete(id);
   }
@@ -98,6 +100,15 @@
     records.forEach((record) => this.list(record, now));
   }
 
+  /**
+   * Checks whether an upstream has announced that it leaves.
+   * @param record - the upstream
+   * @returns whether its entry or one of its answers announces it
+   */
+  isLeaving(record: UpstreamRecord): boolean {
+    return record.isLeaving || this.signals.isLeaving(record);
+  }
+
   /**
    * Lists the upstreams of a service that may receive new requests.
    * @param service - the service
@@ -108,7 +119,7 @@
     return [...this.#entries.values()]
       .filter(({ missingUntil }) => missingUntil === undefined || missingUntil > now)
       .map(({ record }) => record)
-      .filter((record) => record.service === service && !record.isLeaving);
+      .filter((record) => record.service === service && !this.isLeaving(record));
   }
 
   /**
@@ -121,7 +132,15 @@
     const entry = this.#entries.get(id);
     if (!entry || (entry.missingUntil !== undefined && entry.missingUntil <= now)) return false;
     const { record } = entry;
-    return record.service === service && record.startedAt === startedAt && !record.isLeaving;
+    return record.service === service && record.startedAt === startedAt && !this.isLeaving(record);
+  }
+
+  /**
+   * Forgets the announcements of incarnations that have not been listed for a while.
+   * @param now - current time, in milliseconds
+   */
+  forgetGone(now: number): void {
+    this.signals.retain(this.all(), now);
   }
 
   /**
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -115,6 +115,11 @@
     text: 'upstreams registered, leaving or removed',
   },
   upstreamUnreadable: { number: 7004, level: 'warn', text: 'an upstream entry cannot be used' },
+  upstreamLeaving: {
+    number: 7005,
+    level: 'info',
+    text: 'an upstream announced in an answer that it leaves; it receives no further requests',
+  },
   callEnded: { number: 8001, level: 'info', text: 'request ended' },
   callSent: { number: 8002, level: 'info', text: 'request sent to an upstream' },
   callAttemptFailed: { number: 8003, level: 'warn', text: 'an attempt at an upstream failed' },
