Upstreams that ask for a pause receive no requests until its end

An upstream that rejects a request with 503 may add the seconds for which it wants nothing from this daemon. The value was ignored: the next requests were sent to it at once, were rejected again, and their callers were told to return after 0.3 or 0.5 s while the pause went on.

The end of the pause is kept by incarnation beside the announcement of leaving; overlapping pauses end with the last, and one lasts five minutes at most. Paused upstreams are left out of the placement, and checked right before the first byte, when the connection is open. A request that is withheld then has an outcome of its own: before, the abort was reported as an unsent attempt first, which counted towards the ejection of the upstream. It uses up no attempt.

While every upstream of the service is paused, requests are refused at once, before they wait for prepaid units, with a retry delay between the time to the first end and twice that time: a fixed delay brings callers back in vain, and the bare time brings all of them back together.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -39,7 +39,7 @@
   readonly relaysFailure: boolean;
   /**
    * Returns whether the request may still be sent. Called once the connection is open, as the upstream may
-   * have announced in the meantime that it leaves.
+   * have announced in the meantime that it leaves or asked for a pause.
    */
   readonly mayStart: () => boolean;
   /** Called when the request starts to be sent. */
@@ -120,8 +120,9 @@
       return;
     }
     if (!this.cfg.mayStart()) {
-      controller.abort(new Error('leaving'));
-      this.#abandon({ kind: 'unsent', why: 'leaving' });
+      // The client reports the abort as a failure, which must come after the outcome.
+      this.#abandon({ kind: 'withheld' });
+      controller.abort(new Error('withheld'));
       return;
     }
     this.#controller = controller;
--- a/src/gateway/callrun.ts
+++ b/src/gateway/callrun.ts
@@ -8,6 +8,8 @@
 import { timeLimitMs } from './configuration.js';
 import { RouteTable } from './routetable.js';
 import { serveCall } from './serve.js';
+import { retryDelayMs } from './shortage.js';
+import { recordSignals } from './signalrecord.js';
 
 import type { Arrival } from '../ingress/index.js';
 import type { Clock, Failure } from '../kernel/index.js';
@@ -20,9 +22,10 @@
 import type { Durations } from './durations.js';
 import type { UpstreamPool, KnownUpstream } from './upstreampool.js';
 import type { GatewayMetrics } from './metrics.js';
-import type { AnswerHead, HeaderCodec } from './protocol.js';
+import type { HeaderCodec } from './protocol.js';
 import type { SendOutcome, ServeCommand, ServeEvent, ServeOutcome } from './serve.js';
-import type { UpstreamRecord, UpstreamRegistry } from './upstreams.js';
+import type { UpstreamSupply } from './shortage.js';
+import type { UpstreamRegistry } from './upstreams.js';
 
 /** Longest wait of a request for prepaid units, as a share of its route's target time to the answer. */
 const UNITS_WAIT_SHARE = 0.4;
@@ -36,6 +39,9 @@
 /** Time that must be left before the time limit of a request for it to be sent, in milliseconds. */
 const MIN_ATTEMPT_MS = 10;
 
+/** Status with which an upstream may ask for a pause. */
+const PAUSE_STATUS = 503;
+
 /** Retry delay sent to callers when no upstream can receive the request, in milliseconds. */
 const NO_UPSTREAM_RETRY_MS = 500;
 
@@ -153,8 +159,12 @@
   }
 
   async #reserve(): Promise<ServeEvent> {
-    const { allowances } = this.ctx;
+    const { allowances, registry, clock } = this.ctx;
     const { route, workspace } = this.policy;
+    const service = this.#service ?? '';
+    // Waiting for units would be in vain.
+    if (registry.serving(service, clock.now()).length === 0)
+      return this.#refusedEvent(failure('upstream-unavailable', service));
     const { promptTokens, outputTokens } = this.call.head.usage ?? {
       promptTokens: 0,
       outputTokens: 0,
@@ -186,10 +196,8 @@
       { service, request: this.#placement, excluded, memoryTokens },
       random(),
     );
-    if (!found || (isRepeat && !retries.takeRetry())) {
-      const refusal = failure('upstream-unavailable', service);
-      return this.#refusedEvent({ ...refusal, retryAfterMs: NO_UPSTREAM_RETRY_MS });
-    }
+    if (!found || (isRepeat && !retries.takeRetry()))
+      return this.#refusedEvent(failure('upstream-unavailable', service));
     const { placement, upstream } = found;
     this.#placed = { upstream, uncachedTokens: placement.uncachedTokens };
     const { connectionMs, earlier } = this.arrival;
@@ -223,9 +231,8 @@
     const { record, stats } = upstream;
     const { clock, metrics } = this.ctx;
     const { route } = this.policy;
-    // The upstream may have announced that it leaves, or have been removed, since it was chosen.
+    // The upstream may have announced that it leaves, have asked for a pause or have been removed since it was chosen.
     const mayStart = (): boolean => this.ctx.registry.mayReceive(record, clock.now());
-    if (!mayStart()) return { type: 'sent', outcome: { kind: 'unsent', why: 'leaving' } };
     const { memoryTokens } = this.#placement;
     const open = stats.begin({
       sentAt: clock.now(),
@@ -254,7 +261,7 @@
       onProgress: (head) => {
         this.#firstByteAt ??= clock.now();
         stats.recordResponse(open, head?.load, clock.now());
-        if (head) this.#recordSignals(record, head);
+        if (head) recordSignals(this.ctx, record, head, this.call.head.id);
       },
     });
     stats.end(open);
@@ -263,26 +270,17 @@
     return { type: 'sent', outcome };
   }
 
-  /** Records what the upstream announces in the head of its answer. */
-  #recordSignals(record: UpstreamRecord, head: AnswerHead): void {
-    const { registry, clock, metrics, recorder } = this.ctx;
-    const { isLeaving, status } = head;
-    if (!isLeaving || !registry.signals.recordLeaving(record, clock.now())) return;
-    metrics.leavingUpstreams.inc();
-    recorder.record('upstreamLeaving', {
-      request: this.call.head.id,
-      upstream: record.id,
-      facts: { status, startedAt: record.startedAt },
-    });
-  }
-
   /** Records the outcome of an attempt in the metrics, the log and the health of the upstream. */
   #recordAttempt({ record, stats }: KnownUpstream, outcome: SendOutcome): void {
-    const now = this.ctx.clock.now();
+    const { registry, clock } = this.ctx;
+    const now = clock.now();
     const { kind } = outcome;
     this.ctx.metrics.attempts.inc({ end: kind });
+    const refusal = registry.refusalReason(record, now);
     if (kind === 'relayed' || kind === 'failed') {
-      stats.answered(outcome.status >= 500, now);
+      // An upstream that asks for a pause is sound.
+      const isPause = outcome.status === PAUSE_STATUS && refusal === 'paused';
+      stats.answered(outcome.status >= 500 && !isPause, now);
       if (kind === 'relayed') {
         this.#connectionState = outcome.ending;
         return;
@@ -291,7 +289,7 @@
     if (kind === 'left' || kind === 'not-run') return;
     const isDown = kind === 'unsent' || kind === 'lost' || kind === 'cut' || kind === 'timeout';
     const isEjected = isDown && stats.health.recordFailure(now);
-    const why = 'why' in outcome ? outcome.why : '';
+    const why = 'why' in outcome ? outcome.why : (refusal ?? '');
     const facts = { kind, why, open: stats.open, isEjected };
     this.ctx.recorder.record('callAttemptFailed', {
       request: this.call.head.id,
@@ -335,11 +333,28 @@
     this.ctx.metrics.units.inc({ workspace: workspace.name }, charged);
   }
 
+  /** Upstreams in use, if there was none for the request. */
+  #supplyOf(outcome: ServeOutcome): UpstreamSupply | undefined {
+    if (!('refusal' in outcome) || outcome.refusal.code !== 'upstream-unavailable')
+      return undefined;
+    return this.ctx.registry.supply(this.#service ?? '', this.ctx.clock.now());
+  }
+
+  /** The refusal of a request, with the delay after which an upstream may be available. */
+  #refusalOf(outcome: ServeOutcome, supply: UpstreamSupply | undefined): Failure | undefined {
+    if (!('refusal' in outcome)) return undefined;
+    const { refusal } = outcome;
+    if (!supply) return refusal;
+    const otherwiseMs = refusal.retryAfterMs ?? NO_UPSTREAM_RETRY_MS;
+    return { ...refusal, retryAfterMs: retryDelayMs(supply, otherwiseMs, this.ctx.random()) };
+  }
+
   #finish(outcome: ServeOutcome): void {
     const { reply, head } = this.call;
     const { kind, attempts } = outcome;
     if (kind === 'cut') reply.abortAnswer();
-    const refusal = kind === 'refused' || kind === 'failed' ? outcome.refusal : undefined;
+    const supply = this.#supplyOf(outcome);
+    const refusal = this.#refusalOf(outcome, supply);
     if (refusal) answerFailure(reply, refusal, this.ctx.codec);
     const { clock, metrics, recorder } = this.ctx;
     const route = this.policy.route.name;
@@ -359,7 +374,10 @@
       connection: this.#connectionState,
       route,
       ...(this.#reserved > 0 && { units: this.#charged }),
-      ...(refusal?.retryAfterMs !== undefined && { retryAfterMs: refusal.retryAfterMs }),
+      ...(refusal?.retryAfterMs !== undefined && {
+        retryAfterMs: Math.round(refusal.retryAfterMs),
+      }),
+      ...(supply && { registered: supply.registered, paused: supply.paused }),
     };
     const name = { refused: 'callRefused', failed: 'callFailed' } as const;
     const event = kind === 'refused' || kind === 'failed' ? name[kind] : 'callEnded';
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -70,6 +70,13 @@
     registers: [this.#registry],
   });
 
+  /** Pauses that upstreams have asked for. */
+  readonly pauses = new Counter({
+    name: 'comfreyreel_upstream_pauses_total',
+    help: 'Pauses that upstreams have asked for',
+    registers: [this.#registry],
+  });
+
   /** Delay of timers, which long synchronous work or a lack of processor time causes. */
   readonly loopDelay = new Histogram({
     name: 'comfreyreel_loop_delay_seconds',
--- a/src/gateway/protocol.ts
+++ b/src/gateway/protocol.ts
@@ -62,6 +62,8 @@
   readonly isNotRun: boolean;
   /** Whether the upstream announces that it leaves and must receive no further requests. */
   readonly isLeaving: boolean;
+  /** Time for which the upstream asks to receive no requests, in milliseconds; undefined if it does not. */
+  readonly pauseMs: number | undefined;
   readonly isEventStream: boolean;
   /** Whether the body is delimited by a length or chunks; otherwise the end of the connection ends it. */
   readonly isFramed: boolean;
--- a/src/gateway/serve.ts
+++ b/src/gateway/serve.ts
@@ -19,6 +19,8 @@
     }
   /** No byte was sent to the upstream. */
   | { readonly kind: 'unsent'; readonly why: string }
+  /** No byte was sent, because the upstream has left, is leaving or has asked for a pause since it was chosen. */
+  | { readonly kind: 'withheld' }
   /** The upstream reports that it has not run the request. */
   | { readonly kind: 'not-run'; readonly status: number }
   /** The upstream ran the request and failed; its answer was discarded. */
@@ -100,10 +102,11 @@
 
 function nextProgress(progress: Progress, upstream: string, outcome: SendOutcome): Progress {
   const { kind } = outcome;
+  const isSent = kind !== 'unsent' && kind !== 'withheld';
   return {
-    attempts: progress.attempts + (kind === 'unsent' ? 0 : 1),
+    attempts: progress.attempts + (isSent ? 1 : 0),
     unsent: progress.unsent + (kind === 'unsent' ? 1 : 0),
-    mayHaveRun: progress.mayHaveRun || (kind !== 'unsent' && kind !== 'not-run'),
+    mayHaveRun: progress.mayHaveRun || (isSent && kind !== 'not-run'),
     isBegun: progress.isBegun || kind === 'cut',
     excluded: [...progress.excluded, upstream],
   };
@@ -112,7 +115,7 @@
 /** Whether another upstream may be tried after an attempt. */
 function mayTryAnother(input: ServeInput, progress: Progress, outcome: SendOutcome): boolean {
   if (progress.unsent > MAX_UNSENT || progress.attempts >= input.maxAttempts) return false;
-  if (outcome.kind === 'unsent' || outcome.kind === 'not-run') {
+  if (outcome.kind === 'unsent' || outcome.kind === 'withheld' || outcome.kind === 'not-run') {
     return !progress.mayHaveRun || mayRepeat(input);
   }
   if (outcome.kind === 'cut') return input.resumable;
--- /dev/null
+++ b/src/gateway/signalrecord.ts
@@ -0,0 +1,41 @@
+/** Applies, logs and counts what upstreams announce in the heads of their answers. */
+import type { Clock } from '../kernel/index.js';
+import type { Recorder } from '../telemetry/index.js';
+import type { GatewayMetrics } from './metrics.js';
+import type { AnswerHead } from './protocol.js';
+import type { UpstreamRecord, UpstreamRegistry } from './upstreams.js';
+
+/** Dependencies of `recordSignals`. */
+export interface SignalContext {
+  readonly registry: UpstreamRegistry;
+  readonly recorder: Recorder;
+  readonly metrics: GatewayMetrics;
+  readonly clock: Clock;
+}
+
+/**
+ * Records what an upstream announces in the head of an answer. Nothing is logged that was known before.
+ * @param ctx - registry, log and metrics
+ * @param record - the upstream
+ * @param head - head of its answer
+ * @param request - id of the request
+ */
+export function recordSignals(
+  { registry, recorder, metrics, clock }: SignalContext,
+  record: UpstreamRecord,
+  { status, isLeaving, pauseMs }: AnswerHead,
+  request: string,
+): void {
+  const { signals } = registry;
+  const now = clock.now();
+  const { id: upstream, startedAt } = record;
+  if (isLeaving && signals.recordLeaving(record, now)) {
+    metrics.leavingUpstreams.inc();
+    recorder.record('upstreamLeaving', { request, upstream, facts: { status, startedAt } });
+  }
+  if (pauseMs !== undefined && signals.recordPause(record, pauseMs, now)) {
+    metrics.pauses.inc();
+    const facts = { pauseMs, untilMs: Math.round(signals.pausedUntil(record)), startedAt };
+    recorder.record('upstreamPaused', { request, upstream, facts });
+  }
+}
--- a/src/gateway/tests/serve.test.ts
+++ b/src/gateway/tests/serve.test.ts
@@ -18,6 +18,7 @@
 
 const RELAYED: SendOutcome = { kind: 'relayed', status: 200, ending: 'open' };
 const UNSENT: SendOutcome = { kind: 'unsent', why: 'refused' };
+const WITHHELD: SendOutcome = { kind: 'withheld' };
 const NOT_RUN: SendOutcome = { kind: 'not-run', status: 503 };
 const FAILED: SendOutcome = { kind: 'failed', status: 500 };
 const LOST: SendOutcome = { kind: 'lost', why: 'reset' };
@@ -122,6 +123,27 @@
     end: 'refused upstream-unavailable',
     sends: 4,
   },
+  {
+    title: 'a request that is withheld from every upstream tried so far goes to the next one',
+    input: { ...ONCE, maxAttempts: 1 },
+    outcomes: [WITHHELD, WITHHELD, WITHHELD, WITHHELD, WITHHELD, RELAYED],
+    end: 'relayed',
+    sends: 6,
+  },
+  {
+    title: 'a resumption that is withheld from one upstream goes to the next one',
+    input: { ...RESUMABLE, maxAttempts: 2 },
+    outcomes: [CUT, WITHHELD, RELAYED],
+    end: 'relayed',
+    sends: 3,
+  },
+  {
+    title: 'a request that was withheld after it may have run is not reported as not run',
+    input: { ...SAFE, maxAttempts: 2 },
+    outcomes: [LOST, WITHHELD, NOT_RUN],
+    end: 'failed upstream-lost',
+    sends: 3,
+  },
 ];
 
 function upstream(index: number): UpstreamRecord {
--- a/src/gateway/tests/upstreams.test.ts
+++ b/src/gateway/tests/upstreams.test.ts
@@ -18,7 +18,8 @@
 type Step =
   | { readonly at: number; readonly does: 'lists' | 'announces-leaving' | 'unlists' }
   | { readonly at: number; readonly does: 'store-disturbed' }
-  | { readonly at: number; readonly does: 'other-life' | 'answers-leaving' | 'forgets-gone' };
+  | { readonly at: number; readonly does: 'other-life' | 'answers-leaving' | 'forgets-gone' }
+  | { readonly at: number; readonly does: 'pauses'; readonly forMs: number };
 
 interface Row {
   readonly title: string;
@@ -160,13 +161,90 @@
     ],
     serves: [[900_001, false]],
   },
+  {
+    title: 'an upstream that asks for a pause receives no requests until its end',
+    steps: [
+      { at: 0, does: 'lists' },
+      { at: 10, does: 'pauses', forMs: 500 },
+    ],
+    serves: [
+      [11, false],
+      [509, false],
+      [510, true],
+    ],
+  },
+  {
+    title: 'a pause lasts while it is asked for again',
+    steps: [
+      { at: 0, does: 'lists' },
+      { at: 10, does: 'pauses', forMs: 500 },
+      { at: 400, does: 'pauses', forMs: 500 },
+      { at: 800, does: 'pauses', forMs: 500 },
+    ],
+    serves: [
+      [799, false],
+      [1_299, false],
+      [1_300, true],
+    ],
+  },
+  {
+    title: 'a shorter pause does not end a longer one',
+    steps: [
+      { at: 0, does: 'lists' },
+      { at: 10, does: 'pauses', forMs: 2_000 },
+      { at: 20, does: 'pauses', forMs: 100 },
+    ],
+    serves: [
+      [1_000, false],
+      [2_010, true],
+    ],
+  },
+  {
+    title: 'a pause without a bound ends after five minutes',
+    steps: [
+      { at: 0, does: 'lists' },
+      { at: 10, does: 'pauses', forMs: Number.POSITIVE_INFINITY },
+    ],
+    serves: [
+      [299_000, false],
+      [300_010, true],
+    ],
+  },
+  {
+    title: 'a pause stays in force when the entry is written again or comes back after an outage',
+    steps: [
+      { at: 0, does: 'lists' },
+      { at: 10, does: 'pauses', forMs: 20_000 },
+      { at: 20, does: 'lists' },
+      { at: 1_000, does: 'store-disturbed' },
+      { at: 1_001, does: 'unlists' },
+      { at: 2_000, does: 'lists' },
+    ],
+    serves: [
+      [21, false],
+      [1_002, false],
+      [2_001, false],
+      [20_010, true],
+    ],
+  },
+  {
+    title: 'a pause delays nothing after the upstream said that it leaves',
+    steps: [
+      { at: 0, does: 'lists' },
+      { at: 10, does: 'pauses', forMs: 100 },
+      { at: 20, does: 'answers-leaving' },
+    ],
+    serves: [[200, false]],
+  },
 ];
 
-function applyStep(registry: UpstreamRegistry, { at, does }: Step): void {
+function applyStep(registry: UpstreamRegistry, step: Step): void {
+  const { at, does } = step;
   if (does === 'lists') registry.list(RECORD, at);
   else if (does === 'announces-leaving') registry.list({ ...RECORD, isLeaving: true }, at);
   else if (does === 'other-life') registry.list({ ...RECORD, startedAt: 2 }, at);
   else if (does === 'answers-leaving') registry.signals.recordLeaving(RECORD, at);
+  else if (does === 'pauses') registry.signals.recordPause(RECORD, step.forMs, at);
   else if (does === 'forgets-gone') registry.forgetGone(at);
   else if (does === 'store-disturbed') registry.noteDisturbance(at);
   else registry.unlist('u', at);
@@ -203,6 +281,7 @@
   const neighbour = { ...RECORD, id: 'v' };
   registry.replace([RECORD, neighbour], 0);
   registry.signals.recordLeaving(RECORD, 1);
+  registry.signals.recordPause(RECORD, 10_000, 1);
   registry.replace([next, neighbour], 2);
   t.deepEqual(
     [RECORD, next, neighbour].map((record) => registry.mayReceive(record, 3)),
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -1,6 +1,7 @@
 /** Registered upstreams, and the decision which of them may receive new requests. */
 import { UpstreamSignals } from './upstreamsignals.js';
 
+import type { UpstreamSupply } from './shortage.js';
 import type { UpstreamIncarnation } from './upstreamsignals.js';
 
 /** One incarnation of an upstream. */
@@ -113,13 +114,29 @@
    * Lists the upstreams of a service that may receive new requests.
    * @param service - the service
    * @param now - current time, in milliseconds
-   * @returns the upstreams that are listed or within their grace period, without leaving ones
+   * @returns the upstreams that are listed or within their grace period, without leaving and paused ones
    */
   serving(service: string, now: number): readonly UpstreamRecord[] {
-    return [...this.#entries.values()]
-      .filter(({ missingUntil }) => missingUntil === undefined || missingUntil > now)
-      .map(({ record }) => record)
-      .filter((record) => record.service === service && !this.isLeaving(record));
+    return this.#registered(service, now).filter((record) => !this.#isPaused(record, now));
+  }
+
+  /**
+   * Counts the upstreams of a service that are in use, including paused ones.
+   * @param service - the service
+   * @param now - current time, in milliseconds
+   * @returns their numbers, and when the first pause ends
+   */
+  supply(service: string, now: number): UpstreamSupply {
+    const registered = this.#registered(service, now);
+    const pauses = registered
+      .filter((record) => this.#isPaused(record, now))
+      .map((record) => this.signals.pausedUntil(record) - now);
+    const areAllPaused = pauses.length > 0 && pauses.length === registered.length;
+    return {
+      registered: registered.length,
+      paused: pauses.length,
+      pauseEndsInMs: areAllPaused ? Math.min(...pauses) : undefined,
+    };
   }
 
   /**
@@ -128,11 +145,26 @@
    * @param now - current time, in milliseconds
    * @returns whether the same incarnation may still receive requests
    */
-  mayReceive({ id, service, startedAt }: UpstreamRecord, now: number): boolean {
+  mayReceive(record: UpstreamRecord, now: number): boolean {
+    return this.refusalReason(record, now) === undefined;
+  }
+
+  /**
+   * Tells why an upstream may not receive requests.
+   * @param record - the upstream that was chosen
+   * @param now - current time, in milliseconds
+   * @returns the reason; undefined if the same incarnation may receive requests
+   */
+  refusalReason(
+    { id, service, startedAt }: UpstreamRecord,
+    now: number,
+  ): 'gone' | 'leaving' | 'paused' | undefined {
     const entry = this.#entries.get(id);
-    if (!entry || (entry.missingUntil !== undefined && entry.missingUntil <= now)) return false;
+    if (!entry || (entry.missingUntil !== undefined && entry.missingUntil <= now)) return 'gone';
     const { record } = entry;
-    return record.service === service && record.startedAt === startedAt && !this.isLeaving(record);
+    if (record.service !== service || record.startedAt !== startedAt) return 'gone';
+    if (this.isLeaving(record)) return 'leaving';
+    return this.#isPaused(record, now) ? 'paused' : undefined;
   }
 
   /**
@@ -150,4 +182,16 @@
   all(): readonly UpstreamRecord[] {
     return [...this.#entries.values()].map(({ record }) => record);
   }
+
+  /** Upstreams of a service that are listed or within their grace period, without leaving ones. */
+  #registered(service: string, now: number): readonly UpstreamRecord[] {
+    return [...this.#entries.values()]
+      .filter(({ missingUntil }) => missingUntil === undefined || missingUntil > now)
+      .map(({ record }) => record)
+      .filter((record) => record.service === service && !this.isLeaving(record));
+  }
+
+  #isPaused(record: UpstreamRecord, now: number): boolean {
+    return this.signals.pausedUntil(record) > now;
+  }
 }
--- a/src/gateway/upstreamsignals.ts
+++ b/src/gateway/upstreamsignals.ts
@@ -1,4 +1,5 @@
 /** What upstreams announce in their answers, kept apart from their entries in the store. */
+import { MINUTE_MS } from '../kernel/index.js';
 
 /** Identifies one incarnation of an upstream. */
 export interface UpstreamIncarnation {
@@ -13,9 +14,15 @@
  * Time for which the announcements of an incarnation are remembered after its entry was removed, in milliseconds: an
  * entry that expired in a store outage may be registered again.
  */
-const UNLISTED_MEMORY_MS = 60_000;
+const UNLISTED_MEMORY_MS = MINUTE_MS;
 
-interface Announcement {
+/** Longest pause that is granted at once, in milliseconds: a wrong value must not take an upstream out of use for good. */
+const MAX_PAUSE_MS = 5 * MINUTE_MS;
+
+interface Signal {
+  readonly isLeaving: boolean;
+  /** End of the pause that it asked for, in milliseconds. */
+  readonly pausedUntil: number;
   /** When the incarnation was last known to be listed, in milliseconds. */
   readonly listedAt: number;
 }
@@ -31,7 +38,7 @@
 
 /** Remembers the announcements of each incarnation, whatever its entry in the store says. */
 export class UpstreamSignals {
-  readonly #leaving = new Map<string, Announcement>();
+  readonly #signals = new Map<string, Signal>();
 
   /**
    * Records that an upstream has announced that it leaves.
@@ -40,19 +47,41 @@
    * @returns whether this was not known before
    */
   recordLeaving(incarnation: UpstreamIncarnation, now: number): boolean {
-    const key = incarnationKey(incarnation);
-    const isNew = !this.#leaving.has(key);
-    this.#leaving.set(key, { listedAt: now });
+    const isNew = !this.isLeaving(incarnation);
+    this.#update(incarnation, { isLeaving: true, listedAt: now });
     return isNew;
   }
 
+  /**
+   * Records that an upstream has asked for a pause. Of overlapping pauses, the one that ends last counts.
+   * @param incarnation - the upstream
+   * @param pauseMs - duration from now, in milliseconds; limited to five minutes
+   * @param now - current time, in milliseconds
+   * @returns whether the upstream is now paused for longer than it was before
+   */
+  recordPause(incarnation: UpstreamIncarnation, pauseMs: number, now: number): boolean {
+    const pausedUntil = now + Math.min(pauseMs, MAX_PAUSE_MS);
+    if (pausedUntil <= Math.max(now, this.pausedUntil(incarnation))) return false;
+    this.#update(incarnation, { pausedUntil, listedAt: now });
+    return true;
+  }
+
   /**
    * Checks whether an upstream has announced that it leaves.
    * @param incarnation - the upstream
    * @returns whether this incarnation has announced it in an answer
    */
   isLeaving(incarnation: UpstreamIncarnation): boolean {
-    return this.#leaving.has(incarnationKey(incarnation));
+    return this.#signals.get(incarnationKey(incarnation))?.isLeaving ?? false;
+  }
+
+  /**
+   * Returns the end of the last pause that an upstream has asked for.
+   * @param incarnation - the upstream
+   * @returns time in milliseconds; negative infinity if this incarnation has not asked for a pause
+   */
+  pausedUntil(incarnation: UpstreamIncarnation): number {
+    return this.#signals.get(incarnationKey(incarnation))?.pausedUntil ?? Number.NEGATIVE_INFINITY;
   }
 
   /**
@@ -61,11 +90,18 @@
    * @param now - current time, in milliseconds
    */
   retain(listed: readonly UpstreamIncarnation[], now: number): void {
-    listed.map(incarnationKey).forEach((key) => {
-      if (this.#leaving.has(key)) this.#leaving.set(key, { listedAt: now });
-    });
-    this.#leaving.forEach(({ listedAt }, key) => {
-      if (now - listedAt > UNLISTED_MEMORY_MS) this.#leaving.delete(key);
+    listed
+      .filter((incarnation) => this.#signals.has(incarnationKey(incarnation)))
+      .forEach((incarnation) => this.#update(incarnation, { listedAt: now }));
+    this.#signals.forEach(({ listedAt }, key) => {
+      if (now - listedAt > UNLISTED_MEMORY_MS) this.#signals.delete(key);
     });
   }
+
+  #update(incarnation: UpstreamIncarnation, change: Partial<Signal>): void {
+    const key = incarnationKey(incarnation);
+    const before = this.#signals.get(key);
+    const unknown = { isLeaving: false, pausedUntil: Number.NEGATIVE_INFINITY, listedAt: 0 };
+    this.#signals.set(key, { ...unknown, ...before, ...change });
+  }
 }
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -120,6 +120,11 @@
     level: 'info',
     text: 'an upstream announced in an answer that it leaves; it receives no further requests',
   },
+  upstreamPaused: {
+    number: 7006,
+    level: 'info',
+    text: 'an upstream asked for a pause; it receives no requests meanwhile',
+  },
   callEnded: { number: 8001, level: 'info', text: 'request ended' },
   callSent: { number: 8002, level: 'info', text: 'request sent to an upstream' },
   callAttemptFailed: { number: 8003, level: 'warn', text: 'an attempt at an upstream failed' },
