An answer without a length whose connection is reset together with its last bytes is not complete

Callers got a part of an answer, ended as if it were whole, when an upstream reset the connection and its last bytes were still unread: an answer with neither length nor chunks ends with its connection, so only the kind of end tells.

Cause: if the poll reports data together with a hang-up and the data fills less than the read buffer, libuv reports the end of the stream without reading again, so the pending reset is never read. Node.js emits 'end' and no 'error'. On a busy event loop the bytes and the reset are often read together: it showed as failures of the tests of streams that were run beside others, and as none when they ran alone.

A regular close together with the last bytes stays complete.

On 'end' the daemon now writes no bytes to the socket. The kernel checks the state of the connection before it looks at the data, so the write fails at once after a reset, and sends nothing otherwise. The stand-in of an upstream can end its connection without a delay.

--- a/src/gateway/upstreamconnection.ts
+++ b/src/gateway/upstreamconnection.ts
@@ -1,6 +1,8 @@
 /** One connection to an upstream; carries one request at a time. */
 import { buildConnector, Client } from 'undici';
 
+import type { Socket } from 'node:net';
+
 /**
  * Time limit for opening a connection, in milliseconds: an address without an upstream may drop
  * packets instead of refusing.
@@ -22,6 +24,15 @@
   ending: 'closed' | 'reset' | undefined;
 }
 
+/**
+ * Checks whether a socket that reported its end was in fact reset. If a reset arrives together with the last bytes, Node.js
+ * reports those bytes and a regular end. A write then fails at once, also one of no bytes, of which nothing is sent.
+ */
+function wasReset(socket: Socket): boolean {
+  if (socket.writable) socket.write(Buffer.alloc(0));
+  return socket.errored !== null;
+}
+
 function connector(state: SocketState): buildConnector.connector {
   const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
   const noted = state;
@@ -32,7 +43,7 @@
         // These listeners must run before the HTTP client's own ones. The client treats each of these events as
         // the end of an answer without a length, and reports that end at once.
         socket.prependListener('end', () => {
-          noted.ending ??= 'closed';
+          noted.ending ??= wasReset(socket) ? 'reset' : 'closed';
         });
         socket.prependListener('error', () => {
           noted.ending = 'reset';
--- a/testbed/rawupstream.ts
+++ b/testbed/rawupstream.ts
@@ -14,10 +14,12 @@
   readonly then: 'keep' | 'close' | 'reset';
   /** Time from the request to the answer, in milliseconds; 0 if it is left out. */
   readonly afterMs?: number;
+  /** Time between the last byte and the end of the connection, in milliseconds; 20 if it is left out. */
+  readonly holdMs?: number;
 }
 
-/** Delay between the last byte and the end of the connection, in milliseconds. */
-const CLOSE_DELAY_MS = 20;
+/** Default delay between the last byte and the end of the connection, in milliseconds. */
+const DEFAULT_HOLD_MS = 20;
 
 /** Answers each request with the next prepared answer. */
 export class RawUpstream {
@@ -85,9 +87,12 @@
   static #write(socket: Socket, answer: RawAnswer, id: string): void {
     socket.write(answer.text.replaceAll(ID_PLACEHOLDER, id));
     if (answer.then === 'keep') return;
-    setTimeout(() => {
+    const endConnection = (): void => {
       if (answer.then === 'reset') socket.resetAndDestroy();
       else socket.end();
-    }, CLOSE_DELAY_MS);
+    };
+    const { holdMs = DEFAULT_HOLD_MS } = answer;
+    if (holdMs === 0) endConnection();
+    else setTimeout(endConnection, holdMs);
   }
 }
