--- a/src/gateway/upstreamconnection.ts
+++ b/src/gateway/upstreamconnection.ts
@@ -27,8 +27,10 @@
 /**
  * Checks whether a socket that reported its end was in fact reset. If a reset arrives together with the last bytes, Node.js
  * reports those bytes and a regular end. A write then fails at once, also one of no bytes, of which nothing is sent.
+ * @param socket - the socket, when it emits "end"
+ * @returns whether the connection was reset
  */
-function wasReset(socket: Socket): boolean {
+export function wasReset(socket: Socket): boolean {
   if (socket.writable) socket.write(Buffer.alloc(0));
   return socket.errored !== null;
 }
--- a/testbed/rawupstream.ts
+++ b/testbed/rawupstream.ts
@@ -32,17 +32,23 @@
     private readonly server: Server,
     private readonly answers: readonly RawAnswer[],
     private readonly idHeader: string,
+    private readonly nextAnswer: (() => RawAnswer) | undefined,
   ) {}
 
   /**
    * Starts a stand-in.
    * @param answers - answers in the order of the requests; the last one repeats
    * @param idHeader - request header that carries the id
+   * @param nextAnswer - returns the next answer, if several stand-ins give the same answers in turn
    * @returns the stand-in, once it listens
    */
-  static async start(answers: readonly RawAnswer[], idHeader: string): Promise<RawUpstream> {
+  static async start(
+    answers: readonly RawAnswer[],
+    idHeader: string,
+    nextAnswer?: () => RawAnswer,
+  ): Promise<RawUpstream> {
     const server = createServer();
-    const upstream = new RawUpstream(server, answers, idHeader);
+    const upstream = new RawUpstream(server, answers, idHeader, nextAnswer);
     server.on('connection', (socket) => upstream.#accept(socket));
     await new Promise<void>((resolve) => {
       server.listen(0, '127.0.0.1', resolve);
@@ -76,7 +82,8 @@
   }
 
   #answer(socket: Socket, request: string): void {
-    const answer = this.answers[Math.min(this.requests.length, this.answers.length - 1)];
+    const prepared = this.answers[Math.min(this.requests.length, this.answers.length - 1)];
+    const answer = this.nextAnswer?.() ?? prepared;
     this.requests.push(request);
     if (!answer) return;
     const id = new RegExp(`${this.idHeader}: (\\S+)`, 'i').exec(request)?.[1] ?? '';
