A broken stream is continued only by an event stream

When a stream broke off and was resumed at another upstream that answered 404, 429, 400, a redirect, 204 or a success of another type, callers got that answer's body as the rest of their stream, and its end as the end of the stream. Only statuses of 500 and above and answers that say they have not run were discarded.

The answer to a resumption is relayed only if it is a 200 with the type of an event stream. Anything else is discarded like a failure: another upstream is tried within the attempts of the route, else the stream is broken off.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -53,6 +53,8 @@
 /** Lowest status code of a final answer; lower codes are those of interim answers. */
 const FIRST_FINAL_STATUS = 200;
 
+const OK_STATUS = 200;
+
 /** Lowest status code that counts as a failure of the upstream. */
 const FIRST_FAILURE_STATUS = 500;
 
@@ -72,6 +74,11 @@
   );
 }
 
+/** Whether an answer can continue a stream of which a part was relayed. */
+function continuesStream({ status, isEventStream }: AnswerHead): boolean {
+  return status === OK_STATUS && isEventStream;
+}
+
 /** Sends a request over one connection and relays or discards the answer as it arrives. */
 class Attempt implements Dispatcher.DispatchHandler {
   readonly #connection: UpstreamConnection;
@@ -147,8 +154,10 @@
     this.#stage = 'answering';
     this.#head = head;
     const isFailure = status >= FIRST_FAILURE_STATUS;
-    const isResumed = this.cfg.call.reply.isBegun;
-    this.#isDiscarded = head.isNotRun || (isFailure && (!this.cfg.relaysFailure || isResumed));
+    const isResumption = this.cfg.call.reply.isBegun;
+    this.#isDiscarded = isResumption
+      ? head.isNotRun || !continuesStream(head)
+      : head.isNotRun || (isFailure && !this.cfg.relaysFailure);
     if (this.#isDiscarded) {
       this.#discardTimer = setTimeout(
         () => this.#abandon(this.#discardedOutcome(head)),
