A stream that breaks off before its first id is resumed where its caller resumed it

A caller that resumed a stream, and whose upstream sent only comments before it broke off, got the stream from its beginning: events that it had already received came again. Once a part was relayed, only ids that were relayed counted.

Before the change the new case failed: the second upstream received no id of a last event, expected '1'. Without an id of its own the stream is resumed after the one that the caller named.

--- a/src/gateway/callrun.ts
+++ b/src/gateway/callrun.ts
@@ -299,13 +299,13 @@
   }
 
   #headers(upstream: string): string[] {
-    const { head, events, reply } = this.call;
+    const { head, events } = this.call;
     const { workspace } = this.policy;
     return this.ctx.codec.encodeSend(head, {
       upstream,
       deadlineMs: Math.max(1, this.#remainingMs()),
       workspace: workspace?.name,
-      resumeAfter: reply.isBegun ? events.lastId : head.resumeAfter,
+      resumeAfter: events.lastId ?? head.resumeAfter,
       urgency: undefined,
     });
   }
