An answer that is no stream and breaks off is not continued by another one

On a route whose streams may be resumed, an answer of another type that broke off after a part of it had been relayed was followed by the complete answer of a second upstream: callers got 'abcdid: 1...' under the head of the first one.

Whether an interrupted answer can be continued now depends on its type as well as on its route; serve.test.ts has the decision as a case.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -249,7 +249,7 @@
 
   #onTimeout(): void {
     if (this.#stage === 'queued') this.#abandon({ kind: 'unsent', why: 'no time left' });
-    else if (this.cfg.call.reply.isBegun) this.#abandon({ kind: 'cut', why: 'no time left' });
+    else if (this.cfg.call.reply.isBegun) this.#abandon(this.#cut('no time left'));
     else this.#abandon({ kind: 'timeout' });
   }
 
@@ -260,10 +260,15 @@
 
   #failAttempt(why: string): void {
     if (this.#stage === 'queued') this.#abandon({ kind: 'unsent', why });
-    else if (this.cfg.call.reply.isBegun) this.#abandon({ kind: 'cut', why });
+    else if (this.cfg.call.reply.isBegun) this.#abandon(this.#cut(why));
     else this.#abandon({ kind: 'lost', why });
   }
 
+  /** A resumption that fails before its answer begins leaves the stream that was relayed so far. */
+  #cut(why: string): SendOutcome {
+    return { kind: 'cut', why, isStream: this.#head?.isEventStream ?? true };
+  }
+
   /** Ends the attempt and destroys its connection, on which parts of the answer may still arrive. */
   #abandon(outcome: SendOutcome): void {
     if (this.#stage === 'done') return;
--- a/src/gateway/serve.ts
+++ b/src/gateway/serve.ts
@@ -28,7 +28,12 @@
   /** The request may have run; no part of an answer was relayed to the caller. */
   | { readonly kind: 'lost'; readonly why: string }
   /** The answer broke off after a part of it was relayed to the caller. */
-  | { readonly kind: 'cut'; readonly why: string }
+  | {
+      readonly kind: 'cut';
+      readonly why: string;
+      /** Whether the answer was an event stream, which another upstream can continue. */
+      readonly isStream: boolean;
+    }
   /** The caller has disconnected. */
   | { readonly kind: 'left' }
   /** The time limit passed after the request was sent; no part of an answer was relayed to the caller. */
@@ -118,7 +123,7 @@
   if (outcome.kind === 'unsent' || outcome.kind === 'withheld' || outcome.kind === 'not-run') {
     return !progress.mayHaveRun || mayRepeat(input);
   }
-  if (outcome.kind === 'cut') return input.resumable;
+  if (outcome.kind === 'cut') return input.resumable && outcome.isStream;
   return (outcome.kind === 'lost' || outcome.kind === 'failed') && mayRepeat(input);
 }
 
--- a/src/gateway/tests/serve.test.ts
+++ b/src/gateway/tests/serve.test.ts
@@ -22,7 +22,8 @@
 const NOT_RUN: SendOutcome = { kind: 'not-run', status: 503 };
 const FAILED: SendOutcome = { kind: 'failed', status: 500 };
 const LOST: SendOutcome = { kind: 'lost', why: 'reset' };
-const CUT: SendOutcome = { kind: 'cut', why: 'reset' };
+const CUT: SendOutcome = { kind: 'cut', why: 'reset', isStream: true };
+const CUT_PLAIN: SendOutcome = { kind: 'cut', why: 'reset', isStream: false };
 const LEFT: SendOutcome = { kind: 'left' };
 const TIMEOUT: SendOutcome = { kind: 'timeout' };
 
@@ -108,6 +109,14 @@
     end: 'cut',
     sends: 2,
   },
+  {
+    title:
+      'an answer that is no stream is not continued, although the route allows to resume streams',
+    input: RESUMABLE,
+    outcomes: [CUT_PLAIN],
+    end: 'cut',
+    sends: 1,
+  },
   { title: 'a caller that disconnects', input: SAFE, outcomes: [LEFT], end: 'left', sends: 1 },
   {
     title: 'a request that timed out may have run',
