Announcements of upstreams are found without building a key

Placement asks for both announcements of each upstream of a service, for every request. They are kept by id, so that an upstream without any costs one look-up and no text.

--- a/src/gateway/upstreamsignals.ts
+++ b/src/gateway/upstreamsignals.ts
@@ -19,7 +19,7 @@
 /** Longest pause that is granted at once, in milliseconds: a wrong value must not take an upstream out of use for good. */
 const MAX_PAUSE_MS = 5 * MINUTE_MS;
 
-interface Signal {
+interface Signal extends UpstreamIncarnation {
   readonly isLeaving: boolean;
   /** End of the pause that it asked for, in milliseconds. */
   readonly pausedUntil: number;
@@ -36,9 +36,14 @@
   return `${id} ${startedAt} ${address}`;
 }
 
+function isSame(one: UpstreamIncarnation, other: UpstreamIncarnation): boolean {
+  return one.startedAt === other.startedAt && one.address === other.address;
+}
+
 /** Remembers the announcements of each incarnation, whatever its entry in the store says. */
 export class UpstreamSignals {
-  readonly #signals = new Map<string, Signal>();
+  /** Signals of the incarnations of each id: they are looked up for every upstream of each placement. */
+  readonly #signals = new Map<string, readonly Signal[]>();
 
   /**
    * Records that an upstream has announced that it leaves.
@@ -72,7 +77,7 @@
    * @returns whether this incarnation has announced it in an answer
    */
   isLeaving(incarnation: UpstreamIncarnation): boolean {
-    return this.#signals.get(incarnationKey(incarnation))?.isLeaving ?? false;
+    return this.#find(incarnation)?.isLeaving ?? false;
   }
 
   /**
@@ -81,7 +86,7 @@
    * @returns time in milliseconds; negative infinity if this incarnation has not asked for a pause
    */
   pausedUntil(incarnation: UpstreamIncarnation): number {
-    return this.#signals.get(incarnationKey(incarnation))?.pausedUntil ?? Number.NEGATIVE_INFINITY;
+    return this.#find(incarnation)?.pausedUntil ?? Number.NEGATIVE_INFINITY;
   }
 
   /**
@@ -91,17 +96,24 @@
    */
   retain(listed: readonly UpstreamIncarnation[], now: number): void {
     listed
-      .filter((incarnation) => this.#signals.has(incarnationKey(incarnation)))
+      .filter((incarnation) => this.#find(incarnation) !== undefined)
       .forEach((incarnation) => this.#update(incarnation, { listedAt: now }));
-    this.#signals.forEach(({ listedAt }, key) => {
-      if (now - listedAt > UNLISTED_MEMORY_MS) this.#signals.delete(key);
+    this.#signals.forEach((signals, id) => {
+      const kept = signals.filter(({ listedAt }) => now - listedAt <= UNLISTED_MEMORY_MS);
+      if (kept.length === 0) this.#signals.delete(id);
+      else if (kept.length < signals.length) this.#signals.set(id, kept);
     });
   }
 
   #update(incarnation: UpstreamIncarnation, change: Partial<Signal>): void {
-    const key = incarnationKey(incarnation);
-    const before = this.#signals.get(key);
+    const { id, startedAt, address } = incarnation;
     const unknown = { isLeaving: false, pausedUntil: Number.NEGATIVE_INFINITY, listedAt: 0 };
-    this.#signals.set(key, { ...unknown, ...before, ...change });
+    const before = this.#find(incarnation) ?? unknown;
+    const others = (this.#signals.get(id) ?? []).filter((signal) => !isSame(signal, incarnation));
+    this.#signals.set(id, [...others, { ...before, id, startedAt, address, ...change }]);
+  }
+
+  #find(incarnation: UpstreamIncarnation): Signal | undefined {
+    return this.#signals.get(incarnation.id)?.find((signal) => isSame(signal, incarnation));
   }
 }
