--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -3,7 +3,7 @@
 import { EventStream } from './eventstream.js';
 
 import type { UpstreamConnections } from './connections.js';
-import type { AnswerHead, CallHead, HeaderCodec, UpstreamLoad } from './protocol.js';
+import type { AnswerHead, CallHead, HeaderCodec } from './protocol.js';
 import type { CallerReply } from './reply.js';
 import type { SendOutcome } from './serve.js';
 import type { UpstreamConnection } from './upstreamconnection.js';
@@ -39,13 +39,13 @@
   readonly relaysFailure: boolean;
   /**
    * Returns whether the request may still be sent. Called once the connection is open, as the upstream may
-   * have announced in the meantime that it leaves.
+   * have announced in the meantime that it leaves or asked for a pause.
    */
   readonly mayStart: () => boolean;
   /** Called when the request starts to be sent. */
   readonly onSent: () => void;
-  /** Called for the head and for each chunk of an answer, with the load that the head reports. */
-  readonly onProgress: (load: UpstreamLoad | undefined) => void;
+  /** Called for the head of an answer, and for each chunk without it. */
+  readonly onProgress: (head: AnswerHead | undefined) => void;
 }
 
 type Stage = 'queued' | 'sent' | 'answering' | 'done';
@@ -53,6 +53,8 @@
 /** Lowest status code of a final answer; lower codes are those of interim answers. */
 const FIRST_FINAL_STATUS = 200;
 
+const OK_STATUS = 200;
+
 /** Lowest status code that counts as a failure of the upstream. */
 const FIRST_FAILURE_STATUS = 500;
 
@@ -72,6 +74,11 @@
   );
 }
 
+/** Whether an answer can continue a stream of which a part was relayed. */
+function continuesStream({ status, isEventStream }: AnswerHead): boolean {
+  return status === OK_STATUS && isEventStream;
+}
+
 /** Sends a request over one connection and relays or discards the answer as it arrives. */
 class Attempt implements Dispatcher.DispatchHandler {
   readonly #connection: UpstreamConnection;
@@ -126,8 +133,9 @@
       return;
     }
     if (!this.cfg.mayStart()) {
-      controller.abort(new Error('leaving'));
-      this.#abandon({ kind: 'unsent', why: 'leaving' });
+      // The client reports the abort as a failure, which must come after the outcome.
+      this.#abandon({ kind: 'withheld' });
+      controller.abort(new Error('withheld'));
       return;
     }
     this.#controller = controller;
@@ -148,12 +156,14 @@
       this.#abandon({ kind: 'lost', why: `answer to attempt ${head.id ?? 'without an id'}` });
       return;
     }
-    this.cfg.onProgress(head.load);
+    this.cfg.onProgress(head);
     this.#stage = 'answering';
     this.#head = head;
     const isFailure = status >= FIRST_FAILURE_STATUS;
-    const isResumed = this.cfg.call.reply.isBegun;
-    this.#isDiscarded = head.isNotRun || (isFailure && (!this.cfg.relaysFailure || isResumed));
+    const isResumption = this.cfg.call.reply.isBegun;
+    this.#isDiscarded = isResumption
+      ? head.isNotRun || !continuesStream(head)
+      : head.isNotRun || (isFailure && !this.cfg.relaysFailure);
     if (this.#isDiscarded) {
       this.#discardTimer = setTimeout(
         () => this.#abandon(this.#discardedOutcome(head)),
@@ -245,7 +255,7 @@
 
   #onTimeout(): void {
     if (this.#stage === 'queued') this.#abandon({ kind: 'unsent', why: 'no time left' });
-    else if (this.cfg.call.reply.isBegun) this.#abandon({ kind: 'cut', why: 'no time left' });
+    else if (this.cfg.call.reply.isBegun) this.#abandon(this.#cut('no time left'));
     else this.#abandon({ kind: 'timeout' });
   }
 
@@ -257,16 +267,21 @@
   #onStop(): void {
     const why = 'the daemon stops';
     if (this.#stage === 'queued') this.#abandon({ kind: 'unsent', why });
-    else if (this.cfg.call.reply.isBegun) this.#abandon({ kind: 'cut', why });
+    else if (this.cfg.call.reply.isBegun) this.#abandon(this.#cut(why));
     else this.#abandon({ kind: 'stopped' });
   }
 
   #failAttempt(why: string): void {
     if (this.#stage === 'queued') this.#abandon({ kind: 'unsent', why });
-    else if (this.cfg.call.reply.isBegun) this.#abandon({ kind: 'cut', why });
+    else if (this.cfg.call.reply.isBegun) this.#abandon(this.#cut(why));
     else this.#abandon({ kind: 'lost', why });
   }
 
+  /** A resumption that fails before its answer begins leaves the stream that was relayed so far. */
+  #cut(why: string): SendOutcome {
+    return { kind: 'cut', why, isStream: this.#head?.isEventStream ?? true };
+  }
+
   /** Ends the attempt and destroys its connection, on which parts of the answer may still arrive. */
   #abandon(outcome: SendOutcome): void {
     if (this.#stage === 'done') return;
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -63,6 +63,20 @@
     registers: [this.#registry],
   });
 
+  /** Upstreams that announced in an answer that they leave. */
+  readonly leavingUpstreams = new Counter({
+    name: 'comfreyreel_upstream_leaving_total',
+    help: 'Upstreams that announced in an answer that they leave',
+    registers: [this.#registry],
+  });
+
+  /** Pauses that upstreams have asked for. */
+  readonly pauses = new Counter({
+    name: 'comfreyreel_upstream_pauses_total',
+    help: 'Pauses that upstreams have asked for',
+    registers: [this.#registry],
+  });
+
   /** Delay of timers, which long synchronous work or a lack of processor time causes. */
   readonly loopDelay = new Histogram({
     name: 'comfreyreel_loop_delay_seconds',
--- a/src/gateway/serve.ts
+++ b/src/gateway/serve.ts
@@ -19,6 +19,8 @@
     }
   /** No byte was sent to the upstream. */
   | { readonly kind: 'unsent'; readonly why: string }
+  /** No byte was sent, because the upstream has left, is leaving or has asked for a pause since it was chosen. */
+  | { readonly kind: 'withheld' }
   /** The upstream reports that it has not run the request. */
   | { readonly kind: 'not-run'; readonly status: number }
   /** The upstream ran the request and failed; its answer was discarded. */
@@ -26,7 +28,12 @@
   /** The request may have run; no part of an answer was relayed to the caller. */
   | { readonly kind: 'lost'; readonly why: string }
   /** The answer broke off after a part of it was relayed to the caller. */
-  | { readonly kind: 'cut'; readonly why: string }
+  | {
+      readonly kind: 'cut';
+      readonly why: string;
+      /** Whether the answer was an event stream, which another upstream can continue. */
+      readonly isStream: boolean;
+    }
   /** The caller has disconnected. */
   | { readonly kind: 'left' }
   /** The time limit passed after the request was sent; no part of an answer was relayed to the caller. */
@@ -109,10 +116,11 @@
 
 function nextProgress(progress: Progress, upstream: string, outcome: SendOutcome): Progress {
   const { kind } = outcome;
+  const isSent = kind !== 'unsent' && kind !== 'withheld';
   return {
-    attempts: progress.attempts + (kind === 'unsent' ? 0 : 1),
+    attempts: progress.attempts + (isSent ? 1 : 0),
     unsent: progress.unsent + (kind === 'unsent' ? 1 : 0),
-    mayHaveRun: progress.mayHaveRun || (kind !== 'unsent' && kind !== 'not-run'),
+    mayHaveRun: progress.mayHaveRun || (isSent && kind !== 'not-run'),
     isBegun: progress.isBegun || kind === 'cut',
     excluded: [...progress.excluded, upstream],
   };
@@ -121,10 +129,10 @@
 /** Whether another upstream may be tried after an attempt. */
 function mayTryAnother(input: ServeInput, progress: Progress, outcome: SendOutcome): boolean {
   if (progress.unsent > MAX_UNSENT || progress.attempts >= input.maxAttempts) return false;
-  if (outcome.kind === 'unsent' || outcome.kind === 'not-run') {
+  if (outcome.kind === 'unsent' || outcome.kind === 'withheld' || outcome.kind === 'not-run') {
     return !progress.mayHaveRun || mayRepeat(input);
   }
-  if (outcome.kind === 'cut') return input.resumable;
+  if (outcome.kind === 'cut') return input.resumable && outcome.isStream;
   return (outcome.kind === 'lost' || outcome.kind === 'failed') && mayRepeat(input);
 }
 
--- a/src/gateway/tests/httpreply.test.ts
+++ b/src/gateway/tests/httpreply.test.ts
@@ -37,6 +37,8 @@
       status: 200,
       id: undefined,
       isNotRun: false,
+      isLeaving: false,
+      pauseMs: undefined,
       isEventStream: false,
       isFramed: true,
       load: undefined,
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -1,17 +1,16 @@
 /** Registered upstreams, and the decision which of them may receive new requests. */
+import { UpstreamSignals } from './upstreamsignals.js';
+
+import type { UpstreamSupply } from './shortage.js';
+import type { UpstreamIncarnation } from './upstreamsignals.js';
 
 /** One incarnation of an upstream. */
-export interface UpstreamRecord {
-  readonly id: string;
-  /** Start of this incarnation, in Unix milliseconds; 0 if the upstream does not report it. */
-  readonly startedAt: number;
+export interface UpstreamRecord extends UpstreamIncarnation {
   readonly service: string;
-  /** "IP:port"; another upstream may reuse it after this one has ended. */
-  readonly address: string;
   readonly dataCentre: string;
   /** Requests that it processes concurrently. */
   readonly capacity: number;
-  /** Whether it has announced that it leaves. */
+  /** Whether its entry announces that it leaves. */
   readonly isLeaving: boolean;
   /** Remaining warm-up time after its start, as stated in its entry, in milliseconds; it is slow if above 0. */
   readonly warmupMs: number;
@@ -49,6 +48,9 @@
 export class UpstreamRegistry {
   readonly #entries = new Map<string, Entry>();
 
+  /** Announcements in answers. They stay in force whatever the entries in the store say. */
+  readonly signals = new UpstreamSignals();
+
   /** Time of the last sign of a store outage, in milliseconds. */
   #disturbedAt = Number.NEGATIVE_INFINITY;
 
@@ -80,9 +82,10 @@
   unlist(id: string, now: number): void {
     const entry = this.#entries.get(id);
     if (!entry || entry.missingUntil !== undefined) return;
+    this.signals.retain([entry.record], now);
     const isOutage = now - this.#disturbedAt < LAPSE_WINDOW_MS;
     const mayHaveLapsed = isOutage && entry.listedAt < this.#disturbedAt;
-    if (mayHaveLapsed && !entry.record.isLeaving)
+    if (mayHaveLapsed && !this.isLeaving(entry.record))
       this.#entries.set(id, { ...entry, missingUntil: now + MISSING_GRACE_MS });
     else this.#entries.delete(id);
   }
@@ -98,17 +101,42 @@
     records.forEach((record) => this.list(record, now));
   }
 
+  /**
+   * Checks whether an upstream has announced that it leaves.
+   * @param record - the upstream
+   * @returns whether its entry or one of its answers announces it
+   */
+  isLeaving(record: UpstreamRecord): boolean {
+    return record.isLeaving || this.signals.isLeaving(record);
+  }
+
   /**
    * Lists the upstreams of a service that may receive new requests.
    * @param service - the service
    * @param now - current time, in milliseconds
-   * @returns the upstreams that are listed or within their grace period, without leaving ones
+   * @returns the upstreams that are listed or within their grace period, without leaving and paused ones
    */
   serving(service: string, now: number): readonly UpstreamRecord[] {
-    return [...this.#entries.values()]
-      .filter(({ missingUntil }) => missingUntil === undefined || missingUntil > now)
-      .map(({ record }) => record)
-      .filter((record) => record.service === service && !record.isLeaving);
+    return this.#registered(service, now).filter((record) => !this.#isPaused(record, now));
+  }
+
+  /**
+   * Counts the upstreams of a service that are in use, including paused ones.
+   * @param service - the service
+   * @param now - current time, in milliseconds
+   * @returns their numbers, and when the first pause ends
+   */
+  supply(service: string, now: number): UpstreamSupply {
+    const registered = this.#registered(service, now);
+    const pauses = registered
+      .filter((record) => this.#isPaused(record, now))
+      .map((record) => this.signals.pausedUntil(record) - now);
+    const areAllPaused = pauses.length > 0 && pauses.length === registered.length;
+    return {
+      registered: registered.length,
+      paused: pauses.length,
+      pauseEndsInMs: areAllPaused ? Math.min(...pauses) : undefined,
+    };
   }
 
   /**
@@ -117,11 +145,34 @@
    * @param now - current time, in milliseconds
    * @returns whether the same incarnation may still receive requests
    */
-  mayReceive({ id, service, startedAt }: UpstreamRecord, now: number): boolean {
+  mayReceive(record: UpstreamRecord, now: number): boolean {
+    return this.refusalReason(record, now) === undefined;
+  }
+
+  /**
+   * Tells why an upstream may not receive requests.
+   * @param record - the upstream that was chosen
+   * @param now - current time, in milliseconds
+   * @returns the reason; undefined if the same incarnation may receive requests
+   */
+  refusalReason(
+    { id, service, startedAt }: UpstreamRecord,
+    now: number,
+  ): 'gone' | 'leaving' | 'paused' | undefined {
     const entry = this.#entries.get(id);
-    if (!entry || (entry.missingUntil !== undefined && entry.missingUntil <= now)) return false;
+    if (!entry || (entry.missingUntil !== undefined && entry.missingUntil <= now)) return 'gone';
     const { record } = entry;
-    return record.service === service && record.startedAt === startedAt && !record.isLeaving;
+    if (record.service !== service || record.startedAt !== startedAt) return 'gone';
+    if (this.isLeaving(record)) return 'leaving';
+    return this.#isPaused(record, now) ? 'paused' : undefined;
+  }
+
+  /**
+   * Forgets the announcements of incarnations that have not been listed for a while.
+   * @param now - current time, in milliseconds
+   */
+  forgetGone(now: number): void {
+    this.signals.retain(this.all(), now);
   }
 
   /**
@@ -131,4 +182,16 @@
   all(): readonly UpstreamRecord[] {
     return [...this.#entries.values()].map(({ record }) => record);
   }
+
+  /** Upstreams of a service that are listed or within their grace period, without leaving ones. */
+  #registered(service: string, now: number): readonly UpstreamRecord[] {
+    return [...this.#entries.values()]
+      .filter(({ missingUntil }) => missingUntil === undefined || missingUntil > now)
+      .map(({ record }) => record)
+      .filter((record) => record.service === service && !this.isLeaving(record));
+  }
+
+  #isPaused(record: UpstreamRecord, now: number): boolean {
+    return this.signals.pausedUntil(record) > now;
+  }
 }
