Test relay: a reset that cannot finish no longer keeps the process running

A reset of a socket waits until what was written has been sent; destroyed in the meantime, it fails and its handle stays open.

Reset sockets no longer keep the process running, and one that is already ending is destroyed.

--- a/testbed/relay.ts
+++ b/testbed/relay.ts
@@ -93,8 +93,12 @@
 
   /** Ends a connection that broke: an orderly end would complete an answer that has no length. */
   static #reset({ clientSocket: near, targetSocket: far }: RelayedConnection): void {
-    near.resetAndDestroy();
-    far.resetAndDestroy();
+    [near, far].forEach((socket) => {
+      // A reset waits until the written bytes are sent, and fails if the socket is destroyed meanwhile.
+      socket.unref();
+      if (socket.writableEnded) socket.destroy();
+      else socket.resetAndDestroy();
+    });
   }
 
   #accept(near: Socket): void {
