--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -249,9 +249,10 @@
   }
 
   #failAttempt(why: string): void {
+    const { ending } = this.#connection;
     if (this.#stage === 'queued') this.#abandon({ kind: 'unsent', why });
-    else if (this.cfg.call.reply.isBegun) this.#abandon({ kind: 'cut', why });
-    else this.#abandon({ kind: 'lost', why });
+    else if (this.cfg.call.reply.isBegun) this.#abandon({ kind: 'cut', why, ending });
+    else this.#abandon({ kind: 'lost', why, ending });
   }
 
   /** Ends the attempt and destroys its connection, on which parts of the answer may still arrive. */
--- a/src/gateway/callrun.ts
+++ b/src/gateway/callrun.ts
@@ -5,6 +5,7 @@
 import { drive, failure } from '../kernel/index.js';
 import { answerFailure } from './answerfailure.js';
 import { attemptCall } from './attempt.js';
+import { AttemptProgress } from './attemptprogress.js';
 import { timeLimitMs } from './configuration.js';
 import { RouteTable } from './routetable.js';
 import { serveCall } from './serve.js';
@@ -233,6 +234,7 @@
       memoryTokens,
       isAnswered: false,
     });
+    const progress = new AttemptProgress(this.call, clock.now());
     const { opened } = upstream.connections;
     const outcome = await attemptCall({
       call: this.call,
@@ -252,18 +254,23 @@
         this.ctx.announcements.announce(record.id, uncachedTokens);
       },
       onProgress: (load) => {
+        progress.noteProgress();
         this.#firstByteAt ??= clock.now();
         stats.recordResponse(open, load, clock.now());
       },
     });
     stats.end(open);
     metrics.connections.inc(upstream.connections.opened - opened);
-    this.#recordAttempt(upstream, outcome);
+    this.#recordAttempt(upstream, outcome, progress);
     return { type: 'sent', outcome };
   }
 
   /** Records the outcome of an attempt in the metrics, the log and the health of the upstream. */
-  #recordAttempt({ record, stats }: KnownUpstream, outcome: SendOutcome): void {
+  #recordAttempt(
+    { record, stats }: KnownUpstream,
+    outcome: SendOutcome,
+    progress: AttemptProgress,
+  ): void {
     const now = this.ctx.clock.now();
     const { kind } = outcome;
     this.ctx.metrics.attempts.inc({ end: kind });
@@ -278,7 +285,14 @@
     const isDown = kind === 'unsent' || kind === 'lost' || kind === 'cut' || kind === 'timeout';
     const isEjected = isDown && stats.health.recordFailure(now);
     const why = 'why' in outcome ? outcome.why : '';
-    const facts = { kind, why, open: stats.open, isEjected };
+    const ending = 'ending' in outcome ? outcome.ending : undefined;
+    const facts = {
+      kind,
+      why,
+      open: stats.open,
+      isEjected,
+      ...(ending && { ending, ...progress.facts(now) }),
+    };
     this.ctx.recorder.record('callAttemptFailed', {
       request: this.call.head.id,
       upstream: record.id,
--- a/src/gateway/serve.ts
+++ b/src/gateway/serve.ts
@@ -8,6 +8,9 @@
 import type { Repeatability } from './configuration.js';
 import type { UpstreamRecord } from './upstreams.js';
 
+/** How the upstream ended a connection. */
+export type ConnectionEnding = 'closed' | 'reset';
+
 /** How one attempt at an upstream ended. */
 export type SendOutcome =
   /** The complete answer was relayed to the caller. */
@@ -24,9 +27,9 @@
   /** The upstream ran the request and failed; its answer was discarded. */
   | { readonly kind: 'failed'; readonly status: number }
   /** The request may have run; no part of an answer was relayed to the caller. */
-  | { readonly kind: 'lost'; readonly why: string }
+  | { readonly kind: 'lost'; readonly why: string; readonly ending?: ConnectionEnding | undefined }
   /** The answer broke off after a part of it was relayed to the caller. */
-  | { readonly kind: 'cut'; readonly why: string }
+  | { readonly kind: 'cut'; readonly why: string; readonly ending?: ConnectionEnding | undefined }
   /** The caller has disconnected. */
   | { readonly kind: 'left' }
   /** The time limit passed after the request was sent; no part of an answer was relayed to the caller. */
