Reject prompt parts that crash upstreams

Cause: nothing remembered what was unanswered on an upstream when it ended. A request that had just crashed one was sent, by its caller's retry or by the next caller, to another.

Daemons share crash reports in one object, as none of them sees most crashes. One claimed trial in the fleet lets a part in again. A request on which two upstreams ended is not sent a third time.

Why it works: an answer shows that a part is innocent, and nearly all parts are answered within a second; what is left after two crashes is the cause.

--- a/src/gateway/attemptprogress.ts
+++ b/src/gateway/attemptprogress.ts
@@ -10,6 +10,8 @@
 
   #hasHead = false;
 
+  #hasBegun = false;
+
   /**
    * Starts to follow an attempt that is about to be sent.
    * @param call - the request
@@ -22,9 +24,15 @@
     this.#eventsBefore = call.events.events;
   }
 
-  /** Records that the head or a chunk of an answer has arrived. */
-  noteProgress(): void {
+  /**
+   * Records that the head or a chunk of an answer has arrived.
+   * @returns whether the answer has begun: true once, when the first complete event was read before
+   */
+  noteProgress(): boolean {
     this.#hasHead = true;
+    const hasBegun = !this.#hasBegun && this.events > 0;
+    this.#hasBegun ||= hasBegun;
+    return hasBegun;
   }
 
   /** Number of complete events that this attempt has answered. */
@@ -37,7 +45,7 @@
    * @param now - current time, in milliseconds
    * @returns time since the send, how much was answered, and the first parts of the prompt
    */
-  facts(now: number): Readonly<Record<string, unknown>> {
+  facts(now: number): Readonly<Record<string, string | number | boolean>> {
     const { prompt } = this.call.head;
     const named = prompt.slice(0, MAX_LOGGED_PARTS).map(({ id }) => id);
     return {
--- a/src/gateway/callrun.ts
+++ b/src/gateway/callrun.ts
@@ -7,17 +7,20 @@
 import { attemptCall } from './attempt.js';
 import { AttemptProgress } from './attemptprogress.js';
 import { timeLimitMs } from './configuration.js';
+import { PromptGuard } from './promptguard.js';
 import { RouteTable } from './routetable.js';
 import { serveCall } from './serve.js';
 
 import type { Arrival } from '../ingress/index.js';
 import type { Clock, Failure } from '../kernel/index.js';
+
 import type { PlacementRequest, RetryBudget } from '../route/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { Allowances } from './allowances.js';
 import type { Announcements } from './announcements.js';
 import type { Call } from './attempt.js';
 import type { GatewayRoute, GatewayWorkspace } from './configuration.js';
+import type { CrashWatch } from './crashwatch.js';
 import type { Durations } from './durations.js';
 import type { UpstreamPool, KnownUpstream } from './upstreampool.js';
 import type { GatewayMetrics } from './metrics.js';
@@ -57,6 +60,7 @@
   readonly recorder: Recorder;
   readonly metrics: GatewayMetrics;
   readonly durations: Durations;
+  readonly crashWatch: CrashWatch;
   readonly clock: Clock;
   /** Random numbers in [0, 1). */
   readonly random: () => number;
@@ -92,6 +96,8 @@
 
   readonly #placement: PlacementRequest;
 
+  readonly #guard: PromptGuard;
+
   #placed: { readonly upstream: KnownUpstream; readonly uncachedTokens: number } | undefined;
 
   #reserved = 0;
@@ -122,6 +128,7 @@
     this.#startedAt = arrival.at;
     this.#service = RouteTable.service(policy.route, ctx.random());
     this.#placement = placementRequestOf(call);
+    this.#guard = new PromptGuard(ctx.crashWatch, call);
   }
 
   /** Serves the request; resolves once it has ended. */
@@ -147,7 +154,7 @@
       case 'reserve':
         return this.#reserve();
       case 'place':
-        return this.#place(command.excluded, command.isRepeat);
+        return this.#admit(command.excluded, command.isRepeat);
       default:
         return this.#send(command.relaysFailure);
     }
@@ -155,6 +162,8 @@
 
   async #reserve(): Promise<ServeEvent> {
     const { allowances } = this.ctx;
+    const { rejection } = this.#guard;
+    if (rejection) return this.#refusedEvent(rejection);
     const { route, workspace } = this.policy;
     const { promptTokens, outputTokens } = this.call.head.usage ?? {
       promptTokens: 0,
@@ -174,6 +183,14 @@
     return { type: 'reserved' };
   }
 
+  /** Places the request unless upstreams crash on its prompt. */
+  #admit(excluded: readonly string[], isRepeat: boolean): ServeEvent | Promise<ServeEvent> {
+    const decide = (refusal: Failure | undefined): ServeEvent =>
+      refusal ? this.#refusedEvent(refusal) : this.#place(excluded, isRepeat);
+    const refusal = this.#guard.admit();
+    return refusal instanceof Promise ? refusal.then(decide) : decide(refusal);
+  }
+
   #place(excluded: readonly string[], isRepeat: boolean): ServeEvent {
     const { upstreamPool, retries, random } = this.ctx;
     const { route, table } = this.policy;
@@ -254,7 +271,7 @@
         this.ctx.announcements.announce(record.id, uncachedTokens);
       },
       onProgress: (load) => {
-        progress.noteProgress();
+        this.#guard.noteProgress(progress);
         this.#firstByteAt ??= clock.now();
         stats.recordResponse(open, load, clock.now());
       },
@@ -262,6 +279,7 @@
     stats.end(open);
     metrics.connections.inc(upstream.connections.opened - opened);
     this.#recordAttempt(upstream, outcome, progress);
+    await this.#guard.noteEnd(upstream, outcome, progress);
     return { type: 'sent', outcome };
   }
 
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -11,6 +11,9 @@
   /** Number of connections opened so far. */
   opened = 0;
 
+  /** Number of connections that are open now, idle or in use. */
+  open = 0;
+
   /**
    * Creates an empty pool.
    * @param address - "IP:port" of the upstream
@@ -27,7 +30,13 @@
       if (found.isOpen) return found;
     }
     this.opened += 1;
-    return new UpstreamConnection(this.address, (gone) => this.#remove(gone));
+    return new UpstreamConnection(
+      this.address,
+      (isOpen) => {
+        this.open += isOpen ? 1 : -1;
+      },
+      (gone) => this.#remove(gone),
+    );
   }
 
   /**
--- /dev/null
+++ b/src/gateway/crashwatch.ts
@@ -0,0 +1,358 @@
+/** Confirms crashes of upstreams, shares them with the fleet and rejects requests on which upstreams crash. */
+import { connect } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { failure } from '../kernel/index.js';
+import { CrashSuspects, decodeCrashRecord, encodeCrashRecord, NO_CRASHES } from '../route/index.js';
+import { Follower, updateObject } from '../store/index.js';
+
+import type { Clock, Failure } from '../kernel/index.js';
+import type { CrashRecord, Rejection, UnansweredPrompt } from '../route/index.js';
+import type { ObjectChange, ObjectKind, SnapshotStore } from '../store/index.js';
+import type { EventSubject, Recorder } from '../telemetry/index.js';
+import type { GatewayMetrics } from './metrics.js';
+import type { KnownUpstream } from './upstreampool.js';
+
+/** Prefix and key of the object that holds what the fleet knows. */
+const PREFIX = 'suspects/';
+const KEY = `${PREFIX}parts`;
+
+/** Longest time for which the store holds a watch, in milliseconds: a change ends it at once. */
+const WATCH_TIMEOUT_MS = 20_000;
+
+/** Pause of the watch after a change, in milliseconds: many daemons see a crash, and write one after the other. */
+const BATCH_DELAY_MS = 200;
+
+/** Time from the end of one connection until the others to a crashed upstream have ended too, in milliseconds. */
+const CONFIRM_DELAY_MS = 50;
+
+/** Time limit for the connection that shows whether an upstream still listens, in milliseconds. */
+const PROBE_TIMEOUT_MS = 300;
+
+/** Time from a crash until it is shared, in milliseconds; most innocent parts are answered by then. */
+const SHARE_DELAY_MS = 1_000;
+
+/** Time after which a report that the store has not taken is offered again, in milliseconds. */
+const SHARE_RETRY_MS = 5_000;
+
+/** Longest random delay before the record of the fleet is corrected: one daemon then does it, in milliseconds. */
+const CORRECTION_SPREAD_MS = 1_000;
+
+/** Shortest retry delay that is sent to callers, in milliseconds. */
+const MIN_RETRY_MS = 1_000;
+
+/** Number of parts that a log line names. */
+const MAX_LOGGED_PARTS = 24;
+
+type Facts = NonNullable<EventSubject['facts']>;
+
+/** Dependencies of the watch. */
+export interface CrashWatchConfig {
+  readonly store: SnapshotStore;
+  readonly recorder: Recorder;
+  readonly metrics: GatewayMetrics;
+  readonly clock: Clock;
+  /** Random numbers in [0, 1). */
+  readonly random: () => number;
+}
+
+/** Connections to an upstream that have ended, before it is known whether it has crashed. */
+interface PendingCrash {
+  readonly at: number;
+  readonly prompts: UnansweredPrompt[];
+  readonly confirmed: Promise<void>;
+}
+
+/** Returns whether something listens at an address. */
+function isListening(address: string): Promise<boolean> {
+  const at = address.lastIndexOf(':');
+  return new Promise((resolve) => {
+    const socket = connect({ host: address.slice(0, at), port: Number(address.slice(at + 1)) });
+    const finish = (isOpen: boolean): void => {
+      socket.destroy();
+      resolve(isOpen);
+    };
+    socket.setTimeout(PROBE_TIMEOUT_MS, () => finish(false));
+    socket.once('connect', () => finish(true));
+    socket.once('error', () => finish(false));
+  });
+}
+
+function nameParts(parts: readonly string[]): string {
+  return parts.slice(0, MAX_LOGGED_PARTS).join(' ');
+}
+
+/** Watches for prompt parts that crash upstreams. */
+export class CrashWatch {
+  readonly #suspects = new CrashSuspects();
+
+  readonly #follower: Follower;
+
+  readonly #pending = new Map<string, PendingCrash>();
+
+  #rejections: ReadonlyMap<string, Rejection> = new Map();
+
+  #isStopped = false;
+
+  #isSharing = false;
+
+  #shareTimer: NodeJS.Timeout | undefined;
+
+  /** When the timer fires, in milliseconds. */
+  #shareAt = Number.POSITIVE_INFINITY;
+
+  /**
+   * Creates the watch; nothing is read before "start".
+   * @param cfg - dependencies
+   */
+  constructor(private readonly cfg: CrashWatchConfig) {
+    const apply = (objects: readonly ObjectChange[]): void =>
+      this.#applyShared(objects.find(({ key }) => key === KEY)?.value ?? null);
+    this.#follower = new Follower(
+      cfg.store,
+      PREFIX,
+      {
+        onSnapshot: ({ objects }) => apply(objects),
+        onChanges: apply,
+        onLost: ({ text, problem }) =>
+          cfg.recorder.record('storeLost', { detail: text, facts: { prefix: PREFIX, problem } }),
+        onRegained: () => {
+          cfg.recorder.record('storeRegained', { facts: { prefix: PREFIX } });
+          this.#shareLater(0);
+        },
+      },
+      cfg.clock,
+      WATCH_TIMEOUT_MS,
+      BATCH_DELAY_MS,
+    );
+  }
+
+  /** Starts to follow the record of the fleet. */
+  start(): void {
+    void this.#follower.run();
+  }
+
+  /** Stops following and sharing. */
+  stop(): void {
+    this.#isStopped = true;
+    this.#follower.stop();
+    clearTimeout(this.#shareTimer);
+  }
+
+  /**
+   * Decides whether a request may be sent to an upstream now. Claims a trial in the store if one is due.
+   * @param parts - ids of its shared prompt parts
+   * @param request - its id, for the log
+   * @returns why it is refused, undefined if it may be sent; at once unless a trial is due
+   */
+  admit(
+    parts: readonly string[],
+    request: string,
+  ): Failure | undefined | Promise<Failure | undefined> {
+    const verdict = this.#suspects.verdict(parts, this.cfg.clock.now());
+    if (verdict.kind === 'send') return undefined;
+    if (verdict.kind === 'reject') return this.#refusal(verdict.rejection);
+    return this.#claimTrial(parts, request);
+  }
+
+  /**
+   * Decides whether a request may be sent, without claiming a trial.
+   * @param parts - ids of its shared prompt parts
+   * @returns why it is refused; undefined if it may be sent, possibly as a trial
+   */
+  rejectionOf(parts: readonly string[]): Failure | undefined {
+    const verdict = this.#suspects.verdict(parts, this.cfg.clock.now());
+    return verdict.kind === 'reject' ? this.#refusal(verdict.rejection) : undefined;
+  }
+
+  /**
+   * Records that an upstream has begun to answer a request.
+   * @param parts - ids of its shared prompt parts
+   */
+  noteAnswer(parts: readonly string[]): void {
+    const isSuspected = parts.some((part) => this.#suspects.isSuspected(part));
+    this.#suspects.noteAnswer(parts, this.cfg.clock.now());
+    if (!isSuspected) return;
+    this.#recordChanges('answered here');
+    if (this.#suspects.contradictsShared)
+      this.#shareLater(this.cfg.random() * CORRECTION_SPREAD_MS);
+  }
+
+  /**
+   * Records that an upstream ended the connection of a request without an answer. It may have crashed.
+   * @param upstream - the upstream
+   * @param parts - ids of the shared prompt parts of the request
+   * @param sentAt - when the request was sent, in milliseconds
+   * @returns resolves once it is known whether the upstream has crashed; undefined if no part was suspected before
+   */
+  noteLost(
+    upstream: KnownUpstream,
+    parts: readonly string[],
+    sentAt: number,
+  ): Promise<void> | undefined {
+    if (parts.length === 0) return undefined;
+    const { id, startedAt, address } = upstream.record;
+    const key = `${id} ${startedAt} ${address}`;
+    const pending = this.#pending.get(key) ?? {
+      at: this.cfg.clock.now(),
+      prompts: [],
+      confirmed: this.#confirm(key, upstream),
+    };
+    this.#pending.set(key, pending);
+    pending.prompts.push({ parts, sentAt });
+    return parts.some((part) => this.#suspects.isSuspected(part)) ? pending.confirmed : undefined;
+  }
+
+  /** Checks whether an upstream has crashed: no connection to it is left, and none can be opened. */
+  async #confirm(key: string, { record, connections }: KnownUpstream): Promise<void> {
+    await sleep(CONFIRM_DELAY_MS);
+    const isAlive = connections.open > 0 || (await isListening(record.address));
+    const pending = this.#pending.get(key);
+    this.#pending.delete(key);
+    if (isAlive || !pending) return;
+    const now = this.cfg.clock.now();
+    const { at, prompts } = pending;
+    this.#suspects.noteCrash(key, at, prompts, now);
+    const parts = [...new Set(prompts.flatMap((prompt) => prompt.parts))];
+    const suspected = parts.filter((part) => this.#suspects.isSuspected(part));
+    this.cfg.metrics.suspects.inc({ change: 'crash' });
+    this.cfg.recorder.record('upstreamCrashed', {
+      upstream: record.id,
+      facts: {
+        unanswered: prompts.length,
+        parts: parts.length,
+        suspected: suspected.length,
+        named: nameParts(suspected),
+        ageMs: Math.round(now - at),
+      },
+    });
+    const isDecisive = this.#recordChanges('crashed here');
+    this.#shareLater(isDecisive ? 0 : SHARE_DELAY_MS * (0.8 + 0.4 * this.cfg.random()));
+  }
+
+  #refusal({ group, nextTrialAt }: Rejection): Failure {
+    const retryAfterMs = Math.max(MIN_RETRY_MS, nextTrialAt - this.cfg.clock.now());
+    return { ...failure('prompt-rejected', nameParts(group)), retryAfterMs };
+  }
+
+  #applyShared(value: unknown): void {
+    const now = this.cfg.clock.now();
+    this.#suspects.applyShared(this.#decode(value, now), now);
+    this.#recordChanges('reported by the fleet');
+    if (this.#suspects.contradictsShared)
+      this.#shareLater(this.cfg.random() * CORRECTION_SPREAD_MS);
+  }
+
+  #decode(value: unknown, now: number): CrashRecord {
+    const decoded = decodeCrashRecord(value, now);
+    if (!decoded) {
+      const facts = { problem: 'malformed', outcome: 'taken as empty' };
+      this.cfg.recorder.record('crashesDelayed', { detail: KEY, facts });
+    }
+    return decoded ?? NO_CRASHES;
+  }
+
+  /** Logs which rejections began and ended; returns whether one began. */
+  #recordChanges(cause: string): boolean {
+    const { rejections } = this.#suspects;
+    const before = this.#rejections;
+    if (rejections === before) return false;
+    this.#rejections = rejections;
+    const now = this.cfg.clock.now();
+    const { metrics, recorder } = this.cfg;
+    const factsOf = (rejection: Rejection): Facts => ({
+      cause,
+      group: nameParts(rejection.group),
+      crashes: rejection.crashes,
+      upstreams: rejection.upstreams.length,
+      lastCrashMs: Math.round(now - rejection.lastCrashAt),
+      trials: rejection.trials,
+      nextTrialMs: Math.round(rejection.nextTrialAt - now),
+    });
+    const begun = [...rejections].filter(([part]) => !before.has(part));
+    const ended = [...before].filter(([part]) => !rejections.has(part));
+    begun.forEach(([part, rejection]) => {
+      metrics.suspects.inc({ change: 'rejected' });
+      recorder.record('partRejected', { detail: part, facts: factsOf(rejection) });
+    });
+    ended.forEach(([part, rejection]) => {
+      metrics.suspects.inc({ change: 'cleared' });
+      recorder.record('partCleared', { detail: part, facts: factsOf(rejection) });
+    });
+    return begun.length > 0;
+  }
+
+  /** Shares own reports and corrections after a delay, or earlier if that was planned before. */
+  #shareLater(delayMs: number): void {
+    const at = this.cfg.clock.now() + delayMs;
+    if (this.#isStopped || at >= this.#shareAt) return;
+    clearTimeout(this.#shareTimer);
+    this.#shareAt = at;
+    this.#shareTimer = setTimeout(() => {
+      this.#shareAt = Number.POSITIVE_INFINITY;
+      void this.#share();
+    }, delayMs);
+  }
+
+  async #share(): Promise<void> {
+    const isNeeded = this.#suspects.hasUnshared || this.#suspects.contradictsShared;
+    if (!isNeeded) return;
+    if (this.#isSharing) {
+      this.#shareLater(SHARE_DELAY_MS);
+      return;
+    }
+    this.#isSharing = true;
+    const isShared = await this.#update((now) => this.#suspects.recordToWrite(now));
+    this.#isSharing = false;
+    if (!isShared) this.#shareLater(SHARE_RETRY_MS);
+  }
+
+  /** Updates the record of the fleet; returns what was written, undefined if nothing was. */
+  async #update(
+    decide: (now: number) => CrashRecord | undefined,
+  ): Promise<CrashRecord | undefined> {
+    const { clock, recorder, store } = this.cfg;
+    const kind: ObjectKind<unknown> = { key: KEY, parse: (value) => value };
+    const result = await updateObject<unknown, CrashRecord | undefined>(store, kind, (stored) => {
+      const now = clock.now();
+      this.#suspects.applyShared(this.#decode(stored, now), now);
+      const record = decide(now);
+      if (!record) return { kind: 'keep', outcome: undefined };
+      return { kind: 'write', value: encodeCrashRecord(record, now), outcome: record };
+    });
+    if (result.err) {
+      const { text, problem } = result.val;
+      recorder.record('crashesDelayed', { detail: text, facts: { problem } });
+      return undefined;
+    }
+    const written = result.val;
+    if (written) {
+      this.#suspects.applyShared(written, clock.now());
+      this.#suspects.noteShared(clock.now());
+      const facts = { reports: written.reports.length, trials: written.trials.size };
+      recorder.record('crashesShared', { facts });
+    }
+    this.#recordChanges('reported by the fleet');
+    return written;
+  }
+
+  /** Claims the next trial of the rejected parts of a request; the request is refused if another daemon was first. */
+  async #claimTrial(parts: readonly string[], request: string): Promise<Failure | undefined> {
+    let rejection: Rejection | undefined;
+    let isSound = false;
+    const claimed = await this.#update((now) => {
+      const verdict = this.#suspects.verdict(parts, now);
+      isSound = verdict.kind === 'send';
+      rejection = verdict.kind === 'send' ? undefined : verdict.rejection;
+      if (verdict.kind !== 'trial') return undefined;
+      return this.#suspects.recordToWrite(now, verdict.rejection.group);
+    });
+    if (isSound) return undefined;
+    if (!claimed || !rejection)
+      return { ...failure('prompt-rejected', nameParts(parts)), retryAfterMs: MIN_RETRY_MS };
+    this.cfg.metrics.suspects.inc({ change: 'trial' });
+    const facts = { crashes: rejection.crashes, trials: rejection.trials + 1 };
+    this.cfg.recorder.record('partTrial', { request, detail: nameParts(rejection.group), facts });
+    return undefined;
+  }
+}
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -63,6 +63,14 @@
     registers: [this.#registry],
   });
 
+  /** Changes of beliefs about prompt parts that crash upstreams. */
+  readonly suspects = new Counter({
+    name: 'comfreyreel_crash_suspects_total',
+    help: 'Crashes of upstreams with unanswered requests, and prompt parts rejected, cleared and tried',
+    labelNames: ['change'],
+    registers: [this.#registry],
+  });
+
   /** Delay of timers, which long synchronous work or a lack of processor time causes. */
   readonly loopDelay = new Histogram({
     name: 'comfreyreel_loop_delay_seconds',
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -10,6 +10,7 @@
 import { Allowances } from './allowances.js';
 import { readOrCreate } from './sharedvalue.js';
 import { Announcements } from './announcements.js';
+import { CrashWatch } from './crashwatch.js';
 import { timeLimitMs } from './configuration.js';
 import { Durations } from './durations.js';
 import { UpstreamPool } from './upstreampool.js';
@@ -96,6 +97,8 @@
 
   #allowances: Allowances | undefined;
 
+  readonly #crashWatch: CrashWatch;
+
   #stopWindow: StopWindow | undefined;
 
   #hasReleasedExcess = false;
@@ -119,6 +122,13 @@
     this.recorder = makeRecorder({ instance, dataCentre, logLevel });
     this.#loopDelay = new LoopDelay(this.clock, this.recorder, this.metrics);
     this.routingState = new RoutingState(adapter, this.recorder, this.clock, settings.watchMs);
+    this.#crashWatch = new CrashWatch({
+      store: adapter.store,
+      recorder: this.recorder,
+      metrics: this.metrics,
+      clock: this.clock,
+      random: Math.random,
+    });
     const { tokensPerMs } = settings.engines;
     const options = { ...PLACEMENT_COSTS, tokensPerMs };
     this.upstreamPool = new UpstreamPool(
@@ -134,6 +144,7 @@
     this.recorder.record('daemonStarted', { peer: this.recorder.source });
     this.#loopDelay.start();
     this.routingState.start();
+    this.#crashWatch.start();
     const { host, port } = splitAddress(this.settings.listen.peers);
     const membership = await Membership.join({
       self: this.recorder.source,
@@ -165,6 +176,7 @@
       recorder: this.recorder,
       metrics: this.metrics,
       durations: this.durations,
+      crashWatch: this.#crashWatch,
       clock: this.clock,
       random: Math.random,
     };
@@ -250,6 +262,7 @@
   /** Returns unspent units, closes the links to the other daemons and stops the tasks. */
   async finishStop(): Promise<void> {
     this.routingState.stop();
+    this.#crashWatch.stop();
     await this.#allowances?.stop();
     await this.#membership?.stop();
     this.upstreamPool.close();
--- a/src/gateway/upstreamconnection.ts
+++ b/src/gateway/upstreamconnection.ts
@@ -52,15 +52,19 @@
 
   readonly #state: SocketState = { ending: undefined };
 
-  /** Whether the connection is established and usable. */
-  isOpen = false;
+  #isOpen = false;
 
   /**
    * Creates a connection; it is opened by its first request.
    * @param address - "IP:port" of the upstream
+   * @param onOpenChange - called when it has become usable or unusable
    * @param onClosed - called when it has closed or failed
    */
-  constructor(address: string, onClosed: (connection: UpstreamConnection) => void) {
+  constructor(
+    address: string,
+    private readonly onOpenChange: (isOpen: boolean) => void,
+    onClosed: (connection: UpstreamConnection) => void,
+  ) {
     this.client = new Client(`http://${address}`, {
       connect: connector(this.#state),
       pipelining: 1,
@@ -69,17 +73,20 @@
       headersTimeout: 0,
       bodyTimeout: 0,
     });
-    this.client.on('connect', () => {
-      this.isOpen = true;
-    });
+    this.client.on('connect', () => this.#setOpen(true));
     const markClosed = (): void => {
-      this.isOpen = false;
+      this.#setOpen(false);
       onClosed(this);
     };
     this.client.on('disconnect', markClosed);
     this.client.on('connectionError', markClosed);
   }
 
+  /** Whether the connection is established and usable. */
+  get isOpen(): boolean {
+    return this.#isOpen;
+  }
+
   /**
    * How the socket ended, recorded before the client handles the end; undefined while it is open.
    */
@@ -89,7 +96,13 @@
 
   /** Closes the connection at once; a request on it fails. */
   destroy(): void {
-    this.isOpen = false;
+    this.#setOpen(false);
     this.client.destroy(() => undefined);
   }
+
+  #setOpen(isOpen: boolean): void {
+    if (this.#isOpen === isOpen) return;
+    this.#isOpen = isOpen;
+    this.onOpenChange(isOpen);
+  }
 }
--- a/src/kernel/failure.ts
+++ b/src/kernel/failure.ts
@@ -69,6 +69,11 @@
     text: 'neither a peer nor the store can keep the charge of this request',
     remedy: 'repeat the request with the same key at another instance',
   },
+  'prompt-rejected': {
+    status: 503,
+    text: 'upstreams crashed while they began to answer requests with a part of this prompt',
+    remedy: 'repeat the request after the delay, or without this part of the prompt',
+  },
   'upstream-unavailable': {
     status: 503,
     text: 'no upstream of the route can take the request',
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -115,6 +115,32 @@
     text: 'upstreams registered, leaving or removed',
   },
   upstreamUnreadable: { number: 7004, level: 'warn', text: 'an upstream entry cannot be used' },
+  upstreamCrashed: {
+    number: 7101,
+    level: 'warn',
+    text: 'an upstream crashed while requests had no answer; their prompt parts are suspected',
+  },
+  partRejected: {
+    number: 7102,
+    level: 'warn',
+    text: 'prompt parts are rejected: upstreams crashed on them',
+  },
+  partCleared: {
+    number: 7103,
+    level: 'info',
+    text: 'a prompt part is no longer rejected',
+  },
+  partTrial: {
+    number: 7104,
+    level: 'info',
+    text: 'trial of rejected prompt parts claimed',
+  },
+  crashesShared: { number: 7105, level: 'info', text: 'crash reports shared with the fleet' },
+  crashesDelayed: {
+    number: 7106,
+    level: 'warn',
+    text: 'crash reports could not be read or shared; this daemon goes by its own',
+  },
   callEnded: { number: 8001, level: 'info', text: 'request ended' },
   callSent: { number: 8002, level: 'info', text: 'request sent to an upstream' },
   callAttemptFailed: { number: 8003, level: 'warn', text: 'an attempt at an upstream failed' },
--- a/testbed/crashingupstream.ts
+++ b/testbed/crashingupstream.ts
@@ -6,8 +6,7 @@
 /** Time from a request to the beginning of its answer, in milliseconds. */
 const PREFILL_MS = 20;
 
-const HEAD =
-  'HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n';
+const HEAD = 'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n';
 const EVENT = 'id: 1\n\n';
 const BODY = `${EVENT.length.toString(16)}\r\n${EVENT}\r\n0\r\n\r\n`;
 
@@ -24,16 +23,18 @@
   private constructor(
     private readonly server: Server,
     private readonly deadlyPart: string,
+    private readonly idHeader: string,
   ) {}
 
   /**
    * Starts a stand-in.
    * @param deadlyPart - id of the prompt part on which it crashes
+   * @param idHeader - header of requests and answers that carries the id of the request
    * @returns the stand-in, once it listens
    */
-  static async start(deadlyPart: string): Promise<CrashingUpstream> {
+  static async start(deadlyPart: string, idHeader: string): Promise<CrashingUpstream> {
     const server = createServer();
-    const upstream = new CrashingUpstream(server, deadlyPart);
+    const upstream = new CrashingUpstream(server, deadlyPart, idHeader);
     server.on('connection', (socket) => upstream.#accept(socket));
     await new Promise<void>((resolve) => {
       server.listen(0, '127.0.0.1', resolve);
@@ -62,10 +63,10 @@
 
   #answer(socket: Socket, request: string): void {
     this.requests.push(request);
-    const id = /attempt-id: (\S+)/i.exec(request)?.[1] ?? '';
+    const id = new RegExp(`${this.idHeader}: (\\S+)`, 'i').exec(request)?.[1] ?? '';
     setTimeout(() => {
       if (this.isDown) return;
-      socket.write(HEAD.replace('{id}', id));
+      socket.write(`${HEAD}${this.idHeader}: ${id}\r\n\r\n`);
       if (request.includes(`${this.deadlyPart}:`)) setTimeout(() => this.stop(), PREFILL_MS);
       else socket.write(BODY);
     }, PREFILL_MS);
