Apply the newest of several versions of the crash reports that a watch returns

Cause: a watch returns each version of the object since the last one, and the first of them was applied.

--- a/src/gateway/crashwatch.ts
+++ b/src/gateway/crashwatch.ts
@@ -106,8 +106,12 @@
    * @param cfg - dependencies
    */
   constructor(private readonly cfg: CrashWatchConfig) {
-    const apply = (objects: readonly ObjectChange[]): void =>
-      this.#applyShared(objects.find(({ key }) => key === KEY)?.value ?? null);
+    // A watch returns each version since the last one.
+    const apply = (objects: readonly ObjectChange[]): void => {
+      const versions = objects.filter(({ key }) => key === KEY);
+      const newest = [...versions].sort((a, b) => b.version - a.version)[0];
+      this.#applyShared(newest?.value ?? null);
+    };
     this.#follower = new Follower(
       cfg.store,
       PREFIX,
