Claim trials of rejected prompt parts one at a time, and not again for five seconds

What would be seen: while the store does not answer and a trial is due, each request with a rejected part waits for a call of its own to the store, up to the caller's deadline, before it is refused.

Cause: each request tried to claim the trial. Now one does; the others are refused at once, and so are all of them for 5 s after a claim. The new test failed before ("after a claim that failed": the second request went to the store).

--- a/src/gateway/crashwatch.ts
+++ b/src/gateway/crashwatch.ts
@@ -38,6 +38,9 @@
 /** Longest random delay before the record of the fleet is corrected: one daemon then does it, in milliseconds. */
 const CORRECTION_SPREAD_MS = 1_000;
 
+/** Least interval between two claims of trials by this daemon, in milliseconds; requests wait for the claim. */
+const CLAIM_INTERVAL_MS = 5_000;
+
 /** Shortest retry delay that is sent to callers, in milliseconds. */
 const MIN_RETRY_MS = 1_000;
 
@@ -98,6 +101,9 @@
 
   #shareTimer: NodeJS.Timeout | undefined;
 
+  /** Earliest time of the next claim of a trial, in milliseconds. */
+  #nextClaimAt = 0;
+
   /** When the timer fires, in milliseconds. */
   #shareAt = Number.POSITIVE_INFINITY;
 
@@ -155,8 +161,8 @@
   ): Failure | undefined | Promise<Failure | undefined> {
     const verdict = this.#suspects.verdict(parts, this.cfg.clock.now());
     if (verdict.kind === 'send') return undefined;
-    if (verdict.kind === 'reject') return this.#refusal(verdict.rejection);
-    return this.#claimTrial(parts, request);
+    const isTrial = verdict.kind === 'trial' && this.cfg.clock.now() >= this.#nextClaimAt;
+    return isTrial ? this.#claimTrial(parts, request) : this.#refusal(verdict.rejection);
   }
 
   /**
@@ -340,8 +346,15 @@
     return written;
   }
 
-  /** Claims the next trial of the rejected parts of a request; the request is refused if another daemon was first. */
   async #claimTrial(parts: readonly string[], request: string): Promise<Failure | undefined> {
+    this.#nextClaimAt = Number.POSITIVE_INFINITY;
+    const refusal = await this.#tryClaim(parts, request);
+    this.#nextClaimAt = this.cfg.clock.now() + CLAIM_INTERVAL_MS;
+    return refusal;
+  }
+
+  /** Claims the next trial of the rejected parts of a request; the request is refused if another daemon was first. */
+  async #tryClaim(parts: readonly string[], request: string): Promise<Failure | undefined> {
     let rejection: Rejection | undefined;
     let isSound = false;
     const claimed = await this.#update((now) => {
--- a/src/gateway/tests/crashwatch.test.ts
+++ b/src/gateway/tests/crashwatch.test.ts
@@ -119,6 +119,19 @@
   t.is((await watch?.admit(['x'], 'r'))?.code, 'prompt-rejected');
 });
 
+test('after a claim that failed, requests with a rejected part are refused without a call to the store', async (t) => {
+  const fleet = startFleet(t, 1);
+  fleet.store.outcome = 'refused';
+  await crashTwice(fleet);
+  const [watch] = fleet.watches;
+  await waitFor('rejection', () => isRejecting(watch), SHARED_MS);
+  fleet.skip(TRIAL_MS);
+  await watch?.admit(['x'], 'r1');
+  const second = watch?.admit(['x'], 'r2');
+  t.false(second instanceof Promise);
+  t.is((await second)?.code, 'prompt-rejected');
+});
+
 test('crashes that could not be shared are shared once the store answers again', async (t) => {
   const fleet = startFleet(t, 2);
   fleet.store.outcome = 'refused';
