Share own crash reports at once when a report of another daemon completes the evidence

What was seen: a daemon that had seen one crash, not shared yet, and then read of another one rejected the part, while the others went on sending requests with it until its own report was due, up to 1.2 s after the crash.

Cause: only an own crash that was decisive was shared at once. The new test failed before ("timed out after 450 ms: rejection at another daemon").

--- a/src/gateway/crashwatch.ts
+++ b/src/gateway/crashwatch.ts
@@ -248,7 +248,9 @@
   #applyShared(value: unknown): void {
     const now = this.cfg.clock.now();
     this.#suspects.applyShared(this.#decode(value, now), now);
-    this.#recordChanges('reported by the fleet');
+    const isDecisive = this.#recordChanges('reported by the fleet');
+    // Other daemons may lack a crash that only this one has seen.
+    if (isDecisive && this.#suspects.hasUnshared) this.#shareLater(0);
     if (this.#suspects.contradictsShared)
       this.#shareLater(this.cfg.random() * CORRECTION_SPREAD_MS);
   }
--- a/src/gateway/tests/crashwatch.test.ts
+++ b/src/gateway/tests/crashwatch.test.ts
@@ -25,6 +25,12 @@
 /** Time until a crash is confirmed and shared with another daemon, in milliseconds. */
 const SHARED_MS = 3_000;
 
+/** Time between two crashes, less than the time until the first is shared, in milliseconds. */
+const BETWEEN_CRASHES_MS = 800;
+
+/** Time until another daemon has read what is written at once, in milliseconds. */
+const AT_ONCE_MS = 450;
+
 /** Time for which an idle watch waits, in milliseconds. */
 const IDLE_WATCH_MS = 50;
 
@@ -132,6 +138,17 @@
   t.is((await second)?.code, 'prompt-rejected');
 });
 
+test('a daemon whose unshared crash rejects a part together with a reported one shares it at once', async (t) => {
+  const { watches } = startFleet(t, 3);
+  const [first, second, third] = watches;
+  first?.noteLost(await goneUpstream('u1'), ['x'], 0);
+  await delay(BETWEEN_CRASHES_MS);
+  second?.noteLost(await goneUpstream('u2'), ['x'], 0);
+  await waitFor('rejection', () => isRejecting(second), SHARED_MS);
+  await waitFor('rejection at another daemon', () => isRejecting(third), AT_ONCE_MS);
+  t.pass();
+});
+
 test('crashes that could not be shared are shared once the store answers again', async (t) => {
   const fleet = startFleet(t, 2);
   fleet.store.outcome = 'refused';
