--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -5,7 +5,7 @@
 import type { UpstreamConnections } from './connections.js';
 import type { AnswerHead, CallHead, HeaderCodec } from './protocol.js';
 import type { CallerReply } from './reply.js';
-import type { SendOutcome } from './serve.js';
+import type { ConnectionEnding, SendOutcome } from './serve.js';
 import type { UpstreamConnection } from './upstreamconnection.js';
 
 /** A request that was read completely. */
@@ -272,14 +272,15 @@
   }
 
   #failAttempt(why: string): void {
+    const { ending } = this.#connection;
     if (this.#stage === 'queued') this.#abandon({ kind: 'unsent', why });
-    else if (this.cfg.call.reply.isBegun) this.#abandon(this.#cut(why));
-    else this.#abandon({ kind: 'lost', why });
+    else if (this.cfg.call.reply.isBegun) this.#abandon(this.#cut(why, ending));
+    else this.#abandon({ kind: 'lost', why, ending });
   }
 
   /** A resumption that fails before its answer begins leaves the stream that was relayed so far. */
-  #cut(why: string): SendOutcome {
-    return { kind: 'cut', why, isStream: this.#head?.isEventStream ?? true };
+  #cut(why: string, ending?: ConnectionEnding): SendOutcome {
+    return { kind: 'cut', why, ending, isStream: this.#head?.isEventStream ?? true };
   }
 
   /** Ends the attempt and destroys its connection, on which parts of the answer may still arrive. */
--- a/src/gateway/callrun.ts
+++ b/src/gateway/callrun.ts
@@ -5,7 +5,9 @@
 import { drive, failure } from '../kernel/index.js';
 import { answerFailure, internalFailure } from './answerfailure.js';
 import { attemptCall } from './attempt.js';
+import { AttemptProgress } from './attemptprogress.js';
 import { timeLimitMs } from './configuration.js';
+import { PromptGuard } from './promptguard.js';
 import { RouteTable } from './routetable.js';
 import { mayRepeat, serveCall } from './serve.js';
 import { retryDelayMs } from './shortage.js';
@@ -13,12 +15,14 @@
 
 import type { Arrival } from '../ingress/index.js';
 import type { Clock, Failure } from '../kernel/index.js';
+
 import type { PlacementRequest, RetryBudget } from '../route/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { Allowances } from './allowances.js';
 import type { Announcements } from './announcements.js';
 import type { Call } from './attempt.js';
 import type { GatewayRoute, GatewayWorkspace } from './configuration.js';
+import type { CrashWatch } from './crashwatch.js';
 import type { UpstreamPool, KnownUpstream } from './upstreampool.js';
 import type { GatewayMetrics } from './metrics.js';
 import type { HeaderCodec } from './protocol.js';
@@ -66,6 +70,7 @@
   readonly retries: RetryBudget;
   readonly recorder: Recorder;
   readonly metrics: GatewayMetrics;
+  readonly crashWatch: CrashWatch;
   readonly clock: Clock;
   /** Random numbers in [0, 1). */
   readonly random: () => number;
@@ -101,6 +106,8 @@
 
   readonly #placement: PlacementRequest;
 
+  readonly #guard: PromptGuard;
+
   #placed: { readonly upstream: KnownUpstream; readonly uncachedTokens: number } | undefined;
 
   #reserved = 0;
@@ -133,6 +140,7 @@
     this.#startedAt = arrival.at;
     this.#service = RouteTable.service(policy.route, ctx.random());
     this.#placement = placementRequestOf(call);
+    this.#guard = new PromptGuard(ctx.crashWatch, call);
   }
 
   /** Ends the request now, as the process is about to exit: honestly if it is unanswered, aborted otherwise. */
@@ -174,7 +182,7 @@
       case 'reserve':
         return this.#reserve();
       case 'place':
-        return this.#place(command.excluded, command.isRepeat);
+        return this.#admit(command.excluded, command.isRepeat);
       default:
         return this.#send(command.relaysFailure);
     }
@@ -182,6 +190,8 @@
 
   async #reserve(): Promise<ServeEvent> {
     const { allowances, registry, clock } = this.ctx;
+    const { rejection } = this.#guard;
+    if (rejection) return this.#refusedEvent(rejection);
     const { route, workspace } = this.policy;
     if (this.#isStopped) return this.#refusedEvent(failure('not-ready', route.name));
     const service = this.#service ?? '';
@@ -208,6 +218,14 @@
     return { type: 'reserved' };
   }
 
+  /** Places the request unless upstreams crash on its prompt. */
+  #admit(excluded: readonly string[], isRepeat: boolean): ServeEvent | Promise<ServeEvent> {
+    const decide = (refusal: Failure | undefined): ServeEvent =>
+      refusal ? this.#refusedEvent(refusal) : this.#place(excluded, isRepeat);
+    const refusal = this.#guard.admit();
+    return refusal instanceof Promise ? refusal.then(decide) : decide(refusal);
+  }
+
   #place(excluded: readonly string[], isRepeat: boolean): ServeEvent {
     const { upstreamPool, retries, random } = this.ctx;
     const { route, table } = this.policy;
@@ -267,6 +285,7 @@
       memoryTokens,
       isAnswered: false,
     });
+    const progress = new AttemptProgress(this.call, clock.now());
     const { opened } = upstream.connections;
     const outcome = await attemptCall({
       call: this.call,
@@ -286,6 +305,7 @@
         this.ctx.announcements.announce(record.id, uncachedTokens);
       },
       onProgress: (head) => {
+        this.#guard.noteProgress(progress);
         this.#firstByteAt ??= clock.now();
         stats.recordResponse(open, head?.load, clock.now());
         if (head) recordSignals(this.ctx, record, head, this.call.head.id);
@@ -293,12 +313,17 @@
     });
     stats.end(open);
     metrics.connections.inc(upstream.connections.opened - opened);
-    this.#recordAttempt(upstream, outcome);
+    this.#recordAttempt(upstream, outcome, progress);
+    await this.#guard.noteEnd(upstream, outcome, progress);
     return { type: 'sent', outcome };
   }
 
   /** Records the outcome of an attempt in the metrics, the log and the health of the upstream. */
-  #recordAttempt({ record, stats }: KnownUpstream, outcome: SendOutcome): void {
+  #recordAttempt(
+    { record, stats }: KnownUpstream,
+    outcome: SendOutcome,
+    progress: AttemptProgress,
+  ): void {
     const { registry, clock } = this.ctx;
     const now = clock.now();
     const { kind } = outcome;
@@ -318,7 +343,14 @@
     const isDown = isMisdirected || DOWN_KINDS.has(kind);
     const isEjected = isDown && stats.health.recordFailure(now);
     const why = 'why' in outcome ? outcome.why : (refusal ?? '');
-    const facts = { kind, why, open: stats.open, isEjected };
+    const ending = 'ending' in outcome ? outcome.ending : undefined;
+    const facts = {
+      kind,
+      why,
+      open: stats.open,
+      isEjected,
+      ...(ending && { ending, ...progress.facts(now) }),
+    };
     this.ctx.recorder.record('callAttemptFailed', {
       request: this.call.head.id,
       upstream: record.id,
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -11,6 +11,7 @@
 import { readOrCreate } from './sharedvalue.js';
 import { Announcements } from './announcements.js';
 import { TIMEOUT_SLACK_MS } from './callrun.js';
+import { CrashWatch } from './crashwatch.js';
 import { timeLimitMs } from './configuration.js';
 import { UpstreamPool } from './upstreampool.js';
 import { Holders } from './holders.js';
@@ -94,6 +95,8 @@
 
   #allowances: Allowances | undefined;
 
+  readonly #crashWatch: CrashWatch;
+
   #stopWindow: StopWindow | undefined;
 
   #hasReleasedExcess = false;
@@ -117,6 +120,13 @@
     this.recorder = makeRecorder({ instance, dataCentre, logLevel });
     this.#loopDelay = new LoopDelay(this.clock, this.recorder, this.metrics);
     this.routingState = new RoutingState(adapter, this.recorder, this.clock, settings.watchMs);
+    this.#crashWatch = new CrashWatch({
+      store: adapter.store,
+      recorder: this.recorder,
+      metrics: this.metrics,
+      clock: this.clock,
+      random: Math.random,
+    });
     const { tokensPerMs } = settings.engines;
     const options = { ...PLACEMENT_COSTS, tokensPerMs };
     this.upstreamPool = new UpstreamPool(
@@ -132,6 +142,7 @@
     this.recorder.record('daemonStarted', { peer: this.recorder.source });
     this.#loopDelay.start();
     this.routingState.start();
+    this.#crashWatch.start();
     const { host, port } = splitAddress(this.settings.listen.peers);
     const membership = await Membership.join({
       self: this.recorder.source,
@@ -162,6 +173,7 @@
       retries: new RetryBudget(() => retryLimits(retries, membership.size)),
       recorder: this.recorder,
       metrics: this.metrics,
+      crashWatch: this.#crashWatch,
       clock: this.clock,
       random: Math.random,
     };
@@ -253,6 +265,7 @@
   /** Returns unspent units, closes the links to the other daemons and stops the tasks. */
   async finishStop(): Promise<void> {
     this.routingState.stop();
+    this.#crashWatch.stop();
     await this.#allowances?.stop();
     await this.#membership?.stop();
     this.upstreamPool.close();
