An ordinary end of a plain service's connection is not taken for a reset

Found by the tests of the merge: src/upstream/tests/plainservice.test.ts, 'neither length nor chunks, then close', failed. The merged connector let a later error replace the end that had been seen, and the HTTP client destroys a socket with an error of its own after its regular end.

--- a/src/upstream/watchedconnector.ts
+++ b/src/upstream/watchedconnector.ts
@@ -39,7 +39,7 @@
           noted.ending ??= wasReset(socket) ? 'reset' : 'closed';
         });
         socket.prependListener('error', () => {
-          noted.ending = 'reset';
+          noted.ending ??= 'reset';
         });
         socket.prependListener('close', () => {
           noted.ending ??= 'reset';
