--- a/src/gateway/callrun.ts
+++ b/src/gateway/callrun.ts
@@ -6,7 +6,9 @@
 import { answerFailure, internalFailure } from './answerfailure.js';
 import { attemptCall } from './attempt.js';
 import { AttemptProgress } from './attemptprogress.js';
+import { recordAttempt } from './attemptrecord.js';
 import { timeLimitMs } from './configuration.js';
+import { placementRequestOf } from './placementrequest.js';
 import { PromptGuard } from './promptguard.js';
 import { RouteTable } from './routetable.js';
 import { mayRepeat, serveCall } from './serve.js';
@@ -15,7 +17,6 @@
 
 import type { Arrival } from '../ingress/index.js';
 import type { Clock, Failure } from '../kernel/index.js';
-
 import type { PlacementRequest, RetryBudget } from '../route/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { Allowances } from './allowances.js';
@@ -26,7 +27,7 @@
 import type { UpstreamPool, KnownUpstream } from './upstreampool.js';
 import type { GatewayMetrics } from './metrics.js';
 import type { HeaderCodec } from './protocol.js';
-import type { SendOutcome, ServeCommand, ServeEvent, ServeOutcome } from './serve.js';
+import type { ServeCommand, ServeEvent, ServeOutcome } from './serve.js';
 import type { UpstreamSupply } from './shortage.js';
 import type { UpstreamRegistry } from './upstreams.js';
 
@@ -42,9 +43,6 @@
 /** Time that must be left before the time limit of a request for it to be sent, in milliseconds. */
 const MIN_ATTEMPT_MS = 10;
 
-/** Status with which an upstream may ask for a pause. */
-const PAUSE_STATUS = 503;
-
 /** Retry delay sent to callers when no upstream can receive the request, in milliseconds. */
 const NO_UPSTREAM_RETRY_MS = 500;
 
@@ -54,12 +52,6 @@
  */
 const ANSWER_TIMEOUT_TARGETS = 3;
 
-/** Status with which an upstream answers a request that is addressed to another one: the entry of that one is wrong. */
-const MISDIRECTED_STATUS = 421;
-
-/** Outcomes after which an upstream may be down. */
-const DOWN_KINDS: ReadonlySet<SendOutcome['kind']> = new Set(['unsent', 'lost', 'cut', 'timeout']);
-
 /** Dependencies of a request run. */
 export interface CallContext {
   readonly codec: HeaderCodec;
@@ -83,21 +75,6 @@
   readonly workspace: GatewayWorkspace | undefined;
 }
 
-/**
- * Builds the placement request. All prompt parts except the last one count as shared with other
- * requests.
- */
-function placementRequestOf({ head }: Call): PlacementRequest {
-  const shared = head.prompt.slice(0, -1);
-  const { promptTokens, outputTokens } = head.usage ?? { promptTokens: 0, outputTokens: 0 };
-  return {
-    sharedParts: shared,
-    sharedTokens: shared.reduce((sum, { tokens }) => sum + tokens, 0),
-    promptTokens,
-    memoryTokens: promptTokens + outputTokens,
-  };
-}
-
 /** Serves one request that has passed the queue, until its end. */
 export class CallRun {
   readonly #startedAt: number;
@@ -313,51 +290,12 @@
     });
     stats.end(open);
     metrics.connections.inc(upstream.connections.opened - opened);
-    this.#recordAttempt(upstream, outcome, progress);
+    recordAttempt(this.ctx, { request: this.call.head.id, upstream, outcome, progress });
+    if (outcome.kind === 'relayed') this.#connectionState = outcome.ending;
     await this.#guard.noteEnd(upstream, outcome, progress);
     return { type: 'sent', outcome };
   }
 
-  /** Records the outcome of an attempt in the metrics, the log and the health of the upstream. */
-  #recordAttempt(
-    { record, stats }: KnownUpstream,
-    outcome: SendOutcome,
-    progress: AttemptProgress,
-  ): void {
-    const { registry, clock } = this.ctx;
-    const now = clock.now();
-    const { kind } = outcome;
-    this.ctx.metrics.attempts.inc({ end: kind });
-    const refusal = registry.refusalReason(record, now);
-    if (kind === 'relayed' || kind === 'failed') {
-      // An upstream that asks for a pause is sound.
-      const isPause = outcome.status === PAUSE_STATUS && refusal === 'paused';
-      stats.answered(outcome.status >= 500 && !isPause, now);
-      if (kind === 'relayed') {
-        this.#connectionState = outcome.ending;
-        return;
-      }
-    }
-    const isMisdirected = kind === 'not-run' && outcome.status === MISDIRECTED_STATUS;
-    if (kind === 'left' || kind === 'stopped' || (kind === 'not-run' && !isMisdirected)) return;
-    const isDown = isMisdirected || DOWN_KINDS.has(kind);
-    const isEjected = isDown && stats.health.recordFailure(now);
-    const why = 'why' in outcome ? outcome.why : (refusal ?? '');
-    const ending = 'ending' in outcome ? outcome.ending : undefined;
-    const facts = {
-      kind,
-      why,
-      open: stats.open,
-      isEjected,
-      ...(ending && { ending, ...progress.facts(now) }),
-    };
-    this.ctx.recorder.record('callAttemptFailed', {
-      request: this.call.head.id,
-      upstream: record.id,
-      facts,
-    });
-  }
-
   #headers(upstream: string): string[] {
     const { head, events } = this.call;
     const { workspace } = this.policy;
--- a/src/gateway/signalrecord.ts
+++ b/src/gateway/signalrecord.ts
@@ -5,8 +5,8 @@
 import type { AnswerHead } from './protocol.js';
 import type { UpstreamRecord, UpstreamRegistry } from './upstreams.js';
 
-/** Dependencies of `recordSignals`. */
-export interface SignalContext {
+/** Where attempts and what upstreams announce are recorded. */
+export interface RecordContext {
   readonly registry: UpstreamRegistry;
   readonly recorder: Recorder;
   readonly metrics: GatewayMetrics;
@@ -21,7 +21,7 @@
  * @param request - id of the request
  */
 export function recordSignals(
-  { registry, recorder, metrics, clock }: SignalContext,
+  { registry, recorder, metrics, clock }: RecordContext,
   record: UpstreamRecord,
   { status, isLeaving, pauseMs }: AnswerHead,
   request: string,
