A change of another object below the prefix no longer clears the rejected prompt parts

An object besides "suspects/parts" below "suspects/" that is written or removed makes each daemon send requests with parts that crash upstreams again, until the record itself is written the next time.

Cause: the watch follows a prefix, and took a batch of changes without the record for a record that was removed.

Evidence: the new test failed before, in the last line ("Value is not `true`: false"): both daemons had dropped the rejection.

--- a/src/gateway/crashwatch.ts
+++ b/src/gateway/crashwatch.ts
@@ -113,17 +113,17 @@
    */
   constructor(private readonly cfg: CrashWatchConfig) {
     // A watch returns each version since the last one.
-    const apply = (objects: readonly ObjectChange[]): void => {
-      const versions = objects.filter(({ key }) => key === KEY);
-      const newest = [...versions].sort((a, b) => b.version - a.version)[0];
-      this.#applyShared(newest?.value ?? null);
-    };
+    const newestOf = (objects: readonly ObjectChange[]): ObjectChange | undefined =>
+      objects.filter(({ key }) => key === KEY).sort((a, b) => b.version - a.version)[0];
     this.#follower = new Follower(
       cfg.store,
       PREFIX,
       {
-        onSnapshot: ({ objects }) => apply(objects),
-        onChanges: apply,
+        onSnapshot: ({ objects }) => this.#applyShared(newestOf(objects)?.value ?? null),
+        onChanges: (changes) => {
+          const newest = newestOf(changes);
+          if (newest) this.#applyShared(newest.value);
+        },
         onLost: ({ text, problem }) =>
           cfg.recorder.record('storeLost', { detail: text, facts: { prefix: PREFIX, problem } }),
         onRegained: () => {
--- a/src/gateway/tests/crashwatch.test.ts
+++ b/src/gateway/tests/crashwatch.test.ts
@@ -41,6 +41,8 @@
   readonly skip: (ms: number) => void;
   /** How the store answers. */
   readonly store: { outcome: CallOutcome };
+  /** The store itself. */
+  readonly objects: SnapshotStore;
   readonly add: () => CrashWatch;
 }
 
@@ -62,7 +64,7 @@
     skippedMs += ms;
   };
   const add = (): CrashWatch => startWatch(t, store, clock);
-  return { watches: Array.from({ length: size }, add), skip, store: outcomes, add };
+  return { watches: Array.from({ length: size }, add), skip, store: outcomes, objects: store, add };
 }
 
 function upstreamAt(id: string, address: string): KnownUpstream {
@@ -208,3 +210,12 @@
   await waitFor('rejection', () => isRejecting(watch), SHARED_MS);
   t.pass();
 });
+
+test('a change of another object below the prefix leaves the rejections in force', async (t) => {
+  const fleet = startFleet(t, 2);
+  await crashTwice(fleet);
+  await waitFor('rejections', () => fleet.watches.every(isRejecting), SHARED_MS);
+  (await fleet.objects.write('suspects/other', {}, 0)).unwrap();
+  await delay(AT_ONCE_MS);
+  t.true(fleet.watches.every(isRejecting));
+});
