A crash after the head of an answer without length and chunks does not clear its prompt part

Where upstreams answer with neither a length nor chunks, requests with the same part crash one upstream after the other, and none is rejected.

Cause: the end of the connection completes such an answer. If the upstream crashes after the head and closes its connections, the attempt counts as answered: its part was cleared instead of suspected, also at the other daemons.

Evidence: the new test failed before: "5 upstreams crashed", each by one of 5 requests (bound 3).

Why this works: such an answer counts only if an event, or a byte of a body that is not an event stream, has arrived.

--- a/src/gateway/attemptprogress.ts
+++ b/src/gateway/attemptprogress.ts
@@ -1,5 +1,6 @@
 /** How far one attempt at an upstream has come. */
 import type { Call } from './attempt.js';
+import type { AnswerHead } from './protocol.js';
 
 /** Maximum number of prompt parts that a log line names. */
 const MAX_LOGGED_PARTS = 8;
@@ -12,6 +13,10 @@
 
   #hasBegun = false;
 
+  #hasBody = false;
+
+  #isEventStream = false;
+
   /**
    * Starts to follow an attempt that is about to be sent.
    * @param call - the request
@@ -26,10 +31,13 @@
 
   /**
    * Records that the head or a chunk of an answer has arrived.
+   * @param head - the head; undefined for a chunk
    * @returns whether the answer has begun: true once, when the first complete event was read before
    */
-  noteProgress(): boolean {
+  noteProgress(head: AnswerHead | undefined): boolean {
     this.#hasHead = true;
+    if (head) this.#isEventStream = head.isEventStream;
+    else this.#hasBody = true;
     const hasBegun = !this.#hasBegun && this.events > 0;
     this.#hasBegun ||= hasBegun;
     return hasBegun;
@@ -40,6 +48,11 @@
     return this.call.events.events - this.#eventsBefore;
   }
 
+  /** Whether a part of the output has arrived: an event of a stream, or a byte of another body. */
+  get hasOutput(): boolean {
+    return this.events > 0 || (this.#hasBody && !this.#isEventStream);
+  }
+
   /**
    * Describes the attempt for the log.
    * @param now - current time, in milliseconds
--- a/src/gateway/callrun.ts
+++ b/src/gateway/callrun.ts
@@ -305,7 +305,7 @@
         this.ctx.announcements.announce(record.id, uncachedTokens);
       },
       onProgress: (head) => {
-        this.#guard.noteProgress(progress);
+        this.#guard.noteProgress(progress, head);
         this.#firstByteAt ??= clock.now();
         stats.recordResponse(open, head?.load, clock.now());
         if (head) recordSignals(this.ctx, record, head, this.call.head.id);
--- a/src/gateway/promptguard.ts
+++ b/src/gateway/promptguard.ts
@@ -6,6 +6,7 @@
 import type { Call } from './attempt.js';
 import type { AttemptProgress } from './attemptprogress.js';
 import type { CrashWatch } from './crashwatch.js';
+import type { AnswerHead } from './protocol.js';
 import type { SendOutcome } from './serve.js';
 import type { KnownUpstream } from './upstreampool.js';
 
@@ -51,9 +52,10 @@
   /**
    * Handles the head or a chunk of an answer.
    * @param progress - the attempt
+   * @param head - the head; undefined for a chunk
    */
-  noteProgress(progress: AttemptProgress): void {
-    if (progress.noteProgress()) this.watch.noteAnswer(this.#parts);
+  noteProgress(progress: AttemptProgress, head: AnswerHead | undefined): void {
+    if (progress.noteProgress(head)) this.watch.noteAnswer(this.#parts);
   }
 
   /**
@@ -69,12 +71,16 @@
     outcome: SendOutcome,
     progress: AttemptProgress,
   ): Promise<void> {
-    const isAnswered = outcome.kind === 'relayed' && outcome.status < FIRST_FAILURE_STATUS;
+    const isRelayed = outcome.kind === 'relayed';
+    // The end of the connection also completes an answer without length and chunks whose upstream has crashed.
+    const mayBeCrash = isRelayed && outcome.ending !== 'open' && !progress.hasOutput;
+    const isAnswered = isRelayed && outcome.status < FIRST_FAILURE_STATUS && !mayBeCrash;
     if (isAnswered || progress.events > 0) {
       this.watch.noteAnswer(this.#parts);
       return;
     }
-    if ((outcome.kind !== 'lost' && outcome.kind !== 'cut') || !outcome.ending) return;
+    const isBroken = (outcome.kind === 'lost' || outcome.kind === 'cut') && outcome.ending;
+    if (!isBroken && !mayBeCrash) return;
     if (this.#parts.length > 0) this.#crashes += 1;
     await this.watch.noteLost(upstream, this.#parts, progress.sentAt);
   }
