The record of crashes holds the popular parts of its own prompts only, so that it fits into the store

In a large fleet, the record of one crash outgrows what a store may accept as one value (1 MiB); no crash would be shared from then on. A write that the store refuses was not run: this follows from its limit.

Cause: the number of prompts is limited, that of popular parts was not. Each daemon added those of all its prompts, also of prompts that were left out and of parts that were answered since.

Evidence: the new test failed before: "1462879 bytes" (bound 1048576) for one crash that 100 daemons saw, with 64 prompts of 15 parts each.

--- a/src/route/crashreports.ts
+++ b/src/route/crashreports.ts
@@ -40,7 +40,7 @@
 /** Longest part id that is considered, in characters. */
 const MAX_ID_LENGTH = 64;
 
-/** Number of prompts in a record: bounds its size to some tens of kilobytes. */
+/** Number of prompts in a record: with the other bounds, limits its size to some hundreds of kilobytes. */
 const MAX_PROMPTS = 512;
 
 /** Number of prompts in a report; those that were sent first are kept, as their answers begin first. */
@@ -128,13 +128,15 @@
     .filter(({ prompts }) => prompts.length > 0);
 }
 
-/** Keeps as many reports as fit into the limit on prompts. */
+/** Keeps as many reports as fit into the limit on prompts, and of popular parts those of their prompts. */
 function boundedReports(reports: readonly CrashReport[]): readonly CrashReport[] {
   let left = MAX_PROMPTS;
   return reports.flatMap((report) => {
     const prompts = report.prompts.slice(0, left);
     left -= prompts.length;
-    return prompts.length > 0 ? [{ ...report, prompts }] : [];
+    const parts = new Set(prompts.flatMap((prompt) => prompt.parts));
+    const popular = report.popular.filter((part) => parts.has(part));
+    return prompts.length > 0 ? [{ ...report, prompts, popular }] : [];
   });
 }
 
--- a/src/route/tests/crashsuspects.test.ts
+++ b/src/route/tests/crashsuspects.test.ts
@@ -1,6 +1,12 @@
 import test from 'ava';
 
-import { CrashSuspects, decodeCrashRecord, encodeCrashRecord, sharedPartsOf } from '../index.js';
+import {
+  CrashSuspects,
+  decodeCrashRecord,
+  encodeCrashRecord,
+  NO_CRASHES,
+  sharedPartsOf,
+} from '../index.js';
 
 import type { Verdict } from '../index.js';
 
@@ -290,3 +296,23 @@
   t.deepEqual(sharedPartsOf(prompt), ['a', 'c']);
   t.deepEqual(sharedPartsOf([]), []);
 });
+
+/** Largest value that a store may accept, in bytes. */
+const VALUE_BYTES = 1_048_576;
+
+test('the record of a crash that 100 daemons saw with popular parts fits into the store', (t) => {
+  let stored: unknown = null;
+  Array.from({ length: 100 }).forEach((_daemon, daemon) => {
+    const suspects = new CrashSuspects();
+    const prompts = Array.from({ length: 64 }, (_prompt, prompt) => ({
+      parts: Array.from({ length: 15 }, (_part, part) => `part-${daemon}-${prompt}-${part}`),
+      sentAt: 900,
+    }));
+    prompts.forEach(({ parts }) => suspects.noteAnswer(parts, 500));
+    suspects.noteCrash('u1', 1_000, prompts, 1_000);
+    suspects.applyShared(decodeCrashRecord(stored, 1_000) ?? NO_CRASHES, 1_000);
+    stored = encodeCrashRecord(suspects.recordToWrite(1_000), 1_000);
+  });
+  const bytes = JSON.stringify(stored).length;
+  t.true(bytes < VALUE_BYTES, `${bytes} bytes`);
+});
