A malformed record of crashes does not clear the rejections of running daemons

A value in "suspects/parts" that a daemon cannot read (a damaged one, or one of another release) makes all daemons send requests with parts that crash upstreams again.

Cause: a malformed record was taken as an empty one, which is how an operator resets the rejections.

Evidence: the new test failed before, in its last line ("Value is not `true`: false"): both daemons had dropped the rejection.

Why this works: the last valid record stays in force, and the next report or trial writes it back. Deleting the object still resets. A daemon that starts with a malformed record goes by its own crashes, as before. crashwatch.test.ts: 10 tests passed; crashingprompt.test.ts: 6 passed.

--- a/src/gateway/crashwatch.ts
+++ b/src/gateway/crashwatch.ts
@@ -3,7 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { failure } from '../kernel/index.js';
-import { CrashSuspects, decodeCrashRecord, encodeCrashRecord, NO_CRASHES } from '../route/index.js';
+import { CrashSuspects, decodeCrashRecord, encodeCrashRecord } from '../route/index.js';
 import { Follower, updateObject } from '../store/index.js';
 
 import type { Clock, Failure } from '../kernel/index.js';
@@ -252,7 +252,7 @@
 
   #applyShared(value: unknown): void {
     const now = this.cfg.clock.now();
-    this.#suspects.applyShared(this.#decode(value, now), now);
+    this.#applyStored(value, now);
     const isDecisive = this.#recordChanges('reported by the fleet');
     // Other daemons may lack a crash that only this one has seen.
     if (isDecisive && this.#suspects.hasUnshared) this.#shareLater(0);
@@ -260,13 +260,14 @@
       this.#shareLater(this.cfg.random() * CORRECTION_SPREAD_MS);
   }
 
-  #decode(value: unknown, now: number): CrashRecord {
+  /** Applies a stored value; the last valid one stays in force if it is malformed. */
+  #applyStored(value: unknown, now: number): void {
     const decoded = decodeCrashRecord(value, now);
-    if (!decoded) {
-      const facts = { problem: 'malformed', outcome: 'taken as empty' };
+    if (decoded) this.#suspects.applyShared(decoded, now);
+    else {
+      const facts = { problem: 'malformed', outcome: 'the last valid record stays in force' };
       this.cfg.recorder.record('crashesDelayed', { detail: KEY, facts });
     }
-    return decoded ?? NO_CRASHES;
   }
 
   /** Logs which rejections began and ended; returns whether one began. */
@@ -332,7 +333,7 @@
     const kind: ObjectKind<unknown> = { key: KEY, parse: (value) => value };
     const result = await updateObject<unknown, CrashRecord | undefined>(store, kind, (stored) => {
       const now = clock.now();
-      this.#suspects.applyShared(this.#decode(stored, now), now);
+      this.#applyStored(stored, now);
       const record = decide(now);
       if (!record) return { kind: 'keep', outcome: undefined };
       return { kind: 'write', value: encodeCrashRecord(record, now), outcome: record };
--- a/src/gateway/tests/crashwatch.test.ts
+++ b/src/gateway/tests/crashwatch.test.ts
@@ -219,3 +219,13 @@
   await delay(AT_ONCE_MS);
   t.true(fleet.watches.every(isRejecting));
 });
+
+test('a malformed record does not clear the rejections of running daemons', async (t) => {
+  const fleet = startFleet(t, 2);
+  await crashTwice(fleet);
+  await waitFor('rejections', () => fleet.watches.every(isRejecting), SHARED_MS);
+  const { version } = (await fleet.objects.read('suspects/parts')).unwrap();
+  (await fleet.objects.write('suspects/parts', { reports: 'x' }, version)).unwrap();
+  await delay(AT_ONCE_MS);
+  t.true(fleet.watches.every(isRejecting));
+});
