Records with an impossible number of trials are malformed

A damaged number of trials in "suspects/parts" makes a trial of a rejected part due at once (-20: the verdict was "trial" 1 ms after the last one), or stops the number from growing (1e308).

Cause: any number was accepted.

--- a/src/route/crashreports.ts
+++ b/src/route/crashreports.ts
@@ -57,7 +57,10 @@
 });
 const recordSchema = z.object({
   reports: z.array(reportSchema),
-  trials: z.record(z.string(), z.object({ count: z.number(), ageMs: ageSchema })),
+  trials: z.record(
+    z.string(),
+    z.object({ count: z.number().int().nonnegative(), ageMs: ageSchema }),
+  ),
 });
 
 /** Record without reports. */
--- a/src/route/tests/crashsuspects.test.ts
+++ b/src/route/tests/crashsuspects.test.ts
@@ -316,3 +316,10 @@
   const bytes = JSON.stringify(stored).length;
   t.true(bytes < VALUE_BYTES, `${bytes} bytes`);
 });
+
+[-20, 0.5, 1e308].forEach((count) => {
+  test(`a record with ${count} trials is malformed and allows no trial`, (t) => {
+    const record = { reports: [], trials: { x: { count, ageMs: 0 } } };
+    t.is(decodeCrashRecord(record, 1_000), undefined);
+  });
+});
