A pause that an upstream asks for is obeyed for up to half an hour

Traced: raised the longest pause from five minutes to an hour, and a refusal while all upstreams pause spreads callers over as much time again, so they were told to come back after up to two hours. Only the test of the registry had been run for it. Half an hour keeps callers within the bound of that test, which stays as it was. 42 tests of upstreams and pauses pass.

--- a/src/gateway/tests/upstreams.test.ts
+++ b/src/gateway/tests/upstreams.test.ts
@@ -200,14 +200,14 @@
     ],
   },
   {
-    title: 'a pause without a bound ends after an hour',
+    title: 'a pause without a bound ends after half an hour',
     steps: [
       { at: 0, does: 'lists' },
       { at: 10, does: 'pauses', forMs: Number.POSITIVE_INFINITY },
     ],
     serves: [
-      [3_599_000, false],
-      [3_600_010, true],
+      [1_799_000, false],
+      [1_800_010, true],
     ],
   },
   {
--- a/src/gateway/upstreamsignals.ts
+++ b/src/gateway/upstreamsignals.ts
@@ -17,7 +17,7 @@
 const UNLISTED_MEMORY_MS = MINUTE_MS;
 
 /** Longest pause that is granted at once, in milliseconds: a wrong value must not take an upstream out of use for good. */
-const MAX_PAUSE_MS = 60 * MINUTE_MS;
+const MAX_PAUSE_MS = 30 * MINUTE_MS;
 
 interface Signal extends UpstreamIncarnation {
   readonly isLeaving: boolean;
@@ -60,7 +60,7 @@
   /**
    * Records that an upstream has asked for a pause. Of overlapping pauses, the one that ends last counts.
    * @param incarnation - the upstream
-   * @param pauseMs - duration from now, in milliseconds; limited to an hour
+   * @param pauseMs - duration from now, in milliseconds; limited to half an hour
    * @param now - current time, in milliseconds
    * @returns whether the upstream is now paused for longer than it was before
    */
