--- a/review/common/store.js
+++ b/review/common/store.js
@@ -21,6 +21,8 @@
 
   #waiters = new Set();
 
+  #sockets = new Set();
+
   /** Revision up to which the history of a kind is gone. */
   #forgotten = new Map();
 
@@ -32,6 +34,15 @@
   static async start(host) {
     const store = new Store();
     store.#server.keepAliveTimeout = 0;
+    store.#server.on('connection', (socket) => {
+      socket.on('error', () => undefined);
+      if (store.isDown) {
+        socket.resetAndDestroy();
+        return;
+      }
+      store.#sockets.add(socket);
+      socket.on('close', () => store.#sockets.delete(socket));
+    });
     store.port = await listen(store.#server, host);
     store.address = `${host}:${store.port}`;
     return store;
@@ -59,6 +70,17 @@
     waiters.forEach((wake) => wake());
   }
 
+  /** Goes down: resets all connections, and new ones until it is up again. */
+  goDown() {
+    this.isDown = true;
+    this.#sockets.forEach((socket) => socket.resetAndDestroy());
+  }
+
+  /** Is up again. */
+  goUp() {
+    this.isDown = false;
+  }
+
   /** Discards the history of a kind: watches from an earlier revision are answered 410. */
   forget(kind) {
     this.#forgotten.set(kind, this.#events.length);
@@ -70,6 +92,11 @@
     return this.#objects.get(key)?.Spec;
   }
 
+  /** Returns the number of objects of a kind. */
+  count(kind) {
+    return [...this.#objects.keys()].filter((key) => key.startsWith(`${kind}/`)).length;
+  }
+
   stop() {
     this.#server.close();
     this.#server.closeAllConnections();
