--- a/review/2/run.js
+++ b/review/2/run.js
@@ -1,7 +1,7 @@
 /* eslint-disable no-await-in-loop -- the steps of a case follow one another */
 /**
- * One part of long prompts crashes each worker that begins to write an answer on it. It stands behind sixteen parts that
- * sound requests have too. Counts the requests with this part that reach workers once it should be known.
+ * Workers send some answers without a length or chunks, which end with their connections. Faulty workers reset a few such
+ * answers midway. Counts the partial answers that look complete to the caller, and the whole ones that are broken off.
  */
 import { Caller } from '../common/caller.js';
 import { HAS_TROUBLE, runCase } from '../common/case.js';
@@ -10,108 +10,86 @@
 import { configuration, KEY } from '../common/site.js';
 import { Worker } from '../common/worker.js';
 
-const DEADLY = 'deadbeef';
+/** One answer in so many has neither a length nor chunks. */
+const UNFRAMED_EVERY = 3;
 
-/** One request in so many has the deadly part: a share of 0.05. */
-const DEADLY_EVERY = 20;
+/** Share of their answers that faulty workers reset midway; half of the workers are faulty. */
+const BROKEN_SHARE = 0.05;
 
-/** For how long requests come, in milliseconds. */
-const PLAY_MS = 22_000;
+const CALLERS = 200;
 
-/** Time after which a crashed worker is back, in milliseconds. */
-const BACK_MS = 3_000;
+/** Pause of a caller between two requests, in milliseconds: least and range. */
+const PAUSE_MS = 100;
+const PAUSE_RANGE_MS = 200;
 
-/** Parts before the deadly one. */
-const PARTS_BEFORE = Number(process.env.PARTS_BEFORE ?? 16);
+const PLAY_MS = 80_000;
 
-const CONTACT_MS = 3_000;
+const bodyOf = (id) => `charged ${id}: ${'0123456789'.repeat(20)} end`;
 
-/** Crashes after which the deadly part has to be known, and requests with it that are still allowed. */
-const CRASHES = 5;
-const MAX_LATE = 3;
-
-/** Time for a request on its way, in milliseconds. */
-const SLACK_MS = 100;
-
-const CALLERS = 24;
-
-const hex = (value) => value.toString(16).padStart(8, '0');
-
-/** Parts of a conversation: what all have in common, its subject and the new turn. */
-function promptOf(number, isDeadly) {
-  const shared = Array.from({ length: PARTS_BEFORE }, (_, index) => `${hex(0xa0000 + index)}:80`);
-  const subject = isDeadly ? DEADLY : hex(0xb0000 + (number % 40));
-  return [...shared, `${subject}:100`, `${hex(number)}:60`].join(',');
-}
-
-async function crash(worker, crashes, record) {
-  if (worker.isDown) return;
-  Object.assign(worker, { isDown: true });
-  crashes.push(performance.now());
-  record(`${worker.id} crashes, number ${crashes.length}`);
-  worker.crash();
-  await sleep(BACK_MS);
-  await worker.restart();
-  Object.assign(worker, { isDown: false });
+/** Runs a charge and answers it. */
+async function handle(req, res, worker) {
+  const id = req.headers['attempt-id'];
+  const { socket } = req;
+  worker.runs.push(id);
+  const isBroken = HAS_TROUBLE && worker.isFaulty && Math.random() < BROKEN_SHARE;
+  const isUnframed = HAS_TROUBLE && (isBroken || worker.runs.length % UNFRAMED_EVERY === 0);
+  await sleep(20);
+  const body = bodyOf(id);
+  if (!isUnframed) {
+    res.writeHead(200, worker.headersOf(req));
+    res.write(body);
+    res.end();
+    return;
+  }
+  const head = Object.entries(worker.headersOf(req)).map(
+    ([name, value]) => `${name}: ${value}\r\n`,
+  );
+  socket.write(`HTTP/1.1 200 OK\r\n${head.join('')}Connection: close\r\n\r\n`);
+  if (isBroken) {
+    worker.broken.add(id);
+    socket.write(body.slice(0, 60));
+    await sleep(20);
+    socket.resetAndDestroy();
+  } else socket.end(body);
 }
 
 runCase(import.meta.url, async ({ store, dir, daemons, workers, record }) => {
-  store.put('config/main', configuration({ reserved: 900_000_000 }));
-  const crashes = [];
-  const arrivals = [];
-  const handle = async (req, res, worker) => {
-    const id = req.headers['attempt-id'];
-    worker.runs.push(id);
-    const isDeadly = req.headers['prompt-prefix'].includes(DEADLY);
-    if (isDeadly) {
-      arrivals.push(performance.now());
-      record(`${id} with the deadly part reaches ${worker.id}`);
-    }
-    await sleep(30);
-    if (res.destroyed) return;
-    if (isDeadly) {
-      void crash(worker, crashes, record);
-      return;
-    }
-    res.writeHead(200, { ...worker.headersOf(req), 'content-type': 'text/event-stream' });
-    for (let number = 1; number <= 20 && !res.destroyed; number += 1) {
-      res.write(`id: ${number}\ndata: x\n\n`);
-      await sleep(5);
-    }
-    res.end();
-  };
-  for (const id of ['w-1', 'w-2', 'w-3', 'w-4', 'w-5', 'w-6']) {
-    const options = { id, service: 'pool', host: '127.0.0.1', zone: 'a', capacity: 64, store };
-    workers.push(await Worker.start({ ...options, handle }));
+  store.put('config/main', configuration());
+  for (const id of ['w-1', 'w-2', 'w-3', 'w-4']) {
+    const options = { id, service: 'desk', host: '127.0.0.1', zone: 'a', capacity: 60, store };
+    const worker = await Worker.start({ ...options, handle });
+    worker.isFaulty = id === 'w-1' || id === 'w-2';
+    worker.broken = new Set();
+    workers.push(worker);
   }
-  for (const [name, ip] of [
-    ['edge-1', loopback()],
-    ['edge-2', loopback()],
-  ]) {
-    daemons.push(await Daemon.start({ name, ip, zone: 'a', store, dir }));
+  for (const name of ['edge-1', 'edge-2', 'edge-3', 'edge-4']) {
+    daemons.push(await Daemon.start({ name, ip: loopback(), zone: 'a', store, dir }));
   }
   await sleep(3_500);
-  const ends = {};
-  let sent = 0;
   const until = performance.now() + PLAY_MS;
+  const counts = { sent: 0, whole: 0, failed: 0, cut: 0, cutThoughWhole: 0, partial: 0 };
   const play = async (caller) => {
     while (performance.now() < until) {
-      sent += 1;
-      const isDeadly = HAS_TROUBLE && sent % DEADLY_EVERY === 0;
       const answer = await caller.call({
-        path: '/query/1',
-        deadlineMs: 12_000,
-        headers: {
-          'x-api-key': KEY,
-          model: 'm',
-          'token-usage': '1440,120',
-          'prompt-prefix': promptOf(sent, isDeadly),
-        },
-        body: 'prompt',
+        path: '/charge/1',
+        headers: { 'x-api-key': KEY },
+        body: 'fee',
       });
-      const end = `${isDeadly ? 'deadly' : 'sound'} ${answer.status}${answer.isComplete ? '' : ' cut'}`;
-      ends[end] = (ends[end] ?? 0) + 1;
-      await sleep(200 + Math.random() * 200);
+      counts.sent += 1;
+      const { id, status, isComplete, text } = answer;
+      const isBroken = workers.some(({ broken }) => broken.has(id));
+      if (status !== 200) counts.failed += 1;
+      else if (!isComplete) {
+        counts.cut += 1;
+        if (!isBroken) counts.cutThoughWhole += 1;
+      } else if (text === bodyOf(id)) counts.whole += 1;
+      else {
+        counts.partial += 1;
+        record(
+          `${id}: complete answer with status 200 and ${text.length} of ${bodyOf(id).length} bytes: "${text}"`,
+        );
+      }
+      await sleep(PAUSE_MS + Math.random() * PAUSE_RANGE_MS);
     }
   };
   await Promise.all(
@@ -119,12 +97,7 @@
       play(new Caller(`c-${index}`, daemons[index % daemons.length])),
     ),
   );
-  const boundAt = (crashes[CRASHES - 1] ?? Infinity) + CONTACT_MS + SLACK_MS;
-  const late = arrivals.filter((at) => at > boundAt).length;
-  record(`requests by kind and answer: ${JSON.stringify(ends)}`);
-  record(
-    `crashes: ${crashes.length}; requests with the deadly part at workers: ${arrivals.length}`,
-  );
-  record(`of these later than ContactMs after the fifth crash: ${late}, allowed are ${MAX_LATE}`);
-  return late <= MAX_LATE;
+  const broken = workers.reduce((sum, worker) => sum + worker.broken.size, 0);
+  record(`answers that were reset midway: ${broken}; requests: ${JSON.stringify(counts)}`);
+  return counts.partial === 0;
 });
