--- a/review/3/run.js
+++ b/review/3/run.js
@@ -1,7 +1,7 @@
 /* eslint-disable no-await-in-loop -- the steps of a case follow one another */
 /**
- * One tenant sends many times its usual for some seconds, so that the workers are full and reject a part of its requests.
- * Afterwards it sends as usual. Counts the requests that are denied although the tenant's tokens cover them.
+ * One part of long prompts crashes each worker that begins to write an answer on it. It stands behind sixteen parts that
+ * sound requests have too. Counts the requests with this part that reach workers once it should be known.
  */
 import { Caller } from '../common/caller.js';
 import { HAS_TROUBLE, runCase } from '../common/case.js';
@@ -10,71 +10,78 @@
 import { configuration, KEY } from '../common/site.js';
 import { Worker } from '../common/worker.js';
 
-/** Tokens that the tenant has paid for. */
-const RESERVED = 6_000_000;
+const DEADLY = 'deadbeef';
 
-/** Tokens of a request, and the events of its answer with the tokens that each of them holds. */
-const PROMPT_TOKENS = 11_992;
-const MAX_OUTPUT_TOKENS = 400;
-const EVENTS = 64;
-const EVENT_TOKENS = 6;
-const EVENT_GAP_MS = 60;
+/** One request in so many has the deadly part: a share of 0.05. */
+const DEADLY_EVERY = 20;
 
-/** Requests that a worker runs at once, and that wait there besides. */
-const SLOTS = 16;
-const QUEUE = 4;
+/** For how long requests come, in milliseconds. */
+const PLAY_MS = 22_000;
 
-/** Usual requests in a second, and how many times as many come in each spell of so many milliseconds. */
-const PER_S = 4;
-const HOT = 7.5;
-const SPELLS = [5_000, 20_000];
-const SPELL_MS = 6_500;
+/** Time after which a crashed worker is back, in milliseconds. */
+const BACK_MS = 3_000;
 
-const PLAY_MS = 60_000;
+/** Parts before the deadly one. */
+const PARTS_BEFORE = Number(process.env.PARTS_BEFORE ?? 16);
 
-/** The part of the paid tokens into which a request has to fit, and the time until an ended one is settled. */
-const FIT_SHARE = 0.97;
-const SETTLE_MS = 1_500;
+const CONTACT_MS = 3_000;
 
-/** Requests that may be denied: so many and one in so many. */
-const MAX_DENIED = 5;
-const DENIED_ONE_IN = 500;
+/** Crashes after which the deadly part has to be known, and requests with it that are still allowed. */
+const CRASHES = 5;
+const MAX_LATE = 3;
 
-/** Returns what a request counts at a time: what it has used if it is settled, otherwise what it can use at most. */
-function tokensAt(attempt, now) {
-  if (attempt.endedAt !== undefined && attempt.endedAt < now - SETTLE_MS) {
-    return attempt.hasRun ? PROMPT_TOKENS + attempt.events * EVENT_TOKENS : 0;
-  }
-  return PROMPT_TOKENS + MAX_OUTPUT_TOKENS;
+/** Time for a request on its way, in milliseconds. */
+const SLACK_MS = 100;
+
+const CALLERS = 24;
+
+const hex = (value) => value.toString(16).padStart(8, '0');
+
+/** Parts of a conversation: what all have in common, its subject and the new turn. */
+function promptOf(number, isDeadly) {
+  const shared = Array.from({ length: PARTS_BEFORE }, (_, index) => `${hex(0xa0000 + index)}:80`);
+  const subject = isDeadly ? DEADLY : hex(0xb0000 + (number % 40));
+  return [...shared, `${subject}:100`, `${hex(number)}:60`].join(',');
+}
+
+async function crash(worker, crashes, record) {
+  if (worker.isDown) return;
+  Object.assign(worker, { isDown: true });
+  crashes.push(performance.now());
+  record(`${worker.id} crashes, number ${crashes.length}`);
+  worker.crash();
+  await sleep(BACK_MS);
+  await worker.restart();
+  Object.assign(worker, { isDown: false });
 }
 
 runCase(import.meta.url, async ({ store, dir, daemons, workers, record }) => {
-  store.put('config/main', configuration({ reserved: RESERVED }));
-  const attempts = new Map();
+  store.put('config/main', configuration({ reserved: 900_000_000 }));
+  const crashes = [];
+  const arrivals = [];
   const handle = async (req, res, worker) => {
-    const state = worker;
-    state.open ??= new Set();
-    if (state.open.size >= SLOTS + QUEUE) {
-      worker.reject(req, res, 503);
-      return;
-    }
     const id = req.headers['attempt-id'];
-    state.open.add(id);
-    res.once('close', () => state.open.delete(id));
-    while ([...state.open].indexOf(id) >= SLOTS) await sleep(20);
-    if (!state.open.has(id)) return;
     worker.runs.push(id);
-    attempts.get(id).hasRun = true;
+    const isDeadly = req.headers['prompt-prefix'].includes(DEADLY);
+    if (isDeadly) {
+      arrivals.push(performance.now());
+      record(`${id} with the deadly part reaches ${worker.id}`);
+    }
+    await sleep(30);
+    if (res.destroyed) return;
+    if (isDeadly) {
+      void crash(worker, crashes, record);
+      return;
+    }
     res.writeHead(200, { ...worker.headersOf(req), 'content-type': 'text/event-stream' });
-    for (let number = 1; number <= EVENTS && !res.destroyed; number += 1) {
+    for (let number = 1; number <= 20 && !res.destroyed; number += 1) {
       res.write(`id: ${number}\ndata: x\n\n`);
-      attempts.get(id).events += 1;
-      await sleep(EVENT_GAP_MS);
+      await sleep(5);
     }
     res.end();
   };
-  for (const id of ['w-1', 'w-2', 'w-3']) {
-    const options = { id, service: 'pool', host: '127.0.0.1', zone: 'a', capacity: SLOTS, store };
+  for (const id of ['w-1', 'w-2', 'w-3', 'w-4', 'w-5', 'w-6']) {
+    const options = { id, service: 'pool', host: '127.0.0.1', zone: 'a', capacity: 64, store };
     workers.push(await Worker.start({ ...options, handle }));
   }
   for (const [name, ip] of [
@@ -84,67 +91,40 @@
     daemons.push(await Daemon.start({ name, ip, zone: 'a', store, dir }));
   }
   await sleep(3_500);
-  const startedAt = performance.now();
-  const seconds = [];
-  let denied = 0;
+  const ends = {};
   let sent = 0;
-  /** Sends a request, and once more if it was refused and may come back. */
-  const ask = async (isRetry) => {
-    sent += 1;
-    const number = sent;
-    const caller = new Caller(`c-${number}`, daemons[number % daemons.length]);
-    const attempt = { sentAt: performance.now(), endedAt: undefined, hasRun: false, events: 0 };
-    attempts.set(`c-${number}-1`, attempt);
-    const answer = await caller.call({
-      path: '/draft/1',
-      headers: {
-        'x-api-key': KEY,
-        model: 'm',
-        'token-usage': `${PROMPT_TOKENS},${MAX_OUTPUT_TOKENS}`,
-        'prompt-prefix': `5c1e07a2:5382,${number.toString(16).padStart(8, '0')}:6610`,
-      },
-      body: 'prompt',
-    });
-    caller.stop();
-    const now = performance.now();
-    attempt.endedAt = now;
-    const second = Math.floor((now - startedAt) / 5_000) * 5;
-    seconds[second] ??= {};
-    seconds[second][answer.status] = (seconds[second][answer.status] ?? 0) + 1;
-    if (answer.status === 402) {
-      const others = [...attempts.values()].filter((other) => other !== attempt);
-      const used = others.reduce((sum, other) => sum + tokensAt(other, now), 0);
-      const fits = used + PROMPT_TOKENS + MAX_OUTPUT_TOKENS <= FIT_SHARE * RESERVED;
-      if (fits) {
-        denied += 1;
-        record(
-          `c-${number}-1 is denied with 402: the tenant has used ${used} of ${RESERVED} at most`,
-        );
-      }
-    }
-    if (answer.status === 503 && !isRetry) {
-      await sleep(Number(answer.headers['retry-after'] ?? 1) * 1_000);
-      await ask(true);
+  const until = performance.now() + PLAY_MS;
+  const play = async (caller) => {
+    while (performance.now() < until) {
+      sent += 1;
+      const isDeadly = HAS_TROUBLE && sent % DEADLY_EVERY === 0;
+      const answer = await caller.call({
+        path: '/query/1',
+        deadlineMs: 12_000,
+        headers: {
+          'x-api-key': KEY,
+          model: 'm',
+          'token-usage': '1440,120',
+          'prompt-prefix': promptOf(sent, isDeadly),
+        },
+        body: 'prompt',
+      });
+      const end = `${isDeadly ? 'deadly' : 'sound'} ${answer.status}${answer.isComplete ? '' : ' cut'}`;
+      ends[end] = (ends[end] ?? 0) + 1;
+      await sleep(200 + Math.random() * 200);
     }
   };
-  const running = [];
-  for (let at = 0; at < PLAY_MS; at = performance.now() - startedAt) {
-    running.push(ask(false));
-    const now = at;
-    const isHot = HAS_TROUBLE && SPELLS.some((from) => now >= from && now < from + SPELL_MS);
-    await sleep(1_000 / (PER_S * (isHot ? HOT : 1)));
-  }
-  await Promise.all(running);
-  Object.entries(seconds).forEach(([second, statuses]) =>
-    record(`from second ${second}, answers by status: ${JSON.stringify(statuses)}`),
+  await Promise.all(
+    Array.from({ length: CALLERS }, (_, index) =>
+      play(new Caller(`c-${index}`, daemons[index % daemons.length])),
+    ),
+  );
+  const boundAt = (crashes[CRASHES - 1] ?? Infinity) + CONTACT_MS + SLACK_MS;
+  const late = arrivals.filter((at) => at > boundAt).length;
+  record(`requests by kind and answer: ${JSON.stringify(ends)}`);
+  record(
+    `crashes: ${crashes.length}; requests with the deadly part at workers: ${arrivals.length}`,
   );
-  const all = [...attempts.values()];
-  const ran = all.filter(({ hasRun }) => hasRun);
-  const used = ran.reduce((sum, { events }) => sum + PROMPT_TOKENS + events * EVENT_TOKENS, 0);
-  const rejected = workers.reduce((sum, worker) => sum + worker.rejected, 0);
-  record(`requests: ${all.length}, run: ${ran.length}, rejected by workers: ${rejected}`);
-  record(`tokens that all runs used: ${used} of ${RESERVED}`);
-  const allowed = MAX_DENIED + all.length / DENIED_ONE_IN;
-  record(`denied although the tokens cover them: ${denied}, allowed are ${allowed.toFixed(1)}`);
-  return denied <= allowed;
+  record(`of these later than ContactMs after the fifth crash: ${late}, allowed are ${MAX_LATE}`);
+  return late <= MAX_LATE;
 });
