--- a/review/1/run.js
+++ b/review/1/run.js
@@ -89,13 +89,15 @@
         ),
       );
       const unaware = old.filter((_, index) => answers[index].status === 404);
-      const list = unaware.map(({ name }) => name).join(', ');
-      record(`requests sent ${sentMs} ms later: 404 from ${list || 'none'}`);
+      const list = old.map(({ name }, index) => `${name} ${answers[index].status}`).join(', ');
+      record(`requests sent ${sentMs} ms later, answers: ${list}`);
       stale += unaware.length;
       if (unaware.length === 0) break;
       await sleep(1_000);
     }
   }
+  const runs = workers.reduce((sum, worker) => sum + worker.runs.length, 0);
+  record(`requests run by workers: ${runs}`);
   record(`requests that were refused by an older version: ${stale}`);
   return stale === 0;
 });
--- a/review/2/run.js
+++ b/review/2/run.js
@@ -22,7 +22,11 @@
 const PAUSE_MS = 100;
 const PAUSE_RANGE_MS = 200;
 
-const PLAY_MS = 80_000;
+const PLAY_MS = 60_000;
+
+/** Length of a spell of faults, which comes at the start of each period, in milliseconds. */
+const SPELL_MS = 5_000;
+const PERIOD_MS = 10_000;
 
 const bodyOf = (id) => `charged ${id}: ${'0123456789'.repeat(20)} end`;
 
@@ -31,8 +35,9 @@
   const id = req.headers['attempt-id'];
   const { socket } = req;
   worker.runs.push(id);
-  const isBroken = HAS_TROUBLE && worker.isFaulty && Math.random() < BROKEN_SHARE;
-  const isUnframed = HAS_TROUBLE && (isBroken || worker.runs.length % UNFRAMED_EVERY === 0);
+  const isSpell = HAS_TROUBLE && (performance.now() - worker.since) % PERIOD_MS < SPELL_MS;
+  const isBroken = isSpell && worker.isFaulty && Math.random() < BROKEN_SHARE;
+  const isUnframed = isBroken || worker.runs.length % UNFRAMED_EVERY === 0;
   await sleep(20);
   const body = bodyOf(id);
   if (!isUnframed) {
@@ -66,7 +71,9 @@
     daemons.push(await Daemon.start({ name, ip: loopback(), zone: 'a', store, dir }));
   }
   await sleep(3_500);
-  const until = performance.now() + PLAY_MS;
+  const since = performance.now();
+  workers.forEach((worker) => Object.assign(worker, { since }));
+  const until = since + PLAY_MS;
   const counts = { sent: 0, whole: 0, failed: 0, cut: 0, cutThoughWhole: 0, partial: 0 };
   const play = async (caller) => {
     while (performance.now() < until) {
@@ -98,6 +105,8 @@
     ),
   );
   const broken = workers.reduce((sum, worker) => sum + worker.broken.size, 0);
+  const runs = workers.map(({ id, runs: { length } }) => `${id} ${length}`).join(', ');
+  record(`requests run by workers: ${runs}`);
   record(`answers that were reset midway: ${broken}; requests: ${JSON.stringify(counts)}`);
   return counts.partial === 0;
 });
--- a/review/3/run.js
+++ b/review/3/run.js
@@ -121,6 +121,8 @@
   );
   const boundAt = (crashes[CRASHES - 1] ?? Infinity) + CONTACT_MS + SLACK_MS;
   const late = arrivals.filter((at) => at > boundAt).length;
+  const runs = workers.map(({ id, runs: { length } }) => `${id} ${length}`).join(', ');
+  record(`requests sent: ${sent}; begun by workers: ${runs}`);
   record(`requests by kind and answer: ${JSON.stringify(ends)}`);
   record(
     `crashes: ${crashes.length}; requests with the deadly part at workers: ${arrivals.length}`,
