--- a/src/store/follower.ts
+++ b/src/store/follower.ts
@@ -9,7 +9,7 @@
 export const DEFAULT_WATCH_WAIT_MS = 3_000;
 
 /** Wait of a watch that must return immediately, in milliseconds. */
-const PROBE_WAIT_MS = 1;
+export const IMMEDIATE_WAIT_MS = 1;
 
 /** Delay after the second failure in a row, in milliseconds; it doubles with each further failure. */
 const FIRST_RETRY_DELAY_MS = 40;
@@ -90,7 +90,7 @@
 
   async #watch(): Promise<StoreError | undefined> {
     // After a failure the watch returns immediately, to detect the recovery and to fetch missed changes.
-    const waitMs = this.#failures > 0 ? PROBE_WAIT_MS : this.waitMs;
+    const waitMs = this.#failures > 0 ? IMMEDIATE_WAIT_MS : this.waitMs;
     const batch = await this.store.watch(this.prefix, this.#position ?? 0, waitMs);
     if (batch.err) {
       const { problem } = batch.val;
