A prompt part that crashes upstreams is found wherever it stands in the prompt (BUDGET)

Cause: sharedPartsOf() considered the first 16 parts and ids of up to 64 characters. The first parts are those that sound requests share most, so that the limit left out what had to be reported.

--- a/src/gateway/crashwatch.ts
+++ b/src/gateway/crashwatch.ts
@@ -44,7 +44,7 @@
 /** Shortest retry delay that is sent to callers, in milliseconds. */
 const MIN_RETRY_MS = 1_000;
 
-/** Number of parts that a log line names. */
+/** Number of parts that a log line names, and of lines on parts that change together. */
 const MAX_LOGGED_PARTS = 24;
 
 type Facts = NonNullable<EventSubject['facts']>;
@@ -81,7 +81,12 @@
   });
 }
 
-function nameParts(parts: readonly string[]): string {
+/**
+ * Names parts in a log line or an error.
+ * @param parts - keys of the parts
+ * @returns the first of them, separated by spaces
+ */
+export function nameParts(parts: readonly string[]): string {
   return parts.slice(0, MAX_LOGGED_PARTS).join(' ');
 }
 
@@ -156,7 +161,7 @@
 
   /**
    * Decides whether a request may be sent to an upstream now. Claims a trial in the store if one is due.
-   * @param parts - ids of its shared prompt parts
+   * @param parts - keys of its shared prompt parts
    * @param request - its id, for the log
    * @returns why it is refused, undefined if it may be sent; at once unless a trial is due
    */
@@ -172,7 +177,7 @@
 
   /**
    * Decides whether a request may be sent, without claiming a trial.
-   * @param parts - ids of its shared prompt parts
+   * @param parts - keys of its shared prompt parts
    * @returns why it is refused; undefined if it may be sent, possibly as a trial
    */
   rejectionOf(parts: readonly string[]): Failure | undefined {
@@ -182,7 +187,7 @@
 
   /**
    * Records that an upstream has begun to answer a request.
-   * @param parts - ids of its shared prompt parts
+   * @param parts - keys of its shared prompt parts
    */
   noteAnswer(parts: readonly string[]): void {
     const isSuspected = parts.some((part) => this.#suspects.isSuspected(part));
@@ -196,7 +201,7 @@
   /**
    * Records that an upstream ended the connection of a request without an answer. It may have crashed.
    * @param upstream - the upstream
-   * @param parts - ids of the shared prompt parts of the request
+   * @param parts - keys of the shared prompt parts of the request
    * @param sentAt - when the request was sent, in milliseconds
    * @returns resolves once it is known whether the upstream has crashed; undefined if no part was suspected before
    */
@@ -281,6 +286,7 @@
     const factsOf = (rejection: Rejection): Facts => ({
       cause,
       group: nameParts(rejection.group),
+      groupParts: rejection.group.length,
       crashes: rejection.crashes,
       upstreams: rejection.upstreams.length,
       lastCrashMs: Math.round(now - rejection.lastCrashAt),
@@ -289,12 +295,12 @@
     });
     const begun = [...rejections].filter(([part]) => !before.has(part));
     const ended = [...before].filter(([part]) => !rejections.has(part));
-    begun.forEach(([part, rejection]) => {
-      metrics.suspects.inc({ change: 'rejected' });
+    metrics.suspects.inc({ change: 'rejected' }, begun.length);
+    metrics.suspects.inc({ change: 'cleared' }, ended.length);
+    begun.slice(0, MAX_LOGGED_PARTS).forEach(([part, rejection]) => {
       recorder.record('partRejected', { detail: part, facts: factsOf(rejection) });
     });
-    ended.forEach(([part, rejection]) => {
-      metrics.suspects.inc({ change: 'cleared' });
+    ended.slice(0, MAX_LOGGED_PARTS).forEach(([part, rejection]) => {
       recorder.record('partCleared', { detail: part, facts: factsOf(rejection) });
     });
     return begun.length > 0;
--- a/src/gateway/promptguard.ts
+++ b/src/gateway/promptguard.ts
@@ -1,6 +1,7 @@
 /** Keeps one request from upstreams that would crash on its prompt, and reports how its attempts ended. */
 import { failure } from '../kernel/index.js';
 import { sharedPartsOf } from '../route/index.js';
+import { nameParts } from './crashwatch.js';
 
 import type { Failure } from '../kernel/index.js';
 import type { Call } from './attempt.js';
@@ -45,7 +46,7 @@
    * @returns why it may not, undefined if it may; at once unless a trial has to be claimed
    */
   admit(): Failure | undefined | Promise<Failure | undefined> {
-    if (this.#crashes >= MAX_CRASHES) return failure('prompt-rejected', this.#parts.join(' '));
+    if (this.#crashes >= MAX_CRASHES) return failure('prompt-rejected', nameParts(this.#parts));
     return this.watch.admit(this.#parts, this.call.head.id);
   }
 
--- a/src/route/crashsuspects.ts
+++ b/src/route/crashsuspects.ts
@@ -4,25 +4,16 @@
  * Answers the load of a few requests that crash one upstream after the other, in a fleet where each daemon sees a
  * fraction of the crashes, and where each crash also interrupts many requests that did not cause it.
  */
+import { accuse, collectEvidence, MIN_CRASHES } from './crashevidence.js';
 import { filterParts, mergeReports, NO_CRASHES } from './crashreports.js';
+import { RecentTimes } from './recenttimes.js';
 
+import type { Accusation, Evidence } from './crashevidence.js';
 import type { CrashRecord, CrashReport, PartTrials, UnansweredPrompt } from './crashreports.js';
 
-/** Number of crashes from which a part is rejected. */
-const MIN_CRASHES = 2;
-
-/** The same for a part that was answered shortly before: frequent parts are on each upstream that crashes. */
-const MIN_CRASHES_POPULAR = 3;
-
 /** Time before a crash in which an answer makes a part popular, in milliseconds. */
 const POPULAR_MS = 10_000;
 
-/**
- * Time within which crashes count as one, in milliseconds: upstreams that end together have another cause in
- * common than a request. A request that was sent after the first crash shows that the second one is another.
- */
-const SAME_CAUSE_MS = 500;
-
 /** Time for which a crash is remembered, in milliseconds. */
 const REPORT_LIFETIME_MS = 600_000;
 
@@ -36,12 +27,15 @@
 const TRIAL_BACKOFF = 4;
 const MAX_TRIAL_MS = 3_600_000;
 
-/** Number of parts whose last answer is remembered. */
-const MAX_ANSWERED = 4_000;
+/** Number of parts whose last answer is remembered: of long prompts at a busy instance, while they are popular. */
+const MAX_ANSWERED = 32_000;
 
 /** Number of own reports that are kept while the store does not take them. */
 const MAX_OWN_REPORTS = 64;
 
+/** Number of parts in these reports, in all prompts together, as long as there are several reports. */
+const MAX_OWN_PARTS = 100_000;
+
 const NO_TRIALS: PartTrials = { count: 0, at: Number.NEGATIVE_INFINITY };
 
 /** Rejection of requests that contain all parts of a group. */
@@ -68,15 +62,6 @@
 
 const SEND: Verdict = { kind: 'send' };
 
-/** A crash with a request whose prompt contains a certain part. */
-interface Evidence {
-  readonly upstream: string;
-  readonly at: number;
-  /** When the last of these requests was sent, in milliseconds. */
-  readonly sentAt: number;
-  readonly prompts: readonly UnansweredPrompt[];
-}
-
 /** Own report, and when it was written to the store. */
 interface OwnReport {
   readonly report: CrashReport;
@@ -86,38 +71,13 @@
 /** Time after which an own report that is missing in the store was removed there, in milliseconds. */
 const SHARED_SETTLE_MS = 5_000;
 
-/** Counts crashes that have different causes. */
-function countCauses(evidence: readonly Evidence[]): number {
-  let count = 0;
-  let last = Number.NEGATIVE_INFINITY;
-  [...evidence]
-    .sort((a, b) => a.at - b.at)
-    .forEach(({ at, sentAt }) => {
-      if (count > 0 && at - last < SAME_CAUSE_MS && sentAt <= last) return;
-      count += 1;
-      last = at;
-    });
-  return count;
-}
-
-/** Whether two parts were in the same crashes, and in a common prompt in each of them. */
-function areInseparable(
-  part: string,
-  own: readonly Evidence[],
-  other: readonly Evidence[],
-): boolean {
-  if (own.length !== other.length) return false;
-  const upstreams = new Set(own.map(({ upstream }) => upstream));
-  return other.every(
-    ({ upstream, prompts }) =>
-      upstreams.has(upstream) && prompts.some(({ parts }) => parts.includes(part)),
-  );
-}
-
 /** Beliefs of one daemon about prompt parts, from its own crashes and those that the fleet shares. */
 export class CrashSuspects {
-  /** Last answer to each part, in the order of the answers. */
-  readonly #answeredAt = new Map<string, number>();
+  /** Last answer to each part. */
+  readonly #answeredAt = new RecentTimes(MAX_ANSWERED);
+
+  /** Last answer to the parts of known crashes; outlasts the limit on remembered answers. */
+  readonly #clearedAt = new Map<string, number>();
 
   readonly #own = new Map<string, OwnReport>();
 
@@ -127,7 +87,7 @@
   #shared: CrashRecord = NO_CRASHES;
 
   /** Crashes by part. */
-  #evidence: ReadonlyMap<string, readonly Evidence[]> = new Map();
+  #evidence = new Map<string, readonly Evidence[]>();
 
   /** Rejections by part. */
   #rejections: ReadonlyMap<string, Rejection> = new Map();
@@ -144,15 +104,15 @@
 
   /**
    * Decides whether a request may be sent.
-   * @param parts - ids of its shared prompt parts
+   * @param parts - keys of its shared prompt parts
    * @param now - current time, in milliseconds
    * @returns the decision
    */
   verdict(parts: readonly string[], now: number): Verdict {
     if (this.#rejections.size === 0) return SEND;
-    const found = parts
-      .flatMap((part) => this.#rejections.get(part) ?? [])
-      .filter(({ group }) => group.every((part) => parts.includes(part)))
+    const present = new Set(parts);
+    const found = [...new Set(parts.flatMap((part) => this.#rejections.get(part) ?? []))]
+      .filter(({ group }) => group.every((part) => present.has(part)))
       .sort((a, b) => b.nextTrialAt - a.nextTrialAt);
     const [last] = found;
     if (!last) return SEND;
@@ -163,18 +123,19 @@
 
   /**
    * Records that an upstream has begun to answer a request: its parts do not crash upstreams.
-   * @param parts - ids of its shared prompt parts
+   * @param parts - keys of its shared prompt parts
    * @param now - current time, in milliseconds
    */
   noteAnswer(parts: readonly string[], now: number): void {
-    parts.forEach((part) => {
-      this.#answeredAt.delete(part);
-      this.#answeredAt.set(part, now);
-      const [oldest] = this.#answeredAt.keys();
-      if (this.#answeredAt.size > MAX_ANSWERED && oldest !== undefined)
-        this.#answeredAt.delete(oldest);
-    });
-    if (parts.some((part) => this.#evidence.has(part))) this.#derive(now);
+    parts.forEach((part) => this.#answeredAt.set(part, now));
+    const suspected = parts.filter((part) => this.#evidence.has(part));
+    suspected.forEach((part) => this.#clearedAt.set(part, now));
+    const isDecisive = suspected.some(
+      (part) => (this.#evidence.get(part)?.length ?? 0) >= MIN_CRASHES,
+    );
+    // A part with fewer crashes is not rejected, and its answer changes nothing for others.
+    if (isDecisive) this.#derive(now);
+    else suspected.forEach((part) => this.#evidence.delete(part));
   }
 
   /**
@@ -195,11 +156,19 @@
       { upstream, at, prompts, popular },
     ]);
     if (report) this.#own.set(upstream, { report, sharedAt: undefined });
-    const [oldest] = this.#own.keys();
-    if (this.#own.size > MAX_OWN_REPORTS && oldest !== undefined) this.#own.delete(oldest);
+    this.#boundOwn();
     this.#derive(now);
   }
 
+  /** Discards the oldest own reports beyond the limits. */
+  #boundOwn(): void {
+    let left = MAX_OWN_PARTS;
+    [...this.#own].reverse().forEach(([upstream, { report }], index) => {
+      left -= report.prompts.reduce((sum, { parts }) => sum + parts.length, 0);
+      if (index > 0 && (index >= MAX_OWN_REPORTS || left < 0)) this.#own.delete(upstream);
+    });
+  }
+
   /**
    * Applies the record of the fleet.
    * @param record - the stored record
@@ -225,9 +194,10 @@
         }),
       ),
     };
-    const listed = new Set(reports.map(({ upstream }) => upstream));
+    const listed = new Map(reports.map(({ upstream, isPartial }) => [upstream, isPartial]));
     [...this.#own].forEach(([upstream, { sharedAt }]) => {
-      if (sharedAt === undefined) return;
+      // The parts that the record has no room for are offered again with the next report.
+      if (sharedAt === undefined || listed.get(upstream) === true) return;
       if (listed.has(upstream) || now - sharedAt > SHARED_SETTLE_MS) this.#own.delete(upstream);
     });
     this.#derive(now);
@@ -290,13 +260,36 @@
   }
 
   #isCleared(part: string, { at }: CrashReport): boolean {
-    return (this.#answeredAt.get(part) ?? Number.NEGATIVE_INFINITY) > at;
+    const answeredAt = this.#answeredAt.get(part) ?? this.#clearedAt.get(part);
+    return answeredAt !== undefined && answeredAt > at;
+  }
+
+  /** Keeps the last answers to the parts of known crashes, and only these. */
+  #rememberCleared(): void {
+    const reports = [
+      ...this.#shared.reports,
+      ...[...this.#own.values()].map(({ report }) => report),
+    ];
+    const parts = new Set(reports.flatMap(({ prompts }) => prompts).flatMap((one) => one.parts));
+    [...this.#clearedAt.keys()]
+      .filter((part) => !parts.has(part))
+      .forEach((part) => this.#clearedAt.delete(part));
+    parts.forEach((part) => {
+      const answeredAt = this.#answeredAt.get(part);
+      if (answeredAt !== undefined) this.#clearedAt.set(part, answeredAt);
+    });
   }
 
   /** Reports that count, without parts that were answered since. */
   #liveReports(now: number, withShared = true): readonly CrashReport[] {
+    const partial = new Set(
+      this.#shared.reports.filter(({ isPartial }) => isPartial).map(({ upstream }) => upstream),
+    );
     const own = [...this.#own.values()]
-      .filter(({ sharedAt }) => withShared || sharedAt === undefined)
+      .filter(
+        ({ sharedAt, report }) =>
+          withShared || sharedAt === undefined || partial.has(report.upstream),
+      )
       .map(({ report }) => report);
     const merged = mergeReports([...this.#shared.reports, ...own]);
     return filterParts(merged, (part, report) => {
@@ -310,57 +303,19 @@
   }
 
   #derive(now: number): void {
-    const evidence = new Map<string, Evidence[]>();
-    const popular = new Set<string>();
-    this.#liveReports(now).forEach((report) => {
-      report.popular.forEach((part) => popular.add(part));
-      const { upstream, at, prompts } = report;
-      new Set(prompts.flatMap(({ parts }) => parts)).forEach((part) => {
-        const carrying = prompts.filter(({ parts }) => parts.includes(part));
-        const sentAt = Math.max(...carrying.map((prompt) => prompt.sentAt));
-        const found = evidence.get(part) ?? [];
-        found.push({ upstream, at, sentAt, prompts: carrying });
-        evidence.set(part, found);
-      });
-    });
-    this.#evidence = evidence;
-    this.#rejections = this.#rejectionsOf(evidence, popular);
-  }
-
-  /**
-   * Chooses the parts that explain the crashes: first those with most crashes. A part counts only the crashes
-   * that no part with more of them explains.
-   */
-  #rejectionsOf(
-    evidence: ReadonlyMap<string, readonly Evidence[]>,
-    popular: ReadonlySet<string>,
-  ): ReadonlyMap<string, Rejection> {
-    const candidates = [...evidence]
-      .map(([part, crashes]) => ({ part, crashes, causes: countCauses(crashes) }))
-      .filter(({ causes }) => causes >= MIN_CRASHES)
-      .sort((a, b) => b.causes - a.causes);
-    const chosen: typeof candidates = [];
-    candidates.forEach((candidate) => {
-      const explained = new Set(
-        chosen
-          .filter(({ causes }) => causes > candidate.causes)
-          .flatMap(({ crashes }) => crashes.map(({ upstream }) => upstream)),
-      );
-      const left = candidate.crashes.filter(({ upstream }) => !explained.has(upstream));
-      const needed = popular.has(candidate.part) ? MIN_CRASHES_POPULAR : MIN_CRASHES;
-      if (countCauses(left) >= needed) chosen.push(candidate);
-    });
-    return new Map(
-      chosen.map(({ part, crashes, causes }) => {
-        const group = chosen
-          .filter((other) => areInseparable(part, crashes, other.crashes))
-          .map((other) => other.part);
-        return [part, this.#rejectionOf(group, crashes, causes)];
+    this.#rememberCleared();
+    const reports = this.#liveReports(now);
+    this.#evidence = collectEvidence(reports);
+    const popular = new Set(reports.flatMap((report) => report.popular));
+    this.#rejections = new Map(
+      accuse(this.#evidence, popular).flatMap((accusation) => {
+        const rejection = this.#rejectionOf(accusation);
+        return accusation.parts.map((part) => [part, rejection] as const);
       }),
     );
   }
 
-  #rejectionOf(group: readonly string[], crashes: readonly Evidence[], causes: number): Rejection {
+  #rejectionOf({ group, crashes, causes }: Accusation): Rejection {
     const lastCrashAt = Math.max(...crashes.map(({ at }) => at));
     const trials = group
       .map((part) => this.#shared.trials.get(part) ?? NO_TRIALS)
--- a/src/route/tests/crashfleet.test.ts
+++ b/src/route/tests/crashfleet.test.ts
@@ -35,6 +35,14 @@
 }[] = [
   { title: '7 daemons, 2% deadly', cfg: { ...SMALL, deadlyShare: 0.02 } },
   { title: '7 daemons, 30% deadly', cfg: { ...SMALL, deadlyShare: 0.3 } },
+  {
+    title: '7 daemons, 5% deadly, behind 16 parts that all prompts have',
+    cfg: { ...SMALL, deadlyShare: 0.05, extraParts: 16 },
+  },
+  {
+    title: '7 daemons, 5% deadly, prompts of 600 parts, half of them in no other prompt',
+    cfg: { ...SMALL, deadlyShare: 0.05, extraParts: 300 },
+  },
   { title: '195 daemons, 0.1% deadly', cfg: { ...LARGE, deadlyShare: 0.001 } },
   { title: '195 daemons, 5% deadly', cfg: { ...LARGE, deadlyShare: 0.05 } },
   {
--- a/testbed/crashfleet.ts
+++ b/testbed/crashfleet.ts
@@ -48,6 +48,8 @@
   readonly plainCrashes?: { readonly at: readonly number[]; readonly share: number };
   /** When the store cannot be reached, in milliseconds. */
   readonly storeAway?: { readonly from: number; readonly to: number };
+  /** Number of parts that all prompts begin with, and of those that each prompt alone has; none if left out. */
+  readonly extraParts?: number;
   /** Times at which all daemons start again, in milliseconds. */
   readonly restarts?: readonly number[];
 }
@@ -111,7 +113,12 @@
 
   readonly #writes: number[] = [];
 
+  readonly #common: readonly string[];
+
+  #requests = 0;
+
   private constructor(private readonly cfg: CrashFleetConfig) {
+    this.#common = Array.from({ length: cfg.extraParts ?? 0 }, (_none, at) => `common${at}`);
     this.#random = seededRandom(cfg.seed);
     this.#daemons = Array.from({ length: cfg.daemons }, () => new CrashSuspects());
     this.#upstreams = Array.from({ length: cfg.upstreams }, (_none, at) => ({
@@ -158,10 +165,21 @@
     return min + (max - min) * this.#random();
   }
 
+  /** Parts that no other request has. */
+  #ownParts(): readonly string[] {
+    this.#requests += 1;
+    const { length } = this.#common;
+    return Array.from({ length }, (_none, at) => `own${this.#requests}-${at}`);
+  }
+
   #arrive(): void {
     const isDeadly = this.#now > DEADLY_FROM_MS && this.#random() < this.cfg.deadlyShare;
     const subject = Math.floor(SUBJECTS * this.#random() ** 1.5);
-    const parts = isDeadly ? ['system', DEADLY_SUBJECT, DEADLY] : ['system', `subject${subject}`];
+    const parts = [
+      ...this.#common,
+      ...(isDeadly ? ['system', DEADLY_SUBJECT, DEADLY] : ['system', `subject${subject}`]),
+      ...this.#ownParts(),
+    ];
     const daemon = Math.floor(this.#random() * this.cfg.daemons);
     const verdict = this.#daemons[daemon]?.verdict(parts, this.#now);
     const isSent =
