A stop no longer closes connections whose answers wait to be sent (LOST)

Cause: the stop called the server's closeIdleConnections() every 25 ms, and close(), which does it too. Node.js counts a connection as idle once its answer was ended, also while bytes of it wait for the caller to read.

Now a connection knows its requests without an answer that was handed to the operating system, and closes as idle only if there is none and nothing has arrived since the last one was read. The listener is closed without the server's own search for idle connections.

--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -1,6 +1,7 @@
 /** One gateway daemon: its tasks, the listener for callers, and the listeners for readiness and metrics. */
 import 'reflect-metadata';
 
+import { Server } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 
 import { NestFactory } from '@nestjs/core';
@@ -72,15 +73,18 @@
     const { clock } = this.runtime;
     const window = this.runtime.beginStop();
     const server = this.createIngress.getHttpServer();
+    let idle = 0;
     while (!mayCloseListener(window, this.runtime.load, clock.now())) {
       // Callers that keep a connection would send their next request to this daemon until it is gone.
-      server.closeIdleConnections();
+      idle += this.runtime.callers.closeIdle();
       // eslint-disable-next-line no-await-in-loop
       await delay(DRAIN_POLL_MS);
       if (isPastAcceptAll(window, clock.now())) this.runtime.releaseExcess();
     }
-    server.close();
-    server.closeIdleConnections();
+    // The server's own "close" would close connections whose last answer still waits for the caller to read.
+    Server.prototype.close.call(server);
+    idle += this.runtime.callers.closeIdle();
+    this.runtime.listenerClosed(idle);
     this.runtime.stopOpenRequests();
     const remainingMs = exitTime(window) - clock.now();
     // Closing a listener waits until all its connections have ended, even idle ones. The time limit bounds this
--- a/src/gateway/httpreply.ts
+++ b/src/gateway/httpreply.ts
@@ -51,6 +51,16 @@
     res.on('error', () => undefined);
   }
 
+  /** Whether the answer was complete here when its connection ended, but not yet sent. */
+  get isUnsent(): boolean {
+    return this.res.writableEnded && !this.res.writableFinished;
+  }
+
+  /** Number of bytes of the answer that wait to be sent. */
+  get unsentBytes(): number {
+    return this.res.writableLength;
+  }
+
   override get isBegun(): boolean {
     return this.res.headersSent;
   }
--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -92,6 +92,11 @@
       }
     } finally {
       if (caller.isBegun) await caller.finished;
+      if (caller.isUnsent) {
+        const facts = { isStopping: runtime.isStopping, unsentBytes: caller.unsentBytes };
+        runtime.recorder.record('answerUnsent', { request: open.id, facts });
+      }
+      connection.answered();
       open.end();
       runtime.metrics.open.dec();
     }
@@ -118,6 +123,7 @@
     }
     try {
       body = await readBody(req, bodyBytes);
+      connection.wasRead();
     } catch (err) {
       if (caller.isBegun) return undefined;
       // The caller disconnected before its request was complete.
--- a/src/gateway/openrequests.ts
+++ b/src/gateway/openrequests.ts
@@ -24,6 +24,8 @@
 
 /** Handle of one open request. */
 export interface RequestHandle {
+  /** Id of the caller's attempt; empty until "describe" is called. */
+  readonly id: string;
   /**
    * Adds what is known of the request once its headers are decoded.
    * @param id - id of the caller's attempt
@@ -77,6 +79,9 @@
     };
     this.#open.add(request);
     return {
+      get id() {
+        return request.id;
+      },
       describe: (id, route) => {
         request.id = id;
         request.route = route;
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -254,6 +254,14 @@
     this.#allowances?.releaseExcess();
   }
 
+  /**
+   * Records that the listener for callers is closed.
+   * @param idle - number of idle connections that were closed during the stop
+   */
+  listenerClosed(idle: number): void {
+    this.recorder.record('listenerClosed', { facts: { idle, active: this.load.active } });
+  }
+
   /** Ends the requests that are still open when the daemon stops waiting for them. */
   stopOpenRequests(): void {
     this.openRequests.list().forEach(({ id, route, openMs }) => {
--- a/src/ingress/callerconnection.ts
+++ b/src/ingress/callerconnection.ts
@@ -13,6 +13,14 @@
   readonly earlier: number;
 }
 
+/** Socket of a connection. */
+export interface CallerSocket extends EventEmitter {
+  /** Number of bytes received so far. */
+  readonly bytesRead: number;
+  /** Closes the connection at once; bytes that were not handed to the operating system are lost. */
+  destroy(): unknown;
+}
+
 /** One connection of a caller. */
 export class CallerConnection {
   readonly #end = new Occurrence();
@@ -23,13 +31,19 @@
 
   #isClosing = false;
 
+  /** Number of requests without a complete answer. */
+  #unanswered = 0;
+
+  /** Number of bytes received up to the last request, or up to the end of its body. */
+  #requestBytes = 0;
+
   /**
    * Starts to listen for the end of a connection.
    * @param socket - the connection
    * @param acceptedAt - time at which it was accepted, in milliseconds
    */
   constructor(
-    socket: EventEmitter,
+    private readonly socket: CallerSocket,
     private readonly acceptedAt: number,
   ) {
     // A caller that has only half-closed its connection cannot be distinguished from one that has closed it. Both
@@ -49,9 +63,32 @@
   arrived(now: number): Arrival {
     const earlier = this.#requests;
     this.#requests += 1;
+    this.#unanswered += 1;
+    this.wasRead();
     return { at: now, connectionMs: now - this.acceptedAt, earlier };
   }
 
+  /** Records that the last request was read completely. */
+  wasRead(): void {
+    this.#requestBytes = this.socket.bytesRead;
+  }
+
+  /** Records that the answer to a request was handed to the operating system, or that it cannot be sent any more. */
+  answered(): void {
+    this.#unanswered -= 1;
+  }
+
+  /**
+   * Closes the connection if all its requests were answered and nothing has arrived since.
+   * @returns whether it was closed
+   */
+  closeIfIdle(): boolean {
+    const isIdle =
+      this.#requests > 0 && this.#unanswered === 0 && this.socket.bytesRead === this.#requestBytes;
+    if (isIdle) this.socket.destroy();
+    return isIdle;
+  }
+
   /** Whether the connection closes after an answer that has begun, so that no later request gets one. */
   get isClosing(): boolean {
     return this.#isClosing;
--- a/src/ingress/callerconnections.ts
+++ b/src/ingress/callerconnections.ts
@@ -8,6 +8,8 @@
 export class CallerConnections {
   readonly #known = new WeakMap<Socket, CallerConnection>();
 
+  readonly #open = new Set<CallerConnection>();
+
   /**
    * Creates an empty set.
    * @param clock - steady clock
@@ -24,6 +26,17 @@
     if (known) return known;
     const connection = new CallerConnection(socket, this.clock.now());
     this.#known.set(socket, connection);
+    this.#open.add(connection);
+    connection.onClose(() => this.#open.delete(connection));
     return connection;
   }
+
+  /**
+   * Closes the connections on which all requests were answered. The server's own function also closes those whose
+   * last answer still waits for the caller to read.
+   * @returns number of closed connections
+   */
+  closeIdle(): number {
+    return [...this.#open].filter((connection) => connection.closeIfIdle()).length;
+  }
 }
--- a/src/ingress/tests/requestqueue.test.ts
+++ b/src/ingress/tests/requestqueue.test.ts
@@ -122,7 +122,10 @@
       if (turn.accepts) queue.accepted();
       turn.arrive?.forEach((entry) => {
         const [name = '', leftMs = '500'] = entry.split(' ');
-        const socket = new EventEmitter();
+        const socket = Object.assign(new EventEmitter(), {
+          bytesRead: 0,
+          destroy: () => undefined,
+        });
         callers.set(name, socket);
         const connection = new CallerConnection(socket, time.now);
         void queue
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -17,6 +17,11 @@
     text: 'the code cache of the program was rejected, so it was compiled from source; build again with the Node.js and flags of "run"',
   },
   daemonStopping: { number: 1003, level: 'info', text: 'graceful stop began' },
+  listenerClosed: {
+    number: 1015,
+    level: 'info',
+    text: 'listener for callers closed during a graceful stop',
+  },
   daemonStopped: { number: 1004, level: 'info', text: 'daemon stopped' },
   handoverDone: { number: 1005, level: 'info', text: 'charges and grants handed over' },
   handoverDelayed: {
@@ -181,6 +186,11 @@
     level: 'warn',
     text: 'request was still open when the time for a graceful stop ended',
   },
+  answerUnsent: {
+    number: 8008,
+    level: 'warn',
+    text: 'the connection of a caller ended before the whole answer was sent',
+  },
   allowanceDrawn: { number: 8101, level: 'info', text: 'prepaid units drawn or reported' },
   allowanceDelayed: { number: 8102, level: 'warn', text: 'prepaid units could not be drawn' },
   allowanceLent: { number: 8103, level: 'info', text: 'prepaid units lent to another daemon' },
