--- a/src/gateway/callrun.ts
+++ b/src/gateway/callrun.ts
@@ -101,7 +101,7 @@
 
   #charged = 0;
 
-  /** Whether a part of the request was sent, so that an upstream may have processed the prompt. */
+  /** Whether an upstream to which a part of the request was sent may have processed the prompt. */
   #mayHaveRun = false;
 
   #isStopped = false;
@@ -293,6 +293,7 @@
     });
     const progress = new AttemptProgress(this.call, clock.now());
     const { opened } = upstream.connections;
+    const mayHaveRunBefore = this.#mayHaveRun;
     const outcome = await attemptCall({
       call: this.call,
       codec: this.ctx.codec,
@@ -316,6 +317,7 @@
         if (head) recordSignals(this.ctx, record, head, this.call.head.id);
       },
     });
+    if (outcome.kind === 'not-run') this.#mayHaveRun = mayHaveRunBefore;
     stats.end(open);
     metrics.connections.inc(upstream.connections.opened - opened);
     recordAttempt(this.ctx, { request: this.call.head.id, upstream, outcome, progress });
