--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -183,6 +183,7 @@
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.#stage === 'done') return;
+    this.#connection.noteBody(chunk.length);
     if (this.#isDiscarded) {
       this.#discard(chunk.length);
       return;
--- a/src/gateway/eventstream.ts
+++ b/src/gateway/eventstream.ts
@@ -24,7 +24,10 @@
  * ends an event. Empty lines and comments between events belong to no event.
  */
 export class EventStream {
-  #partial: Buffer = Buffer.alloc(0);
+  /** Chunks of the incomplete event. */
+  readonly #partial: Buffer[] = [];
+
+  #partialBytes = 0;
 
   #line: Line = 'empty';
 
@@ -47,7 +50,7 @@
 
   /** Whether the incomplete event exceeds the buffer limit. */
   get isOversized(): boolean {
-    return this.#partial.length > MAX_PARTIAL_BYTES;
+    return this.#partialBytes > MAX_PARTIAL_BYTES;
   }
 
   /**
@@ -58,14 +61,17 @@
   push(chunk: Buffer): WholeEvents {
     const before = this.events;
     let wholeUntil = 0;
-    chunk.forEach((byte, at) => {
-      this.#scan(byte);
+    for (let at = 0; at < chunk.length; at += 1) {
+      this.#scan(chunk[at] ?? 0);
       if (!this.isPartial) wholeUntil = at + 1;
-    });
-    const kept = this.#partial.length;
-    const bytes = kept > 0 ? Buffer.concat([this.#partial, chunk]) : chunk;
-    const whole = wholeUntil === 0 ? Buffer.alloc(0) : bytes.subarray(0, kept + wholeUntil);
-    this.#partial = bytes.subarray(whole.length);
+    }
+    if (wholeUntil === 0) {
+      this.#keep(chunk);
+      return { bytes: Buffer.alloc(0), count: 0 };
+    }
+    const whole = Buffer.concat([...this.#partial.splice(0), chunk.subarray(0, wholeUntil)]);
+    this.#partialBytes = 0;
+    this.#keep(chunk.subarray(wholeUntil));
     const count = this.events - before;
     if (count > 0) {
       const ids = [...whole.toString('latin1').matchAll(ID_FIELD)];
@@ -74,9 +80,17 @@
     return { bytes: whole, count };
   }
 
+  /** Keeps a part of an incomplete event; parts are joined only once it is complete. */
+  #keep(part: Buffer): void {
+    if (part.length === 0) return;
+    this.#partial.push(part);
+    this.#partialBytes += part.length;
+  }
+
   /** Discards an incomplete event, before the stream is resumed at another upstream. */
   discardPartial(): void {
-    this.#partial = Buffer.alloc(0);
+    this.#partial.length = 0;
+    this.#partialBytes = 0;
     this.#line = 'empty';
     this.#isInEvent = false;
     this.#isAfterCr = false;
--- a/src/gateway/tests/eventstream.test.ts
+++ b/src/gateway/tests/eventstream.test.ts
@@ -99,3 +99,22 @@
   stream.push(Buffer.from('id: 1\n\nid:\ndata: 5\n\n'));
   t.is(stream.lastId, '1');
 });
+
+/** Size of an event that arrives in chunks of one byte. */
+const LONG_EVENT_BYTES = 200_000;
+
+/** Time within which it is read, in milliseconds: a fraction of what a busy daemon may be silent. */
+const LONG_EVENT_MS = 500;
+
+// The time to read an event must grow with its size, not with the square of it, or one stream occupies the daemon.
+test('a long event is read in time although each byte is a chunk of its own', (t) => {
+  const stream = new EventStream();
+  const byte = Buffer.from('x');
+  const startedAt = performance.now();
+  for (let at = 0; at < LONG_EVENT_BYTES; at += 1) stream.push(byte);
+  const { bytes, count } = stream.push(Buffer.from('\n\n'));
+  const tookMs = Math.round(performance.now() - startedAt);
+  t.is(count, 1);
+  t.is(bytes.length, LONG_EVENT_BYTES + 2);
+  t.true(tookMs < LONG_EVENT_MS, `${tookMs} ms`);
+});
--- a/src/gateway/upstreamconnection.ts
+++ b/src/gateway/upstreamconnection.ts
@@ -80,6 +80,15 @@
   /** Records that a request starts to be sent. */
   noteRequest(): void {
     this.#requests += 1;
+    this.#socket.beginAnswer();
+  }
+
+  /**
+   * Records a part of the body of an answer.
+   * @param bytes - its length
+   */
+  noteBody(bytes: number): void {
+    this.#socket.noteBody(bytes);
   }
 
   /** Closes the connection at once; a request on it fails. */
--- a/src/kernel/index.ts
+++ b/src/kernel/index.ts
@@ -1,5 +1,6 @@
 /** Shared kernel: results, failures, identities, time and tasks. */
 export * from './address.js';
+export * from './boundedbody.js';
 export * from './clock.js';
 export * from './failure.js';
 export * from './hash.js';
--- a/src/upstream/httpplainservice.ts
+++ b/src/upstream/httpplainservice.ts
@@ -2,7 +2,7 @@
 import { Client } from 'undici';
 
 import type { Dispatcher } from 'undici';
-import { Err, failure, Ok } from '../kernel/index.js';
+import { Err, failure, Ok, readBounded } from '../kernel/index.js';
 import { PlainService } from './plainservice.js';
 import { wasNeverSent } from './unsent.js';
 import { WatchedSocket } from './watchedsocket.js';
@@ -13,6 +13,9 @@
 /** Timeout for opening a connection, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 1_000;
 
+/** Largest body of an answer, in bytes: it is held in memory as a whole. */
+const MAX_ANSWER_BYTES = 16_777_216;
+
 /** Statuses whose answers have no body. */
 const EMPTY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
@@ -49,7 +52,8 @@
         body: call.body.length > 0 ? call.body : null,
       });
       const contentType = String(res.headers['content-type'] ?? 'application/octet-stream');
-      const body = Buffer.from(await res.body.arrayBuffer());
+      const noteBody = (bytes: number): void => socket.noteBody(bytes);
+      const body = await readBounded(res.body, MAX_ANSWER_BYTES, noteBody);
       if (!isWhole(res, socket)) throw new Error('the connection was reset within the answer');
       return Ok({ status: res.statusCode, contentType, body });
     } catch (err) {
--- a/src/upstream/watchedsocket.ts
+++ b/src/upstream/watchedsocket.ts
@@ -2,8 +2,18 @@
 import { buildConnector } from 'undici';
 
 import type { Socket } from 'node:net';
+import { OverheadError } from './overheaderror.js';
 import { SocketEndedError } from './socketendederror.js';
 
+/**
+ * Number of bytes of one answer that may carry no part of its body, beyond those that were read but not yet parsed: the
+ * HTTP client reads reasons, interim answers and extensions of chunks without a limit.
+ */
+const MAX_OVERHEAD_BYTES = 262_144;
+
+/** Bytes of framing that a byte of a body may need: as many as the body itself, for chunks of a few bytes. */
+const FRAMING_PER_BYTE = 1;
+
 /** How the other side ended a socket. */
 export type SocketEnding = 'closed' | 'reset';
 
@@ -29,6 +39,12 @@
 
   #ending: SocketEnding | undefined;
 
+  /** Number of bytes that were received before the current answer. */
+  #receivedBefore = 0;
+
+  /** Number of bytes of the current answer's body. */
+  #bodyBytes = 0;
+
   /** Whether the socket is established, and neither side has ended it. */
   get isOpen(): boolean {
     return this.#socket?.destroyed === false && this.#ending === undefined;
@@ -42,6 +58,20 @@
     return this.#ending;
   }
 
+  /** Records that a request is sent, so that an answer begins. */
+  beginAnswer(): void {
+    this.#receivedBefore = this.#socket?.bytesRead ?? 0;
+    this.#bodyBytes = 0;
+  }
+
+  /**
+   * Records a part of the body of the current answer.
+   * @param bytes - its length
+   */
+  noteBody(bytes: number): void {
+    this.#bodyBytes += bytes;
+  }
+
   /**
    * Creates the connector for the HTTP client.
    * @param timeoutMs - time limit for opening the socket, in milliseconds
@@ -58,15 +88,20 @@
       this.#isRequested = true;
       connect(options, (...result) => {
         const [err, socket] = result;
-        if (err === null) this.#watch(socket);
+        if (err === null) this.#watch(socket, `${options.hostname}:${options.port}`);
         callback(...result);
       });
     };
   }
 
   /** Adds listeners that run before those of the HTTP client, which reports the end of an answer at once. */
-  #watch(socket: Socket): void {
+  #watch(socket: Socket, address: string): void {
     this.#socket = socket;
+    socket.prependListener('readable', () => {
+      const received = socket.bytesRead - this.#receivedBefore;
+      const overhead = received - this.#bodyBytes * (1 + FRAMING_PER_BYTE);
+      if (overhead > MAX_OVERHEAD_BYTES) socket.destroy(new OverheadError(address, overhead));
+    });
     socket.prependListener('end', () => {
       this.#ending ??= wasReset(socket) ? 'reset' : 'closed';
     });
