--- a/src/cli/client.ts
+++ b/src/cli/client.ts
@@ -1,7 +1,7 @@
 /** HTTP client for the operator interface of a daemon. */
 import { request } from 'undici';
 
-import { Err, Ok } from '../kernel/index.js';
+import { Err, Ok, readJson } from '../kernel/index.js';
 
 import type { FailureBody, Result } from '../kernel/index.js';
 
@@ -11,6 +11,9 @@
 /** Maximum number of attempts if no answer comes; safe because orders carry an operation id. */
 const MAX_ORDER_ATTEMPTS = 3;
 
+/** Largest answer, in bytes: a time line of many events. */
+const MAX_ANSWER_BYTES = 67_108_864;
+
 const FIRST_FAILURE_STATUS = 300;
 
 /** Base URL of a daemon, and the operator key. */
@@ -76,7 +79,7 @@
         headersTimeout: REQUEST_TIMEOUT_MS,
         bodyTimeout: REQUEST_TIMEOUT_MS,
       });
-      const parsed = await res.body.json();
+      const parsed = await readJson(res.body, MAX_ANSWER_BYTES);
       if (res.statusCode < FIRST_FAILURE_STATUS) return Ok(parsed as Body);
       return Err({ kind: 'refused', body: parsed as FailureBody });
     } catch (err) {
--- a/src/store/httpinstancelist.ts
+++ b/src/store/httpinstancelist.ts
@@ -2,7 +2,7 @@
 import { request } from 'undici';
 import * as z from 'zod';
 
-import { Err, Ok } from '../kernel/index.js';
+import { Err, Ok, readJson } from '../kernel/index.js';
 import { InstanceList } from './instancelist.js';
 
 import type { Result } from '../kernel/index.js';
@@ -11,6 +11,9 @@
 /** Timeout for the headers and for the body of the list, in milliseconds. */
 const LIST_TIMEOUT_MS = 2_000;
 
+/** Largest list, in bytes: some thousands of instances. */
+const MAX_LIST_BYTES = 4_194_304;
+
 const listSchema = z.object({
   instances: z.array(
     z.object({
@@ -38,7 +41,7 @@
         headersTimeout: LIST_TIMEOUT_MS,
         bodyTimeout: LIST_TIMEOUT_MS,
       });
-      return Ok(listSchema.parse(await res.body.json()).instances);
+      return Ok(listSchema.parse(await readJson(res.body, MAX_LIST_BYTES)).instances);
     } catch (err) {
       return Err(`instance list at ${this.base}: ${String(err)}`);
     }
--- a/src/store/httpobjectstore.ts
+++ b/src/store/httpobjectstore.ts
@@ -3,7 +3,7 @@
 import * as z from 'zod';
 
 import type { Dispatcher } from 'undici';
-import { Err, Ok } from '../kernel/index.js';
+import { Err, Ok, readJson } from '../kernel/index.js';
 import { ObjectStore } from './objectstore.js';
 
 import type { Result } from '../kernel/index.js';
@@ -15,6 +15,9 @@
 /** Time that a watch may take beyond its requested wait, in milliseconds. */
 const WATCH_GRACE_MS = 1_500;
 
+/** Largest answer, in bytes: a list of all objects of a kind. */
+const MAX_ANSWER_BYTES = 16_777_216;
+
 const CONFLICT_STATUS = 412;
 
 const objectSchema = z.object({ version: z.number(), value: z.unknown() });
@@ -149,6 +152,6 @@
       headers: body === undefined ? {} : { 'content-type': 'application/json' },
       signal: AbortSignal.timeout(timeoutMs),
     });
-    return { status: res.statusCode, body: await res.body.json() };
+    return { status: res.statusCode, body: await readJson(res.body, MAX_ANSWER_BYTES) };
   }
 }
--- a/src/upstream/httpmodelengine.ts
+++ b/src/upstream/httpmodelengine.ts
@@ -2,7 +2,7 @@
 import { Agent } from 'undici';
 
 import type { Dispatcher } from 'undici';
-import { Err, failure, Ok } from '../kernel/index.js';
+import { Err, failure, Ok, readBounded } from '../kernel/index.js';
 import { AnswerReader } from './answerreader.js';
 import { ModelEngine } from './modelengine.js';
 import { wasNeverSent } from './unsent.js';
@@ -13,6 +13,9 @@
 /** Timeout for opening a connection, in milliseconds; also that of a cancellation. */
 const CONNECT_TIMEOUT_MS = 1_000;
 
+/** Largest body of a refusal, in bytes; only its beginning is used. */
+const MAX_REFUSAL_BYTES = 65_536;
+
 /** Calls model engines over HTTP. */
 export class HttpModelEngine extends ModelEngine {
   readonly #agent = new Agent({ pipelining: 1, connect: { timeout: CONNECT_TIMEOUT_MS } });
@@ -25,7 +28,7 @@
     try {
       const res = await this.#agent.request(this.#options(url, call, signal));
       if (res.statusCode === 200) return Ok(new AnswerReader(call).read(res.body));
-      const text = (await res.body.text()).slice(0, 200);
+      const text = (await readBounded(res.body, MAX_REFUSAL_BYTES)).toString('utf8', 0, 200);
       const code =
         res.statusCode < 500 && res.statusCode !== 429
           ? 'upstream-refused'
--- a/src/upstream/httporderclient.ts
+++ b/src/upstream/httporderclient.ts
@@ -2,7 +2,7 @@
 import { Agent } from 'undici';
 import * as z from 'zod';
 
-import { Err, failure, Ok } from '../kernel/index.js';
+import { Err, failure, Ok, readJson } from '../kernel/index.js';
 import { OrderClient } from './orderclient.js';
 import { wasNeverSent } from './unsent.js';
 
@@ -14,6 +14,9 @@
 
 const CONFLICT_STATUS = 409;
 
+/** Largest state, in bytes. */
+const MAX_STATE_BYTES = 1_048_576;
+
 const stateSchema = z.object({
   open: z.number().int().nullable().default(null),
   orders: z.array(z.string()).readonly(),
@@ -44,7 +47,7 @@
         path: '/orders',
         signal,
       });
-      return Ok(stateSchema.parse(await res.body.json()));
+      return Ok(stateSchema.parse(await readJson(res.body, MAX_STATE_BYTES)));
     } catch (err) {
       return Err(failure('upstream-unavailable', `${url}: ${String(err)}`));
     }
--- a/src/upstream/httpworkerreportclient.ts
+++ b/src/upstream/httpworkerreportclient.ts
@@ -2,7 +2,7 @@
 import { Agent } from 'undici';
 import * as z from 'zod';
 
-import { Err, failure, Ok } from '../kernel/index.js';
+import { Err, failure, Ok, readJson } from '../kernel/index.js';
 import { WorkerReportClient } from './workerreportclient.js';
 
 import type { Failure, Result } from '../kernel/index.js';
@@ -11,6 +11,9 @@
 /** Timeout of a report request, in milliseconds. */
 const REPORT_TIMEOUT_MS = 800;
 
+/** Largest report, in bytes: far above one of all blocks that a worker stores between two reports. */
+const MAX_REPORT_BYTES = 1_048_576;
+
 const reportSchema = z.object({
   open: z.number().nonnegative(),
   age_ms: z.number().nonnegative().default(0),
@@ -42,7 +45,7 @@
         await res.body.dump();
         return Err(failure('upstream-unavailable', `${url}: status ${res.statusCode}`));
       }
-      const parsed = reportSchema.safeParse(await res.body.json());
+      const parsed = reportSchema.safeParse(await readJson(res.body, MAX_REPORT_BYTES));
       if (!parsed.success) return Err(failure('upstream-unavailable', `${url}: invalid report`));
       const { open, age_ms: ageMs, sequence, stored, evicted } = parsed.data;
       return Ok({ open, ageMs, sequence, stored, evicted });
