Comments on limits and idle connections say what they bound

Why 256 KB for bytes beside a body: a socket holds up to 80 KB that was not parsed yet (one read of 64 KB above its mark of 16 KB), a head up to 16 KB.

--- a/src/gateway/crashwatch.ts
+++ b/src/gateway/crashwatch.ts
@@ -44,7 +44,7 @@
 /** Shortest retry delay that is sent to callers, in milliseconds. */
 const MIN_RETRY_MS = 1_000;
 
-/** Number of parts that a log line names, and of lines on parts that change together. */
+/** Number of parts that a log line names, and of lines that are written when many parts change at once. */
 const MAX_LOGGED_PARTS = 24;
 
 type Facts = NonNullable<EventSubject['facts']>;
--- a/src/ingress/callerconnections.ts
+++ b/src/ingress/callerconnections.ts
@@ -32,8 +32,8 @@
   }
 
   /**
-   * Closes the connections on which all requests were answered. The server's own function also closes those whose
-   * last answer still waits for the caller to read.
+   * Closes the connections on which all requests were answered. The server's "closeIdleConnections" also closes those
+   * whose last answer still waits for the caller to read.
    * @returns number of closed connections
    */
   closeIdle(): number {
--- a/src/route/crashreports.ts
+++ b/src/route/crashreports.ts
@@ -200,7 +200,7 @@
   return new Set(kept.map(([part]) => part));
 }
 
-/** Leaves out the least suspected parts of reports that exceed the size limit, and parts that are popular in vain. */
+/** Leaves out the least suspected parts beyond the size limit, and of the popular parts those that are in no prompt. */
 function boundedReports(reports: readonly CrashReport[]): readonly CrashReport[] {
   const kept = partsWithinLimit(reports);
   return filterParts(reports, (part) => kept?.has(part) ?? true).map((report) => {
--- a/src/upstream/watchedsocket.ts
+++ b/src/upstream/watchedsocket.ts
@@ -6,12 +6,12 @@
 import { SocketEndedError } from './socketendederror.js';
 
 /**
- * Number of bytes of one answer that may carry no part of its body, beyond those that were read but not yet parsed: the
- * HTTP client reads reasons, interim answers and extensions of chunks without a limit.
+ * Number of bytes, beside its body and the framing of that, after which an answer is given up: the HTTP client reads
+ * reasons, interim answers and extensions of chunks without a limit. More than a socket holds that was not parsed yet.
  */
 const MAX_OVERHEAD_BYTES = 262_144;
 
-/** Bytes of framing that a byte of a body may need: as many as the body itself, for chunks of a few bytes. */
+/** Bytes of framing for each byte of a body: chunks of a few bytes need as much as they carry. */
 const FRAMING_PER_BYTE = 1;
 
 /** How the other side ended a socket. */
