--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -68,23 +68,32 @@
   /**
    * Stops gracefully: serves requests while the load balancer still routes them to this daemon, then closes the
    * listener, returns unspent units and stops the tasks. Resolves within the stop time.
+   * @param cause - why the daemon stops, for the log
    */
-  async stop(): Promise<void> {
+  async stop(cause = 'requested'): Promise<void> {
     const { clock } = this.runtime;
-    const window = this.runtime.beginStop();
+    const window = this.runtime.beginStop(cause);
     const server = this.createIngress.getHttpServer();
     let idle = 0;
+    let lateMs = 0;
+    let dueAt = clock.now();
+    const closeIdle = (): void => {
+      const closed = this.runtime.callers.closeIdle();
+      idle += closed;
+      if (closed > 0) lateMs = Math.max(lateMs, clock.now() - dueAt);
+    };
     while (!mayCloseListener(window, this.runtime.load, clock.now())) {
       // Callers that keep a connection would send their next request to this daemon until it is gone.
-      idle += this.runtime.callers.closeIdle();
+      closeIdle();
+      dueAt = clock.now() + DRAIN_POLL_MS;
       // eslint-disable-next-line no-await-in-loop
       await delay(DRAIN_POLL_MS);
       if (isPastAcceptAll(window, clock.now())) this.runtime.releaseExcess();
     }
     // The server's own "close" would close connections whose last answer still waits for the caller to read.
     Server.prototype.close.call(server);
-    idle += this.runtime.callers.closeIdle();
-    this.runtime.listenerClosed(idle);
+    closeIdle();
+    this.runtime.listenerClosed(idle, lateMs);
     this.runtime.stopOpenRequests();
     const remainingMs = exitTime(window) - clock.now();
     // Closing a listener waits until all its connections have ended, even idle ones. The time limit bounds this
--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -142,6 +142,7 @@
       return undefined;
     }
     open.describe(head.id, found.route.name);
+    open.reach('queued');
     const { requestQueue, clock } = this.runtime;
     const leftMs = timeLimitMs(found.route, head.deadlineMs) - (clock.now() - arrival.at);
     const outcome = await requestQueue.waitForTurn(connection, leftMs);
@@ -168,6 +169,7 @@
       events: new EventStream(),
     };
     const run = new CallRun(callContext, call, found, arrival);
+    open.reach('running');
     open.onStop(() => {
       const wasBegun = caller.isBegun;
       run.stop();
--- a/src/gateway/openrequests.ts
+++ b/src/gateway/openrequests.ts
@@ -2,12 +2,16 @@
 import type { Clock } from '../kernel/index.js';
 import type { StopLoad } from './stopping.js';
 
+/** How far a request has come: its body is read, it waits for its turn, or it runs. */
+export type RequestStage = 'reading' | 'queued' | 'running';
+
 /** One open request. */
 interface OpenRequest {
   /** Id of the caller's attempt; empty until the headers are decoded. */
   id: string;
   /** Name of its route; "none" until it is known. */
   route: string;
+  stage: RequestStage;
   /** When it arrived, in milliseconds. */
   readonly since: number;
   /** Ends the request at once. */
@@ -18,6 +22,7 @@
 export interface ListedRequest {
   readonly id: string;
   readonly route: string;
+  readonly stage: RequestStage;
   /** Time since its arrival, in milliseconds. */
   readonly openMs: number;
 }
@@ -32,6 +37,11 @@
    * @param route - name of its route
    */
   readonly describe: (id: string, route: string) => void;
+  /**
+   * Records how far the request has come.
+   * @param stage - the stage that it has reached
+   */
+  readonly reach: (stage: RequestStage) => void;
   /**
    * Sets what ends the request at once.
    * @param stop - called when the process is about to exit
@@ -74,6 +84,7 @@
     const request: OpenRequest = {
       id: '',
       route: 'none',
+      stage: 'reading',
       since: this.#arrivedAt,
       stop: () => undefined,
     };
@@ -86,6 +97,9 @@
         request.id = id;
         request.route = route;
       },
+      reach: (stage) => {
+        request.stage = stage;
+      },
       onStop: (stop) => {
         request.stop = stop;
         if (this.#isStopped) stop();
@@ -108,9 +122,10 @@
    */
   list(): readonly ListedRequest[] {
     const now = this.clock.now();
-    return [...this.#open].map(({ id, route, since }) => ({
+    return [...this.#open].map(({ id, route, stage, since }) => ({
       id,
       route,
+      stage,
       openMs: Math.round(now - since),
     }));
   }
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -236,11 +236,12 @@
 
   /**
    * Begins a graceful stop: from now on the readiness check fails, but requests are still served.
+   * @param cause - why the daemon stops, for the log
    * @returns start and duration of the stop
    */
-  beginStop(): StopWindow {
+  beginStop(cause: string): StopWindow {
     this.#stopWindow = { startedAt: this.clock.now(), stopMs: this.settings.stopMs };
-    this.recorder.record('daemonStopping', { facts: { active: this.load.active } });
+    this.recorder.record('daemonStopping', { facts: { cause, active: this.load.active } });
     return this.#stopWindow;
   }
 
@@ -257,15 +258,17 @@
   /**
    * Records that the listener for callers is closed.
    * @param idle - number of idle connections that were closed during the stop
+   * @param lateMs - longest delay of the event loop before such a closing, in milliseconds
    */
-  listenerClosed(idle: number): void {
-    this.recorder.record('listenerClosed', { facts: { idle, active: this.load.active } });
+  listenerClosed(idle: number, lateMs: number): void {
+    const facts = { idle, lateMs: Math.round(lateMs), active: this.load.active };
+    this.recorder.record('listenerClosed', { facts });
   }
 
   /** Ends the requests that are still open when the daemon stops waiting for them. */
   stopOpenRequests(): void {
-    this.openRequests.list().forEach(({ id, route, openMs }) => {
-      this.recorder.record('callCutByStop', { request: id, facts: { route, openMs } });
+    this.openRequests.list().forEach(({ id, route, stage, openMs }) => {
+      this.recorder.record('callCutByStop', { request: id, facts: { route, stage, openMs } });
     });
     this.openRequests.stopAll();
   }
