A stop closes a connection only right after it was polled as idle (LOST)

A connection counted as idle by what had been read, and was reset with an unread request in it. Cause and class: a decision taken by a timer on what has not arrived, after a silence that the process itself has caused.

Now a connection is closed within 20 ms of the begin of a poll that brought nothing, else left for a later check, and only 200 ms after its last answer: a caller that has just read one may be sending its next request.

Evidence: stalledstops.test.ts, 'on kept connections before the signal is handled', failed before (1 of 3 rows) and passes.

--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -36,6 +36,12 @@
 /** Interval at which a graceful stop checks whether the listener for callers may be closed, in milliseconds. */
 const DRAIN_POLL_MS = 25;
 
+/**
+ * Time for which a connection is idle before a stop closes it, in milliseconds: several times a round trip, as a caller
+ * that has read an answer may have sent its next request.
+ */
+const IDLE_BEFORE_CLOSE_MS = 200;
+
 /** Interval at which a stopping daemon checks whether the last answers have been sent, in milliseconds. */
 const END_POLL_MS = 5;
 
@@ -71,29 +77,22 @@
    * @param cause - why the daemon stops, for the log
    */
   async stop(cause = 'requested'): Promise<void> {
-    const { clock } = this.runtime;
+    const { callers, clock } = this.runtime;
     const window = this.runtime.beginStop(cause);
     const server = this.createIngress.getHttpServer();
     let idle = 0;
-    let lateMs = 0;
-    let dueAt = clock.now();
-    const closeIdle = (): void => {
-      const closed = this.runtime.callers.closeIdle();
-      idle += closed;
-      if (closed > 0) lateMs = Math.max(lateMs, clock.now() - dueAt);
-    };
     while (!mayCloseListener(window, this.runtime.load, clock.now())) {
       // Callers that keep a connection would send their next request to this daemon until it is gone.
-      closeIdle();
-      dueAt = clock.now() + DRAIN_POLL_MS;
+      // eslint-disable-next-line no-await-in-loop
+      idle += await callers.closeIdle(IDLE_BEFORE_CLOSE_MS);
       // eslint-disable-next-line no-await-in-loop
       await delay(DRAIN_POLL_MS);
       if (isPastAcceptAll(window, clock.now())) this.runtime.releaseExcess();
     }
     // The server's own "close" would close connections whose last answer still waits for the caller to read.
     Server.prototype.close.call(server);
-    closeIdle();
-    this.runtime.listenerClosed(idle, lateMs);
+    idle += await callers.closeIdle(0);
+    this.runtime.listenerClosed(idle);
     this.runtime.stopOpenRequests();
     const remainingMs = exitTime(window) - clock.now();
     // Closing a listener waits until all its connections have ended, even idle ones. The time limit bounds this
--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -96,7 +96,7 @@
         const facts = { isStopping: runtime.isStopping, unsentBytes: caller.unsentBytes };
         runtime.recorder.record('answerUnsent', { request: open.id, facts });
       }
-      connection.answered();
+      connection.answered(runtime.clock.now());
       open.end();
       runtime.metrics.open.dec();
     }
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -258,10 +258,9 @@
   /**
    * Records that the listener for callers is closed.
    * @param idle - number of idle connections that were closed during the stop
-   * @param lateMs - longest delay of the event loop before such a closing, in milliseconds
    */
-  listenerClosed(idle: number, lateMs: number): void {
-    const facts = { idle, lateMs: Math.round(lateMs), active: this.load.active };
+  listenerClosed(idle: number): void {
+    const facts = { idle, active: this.load.active };
     this.recorder.record('listenerClosed', { facts });
   }
 
--- a/src/ingress/callerconnection.ts
+++ b/src/ingress/callerconnection.ts
@@ -31,6 +31,9 @@
 
   #isClosing = false;
 
+  /** When the last answer was sent, in milliseconds. */
+  #idleSince = Number.POSITIVE_INFINITY;
+
   /** Number of requests without a complete answer. */
   #unanswered = 0;
 
@@ -73,18 +76,27 @@
     this.#requestBytes = this.socket.bytesRead;
   }
 
-  /** Records that the answer to a request was handed to the operating system, or that it cannot be sent any more. */
-  answered(): void {
+  /**
+   * Records that the answer to a request was handed to the operating system, or that it cannot be sent any more.
+   * @param now - current time, in milliseconds
+   */
+  answered(now: number): void {
     this.#unanswered -= 1;
+    this.#idleSince = now;
   }
 
   /**
-   * Closes the connection if all its requests were answered and nothing has arrived since.
+   * Closes the connection if all its requests were answered and nothing has arrived since. To be called right after the
+   * sockets were polled: a request that was not read yet gets no answer.
+   * @param idleSince - latest time of the last answer, in milliseconds
    * @returns whether it was closed
    */
-  closeIfIdle(): boolean {
+  closeIfIdle(idleSince: number): boolean {
     const isIdle =
-      this.#requests > 0 && this.#unanswered === 0 && this.socket.bytesRead === this.#requestBytes;
+      this.#requests > 0 &&
+      this.#unanswered === 0 &&
+      this.#idleSince <= idleSince &&
+      this.socket.bytesRead === this.#requestBytes;
     if (isIdle) this.socket.destroy();
     return isIdle;
   }
--- a/src/ingress/callerconnections.ts
+++ b/src/ingress/callerconnections.ts
@@ -1,9 +1,16 @@
 /** Connections of callers, by socket. */
 import type { Socket } from 'node:net';
+import { afterPoll } from './afterpoll.js';
 import { CallerConnection } from './callerconnection.js';
 
 import type { Clock } from '../kernel/index.js';
 
+/**
+ * Longest time between the poll that found a connection idle and its closing, in milliseconds. It bounds how long a
+ * request may have waited that is lost with the connection.
+ */
+const MAX_POLL_AGE_MS = 20;
+
 /** Keeps one CallerConnection for each open socket. */
 export class CallerConnections {
   readonly #known = new WeakMap<Socket, CallerConnection>();
@@ -32,11 +39,20 @@
   }
 
   /**
-   * Closes the connections on which all requests were answered. The server's "closeIdleConnections" also closes those
-   * whose last answer still waits for the caller to read.
+   * Closes the connections on which all requests were answered, after the sockets have been polled. After a longer
+   * poll some are left for the next call. The server's "closeIdleConnections" also closes those whose last answer still
+   * waits for the caller to read.
+   * @param minIdleMs - least time since the last answer, in milliseconds: a caller that has just read one may be
+   * sending its next request
    * @returns number of closed connections
    */
-  closeIdle(): number {
-    return [...this.#open].filter((connection) => connection.closeIfIdle()).length;
+  async closeIdle(minIdleMs: number): Promise<number> {
+    const polledAfter = await afterPoll(this.clock);
+    let closed = 0;
+    for (const connection of this.#open) {
+      if (this.clock.now() - polledAfter > MAX_POLL_AGE_MS) break;
+      if (connection.closeIfIdle(polledAfter - minIdleMs)) closed += 1;
+    }
+    return closed;
   }
 }
