Requests that wait for their turn when a stop ends open requests are refused (LOST)

There the queue went on with one request for each turn of the event loop, and the rest went with the process.

The queue now ends all waits at that moment; the callers get a 503, not run, and come back elsewhere.

--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -150,8 +150,9 @@
       this.#recordDisconnect(head.id, arrival);
       return undefined;
     }
-    if (outcome === 'overloaded') {
-      const refusal = failure('overloaded', found.route.name);
+    if (outcome === 'overloaded' || outcome === 'stopped') {
+      const code = outcome === 'stopped' ? 'not-ready' : 'overloaded';
+      const refusal = failure(code, found.route.name);
       this.#refuse(
         caller,
         head,
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -269,6 +269,7 @@
     this.openRequests.list().forEach(({ id, route, stage, openMs }) => {
       this.recorder.record('callCutByStop', { request: id, facts: { route, stage, openMs } });
     });
+    this.requestQueue.stop();
     this.openRequests.stopAll();
   }
 
--- a/src/ingress/requestqueue.ts
+++ b/src/ingress/requestqueue.ts
@@ -22,10 +22,10 @@
 export type Defer = (task: () => void) => void;
 
 /**
- * Outcome of queueing a request: it is served now, its caller has disconnected, or its deadline would pass
- * in the queue.
+ * Outcome of queueing a request: it is served now, its caller has disconnected, its deadline would pass in the queue,
+ * or the queue was stopped.
  */
-export type QueueOutcome = 'begin' | 'left' | 'overloaded';
+export type QueueOutcome = 'begin' | 'left' | 'overloaded' | 'stopped';
 
 interface WaitingRequest {
   readonly end: (outcome: QueueOutcome) => void;
@@ -44,6 +44,8 @@
 
   #isScheduled = false;
 
+  #isStopped = false;
+
   /** Number of the current event loop iteration; counted only while requests are queued. */
   #iteration = 0;
 
@@ -91,6 +93,7 @@
    * @returns the outcome; "overloaded" at once if the request is not expected to start within that time
    */
   waitForTurn(connection: CallerConnection, leftMs: number): Promise<QueueOutcome> {
+    if (this.#isStopped) return Promise.resolve('stopped');
     if (this.length * this.#meanIntervalMs > leftMs) return Promise.resolve('overloaded');
     if (this.length === 0) this.#lastStartAt = this.clock.now();
     return new Promise((resolve) => {
@@ -109,6 +112,12 @@
     });
   }
 
+  /** Ends the wait of all requests, and of later ones at once. */
+  stop(): void {
+    this.#isStopped = true;
+    [...this.#waiting].forEach(({ end }) => end('stopped'));
+  }
+
   #schedule(): void {
     if (this.#isScheduled) return;
     this.#isScheduled = true;
--- a/src/ingress/tests/requestqueue.test.ts
+++ b/src/ingress/tests/requestqueue.test.ts
@@ -39,6 +39,10 @@
   readonly left?: readonly string[];
   /** Requests that are rejected. */
   readonly overloaded?: readonly string[];
+  /** Requests that wait when the queue is stopped, or arrive later. */
+  readonly stopped?: readonly string[];
+  /** Whether the queue is stopped after the arrivals. */
+  readonly stops?: boolean;
 }
 
 interface Row {
@@ -106,6 +110,15 @@
       { begun: ['c'] },
     ],
   },
+  {
+    title: 'requests that wait when the queue is stopped are ended, and so are later ones',
+    turns: [
+      { arrive: ['a', 'b', 'c'] },
+      { begun: ['a'] },
+      { leave: ['b'], left: ['b'], stops: true, stopped: ['c'] },
+      { arrive: ['d'], stopped: ['d'] },
+    ],
+  },
 ];
 
 ROWS.forEach(({ title, turns }) => {
@@ -116,7 +129,7 @@
       deferred.push(task);
     });
     const callers = new Map<string, EventEmitter>();
-    const ended: Record<QueueOutcome, string[]> = { begin: [], left: [], overloaded: [] };
+    const ended: Record<QueueOutcome, string[]> = { begin: [], left: [], overloaded: [], stopped: [] };
     for (const [index, turn] of turns.entries()) {
       time.now += turn.ms ?? 0;
       if (turn.accepts) queue.accepted();
@@ -133,11 +146,12 @@
           .then((outcome) => ended[outcome].push(name));
       });
       turn.leave?.forEach((name) => callers.get(name)?.emit('end'));
+      if (turn.stops) queue.stop();
       deferred.splice(0).forEach((task) => task());
       // eslint-disable-next-line no-await-in-loop
       await Promise.resolve().then(() => undefined);
-      const { begun = [], left = [], overloaded = [] } = turn;
-      t.deepEqual(ended, { begin: begun, left, overloaded }, `turn ${index}`);
+      const { begun = [], left = [], overloaded = [], stopped = [] } = turn;
+      t.deepEqual(ended, { begin: begun, left, overloaded, stopped }, `turn ${index}`);
       Object.values(ended).forEach((names) => names.splice(0));
     }
     t.is(queue.length, 0);
