--- a/src/ingress/tests/requestqueue.test.ts
+++ b/src/ingress/tests/requestqueue.test.ts
@@ -129,7 +129,12 @@
       deferred.push(task);
     });
     const callers = new Map<string, EventEmitter>();
-    const ended: Record<QueueOutcome, string[]> = { begin: [], left: [], overloaded: [], stopped: [] };
+    const ended: Record<QueueOutcome, string[]> = {
+      begin: [],
+      left: [],
+      overloaded: [],
+      stopped: [],
+    };
     for (const [index, turn] of turns.entries()) {
       time.now += turn.ms ?? 0;
       if (turn.accepts) queue.accepted();
