--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -5,7 +5,7 @@
 import { failure } from '../kernel/index.js';
 import { readBody } from '../request/index.js';
 import { answerFailure, internalFailure } from './answerfailure.js';
-import { CallRun } from './callrun.js';
+import { CallRun, TIMEOUT_SLACK_MS } from './callrun.js';
 import { timeLimitMs } from './configuration.js';
 import { EventStream } from './eventstream.js';
 import { HttpReply } from './httpreply.js';
@@ -17,7 +17,7 @@
 import type { CallPolicy } from './callrun.js';
 import type { EventSubject } from '../telemetry/index.js';
 import type { ReadBody } from '../request/index.js';
-import type { CallerLimits } from './configuration.js';
+import type { CallerLimits, GatewayRoute } from './configuration.js';
 import type { RequestHandle } from './openrequests.js';
 import type { CallHead } from './protocol.js';
 import type { RouteTable } from './routetable.js';
@@ -39,6 +39,11 @@
   return OTHER_DAEMON_RETRY_MS * (1 + Math.random());
 }
 
+/** Returns the time at which a request has ended at the latest, in milliseconds. */
+function endTime(route: GatewayRoute, { deadlineMs }: CallHead, { at }: Arrival): number {
+  return at + timeLimitMs(route, deadlineMs) + TIMEOUT_SLACK_MS;
+}
+
 /** Reply, connection and arrival of one request. */
 interface Exchange {
   readonly caller: HttpReply;
@@ -134,7 +139,7 @@
     open.onStop(() => undefined);
     const found = body.isTooLarge
       ? failure('body-too-large', target)
-      : this.#policyOf(head, req.headers.host ?? '', target);
+      : this.#policyOf(head, req.headers.host ?? '', target, arrival);
     const { callContext } = this.runtime;
     if ('code' in found || !callContext) {
       const refusal = 'code' in found ? found : failure('not-ready', target);
@@ -143,15 +148,18 @@
     }
     open.describe(head.id, found.route.name);
     open.reach('queued');
-    const { requestQueue, clock } = this.runtime;
-    const leftMs = timeLimitMs(found.route, head.deadlineMs) - (clock.now() - arrival.at);
-    const outcome = await requestQueue.waitForTurn(connection, leftMs);
+    const { requestQueue } = this.runtime;
+    const endsAt = endTime(found.route, head, arrival);
+    const waitMs = this.runtime.longestWaitMs(endsAt);
+    const outcome = await requestQueue.waitForTurn(connection, waitMs);
     if (outcome === 'left') {
       this.#recordDisconnect(head.id, arrival);
       return undefined;
     }
-    if (outcome === 'overloaded' || outcome === 'stopped') {
-      const code = outcome === 'stopped' ? 'not-ready' : 'overloaded';
+    const isAccepted =
+      outcome === 'begin' && this.runtime.acceptsRequest(head.id, found.route.name, endsAt);
+    if (!isAccepted) {
+      const code = outcome === 'overloaded' ? 'overloaded' : 'not-ready';
       const refusal = failure(code, found.route.name);
       this.#refuse(
         caller,
@@ -180,7 +188,7 @@
     return run;
   }
 
-  #policyOf(head: CallHead, host: string, target: string): CallPolicy | Failure {
+  #policyOf(head: CallHead, host: string, target: string, arrival: Arrival): CallPolicy | Failure {
     const { table } = this.runtime.routingState;
     const notReady = { ...failure('not-ready', target), retryAfterMs: NOT_READY_RETRY_MS };
     if (!table || !this.runtime.callContext) return notReady;
@@ -188,7 +196,7 @@
     if (!route) return failure('unknown-route', `${host}${target}`);
     const workspace = this.#workspaceOf(table, head, route.isPublic);
     if (workspace === 'unknown') return failure('unknown-key', route.name);
-    return this.runtime.acceptsRequest(head.id, route, head.deadlineMs)
+    return this.runtime.acceptsRequest(head.id, route.name, endTime(route, head, arrival))
       ? { table, route, workspace }
       : { ...failure('not-ready', target), retryAfterMs: otherDaemonRetryMs() };
   }
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -12,7 +12,6 @@
 import { Announcements } from './announcements.js';
 import { TIMEOUT_SLACK_MS } from './callrun.js';
 import { CrashWatch } from './crashwatch.js';
-import { timeLimitMs } from './configuration.js';
 import { UpstreamPool } from './upstreampool.js';
 import { Holders } from './holders.js';
 import { RoutingState } from './routingstate.js';
@@ -22,13 +21,12 @@
 import { retryLimits } from './retrylimits.js';
 import { processorCores } from './settings.js';
 import { OpenRequests } from './openrequests.js';
-import { acceptsDuringStop, cutTime, isPastAcceptAll } from './stopping.js';
+import { acceptsDuringStop, cutTime, isPastAcceptAll, latestBegin } from './stopping.js';
 
 import type { PlacementOptions } from '../route/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { PlatformAdapter } from './adapter.js';
 import type { CallContext } from './callrun.js';
-import type { GatewayRoute } from './configuration.js';
 import type { RegisteredDaemon } from './followedinstances.js';
 import type { GatewaySettings } from './settings.js';
 import type { StopLoad, StopWindow } from './stopping.js';
@@ -209,25 +207,36 @@
   }
 
   /**
-   * Decides whether a request is accepted now. Requests are refused only during a stop.
+   * Returns the longest time for which a request may wait until it begins. Only a stop limits it.
+   * @param endsAt - time at which the request has ended at the latest, in milliseconds
+   * @returns duration in milliseconds
+   */
+  longestWaitMs(endsAt: number): number {
+    const now = this.clock.now();
+    const beginsBy = this.#stopWindow ? latestBegin(this.#stopWindow, endsAt) : endsAt;
+    return Math.min(beginsBy, endsAt - TIMEOUT_SLACK_MS) - now;
+  }
+
+  /**
+   * Decides whether a request that has arrived or has waited for its turn is accepted now. Requests are refused only
+   * during a stop.
    * @param request - its id, for the log
-   * @param route - its route
-   * @param deadlineMs - time that its caller waits, in milliseconds; undefined for no limit
+   * @param route - name of its route
+   * @param endsAt - time at which the request has ended at the latest, in milliseconds
    * @returns whether it is accepted
    */
-  acceptsRequest(request: string, route: GatewayRoute, deadlineMs: number | undefined): boolean {
+  acceptsRequest(request: string, route: string, endsAt: number): boolean {
     const window = this.#stopWindow;
     if (!window) return true;
-    const limitMs = timeLimitMs(route, deadlineMs) + TIMEOUT_SLACK_MS;
     const now = this.clock.now();
-    const isAccepted = acceptsDuringStop(window, limitMs, now);
+    const isAccepted = acceptsDuringStop(window, endsAt, now);
     if (isPastAcceptAll(window, now)) {
       const facts = {
         isAccepted,
-        route: route.name,
+        route,
         stoppingMs: Math.round(now - window.startedAt),
         leftMs: Math.round(cutTime(window) - now),
-        limitMs,
+        limitMs: Math.round(endsAt - now),
       };
       this.recorder.record('callInStop', { request, facts });
     }
--- a/src/gateway/stopping.ts
+++ b/src/gateway/stopping.ts
@@ -86,54 +86,30 @@
   return now - startedAt >= stopMs * ACCEPT_ALL_SHARE;
 }
 
-/**
- * Decides whether a request is accepted during a stop. Requests still arrive after the first phase: callers keep
- * their connections, and if most daemons of a data centre stop, the load balancer keeps routing requests to all of
- * them.
- * @param window - start and duration of the stop
- * @param limitMs - time after which the request has ended at the latest, in milliseconds
- * @param now - current time, in milliseconds
- * @returns whether it is accepted; after the first phase, whether it ends before the daemon stops waiting for open
- * requests, however long it takes
- */
-export function acceptsDuringStop(window: StopWindow, limitMs: number, now: number): boolean {
-  return !isPastAcceptAll(window, now) || now + limitMs <= cutTime(window);
-}
-
 /**
  * Returns the latest time at which a request may begin during a stop.
  * @param window - start and duration of the stop
  * @param endsAt - time at which the request has ended at the latest, in milliseconds
- * @returns time in milliseconds; later, the stop might end before the request
+ * @returns time in milliseconds, from which on the stop might end before the request
  */
 export function latestBegin(window: StopWindow, endsAt: number): number {
   const { startedAt, stopMs } = window;
-  return endsAt <= cutTime(window)
-    ? Number.POSITIVE_INFINITY
-    : startedAt + stopMs * ACCEPT_ALL_SHARE;
-}
-
-/** Requests and connections of a daemon that is about to exit. */
-export interface LastArrivals {
-  /** Number of requests that have not ended. */
-  readonly active: number;
-  /** When the last request arrived, in milliseconds. */
-  readonly arrivedAt: number;
-  /** When the last connection was accepted, in milliseconds. */
-  readonly acceptedAt: number;
+  if (endsAt <= cutTime(window)) return Number.POSITIVE_INFINITY;
+  return startedAt + stopMs * ACCEPT_ALL_SHARE;
 }
 
 /**
- * Decides whether nothing that a caller has sent still waits to be read or answered.
- * @param arrivals - what has arrived so far
- * @param polledAfter - time before which the last poll of the sockets cannot have begun, in milliseconds
- * @returns whether that poll has brought nothing
+ * Decides whether a request is accepted during a stop, and whether it may still begin once it has waited. Requests still
+ * arrive after the first phase: callers keep their connections, and if most daemons of a data centre stop, the load
+ * balancer keeps routing requests to all of them.
+ * @param window - start and duration of the stop
+ * @param endsAt - time at which the request has ended at the latest, in milliseconds
+ * @param now - current time, in milliseconds
+ * @returns whether it is; after the first phase, whether it ends before the daemon stops waiting for open requests,
+ * however long it takes
  */
-export function isDrained(
-  { active, arrivedAt, acceptedAt }: LastArrivals,
-  polledAfter: number,
-): boolean {
-  return active === 0 && arrivedAt < polledAfter && acceptedAt < polledAfter;
+export function acceptsDuringStop(window: StopWindow, endsAt: number, now: number): boolean {
+  return now < latestBegin(window, endsAt);
 }
 
 /**
--- a/src/gateway/tests/stopping.test.ts
+++ b/src/gateway/tests/stopping.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 
-import { mayCloseListener, acceptsDuringStop } from '../stopping.js';
+import { acceptsDuringStop, latestBegin, mayCloseListener } from '../stopping.js';
 
 const WINDOW = { startedAt: 1_000, stopMs: 8_000 };
 
@@ -19,7 +19,19 @@
 
 REQUESTS.forEach(({ title, at, limitMs, taken }) => {
   test(`during a stop, ${title} is ${taken ? 'taken' : 'refused'}`, (t) => {
-    t.is(acceptsDuringStop(WINDOW, limitMs, at), taken);
+    t.is(acceptsDuringStop(WINDOW, at + limitMs, at), taken);
+  });
+});
+
+const WAITS = [
+  { title: 'that may outlast the stop', arrivedAt: 2_000, limitMs: 12_000, until: 3_960 },
+  { title: 'that may end right after the cut', arrivedAt: 3_000, limitMs: 5_201, until: 3_960 },
+  { title: 'that ends before the cut', arrivedAt: 3_000, limitMs: 5_200, until: Infinity },
+] as const;
+
+WAITS.forEach(({ title, arrivedAt, limitMs, until }) => {
+  test(`during a stop, a request ${title} begins before ${until} or not at all`, (t) => {
+    t.is(latestBegin(WINDOW, arrivedAt + limitMs), until);
   });
 });
 
