--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -71,6 +71,9 @@
     const ingress = await GatewayDaemon.#ingress(runtime);
     const server = ingress.getHttpServer();
     server.on('connection', (socket) => runtime.accepted(socket));
+    server.on('timeout', (socket) => {
+      void runtime.callers.closeExpired(socket);
+    });
     const { host, port } = splitAddress(settings.listen.callers);
     await ingress.listen(port, host);
     void runtime.start();
--- a/src/ingress/callerconnections.ts
+++ b/src/ingress/callerconnections.ts
@@ -57,4 +57,17 @@
     }
     return closed;
   }
+
+  /**
+   * Closes the connection of a socket whose idle time is over, unless a request has arrived meanwhile.
+   * @param socket - the socket
+   */
+  async closeExpired(socket: Socket): Promise<void> {
+    let polledAfter: number;
+    do {
+      // eslint-disable-next-line no-await-in-loop
+      polledAfter = await afterPoll(this.clock);
+    } while (!isFresh(polledAfter, this.clock.now()));
+    this.of(socket).closeIfIdle(polledAfter);
+  }
 }
