The chat interface closes idle connections after a poll as well

Read, not shown: when a stop closes the listener, Node.js resets its idle connections, also those whose request waits unread after a stall.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -11,7 +11,8 @@
 
 import type { NestFastifyApplication } from '@nestjs/platform-fastify';
 import type { FastifyReply, FastifyRequest } from 'fastify';
-import { failure, FailureError } from '../kernel/index.js';
+import { freshPoll } from '../ingress/index.js';
+import { failure, FailureError, SteadyClock } from '../kernel/index.js';
 import { readBody } from '../request/index.js';
 import { AppModule } from './app.module.js';
 import { FailureFilter } from './failure.filter.js';
@@ -44,6 +45,8 @@
 
 /** Starts and stops a daemon. */
 export class Daemon {
+  private readonly clock = new SteadyClock();
+
   private constructor(
     readonly runtime: Runtime,
     private readonly app: NestFastifyApplication,
@@ -125,6 +128,9 @@
     }
     await this.runtime.finishStop();
     const server = this.app.getHttpServer();
+    // A request that has arrived but was not read would be reset with its idle connection.
+    await freshPoll(this.clock, this.clock.now() + CLOSE_TIMEOUT_MS);
+    server.closeIdleConnections();
     // Closing waits until all connections have ended, even those on which nothing was sent.
     const timer = setTimeout(() => server.closeAllConnections(), CLOSE_TIMEOUT_MS);
     await this.app.close();
--- a/src/ingress/afterpoll.ts
+++ b/src/ingress/afterpoll.ts
@@ -32,3 +32,18 @@
   await nextCheck();
   return before;
 }
+
+/**
+ * Resolves right after a poll whose result still counts.
+ * @param clock - steady clock
+ * @param until - time after which the next poll will do, in milliseconds
+ * @returns a time, in milliseconds, before which the poll cannot have begun
+ */
+export async function freshPoll(clock: Clock, until = Number.POSITIVE_INFINITY): Promise<number> {
+  for (;;) {
+    // eslint-disable-next-line no-await-in-loop
+    const polledAfter = await afterPoll(clock);
+    const now = clock.now();
+    if (isFresh(polledAfter, now) || now >= until) return polledAfter;
+  }
+}
--- a/src/ingress/callerconnections.ts
+++ b/src/ingress/callerconnections.ts
@@ -1,6 +1,6 @@
 /** Connections of callers, by socket. */
 import type { Socket } from 'node:net';
-import { afterPoll, isFresh } from './afterpoll.js';
+import { afterPoll, freshPoll, isFresh } from './afterpoll.js';
 import { CallerConnection } from './callerconnection.js';
 
 import type { Clock } from '../kernel/index.js';
@@ -63,11 +63,7 @@
    * @param socket - the socket
    */
   async closeExpired(socket: Socket): Promise<void> {
-    let polledAfter: number;
-    do {
-      // eslint-disable-next-line no-await-in-loop
-      polledAfter = await afterPoll(this.clock);
-    } while (!isFresh(polledAfter, this.clock.now()));
+    const polledAfter = await freshPoll(this.clock);
     this.of(socket).closeIfIdle(polledAfter);
   }
 }
--- a/src/ingress/index.ts
+++ b/src/ingress/index.ts
@@ -1,5 +1,5 @@
 /** Ingress: callers' connections, and the queue of requests before they are served. */
-export { afterPoll, isFresh } from './afterpoll.js';
+export { afterPoll, freshPoll, isFresh } from './afterpoll.js';
 export { CallerConnection } from './callerconnection.js';
 export { CallerConnections } from './callerconnections.js';
 export { RequestQueue } from './requestqueue.js';
