Callers of the tests that close their connection do close it

"close" of LeavingCallers was socket.end(), which only closes the sending side: Node goes on reading until the daemon closes too, so that rows "closed" and "half-closed" were the same on the wire. "close" is now destroySoon(), which sends what was written, then FIN, and closes the socket, as the name and the rows say.

It is needed to tell the two cases apart at all.

--- a/testbed/leavingcallers.ts
+++ b/testbed/leavingcallers.ts
@@ -23,8 +23,8 @@
   /** Time from the request until the caller disconnects, in milliseconds. */
   readonly leaveAfterMs: number;
   /**
-   * How the connection ends: "close" sends FIN, "half-close" sends FIN and goes on reading,
-   * "destroy" closes the socket with unread data, "reset" sends RST.
+   * How the connection ends: "close" sends all that was written, then FIN, and reads no more; "half-close" sends FIN and
+   * goes on reading; "destroy" closes the socket with unread data; "reset" sends RST.
    */
   readonly how: 'close' | 'half-close' | 'destroy' | 'reset';
 }
--- a/testbed/leavingcallersthread.ts
+++ b/testbed/leavingcallersthread.ts
@@ -14,6 +14,7 @@
 function disconnect(socket: Socket, how: LeavingPlan['how']): void {
   if (how === 'reset') socket.resetAndDestroy();
   else if (how === 'destroy') socket.destroy();
+  else if (how === 'close') socket.destroySoon();
   else socket.end();
 }
 
