--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -59,6 +59,9 @@
     const ingress = await GatewayDaemon.#ingress(runtime);
     const server = ingress.getHttpServer();
     server.on('connection', (socket) => runtime.accepted(socket));
+    // Callers may close their sending side after their last request (RFC 9112, section 9.6).
+    Object.assign(server, { httpAllowHalfOpen: true });
+    server.prependListener('request', ({ socket }, res) => runtime.callers.of(socket).expects(res));
     const { host, port } = splitAddress(settings.listen.callers);
     await ingress.listen(port, host);
     void runtime.start();
--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -77,7 +77,8 @@
     const arrival = connection.arrived(runtime.clock.now());
     const open = runtime.openRequests.add();
     runtime.metrics.open.inc();
-    const isClosing = (): boolean => runtime.isStopping && connection.isLast(arrival);
+    const isClosing = (): boolean =>
+      (runtime.isStopping || connection.hasEnded) && connection.isLast(arrival);
     const caller = new HttpReply(reply.raw, connection, isClosing);
     let run: CallRun | undefined;
     try {
@@ -96,6 +97,9 @@
         const facts = { isStopping: runtime.isStopping, unsentBytes: caller.unsentBytes };
         runtime.recorder.record('answerUnsent', { request: open.id, facts });
       }
+      const { callerSide } = connection;
+      if (callerSide === 'half-closed' || callerSide === 'silent')
+        runtime.recorder.record('callerHalfClosed', { request: open.id, facts: { callerSide } });
       connection.answered();
       open.end();
       runtime.metrics.open.dec();
--- a/src/ingress/callerconnection.ts
+++ b/src/ingress/callerconnection.ts
@@ -1,8 +1,12 @@
 /** One connection of a caller, with its age, its number of requests and its end. */
 import type { EventEmitter } from 'node:events';
+import type { ServerResponse } from 'node:http';
 
+import { CallerSide } from './leaving.js';
 import { Occurrence } from './occurrence.js';
 
+import type { CallerSideState } from './leaving.js';
+
 /** Arrival time of a request, and age and use of its connection. */
 export interface Arrival {
   /** Time at which the head of the request was read, in milliseconds. */
@@ -23,7 +27,7 @@
 
 /** One connection of a caller. */
 export class CallerConnection {
-  readonly #end = new Occurrence();
+  readonly #side = new CallerSide();
 
   readonly #close = new Occurrence();
 
@@ -46,11 +50,9 @@
     private readonly socket: CallerSocket,
     private readonly acceptedAt: number,
   ) {
-    // A caller that has only half-closed its connection cannot be distinguished from one that has closed it. Both
-    // count as the end.
-    socket.once('end', () => this.#end.happen());
+    socket.once('end', () => this.#side.ended());
     socket.once('close', () => {
-      this.#end.happen();
+      this.#side.left();
       this.#close.happen();
     });
   }
@@ -68,6 +70,15 @@
     return { at: now, connectionMs: now - this.acceptedAt, earlier };
   }
 
+  /**
+   * Adds an answer of a server that keeps connections open after the end of the caller's side. Without such answers
+   * that end counts as the caller's leaving.
+   * @param res - response of the server
+   */
+  expects(res: ServerResponse): void {
+    this.#side.expects(res);
+  }
+
   /** Records that the last request was read completely. */
   wasRead(): void {
     this.#requestBytes = this.socket.bytesRead;
@@ -89,6 +100,21 @@
     return isIdle;
   }
 
+  /** Whether the caller's side has ended, and what that means. */
+  get callerSide(): CallerSideState {
+    return this.#side.state;
+  }
+
+  /** Whether the caller's side has ended and it is not known yet whether the caller waits for its answers. */
+  get isUnclear(): boolean {
+    return this.callerSide === 'unclear';
+  }
+
+  /** Whether the caller's side has ended, after which no request arrives. */
+  get hasEnded(): boolean {
+    return this.callerSide !== 'open';
+  }
+
   /** Whether the connection closes after an answer that has begun, so that no later request gets one. */
   get isClosing(): boolean {
     return this.#isClosing;
@@ -109,12 +135,22 @@
   }
 
   /**
-   * Adds a listener for the end of the caller's side; it is called at once if the connection has ended.
+   * Adds a listener for the caller's leaving; it is called at once if the caller has left.
    * @param listener - called at most once
    * @returns function that removes the listener
    */
   onEnd(listener: () => void): () => void {
-    return this.#end.listen(listener);
+    return this.#side.onLeft(listener);
+  }
+
+  /**
+   * Adds a listener for the conclusion that a caller whose side has ended waits for its answers; it is called at once
+   * if that is known.
+   * @param listener - called at most once
+   * @returns function that removes the listener
+   */
+  onHalfClosed(listener: () => void): () => void {
+    return this.#side.onHalfClosed(listener);
   }
 
   /**
--- a/src/ingress/requestqueue.ts
+++ b/src/ingress/requestqueue.ts
@@ -28,9 +28,8 @@
 export type QueueOutcome = 'begin' | 'left' | 'overloaded';
 
 interface WaitingRequest {
+  readonly connection: CallerConnection;
   readonly end: (outcome: QueueOutcome) => void;
-  /** Number of the event loop iteration in which it was queued. */
-  readonly since: number;
 }
 
 /**
@@ -39,8 +38,8 @@
  * is read one iteration after the request.
  */
 export class RequestQueue {
-  /** Queued requests, in the order of arrival. */
-  readonly #waiting = new Set<WaitingRequest>();
+  /** Queued requests, in the order of arrival, each with the number of the iteration in which it was queued. */
+  readonly #waiting = new Map<WaitingRequest, number>();
 
   #isScheduled = false;
 
@@ -92,23 +91,37 @@
    */
   waitForTurn(connection: CallerConnection, leftMs: number): Promise<QueueOutcome> {
     if (this.length * this.#meanIntervalMs > leftMs) return Promise.resolve('overloaded');
-    if (this.length === 0) this.#lastStartAt = this.clock.now();
     return new Promise((resolve) => {
-      let unsubscribe = (): void => undefined;
+      const unsubscribe: (() => void)[] = [];
       const waiting: WaitingRequest = {
-        since: this.#iteration,
+        connection,
         end: (outcome) => {
           this.#waiting.delete(waiting);
-          unsubscribe();
+          unsubscribe.forEach((remove) => remove());
           resolve(outcome);
         },
       };
-      this.#waiting.add(waiting);
-      unsubscribe = connection.onEnd(() => waiting.end('left'));
-      this.#schedule();
+      this.#add(waiting);
+      // A request that comes to its turn while it is not known whether its caller has left is taken out until then.
+      unsubscribe.push(connection.onHalfClosed(() => this.#add(waiting)));
+      unsubscribe.push(connection.onEnd(() => waiting.end('left')));
     });
   }
 
+  #add(waiting: WaitingRequest): void {
+    if (this.length === 0) this.#lastStartAt = this.clock.now();
+    this.#waiting.set(waiting, this.#iteration);
+    this.#schedule();
+  }
+
+  /** Takes out the requests before the first one that may begin whose callers may have left. */
+  #suspendUnclear(): void {
+    for (const [waiting] of this.#waiting) {
+      if (!waiting.connection.isUnclear) return;
+      this.#waiting.delete(waiting);
+    }
+  }
+
   #schedule(): void {
     if (this.#isScheduled) return;
     this.#isScheduled = true;
@@ -121,8 +134,9 @@
     const areConnectionsFirst =
       this.#hasNewConnection && now - this.#lastStartAt < CONNECTION_PRIORITY_MS;
     this.#hasNewConnection = false;
-    const [first] = this.#waiting;
-    if (first && first.since < this.#iteration && !areConnectionsFirst) {
+    this.#suspendUnclear();
+    const [[first, since] = []] = this.#waiting;
+    if (first && since !== undefined && since < this.#iteration && !areConnectionsFirst) {
       this.#meanIntervalMs += (now - this.#lastStartAt - this.#meanIntervalMs) * INTERVAL_WEIGHT;
       this.#lastStartAt = now;
       first.end('begin');
--- a/src/ingress/tests/requestqueue.test.ts
+++ b/src/ingress/tests/requestqueue.test.ts
@@ -3,7 +3,8 @@
 import test from 'ava';
 
 import { Clock } from '../../kernel/index.js';
-import { CallerConnection, RequestQueue } from '../index.js';
+import { ManualConnection } from '../../../testbed/manualconnection.js';
+import { RequestQueue } from '../index.js';
 
 import type { QueueOutcome } from '../index.js';
 
@@ -29,6 +30,10 @@
   readonly arrive?: readonly string[];
   /** Requests for which the end of the caller's connection is read. */
   readonly leave?: readonly string[];
+  /** Requests of callers whose sides end without it being known whether they have left. */
+  readonly unclear?: readonly string[];
+  /** Requests of callers that are known now to wait for their answers. */
+  readonly halfClosed?: readonly string[];
   /** Whether a connection is accepted. */
   readonly accepts?: boolean;
   /** Duration of the iteration, in milliseconds. */
@@ -96,6 +101,40 @@
       { begun: ['f'] },
     ],
   },
+  {
+    title: 'a request does not begin while it is not known whether its caller has left',
+    turns: [
+      { arrive: ['a', 'b', 'c'] },
+      { unclear: ['a'], begun: ['b'] },
+      { begun: ['c'] },
+      { arrive: ['d'] },
+      { begun: ['d'] },
+      {},
+      { halfClosed: ['a'] },
+      { begun: ['a'] },
+      {},
+    ],
+  },
+  {
+    title: 'a request whose caller proves to have left does not begin',
+    turns: [
+      { arrive: ['a', 'b'] },
+      { unclear: ['a'], begun: ['b'] },
+      {},
+      { leave: ['a'], left: ['a'] },
+      {},
+    ],
+  },
+  {
+    title: 'a request whose caller is known to wait before its turn begins once',
+    turns: [
+      { arrive: ['a', 'b', 'c'] },
+      { unclear: ['c'], begun: ['a'] },
+      { halfClosed: ['c'], begun: ['b'] },
+      { begun: ['c'] },
+      {},
+    ],
+  },
   {
     title: 'each request waits for one poll after it was read',
     turns: [
@@ -116,6 +155,7 @@
       deferred.push(task);
     });
     const callers = new Map<string, EventEmitter>();
+    const connections = new Map<string, ManualConnection>();
     const ended: Record<QueueOutcome, string[]> = { begin: [], left: [], overloaded: [] };
     for (const [index, turn] of turns.entries()) {
       time.now += turn.ms ?? 0;
@@ -127,11 +167,14 @@
           destroy: () => undefined,
         });
         callers.set(name, socket);
-        const connection = new CallerConnection(socket, time.now);
+        const connection = new ManualConnection(socket, time.now);
+        connections.set(name, connection);
         void queue
           .waitForTurn(connection, Number(leftMs))
           .then((outcome) => ended[outcome].push(name));
       });
+      turn.unclear?.forEach((name) => connections.get(name)?.endSide(false));
+      turn.halfClosed?.forEach((name) => connections.get(name)?.endSide(true));
       turn.leave?.forEach((name) => callers.get(name)?.emit('end'));
       deferred.splice(0).forEach((task) => task());
       // eslint-disable-next-line no-await-in-loop
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -191,6 +191,11 @@
     level: 'warn',
     text: 'the connection of a caller ended before the whole answer was sent',
   },
+  callerHalfClosed: {
+    number: 8009,
+    level: 'info',
+    text: 'the caller closed its sending side before the end of its answer',
+  },
   allowanceDrawn: { number: 8101, level: 'info', text: 'prepaid units drawn or reported' },
   allowanceDelayed: { number: 8102, level: 'warn', text: 'prepaid units could not be drawn' },
   allowanceLent: { number: 8103, level: 'info', text: 'prepaid units lent to another daemon' },
--- a/testbed/leavingcallers.ts
+++ b/testbed/leavingcallers.ts
@@ -5,6 +5,8 @@
 import { once } from 'node:events';
 import { Worker } from 'node:worker_threads';
 
+import type { RawExchange } from './rawexchange.js';
+
 /** Placeholder in a request, replaced by the number of the caller. */
 export const CALLER_PLACEHOLDER = '{caller}';
 
@@ -27,8 +29,13 @@
    * goes on reading; "destroy" closes the socket with unread data; "reset" sends RST.
    */
   readonly how: 'close' | 'half-close' | 'destroy' | 'reset';
+  /** Time from the request until a half-closing caller begins to read, in milliseconds; 0 if it is left out. */
+  readonly readAfterMs?: number;
 }
 
+/** Message of the worker thread: its callers are connected, have left, or have received all that they will. */
+export type LeavingMessage = 'ready' | 'left' | { readonly received: readonly RawExchange[] };
+
 /** Worker thread with callers that wait for the start signal. */
 export class LeavingCallers {
   private constructor(private readonly thread: Worker) {}
@@ -51,6 +58,21 @@
     this.thread.postMessage('send');
   }
 
+  /**
+   * Waits until the connections of all callers are closed.
+   * @param timeoutMs - longest wait, in milliseconds; the connections that are open then are closed by their callers
+   * @returns what each half-closing caller received after its earlier request; other callers do not read
+   */
+  async received(timeoutMs: number): Promise<readonly RawExchange[]> {
+    this.thread.postMessage({ timeoutMs });
+    // "left" may come first.
+    for (;;) {
+      // eslint-disable-next-line no-await-in-loop
+      const [message] = (await once(this.thread, 'message')) as [LeavingMessage];
+      if (typeof message === 'object') return message.received;
+    }
+  }
+
   /** Terminates the thread and its open connections. */
   async stop(): Promise<void> {
     await this.thread.terminate();
--- a/testbed/leavingcallersthread.ts
+++ b/testbed/leavingcallersthread.ts
@@ -7,9 +7,8 @@
 import type { Socket } from 'node:net';
 import { CALLER_PLACEHOLDER } from './leavingcallers.js';
 
-import type { LeavingPlan } from './leavingcallers.js';
-
-type Message = 'ready' | 'left';
+import type { RawExchange } from './rawexchange.js';
+import type { LeavingMessage, LeavingPlan } from './leavingcallers.js';
 
 function disconnect(socket: Socket, how: LeavingPlan['how']): void {
   if (how === 'reset') socket.resetAndDestroy();
@@ -18,6 +17,24 @@
   else socket.end();
 }
 
+/** Collects what a caller receives until its connection is closed. */
+async function receive(socket: Socket, readAfterMs: number): Promise<RawExchange> {
+  let text = '';
+  let ending: RawExchange['ending'] = 'closed';
+  setTimeout(() => {
+    socket.on('data', (bytes) => {
+      text += bytes.toString('latin1');
+    });
+  }, readAfterMs);
+  socket.once('error', () => {
+    ending = 'reset';
+  });
+  await new Promise((resolve) => {
+    socket.once('close', resolve);
+  });
+  return { text, ending };
+}
+
 async function open({ host, port, earlier, how }: LeavingPlan): Promise<Socket> {
   const socket = createConnection({ host, port, allowHalfOpen: how === 'half-close' });
   // The daemon may reset a connection that its caller has closed.
@@ -31,18 +48,30 @@
 async function runCallers(plan: LeavingPlan): Promise<void> {
   const port = parentPort;
   if (!port) return;
-  const post = (message: Message): void => port.postMessage(message);
+  const post = (message: LeavingMessage): void => port.postMessage(message);
   const callers = Array.from({ length: plan.callers });
   const early = plan.earlier === undefined ? [] : await Promise.all(callers.map(() => open(plan)));
   post('ready');
+  const asked = new Promise<number>((resolve) => {
+    port.on('message', (message: 'send' | { readonly timeoutMs: number }) => {
+      if (typeof message === 'object') resolve(message.timeoutMs);
+    });
+  });
   await once(port, 'message');
   const sockets = early.length > 0 ? early : await Promise.all(callers.map(() => open(plan)));
+  // Other callers leave with what they were sent unread.
+  const { how, readAfterMs = 0 } = plan;
+  const received =
+    how === 'half-close' ? sockets.map((socket) => receive(socket, readAfterMs)) : [];
   sockets.forEach((socket, caller) => {
     socket.write(plan.request.replaceAll(CALLER_PLACEHOLDER, String(caller)));
   });
   await delay(plan.leaveAfterMs);
-  sockets.forEach((socket) => disconnect(socket, plan.how));
+  sockets.forEach((socket) => disconnect(socket, how));
   post('left');
+  const timer = setTimeout(() => sockets.forEach((socket) => socket.destroy()), await asked);
+  post({ received: await Promise.all(received) });
+  clearTimeout(timer);
 }
 
 await runCallers(workerData as LeavingPlan);
