Merge: callers that close only their sending side are told from those that have left, and served

The queue's stop also ends requests that were taken out until it is known whether their callers have left; a row of requestqueue.test.ts shows it.

--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -74,6 +74,9 @@
     server.on('timeout', (socket) => {
       void runtime.callers.closeExpired(socket);
     });
+    // Callers may close their sending side after their last request (RFC 9112, section 9.6).
+    Object.assign(server, { httpAllowHalfOpen: true });
+    server.prependListener('request', ({ socket }, res) => runtime.callers.of(socket).expects(res));
     const { host, port } = splitAddress(settings.listen.callers);
     await ingress.listen(port, host);
     void runtime.start();
--- a/src/ingress/requestqueue.ts
+++ b/src/ingress/requestqueue.ts
@@ -28,9 +28,8 @@
 export type QueueOutcome = 'begin' | 'left' | 'overloaded' | 'stopped';
 
 interface WaitingRequest {
+  readonly connection: CallerConnection;
   readonly end: (outcome: QueueOutcome) => void;
-  /** Number of the event loop iteration in which it was queued. */
-  readonly since: number;
 }
 
 /**
@@ -39,8 +38,11 @@
  * is read one iteration after the request.
  */
 export class RequestQueue {
-  /** Queued requests, in the order of arrival. */
-  readonly #waiting = new Set<WaitingRequest>();
+  /** Queued requests, in the order of arrival, each with the number of the iteration in which it was queued. */
+  readonly #waiting = new Map<WaitingRequest, number>();
+
+  /** Requests that were taken out until it is known whether their callers have left. */
+  readonly #suspended = new Set<WaitingRequest>();
 
   #isScheduled = false;
 
@@ -95,27 +97,44 @@
   waitForTurn(connection: CallerConnection, leftMs: number): Promise<QueueOutcome> {
     if (this.#isStopped) return Promise.resolve('stopped');
     if (this.length * this.#meanIntervalMs > leftMs) return Promise.resolve('overloaded');
-    if (this.length === 0) this.#lastStartAt = this.clock.now();
     return new Promise((resolve) => {
-      let unsubscribe = (): void => undefined;
+      const unsubscribe: (() => void)[] = [];
       const waiting: WaitingRequest = {
-        since: this.#iteration,
+        connection,
         end: (outcome) => {
           this.#waiting.delete(waiting);
-          unsubscribe();
+          this.#suspended.delete(waiting);
+          unsubscribe.forEach((remove) => remove());
           resolve(outcome);
         },
       };
-      this.#waiting.add(waiting);
-      unsubscribe = connection.onEnd(() => waiting.end('left'));
-      this.#schedule();
+      this.#add(waiting);
+      // A request that comes to its turn while it is not known whether its caller has left is taken out until then.
+      unsubscribe.push(connection.onHalfClosed(() => this.#add(waiting)));
+      unsubscribe.push(connection.onEnd(() => waiting.end('left')));
     });
   }
 
   /** Ends the wait of all requests, and of later ones at once. */
   stop(): void {
     this.#isStopped = true;
-    [...this.#waiting].forEach(({ end }) => end('stopped'));
+    [...this.#waiting.keys(), ...this.#suspended].forEach(({ end }) => end('stopped'));
+  }
+
+  #add(waiting: WaitingRequest): void {
+    if (this.length === 0) this.#lastStartAt = this.clock.now();
+    this.#suspended.delete(waiting);
+    this.#waiting.set(waiting, this.#iteration);
+    this.#schedule();
+  }
+
+  /** Takes out the requests before the first one that may begin whose callers may have left. */
+  #suspendUnclear(): void {
+    for (const [waiting] of this.#waiting) {
+      if (!waiting.connection.isUnclear) return;
+      this.#waiting.delete(waiting);
+      this.#suspended.add(waiting);
+    }
   }
 
   #schedule(): void {
@@ -130,8 +149,9 @@
     const areConnectionsFirst =
       this.#hasNewConnection && now - this.#lastStartAt < CONNECTION_PRIORITY_MS;
     this.#hasNewConnection = false;
-    const [first] = this.#waiting;
-    if (first && first.since < this.#iteration && !areConnectionsFirst) {
+    this.#suspendUnclear();
+    const [[first, since] = []] = this.#waiting;
+    if (first && since !== undefined && since < this.#iteration && !areConnectionsFirst) {
       this.#meanIntervalMs += (now - this.#lastStartAt - this.#meanIntervalMs) * INTERVAL_WEIGHT;
       this.#lastStartAt = now;
       first.end('begin');
