--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -113,10 +113,11 @@
   /**
    * Stops gracefully: refuses new requests, waits for active ones, then closes the peer links. Connections without an
    * active request are closed at the end, also those on which a request has arrived only in part.
+   * @param cause - why the daemon stops, for the log
    */
-  async stop(): Promise<void> {
+  async stop(cause = 'requested'): Promise<void> {
     const { active } = this.runtime;
-    this.runtime.beginStop();
+    this.runtime.beginStop(cause);
     const unreadUntil = performance.now() + UNREAD_DRAIN_MS;
     await delay(MIN_DRAIN_MS);
     while (active.count > (performance.now() < unreadUntil ? 0 : active.unreadCount)) {
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 /** Entry point of the daemon, comfreyreeld. */
 import './v8flags.js';
+import './startsignals.js';
 
 import { readFile } from 'node:fs/promises';
 
@@ -10,6 +11,7 @@
 import { formatProblem } from '../kernel/index.js';
 import { Daemon } from './daemon.js';
 import { safeParseSettings } from './settings.js';
+import { handleSignals } from './signals.js';
 
 import type { Settings } from './settings.js';
 
@@ -46,21 +48,6 @@
 const settings = await readSettings(argv.config);
 if (settings) {
   const daemon = await Daemon.start(settings);
-  let stopping = false;
-  const stop = async (code = 0): Promise<void> => {
-    // A repeated signal must not end the process while responses are open.
-    if (stopping) return;
-    stopping = true;
-    await daemon.stop();
-    // Idle upstream connections would keep the process alive.
-    // eslint-disable-next-line n/no-process-exit
-    process.exit(code);
-  };
-  void daemon.runtime.fenced.then(() => stop(EXIT_FENCED));
-  process.on('SIGTERM', () => {
-    void stop();
-  });
-  process.on('SIGINT', () => {
-    void stop();
-  });
+  const stop = handleSignals(daemon);
+  void daemon.runtime.fenced.then(() => stop('fenced', EXIT_FENCED));
 } else process.exitCode = EXIT_INVALID_SETTINGS;
--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -201,11 +201,14 @@
     this.recorder.record('daemonStarted');
   }
 
-  /** Stops accepting new requests and executing plans. */
-  beginStop(): void {
+  /**
+   * Stops accepting new requests and executing plans.
+   * @param cause - why the daemon stops, for the log
+   */
+  beginStop(cause: string): void {
     this.#phase = 'stopping';
     this.#executor.stop();
-    this.recorder.record('daemonStopping');
+    this.recorder.record('daemonStopping', { facts: { cause } });
   }
 
   /**
--- a/src/daemon/tests/gracefulstop.test.ts
+++ b/src/daemon/tests/gracefulstop.test.ts
@@ -40,6 +40,9 @@
   `content-length: ${BODY.length}`,
 ].join('\r\n');
 
+/** Signals that have no use here, and would end the process by default or open its inspector. */
+const IGNORED: readonly NodeJS.Signals[] = ['SIGHUP', 'SIGUSR1', 'SIGUSR2', 'SIGALRM'];
+
 async function startFleet(t: ExecutionContext): Promise<Fleet> {
   const fleet = await Fleet.start({ daemons: 1, units: 100_000, tokenMs: TOKEN_MS });
   t.teardown(() => fleet.stop());
@@ -86,6 +89,11 @@
   { title: 'SIGTERM', signals: ['SIGTERM'] },
   { title: 'a second SIGTERM', signals: ['SIGTERM', 'SIGTERM'] },
   { title: 'SIGINT after SIGTERM', signals: ['SIGTERM', 'SIGINT'] },
+  { title: 'SIGINT, SIGINT and SIGTERM', signals: ['SIGINT', 'SIGINT', 'SIGTERM'] },
+  {
+    title: 'SIGTERM and signals that are ignored',
+    signals: ['SIGTERM', 'SIGHUP', 'SIGUSR1', 'SIGUSR2', 'SIGALRM'],
+  },
 ];
 
 RUNNING_ROWS.forEach(({ title, signals }) => {
@@ -112,6 +120,17 @@
   });
 });
 
+IGNORED.forEach((signal) => {
+  test(`a daemon of the chat interface serves on after ${signal}`, async (t) => {
+    const daemon = await startDaemon(t);
+    daemon.child.signal(signal);
+    await delay(SIGNAL_INTERVAL_MS);
+    await daemon.waitReady();
+    t.true(daemon.child.running);
+    t.is(await stopIdle(daemon), 0);
+  });
+});
+
 test('a running call without a body is completed after SIGTERM', async (t) => {
   const fleet = await startFleet(t);
   const { url, child } = fleet.daemon(0);
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -212,7 +212,11 @@
     level: 'warn',
     text: 'configured number of shard objects ignored; the stored one applies',
   },
-  settingsReloaded: { number: 1009, level: 'info', text: 'settings file read again' },
+  signalIgnored: {
+    number: 1009,
+    level: 'info',
+    text: 'signal without effect; "detail" tells what to do instead',
+  },
   loopDelayed: { number: 1011, level: 'warn', text: 'event loop delayed' },
   linesDropped: {
     number: 1010,
