--- a/testbed/ports.ts
+++ b/testbed/ports.ts
@@ -1,5 +1,5 @@
 /** Allocates TCP ports on loopback, below the ephemeral port range of outgoing connections. */
-import { createServer } from 'node:net';
+import { createConnection, createServer } from 'node:net';
 
 import type { Server } from 'node:net';
 
@@ -13,6 +13,9 @@
 
 const BLOCK_COUNT = 100;
 
+/** Time after which a listener that does not accept a connection counts as one, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 500;
+
 /** Block of ports that this process has claimed. */
 interface Block {
   /** First port; bound for as long as the process runs. */
@@ -29,6 +32,23 @@
   });
 }
 
+/**
+ * Checks by a connection whether a process listens on a port. To listen on the port and stop again would not leave it
+ * free: a process that another thread starts meanwhile has a copy of the listening socket until it runs its program.
+ */
+function isListening(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const socket = createConnection({ port, host: HOST, timeout: CONNECT_TIMEOUT_MS });
+    const finish = (isTaken: boolean): void => {
+      socket.destroy();
+      resolve(isTaken);
+    };
+    socket.once('connect', () => finish(true));
+    socket.once('timeout', () => finish(true));
+    socket.once('error', () => finish(false));
+  });
+}
+
 /** Binds the first port of a free block, so that no other process claims the block. */
 async function claimBlock(): Promise<Block> {
   for (let attempt = 0; attempt < BLOCK_COUNT; attempt += 1) {
@@ -58,14 +78,7 @@
     const port = own.base + own.next;
     own.next = (own.next % (BLOCK_PORTS - 1)) + 1;
     // eslint-disable-next-line no-await-in-loop
-    const server = await listen(port);
-    if (server) {
-      // eslint-disable-next-line no-await-in-loop
-      await new Promise((resolve) => {
-        server.close(resolve);
-      });
-      return port;
-    }
+    if (!(await isListening(port))) return port;
   }
   throw new Error(`no free port in the block that begins at ${own.base}`);
 }
