--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -10,6 +10,7 @@
 
 import { formatProblem } from '../kernel/index.js';
 import { Daemon } from './daemon.js';
+import { EXIT_NO_ADDRESS, startWhenFree } from './listenaddresses.js';
 import { safeParseSettings } from './settings.js';
 import { handleSignals } from './signals.js';
 
@@ -24,6 +25,9 @@
  */
 const EXIT_FENCED = 3;
 
+/** Time for which a start waits until a predecessor has left its addresses, in milliseconds. */
+const ADDRESS_WAIT_MS = 10_000;
+
 async function readSettings(file: string): Promise<Settings | undefined> {
   let text: string;
   try {
@@ -47,7 +51,14 @@
 
 const settings = await readSettings(argv.config);
 if (settings) {
-  const daemon = await Daemon.start(settings);
+  const daemon = await startWhenFree(settings.listen, ADDRESS_WAIT_MS, () =>
+    Daemon.start(settings),
+  );
+  if (!daemon) {
+    // What a failed start has begun would otherwise keep the process running.
+    // eslint-disable-next-line n/no-process-exit
+    process.exit(EXIT_NO_ADDRESS);
+  }
   const stop = handleSignals(daemon);
   void daemon.runtime.fenced.then(() => stop('fenced', EXIT_FENCED));
 } else process.exitCode = EXIT_INVALID_SETTINGS;
--- a/testbed/fleet.ts
+++ b/testbed/fleet.ts
@@ -17,6 +17,7 @@
 
 import type { Documents } from '../src/config/index.js';
 import type { BudgetView } from '../src/daemon/budgetview.js';
+import type { DaemonOptions } from './daemonprocess.js';
 import type { FleetUrls } from './documents.js';
 import type { RelayMode } from './relay.js';
 
@@ -116,9 +117,14 @@
    * Starts a daemon and adds it to the instance list.
    * @param name - instance name
    * @param dataCentre - data centre
+   * @param ports - ports that it listens on; free ones by default
    * @returns the daemon, without waiting until it is ready
    */
-  async addDaemon(name: string, dataCentre: string): Promise<DaemonProcess> {
+  async addDaemon(
+    name: string,
+    dataCentre: string,
+    ports: Pick<DaemonOptions, 'port' | 'peerPort'> = {},
+  ): Promise<DaemonProcess> {
     const { objects, instances } = this.urls;
     const objectsFor = this.options.objectsUrlFor ?? ((_: string, url: string): string => url);
     const { cut } = this;
@@ -129,6 +135,7 @@
       instances: cut?.instancesUrlFor(name, instances) ?? instances,
       dir: this.dir,
       logLevel: this.options.logLevel ?? 'info',
+      ...ports,
     });
     this.daemons.push(daemon);
     await this.refreshInstanceList();
