--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -15,6 +15,7 @@
 import { readBody } from '../request/index.js';
 import { AppModule } from './app.module.js';
 import { FailureFilter } from './failure.filter.js';
+import { limitConnections, watchListener } from './listenerwatch.js';
 import { Runtime } from './runtime.js';
 import { splitAddress } from './settings.js';
 
@@ -74,7 +75,10 @@
     fastify.addHook('preHandler', async (req, reply) => {
       if (isCallerPath(req.url)) await Daemon.#waitForTurn(runtime, req, reply);
     });
-    app.getHttpServer().on('connection', (socket: Socket) => {
+    const server = app.getHttpServer();
+    watchListener(server, 'callers', runtime.recorder);
+    await limitConnections(server, runtime.recorder);
+    server.on('connection', (socket: Socket) => {
       runtime.callers.of(socket);
       runtime.requestQueue.accepted();
     });
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -10,6 +10,7 @@
 
 import type { NestFastifyApplication } from '@nestjs/platform-fastify';
 import type { FastifyInstance } from 'fastify';
+import { limitConnections, watchListener } from '../daemon/listenerwatch.js';
 import { splitAddress } from '../daemon/settings.js';
 import { GatewayModule } from './gateway.module.js';
 import { GatewayRuntime } from './runtime.js';
@@ -59,6 +60,8 @@
     const ingress = await GatewayDaemon.#ingress(runtime);
     const server = ingress.getHttpServer();
     server.on('connection', (socket) => runtime.accepted(socket));
+    watchListener(server, 'callers', runtime.recorder);
+    await limitConnections(server, runtime.recorder, settings.openFiles);
     const { host, port } = splitAddress(settings.listen.callers);
     await ingress.listen(port, host);
     void runtime.start();
@@ -145,7 +148,9 @@
     readiness.get(readinessPath, (_req, reply) => {
       void reply.status(runtime.isReady ? 200 : 503).send({ ready: runtime.isReady });
     });
+    watchListener(readiness.server, 'readiness', runtime.recorder);
     const metrics = Fastify();
+    watchListener(metrics.server, 'metrics', runtime.recorder);
     metrics.get('/metrics', async (_req, reply) => {
       void reply.header('content-type', runtime.metrics.contentType);
       return runtime.metrics.text();
--- a/src/link/peerlistener.ts
+++ b/src/link/peerlistener.ts
@@ -25,6 +25,10 @@
       maxPayload: MAX_FRAME_BYTES,
       perMessageDeflate: false,
     });
+    this.#server.on('error', (err) => {
+      const detail = `listen.peers: ${String(err)}; if the other daemons do not reach this one, start it again`;
+      cfg.recorder.record('listenerFailed', { detail });
+    });
     this.#server.on('connection', (socket) => {
       this.#links.add(new AcceptedLink(socket, cfg));
     });
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -22,6 +22,16 @@
     level: 'info',
     text: 'listener for callers closed during a graceful stop',
   },
+  listenerFailed: {
+    number: 1016,
+    level: 'error',
+    text: 'a listener could not accept a connection',
+  },
+  connectionDropped: {
+    number: 1017,
+    level: 'warn',
+    text: 'a connection was closed unread, as callers have too many open',
+  },
   daemonStopped: { number: 1004, level: 'info', text: 'daemon stopped' },
   handoverDone: { number: 1005, level: 'info', text: 'charges and grants handed over' },
   handoverDelayed: {
--- a/testbed/child.ts
+++ b/testbed/child.ts
@@ -14,6 +14,16 @@
   readonly logFile: string;
   /** Whether the child's output also goes to stdout and stderr of this process. */
   readonly inherit?: boolean;
+  /** Number of files and sockets that the child may have open; default the limit of this process. */
+  readonly openFiles?: number;
+}
+
+/** Program and arguments that run a module, under a limit if one is given. */
+function commandOf({ module, args, openFiles }: ChildOptions): readonly [string, string[]] {
+  const words = [fileURLToPath(new URL(`../${module}`, import.meta.url)), ...args];
+  if (openFiles === undefined) return [process.execPath, words];
+  // Node.js cannot set limits; the shell sets them and becomes the program.
+  return ['sh', ['-c', `ulimit -n ${openFiles}; exec "$0" "$@"`, process.execPath, ...words]];
 }
 
 /** Running children, killed when this process exits. */
@@ -34,10 +44,8 @@
    * @param options - module, arguments and output
    */
   constructor(options: ChildOptions) {
-    const path = fileURLToPath(new URL(`../${options.module}`, import.meta.url));
-    this.#process = spawn(process.execPath, [path, ...options.args], {
-      stdio: ['ignore', 'pipe', 'pipe'],
-    });
+    const [program, args] = commandOf(options);
+    this.#process = spawn(program, args, { stdio: ['ignore', 'pipe', 'pipe'] });
     children.add(this.#process);
     const log = createWriteStream(options.logFile, { flags: 'a' });
     this.#process.stdout?.pipe(log, { end: false });
