--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -16,6 +16,7 @@
 import { AppModule } from './app.module.js';
 import { FailureFilter } from './failure.filter.js';
 import { limitConnections, watchListener } from './listenerwatch.js';
+import { refuseMalformedRequests } from './malformedrequests.js';
 import { Runtime } from './runtime.js';
 import { splitAddress } from './settings.js';
 
@@ -77,6 +78,7 @@
     });
     const server = app.getHttpServer();
     watchListener(server, 'callers', runtime.recorder);
+    refuseMalformedRequests(server);
     await limitConnections(server, runtime.recorder);
     server.on('connection', (socket: Socket) => {
       runtime.callers.of(socket);
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -11,6 +11,7 @@
 import type { NestFastifyApplication } from '@nestjs/platform-fastify';
 import type { FastifyInstance } from 'fastify';
 import { limitConnections, watchListener } from '../daemon/listenerwatch.js';
+import { refuseMalformedRequests } from '../daemon/malformedrequests.js';
 import { splitAddress } from '../daemon/settings.js';
 import { GatewayModule } from './gateway.module.js';
 import { GatewayRuntime } from './runtime.js';
@@ -61,6 +62,7 @@
     const server = ingress.getHttpServer();
     server.on('connection', (socket) => runtime.accepted(socket));
     watchListener(server, 'callers', runtime.recorder);
+    refuseMalformedRequests(server);
     await limitConnections(server, runtime.recorder, settings.openFiles);
     const { host, port } = splitAddress(settings.listen.callers);
     await ingress.listen(port, host);
--- a/testbed/rawupstream.ts
+++ b/testbed/rawupstream.ts
@@ -12,6 +12,10 @@
   readonly text: string;
   /** What the server does with the connection after it has written the bytes. */
   readonly then: 'keep' | 'close' | 'reset';
+  /** Bytes that follow after a pause, as text; none if it is left out. */
+  readonly rest?: string;
+  /** Time from the first bytes to the rest, in milliseconds; 0 if it is left out. */
+  readonly restAfterMs?: number;
   /** Time from the request to the answer, in milliseconds; 0 if it is left out. */
   readonly afterMs?: number;
   /** Time between the last byte and the end of the connection, in milliseconds; 20 if it is left out. */
@@ -104,6 +108,8 @@
 
   static #write(socket: Socket, answer: RawAnswer, id: string): void {
     socket.write(answer.text.replaceAll(ID_PLACEHOLDER, id));
+    const { rest, restAfterMs = 0 } = answer;
+    if (rest !== undefined) setTimeout(() => socket.write(rest), restAfterMs);
     if (answer.then === 'keep') return;
     const endConnection = (): void => {
       if (answer.then === 'reset') socket.resetAndDestroy();
