--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -107,7 +107,7 @@
     const { network } = this;
     const { dataCentre } = settings;
     const config = new ConfigTask({ self, dataCentre, store, network, recorder });
-    const clock = new SystemClock();
+    const clock = this.#steady;
     const budgets = new BudgetTask(clock);
     const backups = new Backups(self, settings.dataCentre, this.network);
     const { instance } = settings;
@@ -169,7 +169,7 @@
     this.#executor = new PlanExecutor(ctx);
     this.timeline = new TimelineTask(recorder, network);
     this.plans = new PlanOperations(ctx);
-    this.publisher = new Publisher({ store, config, recorder, clock });
+    this.publisher = new Publisher({ store, config, recorder, clock: new SystemClock() });
   }
 
   /** Whether new requests are accepted: serving, configuration and plans loaded, not fenced. */
