--- a/src/link/tests/links.test.ts
+++ b/src/link/tests/links.test.ts
@@ -135,3 +135,12 @@
     t.true(eventsOf(node).includes('linkClosed'));
   });
 });
+
+test('peer link: a listener whose port is taken is logged and does not end the process', async (t) => {
+  const port = await freePort();
+  const options = { name: 'a', port, fleetKey: FLEET_KEY, listed: [] };
+  await startNode(t, options);
+  const second = await startNode(t, options);
+  await waitFor('the error is logged', () => eventsOf(second).includes('listenerFailed'));
+  t.pass();
+});
