--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -16,6 +16,8 @@
 import { readBody } from '../request/index.js';
 import { AppModule } from './app.module.js';
 import { FailureFilter } from './failure.filter.js';
+import { limitConnections, watchListener } from './listenerwatch.js';
+import { refuseMalformedRequests } from './malformedrequests.js';
 import { Runtime } from './runtime.js';
 import { splitAddress } from './settings.js';
 
@@ -77,7 +79,11 @@
     fastify.addHook('preHandler', async (req, reply) => {
       if (isCallerPath(req.url)) await Daemon.#waitForTurn(runtime, req, reply);
     });
-    app.getHttpServer().on('connection', (socket: Socket) => {
+    const server = app.getHttpServer();
+    watchListener(server, 'callers', runtime.recorder);
+    refuseMalformedRequests(server);
+    await limitConnections(server, runtime.recorder);
+    server.on('connection', (socket: Socket) => {
       runtime.callers.of(socket);
       runtime.requestQueue.accepted();
     });
@@ -116,10 +122,11 @@
   /**
    * Stops gracefully: refuses new requests, waits for active ones, then closes the peer links. Connections without an
    * active request are closed at the end, also those on which a request has arrived only in part.
+   * @param cause - why the daemon stops, for the log
    */
-  async stop(): Promise<void> {
+  async stop(cause = 'requested'): Promise<void> {
     const { active } = this.runtime;
-    this.runtime.beginStop();
+    this.runtime.beginStop(cause);
     const unreadUntil = performance.now() + UNREAD_DRAIN_MS;
     await delay(MIN_DRAIN_MS);
     while (active.count > (performance.now() < unreadUntil ? 0 : active.unreadCount)) {
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 /** Entry point of the daemon, comfreyreeld. */
 import './v8flags.js';
+import './startsignals.js';
 
 import { readFile } from 'node:fs/promises';
 
@@ -9,7 +10,9 @@
 
 import { formatProblem } from '../kernel/index.js';
 import { Daemon } from './daemon.js';
+import { EXIT_NO_ADDRESS, startWhenFree } from './listenaddresses.js';
 import { safeParseSettings } from './settings.js';
+import { handleSignals } from './signals.js';
 
 import type { Settings } from './settings.js';
 
@@ -22,6 +25,9 @@
  */
 const EXIT_FENCED = 3;
 
+/** Time for which a start waits until a predecessor has left its addresses, in milliseconds. */
+const ADDRESS_WAIT_MS = 10_000;
+
 async function readSettings(file: string): Promise<Settings | undefined> {
   let text: string;
   try {
@@ -45,22 +51,14 @@
 
 const settings = await readSettings(argv.config);
 if (settings) {
-  const daemon = await Daemon.start(settings);
-  let stopping = false;
-  const stop = async (code = 0): Promise<void> => {
-    // A repeated signal must not end the process while responses are open.
-    if (stopping) return;
-    stopping = true;
-    await daemon.stop();
-    // Idle upstream connections would keep the process alive.
+  const daemon = await startWhenFree(settings.listen, ADDRESS_WAIT_MS, () =>
+    Daemon.start(settings),
+  );
+  if (!daemon) {
+    // What a failed start has begun would otherwise keep the process running.
     // eslint-disable-next-line n/no-process-exit
-    process.exit(code);
-  };
-  void daemon.runtime.fenced.then(() => stop(EXIT_FENCED));
-  process.on('SIGTERM', () => {
-    void stop();
-  });
-  process.on('SIGINT', () => {
-    void stop();
-  });
+    process.exit(EXIT_NO_ADDRESS);
+  }
+  const stop = handleSignals(daemon);
+  void daemon.runtime.fenced.then(() => stop('fenced', EXIT_FENCED));
 } else process.exitCode = EXIT_INVALID_SETTINGS;
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -10,6 +10,8 @@
 
 import type { NestFastifyApplication } from '@nestjs/platform-fastify';
 import type { FastifyInstance } from 'fastify';
+import { limitConnections, watchListener } from '../daemon/listenerwatch.js';
+import { refuseMalformedRequests } from '../daemon/malformedrequests.js';
 import { splitAddress } from '../daemon/settings.js';
 import { afterPoll, isFresh } from '../ingress/index.js';
 import { GatewayModule } from './gateway.module.js';
@@ -77,6 +79,9 @@
     // Callers may close their sending side after their last request (RFC 9112, section 9.6).
     Object.assign(server, { httpAllowHalfOpen: true });
     server.prependListener('request', ({ socket }, res) => runtime.callers.of(socket).expects(res));
+    watchListener(server, 'callers', runtime.recorder);
+    refuseMalformedRequests(server);
+    await limitConnections(server, runtime.recorder, settings.openFiles);
     const { host, port } = splitAddress(settings.listen.callers);
     await ingress.listen(port, host);
     void runtime.start();
@@ -175,7 +180,9 @@
     readiness.get(readinessPath, (_req, reply) => {
       void reply.status(runtime.isReady ? 200 : 503).send({ ready: runtime.isReady });
     });
+    watchListener(readiness.server, 'readiness', runtime.recorder);
     const metrics = Fastify();
+    watchListener(metrics.server, 'metrics', runtime.recorder);
     metrics.get('/metrics', async (_req, reply) => {
       void reply.header('content-type', runtime.metrics.contentType);
       return runtime.metrics.text();
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -22,6 +22,16 @@
     level: 'info',
     text: 'listener for callers closed during a graceful stop',
   },
+  listenerFailed: {
+    number: 1016,
+    level: 'error',
+    text: 'a listener could not accept a connection',
+  },
+  connectionDropped: {
+    number: 1017,
+    level: 'warn',
+    text: 'a connection was closed unread, as callers have too many open',
+  },
   daemonStopped: { number: 1004, level: 'info', text: 'daemon stopped' },
   handoverDone: { number: 1005, level: 'info', text: 'charges and grants handed over' },
   handoverDelayed: {
@@ -217,7 +227,11 @@
     level: 'warn',
     text: 'configured number of shard objects ignored; the stored one applies',
   },
-  settingsReloaded: { number: 1009, level: 'info', text: 'settings file read again' },
+  signalIgnored: {
+    number: 1009,
+    level: 'info',
+    text: 'signal without effect; "detail" tells what to do instead',
+  },
   loopDelayed: { number: 1011, level: 'warn', text: 'event loop delayed' },
   linesDropped: {
     number: 1010,
