--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,5 +1,6 @@
 /** One attempt at an upstream: sends the request and relays the answer. */
 import type { Dispatcher } from 'undici';
+import { PolledTimer } from '../kernel/index.js';
 import { EventStream } from './eventstream.js';
 
 import type { UpstreamConnections } from './connections.js';
@@ -77,6 +78,12 @@
 /** Maximum number of bytes of a discarded answer that are read so that its connection can be reused. */
 const MAX_DISCARD_BYTES = 65_536;
 
+/**
+ * Maximum number of polls after the time limit in which an answer is read on, one read of its socket each: a socket holds
+ * several megabytes that arrived during a stall of the process.
+ */
+const MAX_LATE_POLLS = 128;
+
 /** Flattens parsed headers into alternating names and values. */
 function flatten(headers: Readonly<Record<string, string | string[] | undefined>>): string[] {
   return Object.entries(headers).flatMap(([name, value]) =>
@@ -93,11 +100,16 @@
 class Attempt implements Dispatcher.DispatchHandler {
   #connection: UpstreamConnection;
 
-  readonly #timeoutTimer: NodeJS.Timeout;
+  readonly #timeoutTimer: PolledTimer;
+
+  #answerTimer: PolledTimer | undefined;
+
+  #discardTimer: PolledTimer | undefined;
 
-  #answerTimer: NodeJS.Timeout | undefined;
+  /** Whether a part of the answer was read since the last poll after the time limit. */
+  #isReadLate = false;
 
-  #discardTimer: NodeJS.Timeout | undefined;
+  #latePolls = 0;
 
   #discardedBytes = 0;
 
@@ -117,7 +129,7 @@
   ) {
     const { reply } = cfg.call;
     this.#connection = connection;
-    this.#timeoutTimer = setTimeout(() => this.#onTimeout(), Math.max(0, cfg.timeoutMs));
+    this.#timeoutTimer = new PolledTimer(cfg.timeoutMs, () => this.#onTimeout());
     this.#startAnswerTimer();
     reply.onDisconnect = () => this.#abandon({ kind: 'left' });
     reply.onStop = () => this.#onStop();
@@ -140,7 +152,7 @@
       controller.abort(new Error('abandoned'));
       return;
     }
-    if (!this.cfg.mayStart()) {
+    if (this.#timeoutTimer.isDue || !this.cfg.mayStart()) {
       // The client reports the abort as a failure, which must come after the outcome.
       this.#abandon({ kind: 'withheld' });
       controller.abort(new Error('withheld'));
@@ -150,6 +162,8 @@
     this.#stage = 'sent';
     this.#connection.noteRequest();
     this.cfg.onSent();
+    // The connection was opened during a stall of the process; the upstream has not been silent.
+    if (this.#answerTimer?.isDue) this.#startAnswerTimer();
   }
 
   onResponseStart(
@@ -159,7 +173,8 @@
   ): void {
     // Interim answers are ignored.
     if (this.#stage === 'done' || status < FIRST_FINAL_STATUS) return;
-    clearTimeout(this.#answerTimer);
+    this.#answerTimer?.clear();
+    this.#isReadLate = this.#timeoutTimer.isDue;
     const head = this.cfg.codec.decodeAnswer(status, flatten(headers));
     if (head.id !== this.cfg.call.head.id) {
       this.#abandon({ kind: 'lost', why: `answer to attempt ${head.id ?? 'without an id'}` });
@@ -174,9 +189,8 @@
       ? head.isNotRun || !continuesStream(head)
       : head.isNotRun || (isFailure && !this.cfg.relaysFailure);
     if (this.#isDiscarded) {
-      this.#discardTimer = setTimeout(
-        () => this.#abandon(this.#discardedOutcome(head)),
-        MAX_DISCARD_MS,
+      this.#discardTimer = new PolledTimer(MAX_DISCARD_MS, () =>
+        this.#abandon(this.#discardedOutcome(head)),
       );
     }
   }
@@ -184,6 +198,7 @@
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.#stage === 'done') return;
     this.#connection.noteBody(chunk.length);
+    this.#isReadLate = this.#timeoutTimer.isDue;
     if (this.#isDiscarded) {
       this.#discard(chunk.length);
       return;
@@ -274,15 +289,20 @@
   }
 
   #onTimeout(): void {
-    if (this.#stage === 'queued') this.#abandon({ kind: 'unsent', why: 'no time left' });
+    if (this.#isReadLate && this.#latePolls < MAX_LATE_POLLS) {
+      this.#isReadLate = false;
+      this.#latePolls += 1;
+      this.#timeoutTimer.pollAgain();
+    } else if (this.#stage === 'queued') this.#abandon({ kind: 'unsent', why: 'no time left' });
     else if (this.cfg.call.reply.isBegun) this.#abandon(this.#cut('no time left'));
     else this.#abandon({ kind: 'timeout' });
   }
 
   #startAnswerTimer(): void {
     const { answerTimeoutMs } = this.cfg;
+    this.#answerTimer?.clear();
     if (answerTimeoutMs === undefined) return;
-    this.#answerTimer = setTimeout(() => this.#onAnswerTimeout(), answerTimeoutMs);
+    this.#answerTimer = new PolledTimer(answerTimeoutMs, () => this.#onAnswerTimeout());
   }
 
   #onAnswerTimeout(): void {
@@ -322,9 +342,9 @@
 
   #finish(outcome: SendOutcome): void {
     this.#stage = 'done';
-    clearTimeout(this.#timeoutTimer);
-    clearTimeout(this.#answerTimer);
-    clearTimeout(this.#discardTimer);
+    this.#timeoutTimer.clear();
+    this.#answerTimer?.clear();
+    this.#discardTimer?.clear();
     const { reply, events } = this.cfg.call;
     reply.onDisconnect = () => undefined;
     reply.onStop = () => undefined;
--- a/src/kernel/index.ts
+++ b/src/kernel/index.ts
@@ -7,6 +7,7 @@
 export * from './identity.js';
 export * from './name.js';
 export * from './nearest.js';
+export * from './polledtimer.js';
 export * from './problem.js';
 export * from './procedure.js';
 export * from './result.js';
