--- a/src/link/acceptedlink.ts
+++ b/src/link/acceptedlink.ts
@@ -4,7 +4,8 @@
 import type { WebSocket } from 'ws';
 import { instanceOf } from '../kernel/index.js';
 import { computeProof, equalProofs } from './frames.js';
-import { decodeFrame, encodeFrame, HEARTBEAT_INTERVAL_MS, SILENCE_TIMEOUT_MS } from './peerlink.js';
+import { Heartbeat } from './heartbeat.js';
+import { decodeFrame, encodeFrame } from './peerlink.js';
 
 import type { HybridClock, Incarnation } from '../kernel/index.js';
 import type { Recorder } from '../telemetry/index.js';
@@ -34,12 +35,10 @@
 export class AcceptedLink {
   readonly #nonce = randomBytes(NONCE_BYTES).toString('hex');
 
-  readonly #heartbeatTimer: NodeJS.Timeout;
+  readonly #heartbeat: Heartbeat;
 
   #from: Incarnation | undefined;
 
-  #lastReceivedAt = performance.now();
-
   /**
    * Takes ownership of a socket and sends the challenge.
    * @param socket - accepted socket
@@ -49,12 +48,17 @@
     private readonly socket: WebSocket,
     private readonly cfg: ListenerConfig,
   ) {
-    this.#heartbeatTimer = setInterval(() => this.#onHeartbeatTimer(), HEARTBEAT_INTERVAL_MS);
+    this.#heartbeat = new Heartbeat({
+      onBeat: () => {
+        if (this.#from) this.#send({ kind: 'heartbeat' });
+      },
+      onSilent: () => socket.terminate(),
+    });
     socket.on('message', (data) => {
       void this.#receive(decodeFrame(data));
     });
     socket.on('error', () => socket.terminate());
-    socket.on('close', () => clearInterval(this.#heartbeatTimer));
+    socket.on('close', () => this.#heartbeat.stop());
     this.#send({ kind: 'challenge', nonce: this.#nonce });
   }
 
@@ -62,13 +66,8 @@
     if (this.socket.readyState === this.socket.OPEN) this.socket.send(encodeFrame(frame));
   }
 
-  #onHeartbeatTimer(): void {
-    if (performance.now() - this.#lastReceivedAt > SILENCE_TIMEOUT_MS) this.socket.terminate();
-    else if (this.#from) this.#send({ kind: 'heartbeat' });
-  }
-
   async #receive(frame: Frame | undefined): Promise<void> {
-    this.#lastReceivedAt = performance.now();
+    this.#heartbeat.noteReceived();
     if (!frame) {
       this.cfg.recorder.record('messageRejected', { peer: this.#from ?? 'unknown' });
       return;
--- a/src/link/peerlink.ts
+++ b/src/link/peerlink.ts
@@ -5,20 +5,15 @@
 import { WebSocket } from 'ws';
 
 import type { RawData } from 'ws';
-import { Err, failure, Ok } from '../kernel/index.js';
+import { Err, failure, Ok, PolledTimer } from '../kernel/index.js';
 import { frameSchema, computeProof, equalProofs } from './frames.js';
+import { Heartbeat } from './heartbeat.js';
 
 import type { Failure, HybridClock, Incarnation, Result } from '../kernel/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { Frame } from './frames.js';
 import type { PeerMessage } from './messages.js';
 
-/** Interval between heartbeats, in milliseconds. */
-export const HEARTBEAT_INTERVAL_MS = 1_000;
-
-/** Time without any received frame after which a link is closed, in milliseconds. */
-export const SILENCE_TIMEOUT_MS = 3_000;
-
 /** Timeout of the WebSocket handshake, in milliseconds. */
 const HANDSHAKE_TIMEOUT_MS = 2_000;
 
@@ -78,11 +73,11 @@
 
   readonly #handshake: Promise<boolean>;
 
-  readonly #heartbeatTimer: NodeJS.Timeout;
+  readonly #handshakeTimer: PolledTimer;
 
-  #nextId = 1;
+  readonly #heartbeat: Heartbeat;
 
-  #lastReceivedAt = performance.now();
+  #nextId = 1;
 
   #open = false;
 
@@ -96,11 +91,18 @@
     this.#handshake = new Promise((resolve) => {
       this.#settleHandshake = resolve;
     });
-    this.#socket = new WebSocket(`ws://${cfg.address}`, { handshakeTimeout: HANDSHAKE_TIMEOUT_MS });
+    this.#socket = new WebSocket(`ws://${cfg.address}`);
+    this.#handshakeTimer = new PolledTimer(HANDSHAKE_TIMEOUT_MS, () => this.#socket.terminate());
+    this.#socket.on('open', () => this.#handshakeTimer.clear());
     this.#socket.on('message', (data) => this.#receive(data));
     this.#socket.on('close', () => this.#handleClose());
     this.#socket.on('error', () => this.#socket.terminate());
-    this.#heartbeatTimer = setInterval(() => this.#onHeartbeatTimer(), HEARTBEAT_INTERVAL_MS);
+    this.#heartbeat = new Heartbeat({
+      onBeat: () => {
+        if (this.#open) this.#send({ kind: 'heartbeat' });
+      },
+      onSilent: () => this.#closeSilent(),
+    });
   }
 
   /**
@@ -114,9 +116,9 @@
     const id = this.#nextId;
     this.#nextId += 1;
     return new Promise((resolve) => {
-      const timer = setTimeout(() => this.#settle(id, this.#unreachable()), timeoutMs);
+      const timer = new PolledTimer(timeoutMs, () => this.#settle(id, this.#unreachable()));
       this.#pending.set(id, (result) => {
-        clearTimeout(timer);
+        timer.clear();
         resolve(result);
       });
       void this.#sendAfterHandshake(id, body);
@@ -152,7 +154,7 @@
   }
 
   #receive(data: RawData): void {
-    this.#lastReceivedAt = performance.now();
+    this.#heartbeat.noteReceived();
     const frame = decodeFrame(data);
     if (!frame) {
       this.cfg.recorder.record('messageRejected', { peer: this.cfg.peer });
@@ -183,18 +185,14 @@
     this.cfg.onOpen(from);
   }
 
-  #onHeartbeatTimer(): void {
-    const silentMs = performance.now() - this.#lastReceivedAt;
-    if (silentMs > SILENCE_TIMEOUT_MS) {
-      this.cfg.recorder.record('linkSilent', { peer: this.cfg.peer });
-      this.#socket.terminate();
-      return;
-    }
-    if (this.#open) this.#send({ kind: 'heartbeat' });
+  #closeSilent(): void {
+    this.cfg.recorder.record('linkSilent', { peer: this.cfg.peer });
+    this.#socket.terminate();
   }
 
   #handleClose(): void {
-    clearInterval(this.#heartbeatTimer);
+    this.#handshakeTimer.clear();
+    this.#heartbeat.stop();
     this.#open = false;
     this.#settleHandshake(false);
     [...this.#pending.keys()].forEach((id) => this.#settle(id, this.#unreachable()));
