--- a/src/store/answerlimits.ts
+++ b/src/store/answerlimits.ts
@@ -1,4 +1,6 @@
 /** Limits on the duration and the size of one response from an object store. */
+import { PolledTimer } from '../kernel/index.js';
+
 import type { StoreProblem } from './objectstore.js';
 
 /** Longest gap between two chunks of a body, in milliseconds: time for four retransmissions of a lost packet. */
@@ -36,7 +38,7 @@
 
   #reportExceeded: (limit: ExceededLimit) => void = () => undefined;
 
-  #timer: NodeJS.Timeout;
+  #timer: PolledTimer;
 
   #bodyDeadline = 0;
 
@@ -72,11 +74,11 @@
 
   /** Clears the timer. */
   stop(): void {
-    clearTimeout(this.#timer);
+    this.#timer.clear();
   }
 
   #restartTimer(): void {
-    clearTimeout(this.#timer);
+    this.#timer.clear();
     const remainingMs = Math.max(0, this.#bodyDeadline - performance.now());
     this.#timer =
       remainingMs <= GAP_TIMEOUT_MS
@@ -84,8 +86,9 @@
         : this.#startTimer(GAP_TIMEOUT_MS, 'lost', 'silence');
   }
 
-  #startTimer(delayMs: number, problem: ExceededLimit['problem'], what: string): NodeJS.Timeout {
-    return setTimeout(() => this.#reportExceeded(this.#limit(problem, what)), delayMs).unref();
+  #startTimer(delayMs: number, problem: ExceededLimit['problem'], what: string): PolledTimer {
+    const report = (): void => this.#reportExceeded(this.#limit(problem, what));
+    return new PolledTimer(delayMs, report).unref();
   }
 
   #limit(problem: ExceededLimit['problem'], what: string): ExceededLimit {
--- a/src/store/httpobjectstore.ts
+++ b/src/store/httpobjectstore.ts
@@ -3,7 +3,7 @@
 import * as z from 'zod';
 
 import type { Dispatcher } from 'undici';
-import { Err, Ok, readJson } from '../kernel/index.js';
+import { Err, Ok, readJson, timeLimitSignal } from '../kernel/index.js';
 import { ObjectStore } from './objectstore.js';
 
 import type { Result } from '../kernel/index.js';
@@ -150,7 +150,7 @@
       body: body ?? null,
       // Many servers reject a content type without a body.
       headers: body === undefined ? {} : { 'content-type': 'application/json' },
-      signal: AbortSignal.timeout(timeoutMs),
+      signal: timeLimitSignal(timeoutMs),
     });
     return { status: res.statusCode, body: await readJson(res.body, MAX_ANSWER_BYTES) };
   }
--- a/testbed/rawupstream.ts
+++ b/testbed/rawupstream.ts
@@ -14,6 +14,8 @@
   readonly then: 'keep' | 'close' | 'reset';
   /** Time from the request to the answer, in milliseconds; 0 if it is left out. */
   readonly afterMs?: number;
+  /** Further bytes, and the time after the first ones at which they are written, in milliseconds; none if it is left out. */
+  readonly rest?: { readonly text: string; readonly afterMs: number };
   /** Time between the last byte and the end of the connection, in milliseconds; 20 if it is left out. */
   readonly holdMs?: number;
 }
@@ -104,6 +106,8 @@
 
   static #write(socket: Socket, answer: RawAnswer, id: string): void {
     socket.write(answer.text.replaceAll(ID_PLACEHOLDER, id));
+    const { rest } = answer;
+    if (rest) setTimeout(() => socket.write(rest.text), rest.afterMs);
     if (answer.then === 'keep') return;
     const endConnection = (): void => {
       if (answer.then === 'reset') socket.resetAndDestroy();
