--- a/src/gateway/allowanceloans.ts
+++ b/src/gateway/allowanceloans.ts
@@ -1,9 +1,8 @@
 /** Loans of prepaid units between daemons. */
-import { setTimeout as sleep } from 'node:timers/promises';
 import { loanUnits, netSpent } from '../allowance/index.js';
 
 import { available, counterOf, lendUnits } from '../budget/index.js';
-import { instanceOf } from '../kernel/index.js';
+import { instanceOf, waitAtMost } from '../kernel/index.js';
 
 import type { Incarnation } from '../kernel/index.js';
 import type { PeerMessageOf } from '../link/index.js';
@@ -187,6 +186,7 @@
     const outlook = { unspent: Math.max(0, view?.unspent ?? 0), totalRate: view?.othersRate ?? 0 };
     const asked = { budget: workspace, missing, wanted, outlook, known };
     const askedAt = this.ctx.clock.now();
+    let isAwaited = true;
     const taken = network
       .request({
         to: peer,
@@ -195,25 +195,25 @@
         timeoutMs: REPLY_TIMEOUT_MS,
       })
       .then((reply) => {
-        if (reply.ok) this.#acceptLoan(workspace, reply.val, this.ctx.clock.now() - askedAt);
+        const lateMs = isAwaited ? undefined : this.ctx.clock.now() - askedAt;
+        if (reply.ok) this.#acceptLoan(workspace, reply.val, lateMs);
       });
-    const waitAbort = new AbortController();
-    const limit = sleep(this.#peerWaitMs, undefined, { signal: waitAbort.signal }).catch(
-      () => undefined,
-    );
-    await Promise.race([taken, limit]);
-    waitAbort.abort();
+    await waitAtMost(taken, this.#peerWaitMs);
+    isAwaited = false;
   }
 
   /**
    * Records a loan. The units of a late reply count too, as the lender has already deducted them;
    * the reply itself does not count as an answer in the round, which no longer waits for it.
+   * @param workspace - workspace that pays
+   * @param loan - the reply
+   * @param lateMs - time since the request if the reply is late, in milliseconds; undefined if it is not
    */
-  #acceptLoan(workspace: string, loan: PeerMessageOf<'lent'>, tookMs: number): void {
+  #acceptLoan(workspace: string, loan: PeerMessageOf<'lent'>, lateMs: number | undefined): void {
     const { lender, passed, unspent, left } = loan;
     const units = this.holdings.noteBorrowed(workspace, { peer: lender, units: passed });
-    if (tookMs > this.#peerWaitMs) {
-      const facts = { units, tookMs: Math.round(tookMs) };
+    if (lateMs !== undefined) {
+      const facts = { units, tookMs: Math.round(lateMs) };
       this.ctx.recorder.record('allowanceLate', { budget: workspace, peer: lender, facts });
       return;
     }
--- a/src/gateway/allowances.ts
+++ b/src/gateway/allowances.ts
@@ -7,10 +7,9 @@
  * return the units that their requests do not use.
  */
 import { once } from 'node:events';
-import { setTimeout as sleep } from 'node:timers/promises';
 
 import { isStoreKnownEmpty, hasGrantedUnits, netSpent, needsDraw } from '../allowance/index.js';
-import { Err, failure, Ok } from '../kernel/index.js';
+import { Err, failure, Ok, waitAtMost } from '../kernel/index.js';
 import { AllowanceLoans } from './allowanceloans.js';
 import { AllowanceReturns } from './allowancereturns.js';
 import { AllowanceRows } from './allowancerows.js';
@@ -217,7 +216,7 @@
    */
   async #drawForPeer(workspace: string): Promise<void> {
     if (!this.ctx.isStoreUp()) return;
-    await Promise.race([this.#draw(workspace), sleep(STORE_WAIT_MS)]);
+    await waitAtMost(this.#draw(workspace), STORE_WAIT_MS);
   }
 
   /**
@@ -264,14 +263,16 @@
     // A holder that replied has already tried to draw from the store for this request.
     if (!isHolder && this.#loans.hasHolderAnswered(workspace)) return false;
     const drawn = this.#draw(workspace);
-    if (this.ctx.isStoreUp()) await Promise.race([drawn, sleep(STORE_WAIT_MS), ...cancellations]);
+    if (this.ctx.isStoreUp())
+      await Promise.race([waitAtMost(drawn, STORE_WAIT_MS), ...cancellations]);
     if (isCancelled()) return false;
     if (reserved()) return true;
     await Promise.race([this.#loans.borrow(workspace, MAX_PEERS), ...cancellations]);
     if (isCancelled()) return false;
     if (reserved()) return true;
+    // Also after the deadline: the answer of the store may wait unread.
     const remainingMs = deadline - this.ctx.clock.now();
-    if (remainingMs > 0) await Promise.race([drawn, sleep(remainingMs), ...cancellations]);
+    await Promise.race([waitAtMost(drawn, remainingMs), ...cancellations]);
     return !isCancelled() && reserved();
   }
 
--- a/src/link/tests/stalledlinks.test.ts
+++ b/src/link/tests/stalledlinks.test.ts
@@ -39,6 +39,7 @@
   incarnation: 'b~1',
   dials: undefined,
   heartbeatMs: 500,
+  reply: { type: 'key-known', record: null },
   replyAfterMs: 0,
   acceptAfterMs: 0,
 };
--- a/testbed/threadedpeer.ts
+++ b/testbed/threadedpeer.ts
@@ -2,6 +2,8 @@
 import { once } from 'node:events';
 import { Worker } from 'node:worker_threads';
 
+import type { PeerMessage } from '../src/link/index.js';
+
 /** Which side of the link the stand-in is, and how it behaves. */
 export interface PeerPlan {
   readonly fleetKey: string;
@@ -10,6 +12,8 @@
   readonly dials: string | undefined;
   /** Interval of its heartbeats, in milliseconds. */
   readonly heartbeatMs: number;
+  /** Reply to each request. */
+  readonly reply: PeerMessage;
   /** Time from a request to its reply, in milliseconds. */
   readonly replyAfterMs: number;
   /** Time for which it does not accept the connection, in milliseconds. */
--- a/testbed/threadedpeerthread.ts
+++ b/testbed/threadedpeerthread.ts
@@ -14,7 +14,7 @@
 const NONCE = 'nonce-of-a-stand-in';
 
 const plan = workerData as PeerPlan;
-const { fleetKey, incarnation, dials, heartbeatMs, replyAfterMs, acceptAfterMs } = plan;
+const { fleetKey, incarnation, dials, heartbeatMs, reply, replyAfterMs, acceptAfterMs } = plan;
 const seen = { closed: 0, requests: 0 };
 
 function keepLink(socket: WebSocket): void {
@@ -42,8 +42,7 @@
       case 'request':
         seen.requests += 1;
         setTimeout(() => {
-          const body = { type: 'key-known', record: null } as const;
-          send({ kind: 'reply', id: frame.id, stamp: frame.stamp, body });
+          send({ kind: 'reply', id: frame.id, stamp: frame.stamp, body: reply });
         }, replyAfterMs);
         break;
       default:
