--- a/src/gateway/crashwatch.ts
+++ b/src/gateway/crashwatch.ts
@@ -1,10 +1,10 @@
 /** Confirms crashes of upstreams, shares them with the fleet and rejects requests on which upstreams crash. */
-import { connect } from 'node:net';
-import { setTimeout as sleep } from 'node:timers/promises';
+import { setImmediate as nextTurn } from 'node:timers/promises';
 
-import { failure } from '../kernel/index.js';
+import { failure, polledDelay } from '../kernel/index.js';
 import { CrashSuspects, decodeCrashRecord, encodeCrashRecord } from '../route/index.js';
 import { Follower, updateObject } from '../store/index.js';
+import { isListening } from './probe.js';
 
 import type { Clock, Failure } from '../kernel/index.js';
 import type { CrashRecord, Rejection, UnansweredPrompt } from '../route/index.js';
@@ -26,9 +26,6 @@
 /** Time from the end of one connection until the others to a crashed upstream have ended too, in milliseconds. */
 const CONFIRM_DELAY_MS = 50;
 
-/** Time limit for the connection that shows whether an upstream still listens, in milliseconds. */
-const PROBE_TIMEOUT_MS = 300;
-
 /** Time from a crash until it is shared, in milliseconds; most innocent parts are answered by then. */
 const SHARE_DELAY_MS = 1_000;
 
@@ -66,21 +63,6 @@
   readonly confirmed: Promise<void>;
 }
 
-/** Returns whether something listens at an address. */
-function isListening(address: string): Promise<boolean> {
-  const at = address.lastIndexOf(':');
-  return new Promise((resolve) => {
-    const socket = connect({ host: address.slice(0, at), port: Number(address.slice(at + 1)) });
-    const finish = (isOpen: boolean): void => {
-      socket.destroy();
-      resolve(isOpen);
-    };
-    socket.setTimeout(PROBE_TIMEOUT_MS, () => finish(false));
-    socket.once('connect', () => finish(true));
-    socket.once('error', () => finish(false));
-  });
-}
-
 /**
  * Names parts in a log line or an error.
  * @param parts - keys of the parts
@@ -225,7 +207,9 @@
 
   /** Checks whether an upstream has crashed: no connection to it is left, and none can be opened. */
   async #confirm(key: string, { record, connections }: KnownUpstream): Promise<void> {
-    await sleep(CONFIRM_DELAY_MS);
+    await polledDelay(CONFIRM_DELAY_MS);
+    // Sockets that were read to their end are reported as closed after immediates have run.
+    await nextTurn();
     const isAlive = connections.open > 0 || (await isListening(record.address));
     const pending = this.#pending.get(key);
     this.#pending.delete(key);
--- a/src/kernel/polledtimer.ts
+++ b/src/kernel/polledtimer.ts
@@ -53,6 +53,18 @@
   }
 }
 
+/**
+ * Waits for a time.
+ * @param delayMs - the time, in milliseconds
+ * @returns resolves once the time has passed and the sockets have been polled since
+ */
+export function polledDelay(delayMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    // eslint-disable-next-line no-new
+    new PolledTimer(delayMs, resolve);
+  });
+}
+
 /**
  * Waits for a promise, but not longer than a time and a poll of the sockets after it.
  * @param promise - what is waited for
