--- a/src/daemon/admission.ts
+++ b/src/daemon/admission.ts
@@ -1,6 +1,6 @@
 /** Executes the admission procedure: reserves the units of a request from its budget. */
 import { admit, refill } from '../budget/index.js';
-import { drive, Err, instanceOf, Ok } from '../kernel/index.js';
+import { drive, Err, instanceOf, Ok, waitAtMost } from '../kernel/index.js';
 import { AdmissionTrace } from './admissiontrace.js';
 
 import type { AdmitCommand, AdmitEvent, DrawAnswer, HolderView } from '../budget/index.js';
@@ -45,21 +45,6 @@
   lastDraw: DrawAnswer | undefined;
 }
 
-async function withTimeout<Value>(
-  promise: Promise<Value>,
-  waitMs: number,
-): Promise<Value | undefined> {
-  let timer: NodeJS.Timeout | undefined;
-  const timeout = new Promise<undefined>((resolve) => {
-    timer = setTimeout(() => resolve(undefined), waitMs);
-  });
-  try {
-    return await Promise.race([promise, timeout]);
-  } finally {
-    clearTimeout(timer);
-  }
-}
-
 /** Admits requests to their budgets. */
 export class Admission {
   readonly #refilling = new Set<string>();
@@ -147,7 +132,7 @@
     // After a recent store failure the request does not wait for the draw. The draw continues in
     // the background, so that a success shows that the store answers again.
     const waitMs = grants.hasStoreFailedRecently ? 0 : Math.min(leftMs, STORE_TIMEOUT_MS);
-    current.lastDraw = await withTimeout(draw, waitMs);
+    current.lastDraw = await waitAtMost(draw, waitMs);
     return current.lastDraw
       ? { type: 'drawn', left: current.lastDraw.left }
       : { type: 'unreachable' };
--- a/src/upstream/httporderclient.ts
+++ b/src/upstream/httporderclient.ts
@@ -2,7 +2,7 @@
 import { Agent } from 'undici';
 import * as z from 'zod';
 
-import { Err, failure, Ok, readJson } from '../kernel/index.js';
+import { Err, failure, Ok, readJson, timeLimitSignal } from '../kernel/index.js';
 import { OrderClient } from './orderclient.js';
 import { wasNeverSent } from './unsent.js';
 
@@ -40,7 +40,7 @@
 
   override async state(url: string): Promise<Result<UpstreamState, Failure>> {
     try {
-      const signal = AbortSignal.timeout(READ_TIMEOUT_MS);
+      const signal = timeLimitSignal(READ_TIMEOUT_MS);
       const res = await this.#agent.request({
         origin: url,
         method: 'GET',
@@ -71,7 +71,7 @@
         path,
         headers: { 'content-type': 'application/json' },
         body: JSON.stringify(body),
-        signal: AbortSignal.timeout(timeoutMs),
+        signal: timeLimitSignal(timeoutMs),
       });
       await res.body.dump();
       if (res.statusCode < 300) return Ok(undefined);
--- a/src/upstream/httpworkerreportclient.ts
+++ b/src/upstream/httpworkerreportclient.ts
@@ -2,7 +2,7 @@
 import { Agent } from 'undici';
 import * as z from 'zod';
 
-import { Err, failure, Ok, readJson } from '../kernel/index.js';
+import { Err, failure, Ok, readJson, timeLimitSignal } from '../kernel/index.js';
 import { WorkerReportClient } from './workerreportclient.js';
 
 import type { Failure, Result } from '../kernel/index.js';
@@ -36,10 +36,8 @@
         origin: url,
         method: 'GET',
         path: `/v1/load?after=${after}`,
-        headersTimeout: REPORT_TIMEOUT_MS,
-        bodyTimeout: REPORT_TIMEOUT_MS,
         // Limits the whole exchange, since an unresponsive connection would delay the reports that follow.
-        signal: AbortSignal.timeout(REPORT_TIMEOUT_MS),
+        signal: timeLimitSignal(REPORT_TIMEOUT_MS),
       });
       if (res.statusCode !== 200) {
         await res.body.dump();
