--- a/src/daemon/streamsink.ts
+++ b/src/daemon/streamsink.ts
@@ -1,9 +1,8 @@
 /** Streams a model answer to the caller as server-sent events. */
 import { once } from 'node:events';
-import { setTimeout as delay } from 'node:timers/promises';
 
 import type { ServerResponse } from 'node:http';
-import { FAILURE_KINDS, formatFailure, retryAfter } from '../kernel/index.js';
+import { FAILURE_KINDS, formatFailure, retryAfter, waitAtMost } from '../kernel/index.js';
 import { AnswerSink } from './answersink.js';
 
 import type { Failure } from '../kernel/index.js';
@@ -69,12 +68,8 @@
   async #waitForDrain(): Promise<void> {
     const controller = new AbortController();
     const { signal } = controller;
-    const endings = [
-      once(this.res, 'drain', { signal }),
-      once(this.res, 'close', { signal }),
-      delay(this.drainTimeoutMs, undefined, { signal }),
-    ];
-    await Promise.race(endings).finally(() => controller.abort());
+    const endings = [once(this.res, 'drain', { signal }), once(this.res, 'close', { signal })];
+    await waitAtMost(Promise.race(endings), this.drainTimeoutMs).finally(() => controller.abort());
   }
 
   #sendHead(): void {
