--- a/src/ingress/tests/afterpoll.test.ts
+++ b/src/ingress/tests/afterpoll.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 
-import { stall } from '../../../testbed/stalledcallers.js';
+import { block } from '../../../testbed/stall.js';
 import { SteadyClock } from '../../kernel/index.js';
 import { freshPoll } from '../index.js';
 
@@ -21,7 +21,7 @@
     const occupy = (): void => {
       if (left === 0) return;
       left -= 1;
-      stall(LONG_MS);
+      block(LONG_MS);
       lastAt = clock.now();
       setImmediate(occupy);
     };
@@ -36,7 +36,7 @@
   const clock = new SteadyClock();
   let isOver = false;
   const occupy = (): void => {
-    stall(LONG_MS);
+    block(LONG_MS);
     if (!isOver) setImmediate(occupy);
   };
   setImmediate(occupy);
--- a/testbed/stalledcallers.ts
+++ b/testbed/stalledcallers.ts
@@ -61,11 +61,3 @@
     await this.thread.terminate();
   }
 }
-
-/**
- * Blocks the thread, so that its event loop runs no timer and polls no socket.
- * @param ms - duration, in milliseconds
- */
-export function stall(ms: number): void {
-  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms);
-}
