--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -13,16 +13,10 @@
 import { limitConnections, watchListener } from '../daemon/listenerwatch.js';
 import { refuseMalformedRequests } from '../daemon/malformedrequests.js';
 import { splitAddress } from '../daemon/settings.js';
-import { afterPoll, isFresh } from '../ingress/index.js';
+import { afterPoll, freshPoll, isFresh } from '../ingress/index.js';
 import { GatewayModule } from './gateway.module.js';
 import { GatewayRuntime } from './runtime.js';
-import {
-  exitTime,
-  isDrained,
-  isPastAcceptAll,
-  lastAnswerTime,
-  mayCloseListener,
-} from './stopping.js';
+import { drainUntil, exitTime, isDrained, isPastAcceptAll, mayCloseListener } from './stopping.js';
 
 import type { PlatformAdapter } from './adapter.js';
 import type { GatewaySettings } from './settings.js';
@@ -106,9 +100,11 @@
       await delay(DRAIN_POLL_MS);
       if (isPastAcceptAll(window, clock.now())) this.runtime.releaseExcess();
     }
+    // Answers that have waited in a stalled process are relayed first.
+    await freshPoll(clock, clock.now());
     this.runtime.stopOpenRequests();
     // Connections that wait to be accepted are reset with the listener.
-    idle += await this.#drain(lastAnswerTime(window));
+    idle += await this.#drain(drainUntil(window, clock.now()));
     // The server's own "close" would close connections whose last answer still waits for the caller to read.
     Server.prototype.close.call(server);
     this.runtime.listenerClosed(idle);
--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -161,9 +161,11 @@
       return undefined;
     }
     const isAccepted =
-      outcome === 'begin' && this.runtime.acceptsRequest(head.id, found.route.name, endsAt);
+      outcome === 'begin' &&
+      this.runtime.acceptsRequest(head.id, 'queued', found.route.name, endsAt);
     if (!isAccepted) {
-      const code = outcome === 'overloaded' ? 'overloaded' : 'not-ready';
+      const isOverloaded = outcome === 'overloaded' && !this.runtime.isStopping;
+      const code = isOverloaded ? 'overloaded' : 'not-ready';
       const refusal = failure(code, found.route.name);
       this.#refuse(
         caller,
@@ -200,7 +202,8 @@
     if (!route) return failure('unknown-route', `${host}${target}`);
     const workspace = this.#workspaceOf(table, head, route.isPublic);
     if (workspace === 'unknown') return failure('unknown-key', route.name);
-    return this.runtime.acceptsRequest(head.id, route.name, endTime(route, head, arrival))
+    const endsAt = endTime(route, head, arrival);
+    return this.runtime.acceptsRequest(head.id, 'reading', route.name, endsAt)
       ? { table, route, workspace }
       : { ...failure('not-ready', target), retryAfterMs: otherDaemonRetryMs() };
   }
--- a/src/gateway/loopdelay.ts
+++ b/src/gateway/loopdelay.ts
@@ -37,6 +37,11 @@
 
   #dueAt = 0;
 
+  #sampledAt = Number.POSITIVE_INFINITY;
+
+  /** Time up to which all signals are known to have been read, in milliseconds. */
+  #readUntil = Number.POSITIVE_INFINITY;
+
   #summary = EMPTY_SUMMARY;
 
   #lastUtilization = performance.eventLoopUtilization();
@@ -65,9 +70,21 @@
     clearInterval(this.#timer);
   }
 
+  /**
+   * Returns the earliest time at which a signal can have arrived that is read now. After a stall of the process the
+   * sample is taken before the signal is read.
+   * @param now - current time, in milliseconds
+   * @returns time in milliseconds
+   */
+  earliestSignal(now: number): number {
+    return Math.min(now, this.#readUntil);
+  }
+
   #sample(): void {
     const now = this.clock.now();
     const delayMs = Math.max(0, now - this.#dueAt);
+    this.#readUntil = delayMs < SAMPLE_INTERVAL_MS ? now : this.#sampledAt;
+    this.#sampledAt = now;
     this.#dueAt = now + SAMPLE_INTERVAL_MS;
     this.metrics.loopDelay.observe(delayMs / 1_000);
     this.#summary = {
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -21,12 +21,19 @@
 import { retryLimits } from './retrylimits.js';
 import { processorCores } from './settings.js';
 import { OpenRequests } from './openrequests.js';
-import { acceptsDuringStop, cutTime, isPastAcceptAll, latestBegin } from './stopping.js';
+import {
+  acceptsDuringStop,
+  cutTime,
+  isPastAcceptAll,
+  latestBegin,
+  stopWindow,
+} from './stopping.js';
 
 import type { PlacementOptions } from '../route/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { PlatformAdapter } from './adapter.js';
 import type { CallContext } from './callrun.js';
+import type { RequestStage } from './openrequests.js';
 import type { RegisteredDaemon } from './followedinstances.js';
 import type { GatewaySettings } from './settings.js';
 import type { StopLoad, StopWindow } from './stopping.js';
@@ -221,11 +228,12 @@
    * Decides whether a request that has arrived or has waited for its turn is accepted now. Requests are refused only
    * during a stop.
    * @param request - its id, for the log
+   * @param stage - how far it has come
    * @param route - name of its route
    * @param endsAt - time at which the request has ended at the latest, in milliseconds
    * @returns whether it is accepted
    */
-  acceptsRequest(request: string, route: string, endsAt: number): boolean {
+  acceptsRequest(request: string, stage: RequestStage, route: string, endsAt: number): boolean {
     const window = this.#stopWindow;
     if (!window) return true;
     const now = this.clock.now();
@@ -233,6 +241,7 @@
     if (isPastAcceptAll(window, now)) {
       const facts = {
         isAccepted,
+        stage,
         route,
         stoppingMs: Math.round(now - window.startedAt),
         leftMs: Math.round(cutTime(window) - now),
@@ -249,9 +258,14 @@
    * @returns start and duration of the stop
    */
   beginStop(cause: string): StopWindow {
-    this.#stopWindow = { startedAt: this.clock.now(), stopMs: this.settings.stopMs };
-    this.recorder.record('daemonStopping', { facts: { cause, active: this.load.active } });
-    return this.#stopWindow;
+    const now = this.clock.now();
+    const window = stopWindow(this.#loopDelay.earliestSignal(now), now, this.settings.stopMs);
+    this.#stopWindow = window;
+    const unreadMs = Math.round(now - window.startedAt);
+    this.recorder.record('daemonStopping', {
+      facts: { cause, unreadMs, active: this.load.active },
+    });
+    return window;
   }
 
   /**
--- a/src/gateway/stopping.ts
+++ b/src/gateway/stopping.ts
@@ -46,6 +46,23 @@
 /** Share of the stop time after which the process ends, even if the stop is not complete. */
 const EXIT_SHARE = 0.97;
 
+/**
+ * Longest time before a stop signal was read at which it may have arrived, as a share of the stop time. After a longer
+ * stall, most of the stop remains for open requests.
+ */
+const MAX_UNREAD_SHARE = 0.125;
+
+/**
+ * Begins a stop. The platform counts its time from when it sent the signal, which may have waited in a stalled process.
+ * @param earliestSignal - earliest time at which the signal can have arrived, in milliseconds
+ * @param now - current time, in milliseconds
+ * @param stopMs - time from the signal until the process is killed, in milliseconds
+ * @returns start and duration of the stop
+ */
+export function stopWindow(earliestSignal: number, now: number, stopMs: number): StopWindow {
+  return { startedAt: Math.max(earliestSignal, now - stopMs * MAX_UNREAD_SHARE), stopMs };
+}
+
 /**
  * Returns the time at which the daemon stops waiting for open requests, which are aborted when the process
  * ends.
@@ -66,6 +83,22 @@
   return startedAt + stopMs * LAST_ANSWER_SHARE;
 }
 
+/**
+ * Least time for which a daemon refuses what still arrives before it closes its listener, as a share of the stop time:
+ * after a stall there are more connections than one iteration of the event loop accepts.
+ */
+const MIN_DRAIN_SHARE = 0.02;
+
+/**
+ * Returns the time until which a daemon refuses what still arrives before it closes its listener.
+ * @param window - start and duration of the stop
+ * @param now - current time, in milliseconds
+ * @returns time in milliseconds
+ */
+export function drainUntil(window: StopWindow, now: number): number {
+  return Math.max(lastAnswerTime(window), now + window.stopMs * MIN_DRAIN_SHARE);
+}
+
 /**
  * Returns the time at which the process ends at the latest.
  * @param window - start and duration of the stop
--- a/src/gateway/tests/stopping.test.ts
+++ b/src/gateway/tests/stopping.test.ts
@@ -1,6 +1,13 @@
 import test from 'ava';
 
-import { acceptsDuringStop, isDrained, latestBegin, mayCloseListener } from '../stopping.js';
+import {
+  acceptsDuringStop,
+  drainUntil,
+  isDrained,
+  latestBegin,
+  mayCloseListener,
+  stopWindow,
+} from '../stopping.js';
 
 const WINDOW = { startedAt: 1_000, stopMs: 8_000 };
 
@@ -81,3 +88,27 @@
     t.is(isDrained(arrivals, POLLED_AFTER), drained);
   });
 });
+
+const SIGNALS = [
+  { title: 'that was read at once', earliest: 5_000, startedAt: 5_000 },
+  { title: 'that waited in a stalled process', earliest: 4_400, startedAt: 4_400 },
+  { title: 'that may have waited for long', earliest: 1_000, startedAt: 4_000 },
+  { title: 'before the first sample', earliest: Number.POSITIVE_INFINITY, startedAt: 5_000 },
+] as const;
+
+SIGNALS.forEach(({ title, earliest, startedAt }) => {
+  test(`a stop counts from the arrival of a signal ${title}`, (t) => {
+    t.deepEqual(stopWindow(Math.min(earliest, 5_000), 5_000, 8_000), { startedAt, stopMs: 8_000 });
+  });
+});
+
+const DRAINS = [
+  { title: 'in time', now: 8_200, until: 8_440 },
+  { title: 'after a stall', now: 8_500, until: 8_660 },
+] as const;
+
+DRAINS.forEach(({ title, now, until }) => {
+  test(`a stop that ends open requests ${title} refuses what still arrives until ${until}`, (t) => {
+    t.is(drainUntil(WINDOW, now), until);
+  });
+});
--- a/src/ingress/afterpoll.ts
+++ b/src/ingress/afterpoll.ts
@@ -7,7 +7,7 @@
  * Longest time since the begin of a poll in which its result still counts, in milliseconds. It bounds how long something
  * may have waited that a decision on this result ignores.
  */
-const MAX_POLL_AGE_MS = 20;
+const MAX_POLL_AGE_MS = 100;
 
 /**
  * Checks whether the result of a poll still counts.
--- a/src/ingress/callerconnections.ts
+++ b/src/ingress/callerconnections.ts
@@ -63,7 +63,8 @@
    * @param socket - the socket
    */
   async closeExpired(socket: Socket): Promise<void> {
-    const polledAfter = await freshPoll(this.clock);
-    this.of(socket).closeIfIdle(polledAfter);
+    const expiredAt = this.clock.now();
+    await freshPoll(this.clock);
+    this.of(socket).closeIfIdle(expiredAt);
   }
 }
