Test relay: a reset after bytes that were not read yet is not turned into an orderly end

Cause: libuv reports the end of a stream when a poll brings both data and a hang-up and the read was a partial one; Node.js then emits "end" and not ECONNRESET. strace of a process of its own: data of 64,512 bytes, no further read, "end", and shutdown fails with ENOTCONN. The connection has no other side any more by then, so its remote address cannot be read; after an orderly end it can.

Also: "resetAndDestroy" waits for bytes that are still to be written, and so sends them with an orderly end; a reset now drops them.

Ruled out: the daemon.

--- a/testbed/relay.ts
+++ b/testbed/relay.ts
@@ -12,6 +12,29 @@
   readonly targetSocket: Socket;
   /** Whether the connection is silenced: it stays open but never forwards bytes again, whatever the mode. */
   isSilenced: boolean;
+  /** Whether it is being reset, which must not be turned into an orderly end. */
+  isBroken: boolean;
+}
+
+/**
+ * Resets a connection, without the bytes that wait to be written.
+ * @param socket - socket of the connection
+ */
+export function resetConnection(socket: Socket): void {
+  const isWriting = socket.writableLength > 0;
+  socket.resetAndDestroy();
+  // Otherwise it would be reset after these bytes and an orderly end.
+  if (isWriting) socket.destroy();
+}
+
+/**
+ * Checks at the end of the other side whether it was an orderly one. Node.js reports a reset as an end if bytes that
+ * arrived before it are read together with it; the connection then has no other side any more.
+ * @param socket - socket that has just emitted "end", and whose remote address was not read before
+ * @returns whether it was an orderly end
+ */
+export function isOrderlyEnd(socket: Socket): boolean {
+  return socket.remoteAddress !== undefined;
 }
 
 /** Forwards connections to one target. */
@@ -92,12 +115,14 @@
   }
 
   /** Ends a connection that broke: an orderly end would complete an answer that has no length. */
-  static #reset({ clientSocket: near, targetSocket: far }: RelayedConnection): void {
+  static #reset(pair: RelayedConnection): void {
+    const broken = pair;
+    broken.isBroken = true;
+    const { clientSocket: near, targetSocket: far } = pair;
     [near, far].forEach((socket) => {
-      // A reset waits until the written bytes are sent, and fails if the socket is destroyed meanwhile.
       socket.unref();
       if (socket.writableEnded) socket.destroy();
-      else socket.resetAndDestroy();
+      else resetConnection(socket);
     });
   }
 
@@ -111,6 +136,7 @@
       clientSocket: near,
       targetSocket: far,
       isSilenced: this.#mode === 'silent',
+      isBroken: false,
     };
     this.#connections.add(pair);
     this.#forward(pair, near, far);
@@ -123,13 +149,15 @@
       if (!pair.isSilenced) to.write(chunk);
     });
     from.on('end', () => {
-      if (!pair.isSilenced) to.end();
+      if (pair.isSilenced) return;
+      if (isOrderlyEnd(from)) to.end();
+      else Relay.#reset(pair);
     });
     from.on('error', () => Relay.#reset(pair));
     from.on('close', () => {
       if (pair.isSilenced) return;
       this.#connections.delete(pair);
-      to.destroy();
+      if (!pair.isBroken) to.destroy();
     });
   }
 }
