--- a/testbed/knownfailures.ts
+++ b/testbed/knownfailures.ts
@@ -2,7 +2,7 @@
 import { readFile } from 'node:fs/promises';
 
 /** Kind of an entry, the word before its colon. */
-export type KnownFailureKind = 'proof' | 'bench';
+export type KnownFailureKind = 'proof' | 'bench' | 'soak';
 
 /**
  * Lists the known failures of one kind.
