--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -1,4 +1,5 @@
 /** Pool of connections to one upstream. */
+import { ReadShare } from '../upstream/readshare.js';
 import { UpstreamConnection } from './upstreamconnection.js';
 
 /** Maximum number of idle connections that are kept to one upstream. */
@@ -17,8 +18,12 @@
   /**
    * Creates an empty pool.
    * @param address - "IP:port" of the upstream
+   * @param share - the upstream's share of the event loop, for all its connections
    */
-  constructor(private readonly address: string) {}
+  constructor(
+    private readonly address: string,
+    private readonly share: ReadShare = new ReadShare(),
+  ) {}
 
   /**
    * Returns a connection for one request: of the idle ones that are still open, the most recently used; a new
@@ -32,6 +37,7 @@
     }
     const connection = new UpstreamConnection(
       this.address,
+      this.share,
       (isOpen) => {
         this.open += isOpen ? 1 : -1;
       },
--- a/testbed/child.ts
+++ b/testbed/child.ts
@@ -10,6 +10,8 @@
   /** Compiled module, relative to the root of the compiled tree. */
   readonly module: string;
   readonly args: readonly string[];
+  /** Options of Node.js itself; none if they are left out. */
+  readonly nodeArgs?: readonly string[];
   /** File to which stdout and stderr of the child are appended. */
   readonly logFile: string;
   /** Whether the child's output also goes to stdout and stderr of this process. */
@@ -35,7 +37,7 @@
    */
   constructor(options: ChildOptions) {
     const path = fileURLToPath(new URL(`../${options.module}`, import.meta.url));
-    this.#process = spawn(process.execPath, [path, ...options.args], {
+    this.#process = spawn(process.execPath, [...(options.nodeArgs ?? []), path, ...options.args], {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     children.add(this.#process);
