--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,6 +1,7 @@
 /** One attempt at an upstream: sends the request and relays the answer. */
 import type { Dispatcher } from 'undici';
 import { EventStream } from './eventstream.js';
+import { RelayBuffer } from './relaybuffer.js';
 
 import type { UpstreamConnections } from './connections.js';
 import type { AnswerHead, CallHead, HeaderCodec } from './protocol.js';
@@ -110,6 +111,8 @@
 
   #controller: Dispatcher.DispatchController | undefined;
 
+  readonly #relayed: RelayBuffer;
+
   constructor(
     private readonly cfg: AttemptConfig,
     connection: UpstreamConnection,
@@ -117,6 +120,7 @@
   ) {
     const { reply } = cfg.call;
     this.#connection = connection;
+    this.#relayed = new RelayBuffer(reply, () => this.#controller?.pause());
     this.#timeoutTimer = setTimeout(() => this.#onTimeout(), Math.max(0, cfg.timeoutMs));
     this.#startAnswerTimer();
     reply.onDisconnect = () => this.#abandon({ kind: 'left' });
@@ -181,7 +185,7 @@
     }
   }
 
-  onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.#stage === 'done') return;
     this.#connection.noteBody(chunk.length);
     if (this.#isDiscarded) {
@@ -196,7 +200,7 @@
     }
     if (bytes.length === 0) return;
     this.#begin();
-    if (!this.cfg.call.reply.write(bytes)) controller.pause();
+    this.#relayed.push(bytes);
   }
 
   onResponseEnd(): void {
@@ -209,6 +213,7 @@
     if (this.#isDiscarded) this.#finish(this.#discardedOutcome(head));
     else {
       this.#begin();
+      this.#relayed.flush();
       this.cfg.call.reply.end();
       const { ending = 'open' } = this.#connection;
       this.#finish({ kind: 'relayed', status: head.status, ending });
@@ -326,6 +331,7 @@
     clearTimeout(this.#answerTimer);
     clearTimeout(this.#discardTimer);
     const { reply, events } = this.cfg.call;
+    this.#relayed.flush();
     reply.onDisconnect = () => undefined;
     reply.onStop = () => undefined;
     reply.onDrain = () => undefined;
