--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -4,6 +4,7 @@
 import { RelayBuffer } from './relaybuffer.js';
 
 import type { UpstreamConnections } from './connections.js';
+import type { PartialEventHolder } from './partialevents.js';
 import type { AnswerHead, CallHead, HeaderCodec } from './protocol.js';
 import type { CallerReply } from './reply.js';
 import type { ConnectionEnding, SendOutcome } from './serve.js';
@@ -94,7 +95,7 @@
 }
 
 /** Sends a request over one connection and relays or discards the answer as it arrives. */
-class Attempt implements Dispatcher.DispatchHandler {
+class Attempt implements Dispatcher.DispatchHandler, PartialEventHolder {
   #connection: UpstreamConnection;
 
   readonly #timeoutTimer: NodeJS.Timeout;
@@ -203,10 +204,9 @@
     }
     this.cfg.onProgress(undefined);
     const bytes = this.#bytesToRelay(chunk);
-    if (this.cfg.call.events.isOversized) {
-      this.#failAttempt('an event without an end');
-      return;
-    }
+    if (this.cfg.call.events.isOversized) this.#failAttempt('an event without an end');
+    else this.cfg.connections.partials.record(this, this.cfg.call.events.partialBytes);
+    if (this.#isDone) return;
     if (bytes.length === 0) return;
     this.#begin();
     this.#relayed.push(bytes);
@@ -237,6 +237,14 @@
     else this.#failAttempt(err.message);
   }
 
+  onTooManyPartials(): void {
+    this.#failAttempt('too many incomplete events, of which this one is the largest');
+  }
+
+  get #isDone(): boolean {
+    return this.#stage === 'done';
+  }
+
   /** Takes another connection, as the kept one ended before the request was sent on it. */
   #startAgain(): void {
     this.#connection.destroy();
@@ -345,6 +353,7 @@
     reply.onStop = () => undefined;
     reply.onDrain = () => undefined;
     events.discardPartial();
+    this.cfg.connections.partials.record(this, 0);
     this.settle(outcome);
   }
 }
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -1,5 +1,6 @@
 /** Pool of connections to one upstream. */
 import { ReadShare } from '../upstream/readshare.js';
+import { PartialEvents } from './partialevents.js';
 import { UpstreamConnection } from './upstreamconnection.js';
 
 /** Maximum number of idle connections that are kept to one upstream. */
@@ -19,10 +20,12 @@
    * Creates an empty pool.
    * @param address - "IP:port" of the upstream
    * @param share - the upstream's share of the event loop, for all its connections
+   * @param partials - incomplete events of the daemon
    */
   constructor(
     private readonly address: string,
     private readonly share: ReadShare = new ReadShare(),
+    readonly partials: PartialEvents = new PartialEvents(),
   ) {}
 
   /**
--- a/src/gateway/upstreampool.ts
+++ b/src/gateway/upstreampool.ts
@@ -3,6 +3,7 @@
 import { HotParts, placeRequest, UpstreamStats } from '../route/index.js';
 import { ReadShare } from '../upstream/readshare.js';
 import { UpstreamConnections } from './connections.js';
+import { PartialEvents } from './partialevents.js';
 import { incarnationKey } from './upstreamsignals.js';
 
 import type { Clock } from '../kernel/index.js';
@@ -49,6 +50,9 @@
   /** The upstreams divide the event loop. */
   readonly #loopUse: LoopUse = { waiting: 0 };
 
+  /** Incomplete events of all answers. */
+  readonly #partials = new PartialEvents();
+
   #sweptAt = 0;
 
   /**
@@ -131,7 +135,8 @@
       seed: found?.seed ?? hash32(record.id),
       stats: found?.stats ?? new UpstreamStats(),
       connections:
-        found?.connections ?? new UpstreamConnections(record.address, new ReadShare(this.#loopUse)),
+        found?.connections ??
+        new UpstreamConnections(record.address, new ReadShare(this.#loopUse), this.#partials),
     };
     this.#known.set(key, known);
     return known;
