--- a/src/gateway/tests/eventstream.test.ts
+++ b/src/gateway/tests/eventstream.test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as delay } from 'node:timers/promises';
 import { setFlagsFromString } from 'node:v8';
 import { runInNewContext } from 'node:vm';
 
@@ -129,7 +130,7 @@
 /** Memory that the incomplete event may take, in bytes: a small part of those buffers. */
 const MAX_HELD_BYTES = 4_194_304;
 
-test('an incomplete event does not hold the memory of what was received with it', (t) => {
+test('an incomplete event does not hold the memory of what was received with it', async (t) => {
   setFlagsFromString('--expose-gc');
   const collectGarbage = runInNewContext('gc') as () => void;
   const stream = new EventStream();
@@ -138,8 +139,14 @@
   for (let read = 0; read < READS; read += 1) {
     stream.push(Buffer.alloc(READ_BYTES, 'x').subarray(0, 1));
   }
-  collectGarbage();
-  const held = process.memoryUsage().arrayBuffers - before;
+  let held = Infinity;
+  // V8 frees the memory of collected buffers in the background.
+  for (let round = 0; round < 10 && held >= MAX_HELD_BYTES; round += 1) {
+    collectGarbage();
+    // eslint-disable-next-line no-await-in-loop
+    await delay(20);
+    held = process.memoryUsage().arrayBuffers - before;
+  }
   t.true(held < MAX_HELD_BYTES, `${held} bytes`);
   t.is(stream.push(Buffer.from('\n\n')).bytes.length, READS + 2);
 });
