--- a/src/gateway/httpreply.ts
+++ b/src/gateway/httpreply.ts
@@ -6,6 +6,11 @@
 import type { CallerConnection } from '../ingress/index.js';
 import type { AnswerHead } from './protocol.js';
 
+/** Whether headers, as alternating names and values, include a length. */
+function hasLength(headers: readonly string[]): boolean {
+  return headers.some((name, at) => at % 2 === 0 && name.toLowerCase() === 'content-length');
+}
+
 /** Answer to a caller over HTTP. */
 export class HttpReply extends CallerReply {
   isDisconnected = false;
@@ -69,7 +74,7 @@
     this.#closeIfStopping();
     // An answer without a length or chunks is passed on in chunks, unless the caller's version of HTTP has none: if
     // this process is killed, the operating system closes the connection, which would complete the answer.
-    this.#isFramed = isFramed || this.res.useChunkedEncodingByDefault;
+    this.#isFramed = this.res.useChunkedEncodingByDefault || (isFramed && hasLength(forward));
     if (!this.#isFramed) {
       this.res.removeHeader('transfer-encoding');
       this.res.shouldKeepAlive = false;
--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -9,6 +9,7 @@
 import { timeLimitMs } from './configuration.js';
 import { EventStream } from './eventstream.js';
 import { HttpReply } from './httpreply.js';
+import { requestTarget } from './requesttarget.js';
 import { GatewayRuntime } from './runtime.js';
 
 import type { Failure, FailureCode } from '../kernel/index.js';
@@ -117,7 +118,8 @@
    */
   async #admit(request: FastifyRequest, exchange: Exchange): Promise<CallRun | undefined> {
     const { caller, connection, arrival, open } = exchange;
-    const { raw: req, originalUrl: target } = request;
+    const { raw: req } = request;
+    const { host, path: target } = requestTarget(request.originalUrl, req.headers.host ?? '');
     const { headers: codec } = this.runtime.adapter;
     const head = codec.decodeCall(req.rawHeaders);
     const { bodyBytes } = this.runtime.routingState.table?.configuration.limits ?? DEFAULT_LIMITS;
@@ -143,7 +145,7 @@
     open.onStop(() => undefined);
     const found = body.isTooLarge
       ? failure('body-too-large', target)
-      : this.#policyOf(head, req.headers.host ?? '', target, arrival);
+      : this.#policyOf(head, host, target, arrival);
     const { callContext } = this.runtime;
     if ('code' in found || !callContext) {
       const refusal = 'code' in found ? found : failure('not-ready', target);
