--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -2,10 +2,8 @@
 import type { Dispatcher } from 'undici';
 import { PolledTimer } from '../kernel/index.js';
 import { EventStream } from './eventstream.js';
-import { RelayBuffer } from './relaybuffer.js';
 
 import type { UpstreamConnections } from './connections.js';
-import type { PartialEventHolder } from './partialevents.js';
 import type { AnswerHead, CallHead, HeaderCodec } from './protocol.js';
 import type { CallerReply } from './reply.js';
 import type { ConnectionEnding, SendOutcome } from './serve.js';
@@ -66,9 +64,6 @@
 /** Lowest status code of a final answer; lower codes are those of interim answers. */
 const FIRST_FINAL_STATUS = 200;
 
-/** Maximum number of interim answers before an answer: an upstream may tell for long that it is still at work. */
-const MAX_INTERIM_ANSWERS = 1_000;
-
 const OK_STATUS = 200;
 
 /** Lowest status code that counts as a failure of the upstream. */
@@ -102,7 +97,7 @@
 }
 
 /** Sends a request over one connection and relays or discards the answer as it arrives. */
-class Attempt implements Dispatcher.DispatchHandler, PartialEventHolder {
+class Attempt implements Dispatcher.DispatchHandler {
   #connection: UpstreamConnection;
 
   readonly #timeoutTimer: PolledTimer;
@@ -118,8 +113,6 @@
 
   #discardedBytes = 0;
 
-  #interimAnswers = 0;
-
   #stage: Stage = 'queued';
 
   #head: AnswerHead | undefined;
@@ -129,8 +122,6 @@
 
   #controller: Dispatcher.DispatchController | undefined;
 
-  readonly #relayed: RelayBuffer;
-
   constructor(
     private readonly cfg: AttemptConfig,
     connection: UpstreamConnection,
@@ -138,7 +129,6 @@
   ) {
     const { reply } = cfg.call;
     this.#connection = connection;
-    this.#relayed = new RelayBuffer(reply, () => this.#controller?.pause());
     this.#timeoutTimer = new PolledTimer(cfg.timeoutMs, () => this.#onTimeout());
     this.#startAnswerTimer();
     reply.onDisconnect = () => this.#abandon({ kind: 'left' });
@@ -181,12 +171,8 @@
     status: number,
     headers: Readonly<Record<string, string | string[] | undefined>>,
   ): void {
-    if (this.#stage === 'done') return;
-    if (status < FIRST_FINAL_STATUS) {
-      this.#interimAnswers += 1;
-      if (this.#interimAnswers > MAX_INTERIM_ANSWERS) this.#failAttempt('interim answers only');
-      return;
-    }
+    // Interim answers are ignored.
+    if (this.#stage === 'done' || status < FIRST_FINAL_STATUS) return;
     this.#answerTimer?.clear();
     this.#isReadLate = this.#timeoutTimer.isDue;
     const head = this.cfg.codec.decodeAnswer(status, flatten(headers));
@@ -209,7 +195,7 @@
     }
   }
 
-  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+  onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.#stage === 'done') return;
     this.#connection.noteBody(chunk.length);
     this.#isReadLate = this.#timeoutTimer.isDue;
@@ -219,12 +205,13 @@
     }
     this.cfg.onProgress(undefined);
     const bytes = this.#bytesToRelay(chunk);
-    if (this.cfg.call.events.isOversized) this.#failAttempt('an event without an end');
-    else this.cfg.connections.partials.record(this, this.cfg.call.events.partialBytes);
-    if (this.#isDone) return;
+    if (this.cfg.call.events.isOversized) {
+      this.#failAttempt('an event without an end');
+      return;
+    }
     if (bytes.length === 0) return;
     this.#begin();
-    this.#relayed.push(bytes);
+    if (!this.cfg.call.reply.write(bytes)) controller.pause();
   }
 
   onResponseEnd(): void {
@@ -237,7 +224,6 @@
     if (this.#isDiscarded) this.#finish(this.#discardedOutcome(head));
     else {
       this.#begin();
-      this.#relayed.flush();
       this.cfg.call.reply.end();
       const { ending = 'open' } = this.#connection;
       this.#finish({ kind: 'relayed', status: head.status, ending });
@@ -252,14 +238,6 @@
     else this.#failAttempt(err.message);
   }
 
-  onTooManyPartials(): void {
-    this.#failAttempt('too many incomplete events, of which this one is the largest');
-  }
-
-  get #isDone(): boolean {
-    return this.#stage === 'done';
-  }
-
   /** Takes another connection, as the kept one ended before the request was sent on it. */
   #startAgain(): void {
     this.#connection.destroy();
@@ -368,12 +346,10 @@
     this.#answerTimer?.clear();
     this.#discardTimer?.clear();
     const { reply, events } = this.cfg.call;
-    this.#relayed.flush();
     reply.onDisconnect = () => undefined;
     reply.onStop = () => undefined;
     reply.onDrain = () => undefined;
     events.discardPartial();
-    this.cfg.connections.partials.record(this, 0);
     this.settle(outcome);
   }
 }
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -1,6 +1,4 @@
 /** Pool of connections to one upstream. */
-import { ReadShare } from '../upstream/readshare.js';
-import { PartialEvents } from './partialevents.js';
 import { UpstreamConnection } from './upstreamconnection.js';
 
 /** Maximum number of idle connections that are kept to one upstream. */
@@ -19,14 +17,8 @@
   /**
    * Creates an empty pool.
    * @param address - "IP:port" of the upstream
-   * @param share - the upstream's share of the event loop, for all its connections
-   * @param partials - incomplete events of the daemon
    */
-  constructor(
-    private readonly address: string,
-    private readonly share: ReadShare = new ReadShare(),
-    readonly partials: PartialEvents = new PartialEvents(),
-  ) {}
+  constructor(private readonly address: string) {}
 
   /**
    * Returns a connection for one request: of the idle ones that are still open, the most recently used; a new
@@ -40,7 +32,6 @@
     }
     const connection = new UpstreamConnection(
       this.address,
-      this.share,
       (isOpen) => {
         this.open += isOpen ? 1 : -1;
       },
--- a/src/gateway/upstreamconnection.ts
+++ b/src/gateway/upstreamconnection.ts
@@ -3,7 +3,6 @@
 
 import { WatchedSocket } from '../upstream/watchedsocket.js';
 
-import type { ReadShare } from '../upstream/readshare.js';
 import type { SocketEnding } from '../upstream/watchedsocket.js';
 
 /**
@@ -25,7 +24,7 @@
 export class UpstreamConnection {
   readonly client: Client;
 
-  readonly #socket: WatchedSocket;
+  readonly #socket = new WatchedSocket();
 
   /** Whether it was reported as established and not yet as ended. */
   #isCounted = false;
@@ -36,17 +35,14 @@
   /**
    * Creates a connection; it is opened by its first request.
    * @param address - "IP:port" of the upstream
-   * @param share - the upstream's share of the event loop
    * @param onOpenChange - called when it has been established or has ended
    * @param onClosed - called when it has closed or failed
    */
   constructor(
     address: string,
-    share: ReadShare,
     private readonly onOpenChange: (isOpen: boolean) => void,
     onClosed: (connection: UpstreamConnection) => void,
   ) {
-    this.#socket = new WatchedSocket(share);
     this.client = new Client(`http://${address}`, {
       connect: this.#socket.connector(CONNECT_TIMEOUT_MS),
       pipelining: 1,
--- a/src/gateway/upstreampool.ts
+++ b/src/gateway/upstreampool.ts
@@ -1,13 +1,10 @@
 /** Connections and load of each upstream, and placement of requests on the upstreams. */
 import { hash32 } from '../kernel/index.js';
 import { HotParts, placeRequest, UpstreamStats } from '../route/index.js';
-import { ReadShare } from '../upstream/readshare.js';
 import { UpstreamConnections } from './connections.js';
-import { PartialEvents } from './partialevents.js';
 import { incarnationKey } from './upstreamsignals.js';
 
 import type { Clock } from '../kernel/index.js';
-import type { LoopUse } from '../upstream/readshare.js';
 import type {
   Placement,
   PlacementCandidate,
@@ -47,12 +44,6 @@
   /** Frequent prompt parts, by service. */
   readonly #hotParts = new Map<string, HotParts>();
 
-  /** The upstreams divide the event loop. */
-  readonly #loopUse: LoopUse = { waiting: 0 };
-
-  /** Incomplete events of all answers. */
-  readonly #partials = new PartialEvents();
-
   #sweptAt = 0;
 
   /**
@@ -134,9 +125,7 @@
       record,
       seed: found?.seed ?? hash32(record.id),
       stats: found?.stats ?? new UpstreamStats(),
-      connections:
-        found?.connections ??
-        new UpstreamConnections(record.address, new ReadShare(this.#loopUse), this.#partials),
+      connections: found?.connections ?? new UpstreamConnections(record.address),
     };
     this.#known.set(key, known);
     return known;
--- a/src/upstream/httpplainservice.ts
+++ b/src/upstream/httpplainservice.ts
@@ -5,7 +5,6 @@
 import { Err, failure, Ok, readBounded } from '../kernel/index.js';
 import { PlainService } from './plainservice.js';
 import { wasNeverSent } from './unsent.js';
-import { ReadShare } from './readshare.js';
 import { WatchedSocket } from './watchedsocket.js';
 
 import type { Failure, Result } from '../kernel/index.js';
@@ -36,10 +35,8 @@
 export class HttpPlainService extends PlainService {
   readonly #clients = new Set<Client>();
 
-  readonly #share = new ReadShare();
-
   override async call(url: string, call: ServiceCall): Promise<Result<ServiceAnswer, Failure>> {
-    const socket = new WatchedSocket(this.#share);
+    const socket = new WatchedSocket();
     try {
       const client = this.#open(url, socket);
       const res = await client.request({
--- a/src/upstream/watchedsocket.ts
+++ b/src/upstream/watchedsocket.ts
@@ -2,7 +2,6 @@
 import { buildConnector } from 'undici';
 
 import type { Socket } from 'node:net';
-import type { AnswerTime, ReadShare } from './readshare.js';
 import { OverheadError } from './overheaderror.js';
 import { SocketEndedError } from './socketendederror.js';
 
@@ -15,9 +14,6 @@
 /** Bytes of framing for each byte of a body: chunks of a few bytes need as much as they carry. */
 const FRAMING_PER_BYTE = 1;
 
-/** Maximum number of bytes that are passed to the HTTP client at once. */
-const MAX_READ_BYTES = 4_096;
-
 /** How the other side ended a socket. */
 export type SocketEnding = 'closed' | 'reset';
 
@@ -49,18 +45,6 @@
   /** Number of bytes of the current answer's body. */
   #bodyBytes = 0;
 
-  /** Time for which the current answer has been read. */
-  #answer: AnswerTime = { readMs: 0 };
-
-  /** Whether bytes wait for the upstream's share of the event loop. */
-  #isWaiting = false;
-
-  /**
-   * Creates a socket that is not opened yet.
-   * @param share - the upstream's share of the event loop
-   */
-  constructor(private readonly share: ReadShare) {}
-
   /** Whether the socket is established, and neither side has ended it. */
   get isOpen(): boolean {
     return this.#socket?.destroyed === false && this.#ending === undefined;
@@ -78,7 +62,6 @@
   beginAnswer(): void {
     this.#receivedBefore = this.#socket?.bytesRead ?? 0;
     this.#bodyBytes = 0;
-    this.#answer = { readMs: 0 };
   }
 
   /**
@@ -114,7 +97,6 @@
   /** Adds listeners that run before those of the HTTP client, which reports the end of an answer at once. */
   #watch(socket: Socket, address: string): void {
     this.#socket = socket;
-    this.#limitReads(socket);
     socket.prependListener('readable', () => {
       const received = socket.bytesRead - this.#receivedBefore;
       const overhead = received - this.#bodyBytes * (1 + FRAMING_PER_BYTE);
@@ -130,32 +112,4 @@
       this.#ending ??= 'reset';
     });
   }
-
-  /**
-   * Makes the HTTP client read in small parts, and stop while the upstream has used up its share of the event loop. The
-   * bytes then stay in the socket, which takes no more from the system once its buffer is full.
-   */
-  #limitReads(socket: Socket): void {
-    const limited = socket;
-    const read = socket.read.bind(socket);
-    limited.read = (size?: number): unknown => {
-      // An empty socket is read to ask for more bytes, and to see their end.
-      if (size === 0 || socket.readableLength === 0) return read(size);
-      if (!this.share.mayRead(this.#answer)) {
-        this.#wait(socket);
-        return null;
-      }
-      this.share.startRead(this.#answer);
-      return socket.readableLength > MAX_READ_BYTES ? read(MAX_READ_BYTES) : read();
-    };
-  }
-
-  #wait(socket: Socket): void {
-    if (this.#isWaiting) return;
-    this.#isWaiting = true;
-    this.share.wait(this.#answer, () => {
-      this.#isWaiting = false;
-      if (!socket.destroyed) socket.emit('readable');
-    });
-  }
 }
--- a/testbed/child.ts
+++ b/testbed/child.ts
@@ -10,8 +10,6 @@
   /** Compiled module, relative to the root of the compiled tree. */
   readonly module: string;
   readonly args: readonly string[];
-  /** Options of Node.js itself; none if they are left out. */
-  readonly nodeArgs?: readonly string[];
   /** File to which stdout and stderr of the child are appended. */
   readonly logFile: string;
   /** Whether the child's output also goes to stdout and stderr of this process. */
--- a/testbed/endlessserver.ts
+++ b/testbed/endlessserver.ts
@@ -24,9 +24,6 @@
   /** Number of repeated bytes written so far, on all connections. */
   written = 0;
 
-  /** Number of connections so far; each carries one request. */
-  connections = 0;
-
   private constructor(
     private readonly server: Server,
     readonly address: string,
@@ -42,7 +39,6 @@
     const endless = new EndlessServer(server, await listenOnFreePort(server));
     server.on('connection', (socket) => {
       endless.#sockets.add(socket);
-      endless.connections += 1;
       socket.on('error', () => undefined);
       socket.on('close', () => endless.#sockets.delete(socket));
       const write = (): void => {
