--- a/src/gateway/eventstream.ts
+++ b/src/gateway/eventstream.ts
@@ -7,8 +7,24 @@
 /** Maximum size of an incomplete event, in bytes: the size of thousands of usual events. */
 const MAX_PARTIAL_BYTES = 1_048_576;
 
+/** Maximum number of chunks of an incomplete event: each takes time, however small it is. */
+const MAX_PARTIAL_CHUNKS = 16_384;
+
+/** Least size of the buffer of an incomplete event, in bytes. */
+const MIN_BUFFER_BYTES = 256;
+
+const NO_BYTES = Buffer.alloc(0);
+
+const ID_NAME = 'id:';
 const ID_FIELD = /^id:[ \t]*(.+)$/gm;
 
+/** Finds the first line end in a chunk; returns the length of the chunk if there is none. */
+function lineEnd(chunk: Buffer, from: number): number {
+  let at = from;
+  while (at < chunk.length && chunk[at] !== LF && chunk[at] !== CR) at += 1;
+  return at;
+}
+
 /** What the current line is: not begun, a comment, or a field of an event. */
 type Line = 'empty' | 'comment' | 'field';
 
@@ -24,11 +40,14 @@
  * ends an event. Empty lines and comments between events belong to no event.
  */
 export class EventStream {
-  /** Chunks of the incomplete event. */
-  readonly #partial: Buffer[] = [];
+  /** Buffer of the incomplete event; it may be larger than that. */
+  #partial = NO_BYTES;
 
   #partialBytes = 0;
 
+  /** Number of chunks of the incomplete event. */
+  #partialChunks = 0;
+
   #line: Line = 'empty';
 
   /** Whether the current event has a complete line. */
@@ -48,9 +67,14 @@
     return this.#isInEvent || this.#line !== 'empty';
   }
 
-  /** Whether the incomplete event exceeds the buffer limit. */
+  /** Size of the incomplete event so far, in bytes. */
+  get partialBytes(): number {
+    return this.#partialBytes;
+  }
+
+  /** Whether the incomplete event is larger, or comes in more chunks, than an event may. */
   get isOversized(): boolean {
-    return this.#partialBytes > MAX_PARTIAL_BYTES;
+    return this.#partialBytes > MAX_PARTIAL_BYTES || this.#partialChunks > MAX_PARTIAL_CHUNKS;
   }
 
   /**
@@ -60,48 +84,71 @@
    */
   push(chunk: Buffer): WholeEvents {
     const before = this.events;
-    let wholeUntil = 0;
-    for (let at = 0; at < chunk.length; at += 1) {
-      this.#scan(chunk[at] ?? 0);
-      if (!this.isPartial) wholeUntil = at + 1;
-    }
+    const wholeUntil = this.#scan(chunk);
     if (wholeUntil === 0) {
       this.#keep(chunk);
-      return { bytes: Buffer.alloc(0), count: 0 };
+      return { bytes: NO_BYTES, count: 0 };
     }
-    const whole = Buffer.concat([...this.#partial.splice(0), chunk.subarray(0, wholeUntil)]);
-    this.#partialBytes = 0;
+    const partial = this.#partial.subarray(0, this.#partialBytes);
+    const added = chunk.subarray(0, wholeUntil);
+    const whole = partial.length === 0 ? added : Buffer.concat([partial, added]);
+    this.#drop();
     this.#keep(chunk.subarray(wholeUntil));
     const count = this.events - before;
-    if (count > 0) {
+    if (count > 0 && whole.includes(ID_NAME)) {
       const ids = [...whole.toString('latin1').matchAll(ID_FIELD)];
       this.lastId = ids.at(-1)?.[1] ?? this.lastId;
     }
     return { bytes: whole, count };
   }
 
-  /** Keeps a part of an incomplete event; parts are joined only once it is complete. */
+  /**
+   * Copies a part of an incomplete event: a chunk that is kept as such also keeps the memory of those that were received
+   * with it.
+   */
   #keep(part: Buffer): void {
     if (part.length === 0) return;
-    this.#partial.push(part);
-    this.#partialBytes += part.length;
+    const bytes = this.#partialBytes + part.length;
+    if (bytes > this.#partial.length) {
+      const grown = Buffer.allocUnsafe(Math.max(MIN_BUFFER_BYTES, 2 * bytes));
+      this.#partial.copy(grown, 0, 0, this.#partialBytes);
+      this.#partial = grown;
+    }
+    part.copy(this.#partial, this.#partialBytes);
+    this.#partialBytes = bytes;
+    this.#partialChunks += 1;
+  }
+
+  #drop(): void {
+    this.#partial = NO_BYTES;
+    this.#partialBytes = 0;
+    this.#partialChunks = 0;
   }
 
   /** Discards an incomplete event, before the stream is resumed at another upstream. */
   discardPartial(): void {
-    this.#partial.length = 0;
-    this.#partialBytes = 0;
+    this.#drop();
     this.#line = 'empty';
     this.#isInEvent = false;
     this.#isAfterCr = false;
   }
 
-  #scan(byte: number): void {
-    const isSecondOfLineEnd = byte === LF && this.#isAfterCr;
-    this.#isAfterCr = byte === CR;
-    if (isSecondOfLineEnd) return;
-    if (byte === LF || byte === CR) this.#endLine();
-    else if (this.#line === 'empty') this.#line = byte === COLON ? 'comment' : 'field';
+  /** Follows the lines of a chunk; returns the end of the last byte in it after which no event is incomplete. */
+  #scan(chunk: Buffer): number {
+    let wholeUntil = 0;
+    let at = 0;
+    while (at < chunk.length) {
+      const isSecondOfLineEnd = this.#isAfterCr && chunk[at] === LF;
+      const end = isSecondOfLineEnd ? at : lineEnd(chunk, at);
+      if (end > at && this.#line === 'empty') {
+        this.#line = chunk[at] === COLON ? 'comment' : 'field';
+      }
+      this.#isAfterCr = chunk[end] === CR;
+      if (!isSecondOfLineEnd && end < chunk.length) this.#endLine();
+      at = end + 1;
+      if (!this.isPartial) wholeUntil = at;
+    }
+    return wholeUntil;
   }
 
   #endLine(): void {
--- a/src/gateway/tests/eventstream.test.ts
+++ b/src/gateway/tests/eventstream.test.ts
@@ -1,3 +1,7 @@
+import { setTimeout as delay } from 'node:timers/promises';
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
+
 import test from 'ava';
 import * as fc from 'fast-check';
 
@@ -118,3 +122,60 @@
   t.is(bytes.length, LONG_EVENT_BYTES + 2);
   t.true(tookMs < LONG_EVENT_MS, `${tookMs} ms`);
 });
+
+/** Number and size of the buffers of which an incomplete event holds a byte each. */
+const READS = 1_000;
+const READ_BYTES = 65_536;
+
+/** Memory that the incomplete event may take, in bytes: a small part of those buffers. */
+const MAX_HELD_BYTES = 4_194_304;
+
+test('an incomplete event does not hold the memory of what was received with it', async (t) => {
+  setFlagsFromString('--expose-gc');
+  const collectGarbage = runInNewContext('gc') as () => void;
+  const stream = new EventStream();
+  collectGarbage();
+  const before = process.memoryUsage().arrayBuffers;
+  for (let read = 0; read < READS; read += 1) {
+    stream.push(Buffer.alloc(READ_BYTES, 'x').subarray(0, 1));
+  }
+  let held = Infinity;
+  // V8 frees the memory of collected buffers in the background.
+  for (let round = 0; round < 10 && held >= MAX_HELD_BYTES; round += 1) {
+    collectGarbage();
+    // eslint-disable-next-line no-await-in-loop
+    await delay(20);
+    held = process.memoryUsage().arrayBuffers - before;
+  }
+  t.true(held < MAX_HELD_BYTES, `${held} bytes`);
+  t.is(stream.push(Buffer.from('\n\n')).bytes.length, READS + 2);
+});
+
+interface SizeRow {
+  readonly title: string;
+  readonly chunkBytes: number;
+  readonly chunks: number;
+  readonly isOversized: boolean;
+}
+
+const SIZE_ROWS: readonly SizeRow[] = [
+  { title: 'a megabyte in large chunks', chunkBytes: 65_536, chunks: 16, isOversized: false },
+  { title: 'more than a megabyte', chunkBytes: 65_536, chunks: 17, isOversized: true },
+  { title: 'several kilobytes, byte by byte', chunkBytes: 1, chunks: 16_384, isOversized: false },
+  { title: 'bytes without end, one by one', chunkBytes: 1, chunks: 16_385, isOversized: true },
+];
+
+SIZE_ROWS.forEach(({ title, chunkBytes, chunks, isOversized }) => {
+  test(`an event without an end is told from a sound one: ${title}`, (t) => {
+    const stream = new EventStream();
+    const chunk = Buffer.alloc(chunkBytes, 'x');
+    for (let at = 0; at < chunks; at += 1) stream.push(chunk);
+    t.is(stream.isOversized, isOversized);
+  });
+});
+
+test('chunks are counted anew for each event', (t) => {
+  const stream = new EventStream();
+  for (let at = 0; at < 100_000; at += 1) stream.push(Buffer.from(at % 10 === 9 ? '\n\n' : 'x'));
+  t.false(stream.isOversized);
+});
