--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -64,6 +64,9 @@
 /** Lowest status code of a final answer; lower codes are those of interim answers. */
 const FIRST_FINAL_STATUS = 200;
 
+/** Maximum number of interim answers before an answer: an upstream may tell for long that it is still at work. */
+const MAX_INTERIM_ANSWERS = 1_000;
+
 const OK_STATUS = 200;
 
 /** Lowest status code that counts as a failure of the upstream. */
@@ -113,6 +116,8 @@
 
   #discardedBytes = 0;
 
+  #interimAnswers = 0;
+
   #stage: Stage = 'queued';
 
   #head: AnswerHead | undefined;
@@ -171,8 +176,12 @@
     status: number,
     headers: Readonly<Record<string, string | string[] | undefined>>,
   ): void {
-    // Interim answers are ignored.
-    if (this.#stage === 'done' || status < FIRST_FINAL_STATUS) return;
+    if (this.#stage === 'done') return;
+    if (status < FIRST_FINAL_STATUS) {
+      this.#interimAnswers += 1;
+      if (this.#interimAnswers > MAX_INTERIM_ANSWERS) this.#failAttempt('interim answers only');
+      return;
+    }
     this.#answerTimer?.clear();
     this.#isReadLate = this.#timeoutTimer.isDue;
     const head = this.cfg.codec.decodeAnswer(status, flatten(headers));
