--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -108,6 +108,20 @@
     registers: [this.#registry],
   });
 
+  /** Resident memory of the process. */
+  readonly memory = new Gauge({
+    name: 'comfreyreel_resident_bytes',
+    help: 'Resident memory of the process, sampled ten times a second',
+    registers: [this.#registry],
+  });
+
+  /** Memory that the process may use. */
+  readonly memoryLimit = new Gauge({
+    name: 'comfreyreel_memory_limit_bytes',
+    help: 'Memory that the process may use',
+    registers: [this.#registry],
+  });
+
   /** Requests in progress. */
   readonly open = new Gauge({
     name: 'comfreyreel_open_requests',
--- a/src/gateway/openrequests.ts
+++ b/src/gateway/openrequests.ts
@@ -70,6 +70,15 @@
     return { active: this.#open.size, arrivedAt: this.#arrivedAt };
   }
 
+  /** Number of open requests in each stage. */
+  get stages(): Readonly<Record<RequestStage, number>> {
+    const counts = { reading: 0, queued: 0, running: 0 };
+    this.#open.forEach(({ stage }) => {
+      counts[stage] += 1;
+    });
+    return counts;
+  }
+
   /** Whether all open requests were ended, as the process is about to exit. */
   get isStopped(): boolean {
     return this.#isStopped;
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -17,6 +17,7 @@
 import { RoutingState } from './routingstate.js';
 import { LoopDelay } from './loopdelay.js';
 import { Membership } from './membership.js';
+import { MemoryWatch, memoryLimitBytes } from './memorywatch.js';
 import { GatewayMetrics } from './metrics.js';
 import { retryLimits } from './retrylimits.js';
 import { processorCores } from './settings.js';
@@ -92,6 +93,8 @@
 
   readonly #loopDelay: LoopDelay;
 
+  readonly #memoryWatch: MemoryWatch;
+
   readonly openRequests = new OpenRequests(this.clock);
 
   #membership: Membership | undefined;
@@ -124,6 +127,15 @@
     const { instance, dataCentre, logLevel } = settings;
     this.recorder = makeRecorder({ instance, dataCentre, logLevel });
     this.#loopDelay = new LoopDelay(this.clock, this.recorder, this.metrics);
+    this.#memoryWatch = new MemoryWatch(
+      memoryLimitBytes(settings.memoryMb),
+      this.recorder,
+      this.metrics,
+      () => ({
+        connections: this.callers.size,
+        ...this.openRequests.stages,
+      }),
+    );
     this.routingState = new RoutingState(adapter, this.recorder, this.clock, settings.watchMs);
     this.#crashWatch = new CrashWatch({
       store: adapter.store,
@@ -146,6 +158,7 @@
   async start(): Promise<void> {
     this.recorder.record('daemonStarted', { peer: this.recorder.source });
     this.#loopDelay.start();
+    this.#memoryWatch.start();
     this.routingState.start();
     this.#crashWatch.start();
     const { host, port } = splitAddress(this.settings.listen.peers);
@@ -304,6 +317,7 @@
     await this.#membership?.stop();
     this.upstreamPool.close();
     this.#loopDelay.stop();
+    this.#memoryWatch.stop();
     this.recorder.record('daemonStopped', { facts: { active: this.load.active } });
     this.recorder.flush();
   }
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -45,6 +45,8 @@
       .prefault({}),
     /** Number of files and sockets that the process may have open; by default the limit of the operating system. */
     openFiles: z.number().int().positive().nullish(),
+    /** Memory above which the instance ends the process, in megabytes; by default the memory of the machine. */
+    memoryMb: z.number().positive().nullish(),
     /** Time from the stop signal until the process is killed, in milliseconds. */
     stopMs: z.number().positive().default(8_000),
     retries: z
--- a/src/ingress/callerconnections.ts
+++ b/src/ingress/callerconnections.ts
@@ -19,6 +19,11 @@
    */
   constructor(private readonly clock: Clock) {}
 
+  /** Number of open connections. */
+  get size(): number {
+    return this.#open.size;
+  }
+
   /** When the last connection was accepted, in milliseconds. */
   get acceptedAt(): number {
     return this.#acceptedAt;
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -32,6 +32,11 @@
     level: 'warn',
     text: 'a connection was closed unread, as callers have too many open',
   },
+  memoryHigh: {
+    number: 1018,
+    level: 'warn',
+    text: 'the process uses most of the memory of its instance',
+  },
   daemonStopped: { number: 1004, level: 'info', text: 'daemon stopped' },
   handoverDone: { number: 1005, level: 'info', text: 'charges and grants handed over' },
   handoverDelayed: {
