--- a/testbed/child.ts
+++ b/testbed/child.ts
@@ -16,11 +16,19 @@
   readonly inherit?: boolean;
   /** Number of files and sockets that the child may have open; default the limit of this process. */
   readonly openFiles?: number;
+  /** Options of Node.js; default none. */
+  readonly nodeOptions?: readonly string[];
 }
 
 /** Program and arguments that run a module, under a limit if one is given. */
-function commandOf({ module, args, openFiles }: ChildOptions): readonly [string, string[]] {
-  const words = [fileURLToPath(new URL(`../${module}`, import.meta.url)), ...args];
+function commandOf({
+  module,
+  args,
+  openFiles,
+  nodeOptions = [],
+}: ChildOptions): readonly [string, string[]] {
+  const program = fileURLToPath(new URL(`../${module}`, import.meta.url));
+  const words = [...nodeOptions, program, ...args];
   if (openFiles === undefined) return [process.execPath, words];
   // Node.js cannot set limits; the shell sets them and becomes the program.
   return ['sh', ['-c', `ulimit -n ${openFiles}; exec "$0" "$@"`, process.execPath, ...words]];
