--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -4,7 +4,7 @@
 import type { Socket } from 'node:net';
 import { makeRecorder } from '../daemon/daemonrecorder.js';
 import { splitAddress } from '../daemon/settings.js';
-import { CallerConnections, RequestQueue } from '../ingress/index.js';
+import { BodyGate, CallerConnections, RequestQueue } from '../ingress/index.js';
 import { SteadyClock } from '../kernel/index.js';
 import { RetryBudget } from '../route/index.js';
 import { Allowances } from './allowances.js';
@@ -17,6 +17,7 @@
 import { RoutingState } from './routingstate.js';
 import { LoopDelay } from './loopdelay.js';
 import { Membership } from './membership.js';
+import { MemoryWatch, memoryLimitBytes } from './memorywatch.js';
 import { GatewayMetrics } from './metrics.js';
 import { retryLimits } from './retrylimits.js';
 import { processorCores } from './settings.js';
@@ -92,6 +93,10 @@
 
   readonly #loopDelay: LoopDelay;
 
+  readonly bodyGate: BodyGate;
+
+  readonly #memoryWatch: MemoryWatch;
+
   readonly openRequests = new OpenRequests(this.clock);
 
   #membership: Membership | undefined;
@@ -124,6 +129,19 @@
     const { instance, dataCentre, logLevel } = settings;
     this.recorder = makeRecorder({ instance, dataCentre, logLevel });
     this.#loopDelay = new LoopDelay(this.clock, this.recorder, this.metrics);
+    const limitBytes = memoryLimitBytes(settings.memoryMb);
+    this.bodyGate = new BodyGate(limitBytes, this.clock);
+    this.#memoryWatch = new MemoryWatch(
+      limitBytes,
+      this.recorder,
+      this.metrics,
+      () => ({
+        connections: this.callers.size,
+        ...this.openRequests.stages,
+        ...this.bodyGate.facts,
+      }),
+      (residentBytes) => this.bodyGate.sample(residentBytes),
+    );
     this.routingState = new RoutingState(adapter, this.recorder, this.clock, settings.watchMs);
     this.#crashWatch = new CrashWatch({
       store: adapter.store,
@@ -146,6 +164,7 @@
   async start(): Promise<void> {
     this.recorder.record('daemonStarted', { peer: this.recorder.source });
     this.#loopDelay.start();
+    this.#memoryWatch.start();
     this.routingState.start();
     this.#crashWatch.start();
     const { host, port } = splitAddress(this.settings.listen.peers);
@@ -293,6 +312,7 @@
       this.recorder.record('callCutByStop', { request: id, facts: { route, stage, openMs } });
     });
     this.requestQueue.stop();
+    this.bodyGate.stop();
     this.openRequests.stopAll();
   }
 
@@ -304,6 +324,7 @@
     await this.#membership?.stop();
     this.upstreamPool.close();
     this.#loopDelay.stop();
+    this.#memoryWatch.stop();
     this.recorder.record('daemonStopped', { facts: { active: this.load.active } });
     this.recorder.flush();
   }
