Log how a stop closed its listener and how it ended

1015 tells how many connections were accepted after the listener was due to close and whether the last poll brought none; 1018, new, tells the same of the end of the process, with the connections that are still open.

--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -47,6 +47,14 @@
 /** Interval at which a daemon that is about to exit checks whether anything still arrives, in milliseconds. */
 const END_POLL_MS = 5;
 
+/** Outcome of a wait until nothing that callers have sent waits to be read or answered. */
+interface Drain {
+  /** Number of idle connections that were closed meanwhile. */
+  readonly idle: number;
+  /** Whether the wait ended because nothing arrived any more. */
+  readonly isDrained: boolean;
+}
+
 /** Starts and stops a gateway daemon. */
 export class GatewayDaemon {
   private constructor(
@@ -104,16 +112,23 @@
     await freshPoll(clock, clock.now());
     this.runtime.stopOpenRequests();
     // Connections that wait to be accepted are reset with the listener.
-    idle += await this.#drain(drainUntil(window, clock.now()));
+    const { accepted } = callers;
+    const last = await this.#drain(drainUntil(window, clock.now()));
+    idle += last.idle;
     // The server's own "close" would close connections whose last answer still waits for the caller to read.
     Server.prototype.close.call(server);
-    this.runtime.listenerClosed(idle);
+    this.runtime.listenerClosed({
+      idle,
+      accepted: callers.accepted - accepted,
+      isDrained: last.isDrained,
+    });
     const remainingMs = exitTime(window) - clock.now();
     // Closing a listener waits until all its connections have ended, even idle ones. The time limit bounds this
     // wait.
     await Promise.race([this.#finish(), delay(Math.max(0, remainingMs))]);
     // Connections that were unused so far may have brought a request.
-    await this.#drain(exitTime(window));
+    const end = await this.#drain(exitTime(window));
+    this.runtime.stopOver(end.isDrained);
   }
 
   async #finish(): Promise<void> {
@@ -124,9 +139,9 @@
   /**
    * Refuses what callers have sent before they could learn of the stop, and closes the connections that are idle.
    * @param until - time at which it gives up, in milliseconds
-   * @returns number of closed connections
+   * @returns number of closed connections, and whether nothing arrives any more
    */
-  async #drain(until: number): Promise<number> {
+  async #drain(until: number): Promise<Drain> {
     const { callers, clock } = this.runtime;
     let idle = 0;
     for (;;) {
@@ -136,8 +151,9 @@
       const polledAfter = await afterPoll(clock);
       const now = clock.now();
       const arrivals = { ...this.runtime.load, acceptedAt: callers.acceptedAt };
-      if (isFresh(polledAfter, now) && isDrained(arrivals, polledAfter)) return idle;
-      if (now >= until) return idle;
+      if (isFresh(polledAfter, now) && isDrained(arrivals, polledAfter))
+        return { idle, isDrained: true };
+      if (now >= until) return { idle, isDrained: false };
       // eslint-disable-next-line no-await-in-loop
       await delay(END_POLL_MS);
     }
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -74,6 +74,16 @@
   usualSilenceMs: 600,
 };
 
+/** How the listener for callers came to be closed in a graceful stop. */
+export interface ListenerClosing {
+  /** Number of idle connections that the stop has closed before. */
+  readonly idle: number;
+  /** Number of connections that were accepted after the listener was due to close. */
+  readonly accepted: number;
+  /** Whether the last poll of the sockets brought no connection, so that none waited to be accepted. */
+  readonly isDrained: boolean;
+}
+
 /** Tasks of one daemon. */
 export class GatewayRuntime {
   readonly clock = new SteadyClock();
@@ -280,11 +290,20 @@
 
   /**
    * Records that the listener for callers is closed.
-   * @param idle - number of idle connections that were closed during the stop
+   * @param facts - what came before
    */
-  listenerClosed(idle: number): void {
-    const facts = { idle, active: this.load.active };
-    this.recorder.record('listenerClosed', { facts });
+  listenerClosed(facts: ListenerClosing): void {
+    this.recorder.record('listenerClosed', { facts: { ...facts, active: this.load.active } });
+  }
+
+  /**
+   * Records that a graceful stop is over.
+   * @param isDrained - whether the last poll of the sockets brought neither a connection nor a request
+   */
+  stopOver(isDrained: boolean): void {
+    const facts = { isDrained, connections: this.callers.open, active: this.load.active };
+    this.recorder.record('stopOver', { facts });
+    this.recorder.flush();
   }
 
   /** Ends the requests that are still open when the daemon stops waiting for them. */
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -32,6 +32,7 @@
     level: 'warn',
     text: 'a connection was closed unread, as callers have too many open',
   },
+  stopOver: { number: 1018, level: 'info', text: 'graceful stop is over, the process ends' },
   daemonStopped: { number: 1004, level: 'info', text: 'daemon stopped' },
   handoverDone: { number: 1005, level: 'info', text: 'charges and grants handed over' },
   handoverDelayed: {
