A stop closes its listener once nothing waits to be accepted

What callers saw: 149 to 256 of 260 callers had a whole request reset 0.2 to 1.7 s after its last byte at the end of a stop beside pauses. Cause: a stop kept its listener open up to nine tenths of its time while callers connected, refused what it could for 2% of the time, and closed the listener over the rest. The operating system resets what waits to be accepted. Connections that were accepted, and answers that were written, were not lost. Fix: the listener closes after 75% of the stop time at the latest, or, once the load balancer has noticed the stop (40%), when polls have brought a connection each for 5% of it. Until it closes, connections are accepted and held; they are served afterwards. A caller without an answer doesn't come back, and accepting takes a fraction of the time of an answer, so the queue becomes empty. The rest of the stop is for what was accepted.

--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -1,7 +1,6 @@
 /** One gateway daemon: its tasks, the listener for callers, and the listeners for readiness and metrics. */
 import 'reflect-metadata';
 
-import { Server } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 
 import { NestFactory } from '@nestjs/core';
@@ -13,13 +12,22 @@
 import { limitConnections, watchListener } from '../daemon/listenerwatch.js';
 import { refuseMalformedRequests } from '../daemon/malformedrequests.js';
 import { splitAddress } from '../daemon/settings.js';
-import { afterPoll, freshPoll, isFresh } from '../ingress/index.js';
+import { afterPoll, closeListener, freshPoll, isFresh } from '../ingress/index.js';
 import { GatewayModule } from './gateway.module.js';
 import { GatewayRuntime } from './runtime.js';
-import { drainUntil, exitTime, isDrained, isPastAcceptAll, mayCloseListener } from './stopping.js';
+import {
+  cutTime,
+  drainUntil,
+  exitTime,
+  isDrained,
+  isPastAcceptAll,
+  mayCloseListener,
+  mayEndRequests,
+} from './stopping.js';
 
 import type { PlatformAdapter } from './adapter.js';
 import type { GatewaySettings } from './settings.js';
+import type { LastArrivals, StopWindow } from './stopping.js';
 
 /**
  * Path that the framework's router sees for every request, so that it does not decode the path as sent.
@@ -92,43 +100,65 @@
 
   /**
    * Stops gracefully: serves requests while the load balancer still routes them to this daemon, then closes the
-   * listener, returns unspent units and stops the tasks. Resolves within the stop time.
+   * listener, waits for open requests, returns unspent units and stops the tasks. Resolves within the stop time.
    * @param cause - why the daemon stops, for the log
    */
   async stop(cause = 'requested'): Promise<void> {
-    const { callers, clock } = this.runtime;
+    const { clock } = this.runtime;
     const window = this.runtime.beginStop(cause);
+    let idle = await this.#serveUntil(window, (now, emptyAt) =>
+      mayCloseListener(window, { ...this.runtime.load, emptyAt }, now),
+    );
     const server = this.createIngress.getHttpServer();
-    let idle = 0;
-    while (!mayCloseListener(window, this.runtime.load, clock.now())) {
-      // Callers that keep a connection would send their next request to this daemon until it is gone.
-      // eslint-disable-next-line no-await-in-loop
-      idle += await callers.closeIdle(IDLE_BEFORE_CLOSE_MS);
-      // eslint-disable-next-line no-await-in-loop
-      await delay(DRAIN_POLL_MS);
-      if (isPastAcceptAll(window, clock.now())) this.runtime.releaseExcess();
-    }
+    const closing = await closeListener(server, clock, cutTime(window));
+    this.runtime.listenerClosed(idle, closing);
+    idle += await this.#serveUntil(window, (now) =>
+      mayEndRequests(window, this.#lastArrivals, now),
+    );
     // Answers that have waited in a stalled process are relayed first.
     await freshPoll(clock, clock.now());
     this.runtime.stopOpenRequests();
-    // Connections that wait to be accepted are reset with the listener.
-    const { accepted } = callers;
     const last = await this.#drain(drainUntil(window, clock.now()));
     idle += last.idle;
-    // The server's own "close" would close connections whose last answer still waits for the caller to read.
-    Server.prototype.close.call(server);
-    this.runtime.listenerClosed({
-      idle,
-      accepted: callers.accepted - accepted,
-      isDrained: last.isDrained,
-    });
     const remainingMs = exitTime(window) - clock.now();
     // Closing a listener waits until all its connections have ended, even idle ones. The time limit bounds this
     // wait.
     await Promise.race([this.#finish(), delay(Math.max(0, remainingMs))]);
     // Connections that were unused so far may have brought a request.
     const end = await this.#drain(exitTime(window));
-    this.runtime.stopOver(end.isDrained);
+    this.runtime.stopOver({ idle: idle + end.idle, isDrained: end.isDrained });
+  }
+
+  get #lastArrivals(): LastArrivals {
+    return { ...this.runtime.load, acceptedAt: this.runtime.callers.acceptedAt };
+  }
+
+  /**
+   * Serves requests, and closes the connections that are idle: callers that keep one would send their next request to
+   * this daemon until it is gone.
+   * @param window - start and duration of the stop
+   * @param isOver - returns whether it ends, from the current time and the time at which a poll last brought no
+   * connection, both in milliseconds
+   * @returns number of closed connections
+   */
+  async #serveUntil(
+    window: StopWindow,
+    isOver: (now: number, emptyAt: number) => boolean,
+  ): Promise<number> {
+    const { callers, clock } = this.runtime;
+    let idle = 0;
+    let emptyAt = clock.now();
+    while (!isOver(clock.now(), emptyAt)) {
+      // eslint-disable-next-line no-await-in-loop
+      idle += await callers.closeIdle(IDLE_BEFORE_CLOSE_MS);
+      // eslint-disable-next-line no-await-in-loop
+      const polledAfter = await afterPoll(clock);
+      if (callers.acceptedAt < polledAfter) emptyAt = polledAfter;
+      // eslint-disable-next-line no-await-in-loop
+      await delay(DRAIN_POLL_MS);
+      if (isPastAcceptAll(window, clock.now())) this.runtime.releaseExcess();
+    }
+    return idle;
   }
 
   async #finish(): Promise<void> {
@@ -150,8 +180,7 @@
       // eslint-disable-next-line no-await-in-loop
       const polledAfter = await afterPoll(clock);
       const now = clock.now();
-      const arrivals = { ...this.runtime.load, acceptedAt: callers.acceptedAt };
-      if (isFresh(polledAfter, now) && isDrained(arrivals, polledAfter))
+      if (isFresh(polledAfter, now) && isDrained(this.#lastArrivals, polledAfter))
         return { idle, isDrained: true };
       if (now >= until) return { idle, isDrained: false };
       // eslint-disable-next-line no-await-in-loop
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -30,6 +30,7 @@
 } from './stopping.js';
 
 import type { PlacementOptions } from '../route/index.js';
+import type { ListenerClosing } from '../ingress/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { PlatformAdapter } from './adapter.js';
 import type { CallContext } from './callrun.js';
@@ -74,13 +75,11 @@
   usualSilenceMs: 600,
 };
 
-/** How the listener for callers came to be closed in a graceful stop. */
-export interface ListenerClosing {
-  /** Number of idle connections that the stop has closed before. */
+/** How a graceful stop ended. */
+export interface StopEnd {
+  /** Number of idle connections that it has closed. */
   readonly idle: number;
-  /** Number of connections that were accepted after the listener was due to close. */
-  readonly accepted: number;
-  /** Whether the last poll of the sockets brought no connection, so that none waited to be accepted. */
+  /** Whether the last poll of the sockets brought neither a connection nor a request. */
   readonly isDrained: boolean;
 }
 
@@ -290,18 +289,20 @@
 
   /**
    * Records that the listener for callers is closed.
-   * @param facts - what came before
+   * @param idle - number of idle connections that were closed before
+   * @param closing - how it came to be closed
    */
-  listenerClosed(facts: ListenerClosing): void {
-    this.recorder.record('listenerClosed', { facts: { ...facts, active: this.load.active } });
+  listenerClosed(idle: number, closing: ListenerClosing): void {
+    const facts = { idle, ...closing, active: this.load.active };
+    this.recorder.record('listenerClosed', { facts });
   }
 
   /**
    * Records that a graceful stop is over.
-   * @param isDrained - whether the last poll of the sockets brought neither a connection nor a request
+   * @param end - how it ended
    */
-  stopOver(isDrained: boolean): void {
-    const facts = { isDrained, connections: this.callers.open, active: this.load.active };
+  stopOver(end: StopEnd): void {
+    const facts = { ...end, connections: this.callers.open, active: this.load.active };
     this.recorder.record('stopOver', { facts });
     this.recorder.flush();
   }
--- a/src/gateway/stopping.ts
+++ b/src/gateway/stopping.ts
@@ -34,6 +34,25 @@
  */
 const QUIET_SHARE = 0.1;
 
+/**
+ * Share of the stop time after which the listener closes even if requests still arrive: the load balancer has noticed the
+ * stop, unless most daemons of the data centre stop. What is left is for the connections that wait to be accepted, also
+ * in a process that seldom runs. A connection that is refused costs its caller nothing but another attempt.
+ */
+const LISTEN_SHARE = 0.75;
+
+/**
+ * Time for which connections wait to be accepted without a break after which the daemon closes its listener as soon as the
+ * load balancer has noticed the stop, as a share of the stop time: it accepts them more slowly than they arrive.
+ */
+const BACKLOG_SHARE = 0.05;
+
+/**
+ * Time without arrivals after which a daemon that has closed its listener and has no open requests ends its stop, as a
+ * share of the stop time.
+ */
+const LAST_QUIET_SHARE = 0.025;
+
 /**
  * Share of the stop time after which the daemon stops waiting for open requests. Those that still run
  * when the process ends are aborted.
@@ -84,13 +103,13 @@
 }
 
 /**
- * Least time for which a daemon refuses what still arrives before it closes its listener, as a share of the stop time:
- * after a stall there are more connections than one iteration of the event loop accepts.
+ * Least time for which a daemon that has ended its open requests refuses what still arrives, as a share of the stop time:
+ * after a stall much may have arrived.
  */
 const MIN_DRAIN_SHARE = 0.02;
 
 /**
- * Returns the time until which a daemon refuses what still arrives before it closes its listener.
+ * Returns the time until which a daemon that has ended its open requests refuses what still arrives.
  * @param window - start and duration of the stop
  * @param now - current time, in milliseconds
  * @returns time in milliseconds
@@ -146,11 +165,7 @@
 }
 
 /** Requests and connections of a daemon that is about to exit. */
-export interface LastArrivals {
-  /** Number of requests that have not ended. */
-  readonly active: number;
-  /** When the last request arrived, in milliseconds. */
-  readonly arrivedAt: number;
+export interface LastArrivals extends StopLoad {
   /** When the last connection was accepted, in milliseconds. */
   readonly acceptedAt: number;
 }
@@ -169,20 +184,42 @@
 }
 
 /**
- * Decides whether a stopping daemon may close its listener.
+ * Decides whether a stopping daemon that has closed its listener may refuse what still arrives.
  * @param window - start and duration of the stop
- * @param load - open requests and the last arrival
+ * @param arrivals - open requests and the last arrivals
  * @param now - current time, in milliseconds
- * @returns whether it has been idle for long enough and the least time has passed, or the daemon stops
- * waiting for open requests
+ * @returns whether it has been idle for long enough, or stops waiting for open requests
  */
-export function mayCloseListener(
+export function mayEndRequests(
   window: StopWindow,
-  { active, arrivedAt }: StopLoad,
+  { active, arrivedAt, acceptedAt }: LastArrivals,
   now: number,
 ): boolean {
-  const { startedAt, stopMs } = window;
   if (now >= cutTime(window)) return true;
+  return active === 0 && now - Math.max(arrivedAt, acceptedAt) >= window.stopMs * LAST_QUIET_SHARE;
+}
+
+/** Requests and waiting connections of a stopping daemon. */
+export interface ListenerLoad extends StopLoad {
+  /** When a poll of the sockets last brought no connection, in milliseconds. */
+  readonly emptyAt: number;
+}
+
+/**
+ * Decides whether a stopping daemon may close its listener.
+ * @param window - start and duration of the stop
+ * @param load - open requests, the last arrival and the waiting connections
+ * @param now - current time, in milliseconds
+ * @returns whether the load balancer has noticed the stop and the daemon has been idle for long enough, or cannot keep up
+ * with the connections, or too little time is left to accept more of them
+ */
+export function mayCloseListener(
+  { startedAt, stopMs }: StopWindow,
+  { active, arrivedAt, emptyAt }: ListenerLoad,
+  now: number,
+): boolean {
+  const share = (now - startedAt) / stopMs;
+  if (share < MIN_STOP_SHARE || share >= LISTEN_SHARE) return share >= LISTEN_SHARE;
   const isQuiet = now - arrivedAt >= stopMs * QUIET_SHARE;
-  return active === 0 && isQuiet && now - startedAt >= stopMs * MIN_STOP_SHARE;
+  return (active === 0 && isQuiet) || now - emptyAt >= stopMs * BACKLOG_SHARE;
 }
--- a/src/gateway/tests/stopping.test.ts
+++ b/src/gateway/tests/stopping.test.ts
@@ -6,6 +6,7 @@
   isDrained,
   latestBegin,
   mayCloseListener,
+  mayEndRequests,
   stopWindow,
 } from '../stopping.js';
 
@@ -53,12 +54,87 @@
   { title: 'when the balancer has noticed', at: 4_200, active: 0, arrivedAt: 3_400, leaves: true },
   { title: 'while requests still arrive', at: 4_200, active: 0, arrivedAt: 3_401, leaves: false },
   { title: 'while a request runs', at: 5_000, active: 1, arrivedAt: 1_000, leaves: false },
+  {
+    title: 'while requests still run and arrive',
+    at: 6_999,
+    active: 9,
+    arrivedAt: 6_999,
+    leaves: false,
+  },
+  {
+    title: 'when it must accept those that wait',
+    at: 7_000,
+    active: 9,
+    arrivedAt: 7_000,
+    leaves: true,
+  },
   { title: 'when open requests are cut', at: 8_200, active: 9, arrivedAt: 8_200, leaves: true },
 ] as const;
 
+const BACKLOGS = [
+  { title: 'before the balancer has noticed', at: 4_199, emptyAt: 1_000, leaves: false },
+  { title: 'for a short time', at: 4_599, emptyAt: 4_200, leaves: false },
+  { title: 'for long', at: 4_600, emptyAt: 4_200, leaves: true },
+] as const;
+
+BACKLOGS.forEach(({ title, at, emptyAt, leaves }) => {
+  test(`a stopping daemon at which connections wait ${title} ${leaves ? 'leaves' : 'stays'}`, (t) => {
+    t.is(mayCloseListener(WINDOW, { active: 9, arrivedAt: at, emptyAt }, at), leaves);
+  });
+});
+
 MOMENTS.forEach(({ title, at, active, arrivedAt, leaves }) => {
   test(`a stopping daemon ${leaves ? 'leaves' : 'stays'} ${title}`, (t) => {
-    t.is(mayCloseListener(WINDOW, { active, arrivedAt }, at), leaves);
+    t.is(mayCloseListener(WINDOW, { active, arrivedAt, emptyAt: at }, at), leaves);
+  });
+});
+
+const ENDS = [
+  {
+    title: 'while a request runs',
+    at: 8_199,
+    active: 1,
+    arrivedAt: 5_000,
+    acceptedAt: 5_000,
+    ends: false,
+  },
+  {
+    title: 'right after a request',
+    at: 7_199,
+    active: 0,
+    arrivedAt: 7_000,
+    acceptedAt: 5_000,
+    ends: false,
+  },
+  {
+    title: 'right after a connection',
+    at: 7_199,
+    active: 0,
+    arrivedAt: 5_000,
+    acceptedAt: 7_000,
+    ends: false,
+  },
+  {
+    title: 'when nothing arrives any more',
+    at: 7_200,
+    active: 0,
+    arrivedAt: 7_000,
+    acceptedAt: 7_000,
+    ends: true,
+  },
+  {
+    title: 'when open requests are cut',
+    at: 8_200,
+    active: 9,
+    arrivedAt: 8_200,
+    acceptedAt: 8_200,
+    ends: true,
+  },
+] as const;
+
+ENDS.forEach(({ title, at, ends, ...arrivals }) => {
+  test(`a daemon that has closed its listener ${ends ? 'refuses what arrives' : 'serves'} ${title}`, (t) => {
+    t.is(mayEndRequests(WINDOW, arrivals, at), ends);
   });
 });
 
--- a/src/ingress/callerconnections.ts
+++ b/src/ingress/callerconnections.ts
@@ -13,8 +13,6 @@
 
   #acceptedAt = Number.NEGATIVE_INFINITY;
 
-  #accepted = 0;
-
   /**
    * Creates an empty set.
    * @param clock - steady clock
@@ -26,11 +24,6 @@
     return this.#acceptedAt;
   }
 
-  /** Number of connections accepted so far. */
-  get accepted(): number {
-    return this.#accepted;
-  }
-
   /** Number of open connections. */
   get open(): number {
     return this.#open.size;
@@ -45,7 +38,6 @@
     const known = this.#known.get(socket);
     if (known) return known;
     this.#acceptedAt = this.clock.now();
-    this.#accepted += 1;
     const connection = new CallerConnection(socket, this.#acceptedAt);
     this.#known.set(socket, connection);
     this.#open.add(connection);
--- a/src/ingress/index.ts
+++ b/src/ingress/index.ts
@@ -5,3 +5,5 @@
 export { RequestQueue } from './requestqueue.js';
 export type { Arrival } from './callerconnection.js';
 export type { Defer, QueueOutcome } from './requestqueue.js';
+export { closeListener } from './listenerclose.js';
+export type { ListenerClosing } from './listenerclose.js';
