--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -31,6 +31,7 @@
 } from './stopping.js';
 
 import type { PlacementOptions } from '../route/index.js';
+import type { ListenerClosing } from '../ingress/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { PlatformAdapter } from './adapter.js';
 import type { CallContext } from './callrun.js';
@@ -75,6 +76,14 @@
   usualSilenceMs: 600,
 };
 
+/** How a graceful stop ended. */
+export interface StopEnd {
+  /** Number of idle connections that it has closed. */
+  readonly idle: number;
+  /** Whether the last poll of the sockets brought neither a connection nor a request. */
+  readonly isDrained: boolean;
+}
+
 /** Tasks of one daemon. */
 export class GatewayRuntime {
   readonly clock = new SteadyClock();
@@ -299,13 +308,24 @@
 
   /**
    * Records that the listener for callers is closed.
-   * @param idle - number of idle connections that were closed during the stop
+   * @param idle - number of idle connections that were closed before
+   * @param closing - how it came to be closed
    */
-  listenerClosed(idle: number): void {
-    const facts = { idle, active: this.load.active };
+  listenerClosed(idle: number, closing: ListenerClosing): void {
+    const facts = { idle, ...closing, active: this.load.active };
     this.recorder.record('listenerClosed', { facts });
   }
 
+  /**
+   * Records that a graceful stop is over.
+   * @param end - how it ended
+   */
+  stopOver(end: StopEnd): void {
+    const facts = { ...end, connections: this.callers.size, active: this.load.active };
+    this.recorder.record('stopOver', { facts });
+    this.recorder.flush();
+  }
+
   /** Ends the requests that are still open when the daemon stops waiting for them. */
   stopOpenRequests(): void {
     this.openRequests.list().forEach(({ id, route, stage, openMs }) => {
--- a/src/ingress/index.ts
+++ b/src/ingress/index.ts
@@ -8,3 +8,5 @@
 export { RequestQueue } from './requestqueue.js';
 export type { Arrival } from './callerconnection.js';
 export type { Defer, QueueOutcome } from './requestqueue.js';
+export { closeListener } from './listenerclose.js';
+export type { ListenerClosing } from './listenerclose.js';
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -37,6 +37,7 @@
     level: 'warn',
     text: 'the process uses most of the memory of its instance',
   },
+  stopOver: { number: 1019, level: 'info', text: 'graceful stop is over, the process ends' },
   daemonStopped: { number: 1004, level: 'info', text: 'daemon stopped' },
   handoverDone: { number: 1005, level: 'info', text: 'charges and grants handed over' },
   handoverDelayed: {
