--- a/testbed/child.ts
+++ b/testbed/child.ts
@@ -1,10 +1,19 @@
 /** Child processes of tests, the demo and benchmarks. */
 import { spawn } from 'node:child_process';
-import { createWriteStream } from 'node:fs';
+import { closeSync, createWriteStream, openSync } from 'node:fs';
 import { fileURLToPath } from 'node:url';
 
 import type { ChildProcess } from 'node:child_process';
 
+/**
+ * What becomes of a child's standard output: it is kept in the log file, nobody reads it, each write to it fails as on a
+ * full disk, or its reader has ended.
+ */
+export type OutputFate = 'kept' | 'unread' | 'refused' | 'closed';
+
+/** Device on which each write fails as on a full disk. */
+const FULL_DEVICE = '/dev/full';
+
 /** Module, arguments and output of a child process. */
 export interface ChildOptions {
   /** Compiled module, relative to the root of the compiled tree. */
@@ -12,6 +21,8 @@
   readonly args: readonly string[];
   /** File to which stdout and stderr of the child are appended. */
   readonly logFile: string;
+  /** What becomes of stdout; default 'kept'. */
+  readonly output?: OutputFate;
   /** Whether the child's output also goes to stdout and stderr of this process. */
   readonly inherit?: boolean;
   /** Number of files and sockets that the child may have open; default the limit of this process. */
@@ -45,10 +56,20 @@
    */
   constructor(options: ChildOptions) {
     const [program, args] = commandOf(options);
-    this.#process = spawn(program, args, { stdio: ['ignore', 'pipe', 'pipe'] });
+    const { output = 'kept' } = options;
+    // eslint-disable-next-line n/no-sync -- the constructor starts the process
+    const stdout = output === 'refused' ? openSync(FULL_DEVICE, 'w') : 'pipe';
+    this.#process = spawn(program, args, { stdio: ['ignore', stdout, 'pipe'] });
+    // eslint-disable-next-line n/no-sync
+    if (typeof stdout === 'number') closeSync(stdout);
     children.add(this.#process);
     const log = createWriteStream(options.logFile, { flags: 'a' });
-    this.#process.stdout?.pipe(log, { end: false });
+    if (output === 'kept') this.#process.stdout?.pipe(log, { end: false });
+    if (output === 'closed') this.endReader();
+    // Unread output would keep the event "close" from coming.
+    this.#process.once('exit', () => {
+      if (output !== 'kept') this.endReader();
+    });
     this.#process.stderr?.pipe(log, { end: false });
     if (options.inherit) {
       this.#process.stdout?.pipe(process.stdout, { end: false });
@@ -62,6 +83,11 @@
     });
   }
 
+  /** Ends the reader of the child's standard output. */
+  endReader(): void {
+    this.#process.stdout?.destroy();
+  }
+
   /** Process id. */
   get pid(): number {
     return this.#process.pid ?? 0;
