--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -236,7 +236,7 @@
   linesDropped: {
     number: 1010,
     level: 'warn',
-    text: 'log lines dropped: the log reader is too slow',
+    text: 'log lines dropped: the log reader is too slow or has failed',
   },
   attemptCancelled: { number: 7002, level: 'debug', text: 'attempt cancelled at the engine' },
 } as const satisfies Readonly<Record<string, EventKind>>;
