--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -13,6 +13,7 @@
 import { EXIT_NO_ADDRESS, startWhenFree } from './listenaddresses.js';
 import { safeParseSettings } from './settings.js';
 import { handleSignals } from './signals.js';
+import { handleUnexpectedErrors } from './unexpectederrors.js';
 
 import type { Settings } from './settings.js';
 
@@ -60,5 +61,6 @@
     process.exit(EXIT_NO_ADDRESS);
   }
   const stop = handleSignals(daemon);
+  handleUnexpectedErrors(daemon.runtime.recorder, stop);
   void daemon.runtime.fenced.then(() => stop('fenced', EXIT_FENCED));
 } else process.exitCode = EXIT_INVALID_SETTINGS;
--- a/src/daemon/signals.ts
+++ b/src/daemon/signals.ts
@@ -74,7 +74,10 @@
   let isStopping = false;
   const stop = async (cause: string, code: number): Promise<void> => {
     isStopping = true;
-    await daemon.stop(cause);
+    await daemon.stop(cause).catch((err: unknown) => {
+      const facts = { origin: 'stop' };
+      daemon.runtime.recorder.record('unexpectedError', { detail: String(err), facts });
+    });
     // Idle connections to upstreams would otherwise keep the process running.
     // eslint-disable-next-line n/no-process-exit
     process.exit(code);
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -232,6 +232,11 @@
     level: 'info',
     text: 'signal without effect; "detail" tells what to do instead',
   },
+  unexpectedError: {
+    number: 1020,
+    level: 'error',
+    text: 'an error that no part of the program handles; the daemon stops gracefully',
+  },
   loopDelayed: { number: 1011, level: 'warn', text: 'event loop delayed' },
   linesDropped: {
     number: 1010,
