--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -238,11 +238,16 @@
     level: 'info',
     text: 'signal without effect; "detail" tells what to do instead',
   },
+  unexpectedError: {
+    number: 1020,
+    level: 'error',
+    text: 'an error that no part of the program handles; the daemon stops gracefully',
+  },
   loopDelayed: { number: 1011, level: 'warn', text: 'event loop delayed' },
   linesDropped: {
     number: 1010,
     level: 'warn',
-    text: 'log lines dropped: the log reader is too slow',
+    text: 'log lines dropped: the log reader is too slow or has failed',
   },
   attemptCancelled: { number: 7002, level: 'debug', text: 'attempt cancelled at the engine' },
 } as const satisfies Readonly<Record<string, EventKind>>;
