--- a/src/gateway/protocol.ts
+++ b/src/gateway/protocol.ts
@@ -56,6 +56,9 @@
   readonly slots: number;
 }
 
+/** Number of requests per second that an upstream names; "unreadable" if it names one that is no decimal number. */
+export type NamedLimit = number | 'unreadable';
+
 /** Status and decoded headers of an upstream's answer. */
 export interface AnswerHead {
   readonly status: number;
@@ -67,6 +70,8 @@
   readonly isLeaving: boolean;
   /** Time for which the upstream asks to receive no requests, in milliseconds; undefined if it does not. */
   readonly pauseMs: number | undefined;
+  /** Requests that it accepts from all daemons together; undefined if it names no limit. */
+  readonly limitPerSecond: NamedLimit | undefined;
   readonly isEventStream: boolean;
   /** Whether the body is delimited by a length or chunks; otherwise the end of the connection ends it. */
   readonly isFramed: boolean;
--- a/src/gateway/tests/abortedanswers.test.ts
+++ b/src/gateway/tests/abortedanswers.test.ts
@@ -46,6 +46,7 @@
       isNotRun: false,
       isLeaving: false,
       pauseMs: undefined,
+      limitPerSecond: undefined,
       isEventStream: false,
       isFramed,
       load: undefined,
--- a/src/gateway/tests/httpreply.test.ts
+++ b/src/gateway/tests/httpreply.test.ts
@@ -39,6 +39,7 @@
       isNotRun: false,
       isLeaving: false,
       pauseMs: undefined,
+      limitPerSecond: undefined,
       isEventStream: false,
       isFramed: true,
       load: undefined,
