Decide on permits for upstreams that name a limit

The limit of an upstream holds for the whole fleet, of which each instance sees only its own requests. Shares of a bucket do not scale: with eight instances and 1.3 requests a second a burst of one each is over the allowed number.

Nothing uses it yet.

--- a/src/route/index.ts
+++ b/src/route/index.ts
@@ -1,6 +1,7 @@
 /** Route aggregate: upstream selection, workspace limits, retry budget and priorities. */
 export * from './affinity.js';
 export * from './cacheindex.js';
+export * from './limitsteward.js';
 export * from './loadbalancingpolicy.js';
 export * from './crashreports.js';
 export * from './crashsuspects.js';
