Send requests to upstreams that name a limit by permit only

Cause: the limit in the answers was not read, and it could not have been kept by each instance alone: it holds for the whole fleet.

An answer that names a limit is remembered for the incarnation of its upstream. It ends with an answer without one, if the request was sent after the limit had been named last; what was under way before says nothing. From the first naming on, a request is sent to that upstream only with a permit of its steward, asked for over the peer link right before it is sent: first attempts, repeats and resumed streams alike. Each message carries the newest observation with its age, so that instances which get no answers learn of a change or an end with their next question; the one that sees it tells the steward at once. A denied instance places requests elsewhere until the time that the steward gave; one request asks three times at most. A permit lasts 300 ms: a request that waited longer for its connection, or that was placed before the limit was named, is not sent and goes to another upstream without taking from the budget of retries. If every upstream is limited or paused, requests are refused at once with the time to the next permit, spread after it.

--- a/src/gateway/callrun.ts
+++ b/src/gateway/callrun.ts
@@ -7,6 +7,7 @@
 import { attemptCall } from './attempt.js';
 import { AttemptProgress } from './attemptprogress.js';
 import { recordAttempt } from './attemptrecord.js';
+import { placeCall } from './callplacement.js';
 import { timeLimitMs } from './configuration.js';
 import { placementRequestOf } from './placementrequest.js';
 import { PromptGuard } from './promptguard.js';
@@ -16,20 +17,19 @@
 import { recordSignals } from './signalrecord.js';
 
 import type { Arrival } from '../ingress/index.js';
-import type { Clock, Failure } from '../kernel/index.js';
+import type { Failure } from '../kernel/index.js';
 import type { PlacementRequest, RetryBudget } from '../route/index.js';
-import type { Recorder } from '../telemetry/index.js';
 import type { Allowances } from './allowances.js';
 import type { Announcements } from './announcements.js';
 import type { Call } from './attempt.js';
+import type { PlacedCall, PlacementContext } from './callplacement.js';
 import type { GatewayRoute, GatewayWorkspace } from './configuration.js';
 import type { CrashWatch } from './crashwatch.js';
-import type { UpstreamPool, KnownUpstream } from './upstreampool.js';
-import type { GatewayMetrics } from './metrics.js';
+import type { KnownUpstream } from './upstreampool.js';
 import type { HeaderCodec } from './protocol.js';
 import type { ServeCommand, ServeEvent, ServeOutcome } from './serve.js';
 import type { UpstreamSupply } from './shortage.js';
-import type { UpstreamRegistry } from './upstreams.js';
+import type { SignalContext } from './signalrecord.js';
 
 /** Longest wait of a request for prepaid units, as a share of its route's target time to the answer. */
 const UNITS_WAIT_SHARE = 0.4;
@@ -53,19 +53,12 @@
 const ANSWER_TIMEOUT_TARGETS = 3;
 
 /** Dependencies of a request run. */
-export interface CallContext {
+export interface CallContext extends PlacementContext, SignalContext {
   readonly codec: HeaderCodec;
   readonly allowances: Allowances;
   readonly announcements: Announcements;
-  readonly upstreamPool: UpstreamPool;
-  readonly registry: UpstreamRegistry;
   readonly retries: RetryBudget;
-  readonly recorder: Recorder;
-  readonly metrics: GatewayMetrics;
   readonly crashWatch: CrashWatch;
-  readonly clock: Clock;
-  /** Random numbers in [0, 1). */
-  readonly random: () => number;
 }
 
 /** Configuration that applies to a request. */
@@ -86,12 +79,11 @@
   readonly #guard: PromptGuard;
 
   #placed:
-    | {
-        readonly upstream: KnownUpstream;
-        readonly uncachedTokens: number;
+    | (PlacedCall & {
         /** Upstreams that were tried before. */
         readonly excluded: readonly string[];
-      }
+        readonly isRepeat: boolean;
+      })
     | undefined;
 
   /** Whether a retry was taken from the budget and not used yet. */
@@ -207,30 +199,42 @@
 
   /** Places the request unless upstreams crash on its prompt. */
   #admit(excluded: readonly string[], isRepeat: boolean): ServeEvent | Promise<ServeEvent> {
-    const decide = (refusal: Failure | undefined): ServeEvent =>
+    const decide = (refusal: Failure | undefined): ServeEvent | Promise<ServeEvent> =>
       refusal ? this.#refusedEvent(refusal) : this.#place(excluded, isRepeat);
     const refusal = this.#guard.admit();
     return refusal instanceof Promise ? refusal.then(decide) : decide(refusal);
   }
 
-  #place(excluded: readonly string[], isRepeat: boolean): ServeEvent {
-    const { upstreamPool, random } = this.ctx;
-    const { route, table } = this.policy;
+  #place(excluded: readonly string[], isRepeat: boolean): ServeEvent | Promise<ServeEvent> {
+    const ended = this.#endBeforeSend();
+    if (ended) return ended;
+    const service = this.#service ?? '';
+    const { services } = this.policy.table.configuration;
+    const memoryTokens = services.find(({ name }) => name === service)?.model?.memoryTokens;
+    const query = { service, request: this.#placement, excluded, memoryTokens };
+    const found = placeCall(this.ctx, query);
+    const apply = (placed: PlacedCall | undefined): ServeEvent =>
+      placed && (!isRepeat || this.#useRetry())
+        ? this.#applyPlacement(placed, excluded, isRepeat)
+        : this.#refusedEvent(failure('upstream-unavailable', service));
+    if (!(found instanceof Promise)) return apply(found);
+    return found.then((placed) => this.#endBeforeSend() ?? apply(placed));
+  }
+
+  /** The event that ends the request without another attempt, if its caller has left or its time is over. */
+  #endBeforeSend(): ServeEvent | undefined {
+    const { name } = this.policy.route;
     if (this.call.reply.isDisconnected) return { type: 'left' };
-    if (this.#isStopped) return this.#refusedEvent(failure('not-ready', route.name));
+    if (this.#isStopped) return this.#refusedEvent(failure('not-ready', name));
     if (this.#remainingMs() < MIN_ATTEMPT_MS)
-      return this.#refusedEvent(failure('overloaded', route.name));
-    const service = this.#service ?? '';
-    const model = table.configuration.services.find(({ name }) => name === service)?.model;
-    const memoryTokens = model?.memoryTokens;
-    const found = upstreamPool.place(
-      { service, request: this.#placement, excluded, memoryTokens },
-      random(),
-    );
-    if (!found || (isRepeat && !this.#useRetry()))
-      return this.#refusedEvent(failure('upstream-unavailable', service));
-    const { placement, upstream } = found;
-    this.#placed = { upstream, uncachedTokens: placement.uncachedTokens, excluded };
+      return this.#refusedEvent(failure('overloaded', name));
+    return undefined;
+  }
+
+  #applyPlacement(placed: PlacedCall, excluded: readonly string[], isRepeat: boolean): ServeEvent {
+    const { placement, upstream } = placed;
+    const { table } = this.policy;
+    this.#placed = { ...placed, excluded, isRepeat };
     const { connectionMs, earlier } = this.arrival;
     const waitedMs = this.ctx.clock.now() - this.#startedAt;
     if (!isRepeat) this.ctx.metrics.sendDelay.observe(waitedMs / 1_000);
@@ -273,12 +277,16 @@
   async #send(relaysFailure: boolean): Promise<ServeEvent> {
     const placed = this.#placed;
     if (!placed) throw new Error('an attempt needs a placement');
-    const { upstream, uncachedTokens } = placed;
+    const { upstream, placement, permittedUntil } = placed;
+    const { uncachedTokens } = placement;
     const { record, stats } = upstream;
     const { clock, metrics } = this.ctx;
     const { route } = this.policy;
-    // The upstream may have announced that it leaves, have asked for a pause or have been removed since it was chosen.
-    const mayStart = (): boolean => this.ctx.registry.mayReceive(record, clock.now());
+    // The upstream may have announced that it leaves, have asked for a pause, have named a limit or have been removed since it
+    // was chosen.
+    const mayStart = (): boolean =>
+      this.ctx.registry.mayReceive(record, clock.now(), permittedUntil);
+    let sentAt = clock.now();
     const { memoryTokens } = this.#placement;
     const answerTimeoutMs =
       route.repeatability === 'idempotent' && !relaysFailure
@@ -308,16 +316,19 @@
       onConnectionEnded: () => metrics.endedConnections.inc(),
       onSent: () => {
         this.#mayHaveRun = true;
+        sentAt = clock.now();
         this.ctx.announcements.announce(record.id, uncachedTokens);
       },
       onProgress: (head) => {
         this.#guard.noteProgress(progress, head);
         this.#firstByteAt ??= clock.now();
         stats.recordResponse(open, head?.load, clock.now());
-        if (head) recordSignals(this.ctx, record, head, this.call.head.id);
+        if (head) recordSignals(this.ctx, record, head, this.call.head.id, sentAt);
       },
     });
     if (outcome.kind === 'not-run') this.#mayHaveRun = mayHaveRunBefore;
+    // A retry that was not sent is still available.
+    if (outcome.kind === 'withheld') this.#hasRetry = placed.isRepeat;
     stats.end(open);
     metrics.connections.inc(upstream.connections.opened - opened);
     recordAttempt(this.ctx, { request: this.call.head.id, upstream, outcome, progress });
@@ -404,7 +415,11 @@
       ...(refusal?.retryAfterMs !== undefined && {
         retryAfterMs: Math.round(refusal.retryAfterMs),
       }),
-      ...(supply && { registered: supply.registered, paused: supply.paused }),
+      ...(supply && {
+        registered: supply.registered,
+        paused: supply.paused,
+        limited: supply.limited,
+      }),
     };
     const name = { refused: 'callRefused', failed: 'callFailed' } as const;
     const event = kind === 'refused' || kind === 'failed' ? name[kind] : 'callEnded';
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -84,6 +84,30 @@
     registers: [this.#registry],
   });
 
+  /** Changes of the limits that upstreams name. */
+  readonly limitChanges = new Counter({
+    name: 'comfreyreel_upstream_limits_total',
+    help: 'Limits that upstreams have named, changed and ended',
+    labelNames: ['change'],
+    registers: [this.#registry],
+  });
+
+  /** Permits for requests to upstreams that name a limit. */
+  readonly permits = new Counter({
+    name: 'comfreyreel_limit_permits_total',
+    help: 'Permits that were granted and denied for requests to upstreams that name a limit',
+    labelNames: ['end'],
+    registers: [this.#registry],
+  });
+
+  /** Messages about limits that were sent to other daemons. */
+  readonly permitAsks = new Counter({
+    name: 'comfreyreel_limit_messages_total',
+    help: 'Messages about limits to other daemons, by whether these replied',
+    labelNames: ['end'],
+    registers: [this.#registry],
+  });
+
   /** Changes of beliefs about prompt parts that crash upstreams. */
   readonly suspects = new Counter({
     name: 'comfreyreel_crash_suspects_total',
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -15,6 +15,7 @@
 import { UpstreamPool } from './upstreampool.js';
 import { Holders } from './holders.js';
 import { RoutingState } from './routingstate.js';
+import { LimitPermits } from './limitpermits.js';
 import { LoopDelay } from './loopdelay.js';
 import { Membership } from './membership.js';
 import { GatewayMetrics } from './metrics.js';
@@ -175,6 +176,7 @@
       announcements: new Announcements(membership.network, this.upstreamPool),
       upstreamPool: this.upstreamPool,
       registry: this.routingState.upstreams,
+      limitPermits: this.#createLimitPermits(membership),
       retries: new RetryBudget(() => retryLimits(retries, membership.size)),
       recorder: this.recorder,
       metrics: this.metrics,
@@ -322,6 +324,20 @@
     return shards;
   }
 
+  #createLimitPermits(membership: Membership): LimitPermits {
+    const { clock, recorder, metrics } = this;
+    return new LimitPermits({
+      self: recorder.source,
+      network: membership.network,
+      daemons: () => membership.daemons.map(({ name }) => name),
+      limits: this.routingState.upstreams.limits,
+      recorder,
+      metrics,
+      clock,
+      random: Math.random,
+    });
+  }
+
   #createAllowances(membership: Membership, shards: number): Allowances {
     const { aloneSeconds, exposure, idlePart, holdersUpTo } = this.settings.allowances;
     const { clock, recorder } = this;
--- a/src/gateway/serve.ts
+++ b/src/gateway/serve.ts
@@ -22,7 +22,10 @@
     }
   /** No byte was sent to the upstream. */
   | { readonly kind: 'unsent'; readonly why: string }
-  /** No byte was sent, because the upstream has left, is leaving or has asked for a pause since it was chosen. */
+  /**
+   * No byte was sent, because the upstream has left, is leaving, has asked for a pause or has named a limit since it was
+   * chosen, or the permit for it has expired.
+   */
   | { readonly kind: 'withheld' }
   /** The upstream reports that it has not run the request. */
   | { readonly kind: 'not-run'; readonly status: number }
--- a/src/gateway/signalrecord.ts
+++ b/src/gateway/signalrecord.ts
@@ -3,6 +3,7 @@
 
 import type { Clock } from '../kernel/index.js';
 import type { Recorder } from '../telemetry/index.js';
+import type { LimitPermits } from './limitpermits.js';
 import type { GatewayMetrics } from './metrics.js';
 import type { AnswerHead } from './protocol.js';
 import type { UpstreamRecord, UpstreamRegistry } from './upstreams.js';
@@ -15,18 +16,25 @@
   readonly clock: Clock;
 }
 
+/** Where signals are recorded. */
+export interface SignalContext extends RecordContext {
+  readonly limitPermits: LimitPermits;
+}
+
 /**
  * Records what an upstream announces in the head of an answer. Nothing is logged that was known before.
  * @param ctx - registry, log and metrics
  * @param record - the upstream that the request was addressed to
  * @param head - head of its answer
  * @param request - id of the request
+ * @param sentAt - when it was sent, in milliseconds
  */
 export function recordSignals(
-  { registry, recorder, metrics, clock }: RecordContext,
+  { registry, recorder, metrics, clock, limitPermits }: SignalContext,
   record: UpstreamRecord,
-  { status, isLeaving, pauseMs }: AnswerHead,
+  { status, isLeaving, pauseMs, limitPerSecond: limit }: AnswerHead,
   request: string,
+  sentAt: number,
 ): void {
   const { signals } = registry;
   const now = clock.now();
@@ -34,6 +42,8 @@
   const speaker = status === MISDIRECTED_STATUS ? registry.otherAt(record) : record;
   if (!speaker) return;
   const { id: upstream, startedAt } = speaker;
+  if (limit !== 'unreadable')
+    limitPermits.observe(speaker, { limit, at: limit === undefined ? sentAt : now });
   if (isLeaving && signals.recordLeaving(speaker, now)) {
     metrics.leavingUpstreams.inc();
     recorder.record('upstreamLeaving', { request, upstream, facts: { status, startedAt } });
--- a/src/gateway/tests/upstreamlimits.test.ts
+++ b/src/gateway/tests/upstreamlimits.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 
 import { UpstreamLimits } from '../upstreamlimits.js';
+import { UpstreamRegistry } from '../upstreams.js';
 
 import type { LimitChange } from '../upstreamlimits.js';
 
@@ -136,3 +137,25 @@
   t.is(limits.limitOf(UPSTREAM), undefined);
   t.is(limits.limitOf(NEXT_LIFE), 3);
 });
+
+test('a request that was placed before its upstream named a limit is not sent, nor one whose permit has expired', (t) => {
+  const record = {
+    ...UPSTREAM,
+    service: 's',
+    dataCentre: 'a',
+    capacity: 8,
+    isLeaving: false,
+    warmupMs: 0,
+  };
+  const registry = new UpstreamRegistry();
+  registry.replace([record], 0);
+  t.is(registry.refusalReason(record, 1), undefined);
+  registry.limits.observe(record, { limit: 12, at: 2 }, 2);
+  t.is(registry.refusalReason(record, 3), 'limited');
+  t.is(registry.refusalReason(record, 300, 300), undefined);
+  t.is(registry.refusalReason(record, 301, 300), 'limited');
+  registry.signals.recordPause(record, 1_000, 3);
+  t.is(registry.refusalReason(record, 300, 300), 'paused');
+  registry.limits.observe(record, { limit: undefined, at: 4 }, 5);
+  t.is(registry.refusalReason(record, 1_100), undefined);
+});
--- a/src/gateway/upstreampool.ts
+++ b/src/gateway/upstreampool.ts
@@ -35,6 +35,8 @@
    * Tokens that fit into the memory of one upstream of the service; undefined for a service without a model.
    */
   readonly memoryTokens: number | undefined;
+  /** Whether upstreams that name a limit may not receive it; default false. */
+  readonly isUnlimitedOnly?: boolean;
 }
 
 /** Keeps connections and load of the upstreams and places requests on them. */
@@ -75,6 +77,7 @@
     const upstreams = this.registry
       .serving(query.service, now)
       .filter(({ id }) => !query.excluded.includes(id))
+      .filter((record) => !query.isUnlimitedOnly || !this.#isLimited(record))
       .map((record) => this.#of(record));
     const candidates = upstreams.map((known) => this.#candidate(known, query, now));
     const hotParts = this.#hotParts.get(query.service) ?? new HotParts();
@@ -91,13 +94,13 @@
    * @param service - the service
    * @param excluded - ids of upstreams that do not count
    * @param silenceMs - time after which an upstream with unanswered requests counts as silent, in milliseconds
-   * @returns whether one may receive requests, is not failing and is not silent
+   * @returns whether one may receive requests without a permit, is not failing and is not silent
    */
   hasResponsive(service: string, excluded: readonly string[], silenceMs: number): boolean {
     const now = this.clock.now();
     return this.registry
       .serving(service, now)
-      .filter(({ id }) => !excluded.includes(id))
+      .filter((record) => !excluded.includes(record.id) && !this.#isLimited(record))
       .map((record) => this.#of(record).stats)
       .some((stats) => !stats.health.isFailing && stats.silentMs(now) < silenceMs);
   }
@@ -118,6 +121,10 @@
     this.#known.forEach(({ connections }) => connections.close());
   }
 
+  #isLimited(record: UpstreamRecord): boolean {
+    return this.registry.limits.limitOf(record) !== undefined;
+  }
+
   #of(record: UpstreamRecord): KnownUpstream {
     const key = incarnationKey(record);
     const found = this.#known.get(key);
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -1,4 +1,5 @@
 /** Registered upstreams, and the decision which of them may receive new requests. */
+import { UpstreamLimits } from './upstreamlimits.js';
 import { UpstreamSignals } from './upstreamsignals.js';
 
 import type { UpstreamSupply } from './shortage.js';
@@ -51,6 +52,9 @@
   /** Announcements in answers. They stay in force whatever the entries in the store say. */
   readonly signals = new UpstreamSignals();
 
+  /** Limits that the upstreams name, in force in the same way. */
+  readonly limits = new UpstreamLimits();
+
   /** Time of the last sign of a store outage, in milliseconds. */
   #disturbedAt = Number.NEGATIVE_INFINITY;
 
@@ -83,6 +87,7 @@
     const entry = this.#entries.get(id);
     if (!entry || entry.missingUntil !== undefined) return;
     this.signals.retain([entry.record], now);
+    this.limits.retain([entry.record], now);
     const isOutage = now - this.#disturbedAt < LAPSE_WINDOW_MS;
     const mayHaveLapsed = isOutage && entry.listedAt < this.#disturbedAt;
     if (mayHaveLapsed && !this.isLeaving(entry.record))
@@ -114,28 +119,35 @@
    * Lists the upstreams of a service that may receive new requests.
    * @param service - the service
    * @param now - current time, in milliseconds
-   * @returns the upstreams that are listed or within their grace period, without leaving and paused ones
+   * @returns the upstreams that are listed or within their grace period, without leaving and paused ones, and those
+   * that name a limit and have no permits left
    */
   serving(service: string, now: number): readonly UpstreamRecord[] {
-    return this.#registered(service, now).filter((record) => !this.#isPaused(record, now));
+    return this.#registered(service, now).filter(
+      (record) => !this.#isPaused(record, now) && !this.limits.isHeld(record, now),
+    );
   }
 
   /**
-   * Counts the upstreams of a service that are in use, including paused ones.
+   * Counts the upstreams of a service that are in use, including paused and limited ones.
    * @param service - the service
    * @param now - current time, in milliseconds
-   * @returns their numbers, and when the first pause ends
+   * @returns their numbers, and when the first may receive requests again
    */
   supply(service: string, now: number): UpstreamSupply {
     const registered = this.#registered(service, now);
-    const pauses = registered
-      .filter((record) => this.#isPaused(record, now))
-      .map((record) => this.signals.pausedUntil(record) - now);
-    const areAllPaused = pauses.length > 0 && pauses.length === registered.length;
+    const paused = registered.filter((record) => this.#isPaused(record, now));
+    const limited = registered.filter((record) => this.limits.limitOf(record) !== undefined);
+    const unavailable = new Set([...paused, ...limited]);
+    const waits = [...unavailable].map((record) =>
+      Math.max(this.signals.pausedUntil(record) - now, this.limits.heldMs(record, now)),
+    );
+    const areAllUnavailable = waits.length > 0 && waits.length === registered.length;
     return {
       registered: registered.length,
-      paused: pauses.length,
-      pauseEndsInMs: areAllPaused ? Math.min(...pauses) : undefined,
+      paused: paused.length,
+      limited: limited.length,
+      pauseEndsInMs: areAllUnavailable ? Math.min(...waits) : undefined,
     };
   }
 
@@ -143,28 +155,37 @@
    * Checks whether an upstream may still receive a request. Called again right before the request is sent.
    * @param record - the upstream that was chosen
    * @param now - current time, in milliseconds
-   * @returns whether the same incarnation may still receive requests
+   * @param permittedUntil - time until which a permit for the request is valid, in milliseconds; default no permit
+   * @returns whether the same incarnation may still receive the request
    */
-  mayReceive(record: UpstreamRecord, now: number): boolean {
-    return this.refusalReason(record, now) === undefined;
+  mayReceive(
+    record: UpstreamRecord,
+    now: number,
+    permittedUntil = Number.NEGATIVE_INFINITY,
+  ): boolean {
+    return this.refusalReason(record, now, permittedUntil) === undefined;
   }
 
   /**
    * Tells why an upstream may not receive requests.
    * @param record - the upstream that was chosen
    * @param now - current time, in milliseconds
+   * @param permittedUntil - time until which a permit for the request is valid, in milliseconds; default no permit
    * @returns the reason; undefined if the same incarnation may receive requests
    */
   refusalReason(
     { id, service, startedAt }: UpstreamRecord,
     now: number,
-  ): 'gone' | 'leaving' | 'paused' | undefined {
+    permittedUntil = Number.NEGATIVE_INFINITY,
+  ): 'gone' | 'leaving' | 'paused' | 'limited' | undefined {
     const entry = this.#entries.get(id);
     if (!entry || (entry.missingUntil !== undefined && entry.missingUntil <= now)) return 'gone';
     const { record } = entry;
     if (record.service !== service || record.startedAt !== startedAt) return 'gone';
     if (this.isLeaving(record)) return 'leaving';
-    return this.#isPaused(record, now) ? 'paused' : undefined;
+    if (this.#isPaused(record, now)) return 'paused';
+    const isLimited = this.limits.limitOf(record) !== undefined;
+    return isLimited && now > permittedUntil ? 'limited' : undefined;
   }
 
   /**
@@ -173,6 +194,7 @@
    */
   forgetGone(now: number): void {
     this.signals.retain(this.all(), now);
+    this.limits.retain(this.all(), now);
   }
 
   /**
--- a/src/route/limitsteward.ts
+++ b/src/route/limitsteward.ts
@@ -31,7 +31,7 @@
 }
 
 /** Share of the limit that a steward grants. */
-const FULL_SHARE = 0.9;
+const FULL_SHARE = 0.95;
 
 /** Share while another daemon may still grant permits as the steward before it. */
 const SETTLING_SHARE = 0.35;
--- a/src/route/messages.ts
+++ b/src/route/messages.ts
@@ -12,5 +12,38 @@
   })
   .readonly();
 
+const observedLimitSchema = z
+  .object({
+    /** Requests per second; missing if the upstream names no limit. */
+    limit: z.number().nonnegative().optional(),
+    /** Age of the observation, in milliseconds. */
+    ageMs: z.number().nonnegative(),
+  })
+  .readonly();
+
+/** Reports the limit of an upstream to the daemon that counts the requests to it, and may ask for a permit for one. */
+export const limitAskedSchema = z
+  .object({
+    type: z.literal('limitAsked'),
+    /** Incarnation of the upstream. */
+    upstream: z.object({ id: z.string(), startedAt: z.number(), address: z.string() }).readonly(),
+    /** Newest observation of the sender; missing if there is none. */
+    observed: observedLimitSchema.optional(),
+    wantsPermit: z.boolean(),
+  })
+  .readonly();
+
+/** Reply: whether the request may be sent. */
+export const limitAnsweredSchema = z
+  .object({
+    type: z.literal('limitAnswered'),
+    isPermitted: z.boolean(),
+    /** Time after which a permit may be asked for again, in milliseconds. */
+    waitMs: z.number().nonnegative(),
+    /** Newest observation of the sender; missing if there is none. */
+    observed: observedLimitSchema.optional(),
+  })
+  .readonly();
+
 /** Schemas of the messages. */
-export const routeMessages = [promptSentSchema] as const;
+export const routeMessages = [promptSentSchema, limitAskedSchema, limitAnsweredSchema] as const;
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -155,6 +155,26 @@
     level: 'info',
     text: 'an upstream answered again after the pause that it had asked for',
   },
+  upstreamLimited: {
+    number: 7008,
+    level: 'info',
+    text: 'an upstream named the requests per second that it accepts; it receives requests by permit',
+  },
+  upstreamUnlimited: {
+    number: 7009,
+    level: 'info',
+    text: 'an upstream no longer names a limit',
+  },
+  limitSteward: {
+    number: 7010,
+    level: 'info',
+    text: 'this daemon grants permits for an upstream that names a limit; its role has changed',
+  },
+  permitDenied: {
+    number: 7011,
+    level: 'info',
+    text: 'no permit for a request to an upstream that names a limit; requests are placed elsewhere meanwhile',
+  },
   upstreamCrashed: {
     number: 7101,
     level: 'warn',
