--- a/src/gateway/stopping.ts
+++ b/src/gateway/stopping.ts
@@ -39,7 +39,7 @@
  * stop, unless most daemons of the data centre stop. What is left is for the connections that wait to be accepted, also
  * in a process that seldom runs. A connection that is refused costs its caller nothing but another attempt.
  */
-const LISTEN_SHARE = 0.75;
+const LISTEN_SHARE = 0.81;
 
 /**
  * Time for which connections wait to be accepted without a break after which the daemon closes its listener as soon as the
