--- a/testbed/wholebodyserver.ts
+++ b/testbed/wholebodyserver.ts
@@ -23,19 +23,20 @@
   /**
    * Starts a server on a free port.
    * @param answerMs - time from the end of a request to its answer, in milliseconds
+   * @param idHeader - name of the header that holds the id of a request, and is returned with its answer
    * @returns the server, once it listens
    */
-  static async start(answerMs: number): Promise<WholeBodyServer> {
+  static async start(answerMs: number, idHeader: string): Promise<WholeBodyServer> {
     const requests: WholeRequest[] = [];
     const server = createServer((req, res) => {
-      const id = String(req.headers['attempt-id']);
+      const id = String(req.headers[idHeader.toLowerCase()]);
       let bytes = 0;
       req.on('data', (part: Buffer) => {
         bytes += part.length;
       });
       req.on('end', () => {
         requests.push({ id, bytes });
-        const headers = { 'attempt-id': id, 'response-signature': 's', 'content-length': 2 };
+        const headers = { [idHeader]: id, 'content-length': 2 };
         setTimeout(() => res.writeHead(200, headers).end('ok'), answerMs);
       });
     });
