--- a/src/daemon/listenaddresses.ts
+++ b/src/daemon/listenaddresses.ts
@@ -3,6 +3,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 
 import { splitAddress } from './settings.js';
+import { writeStartLine } from './startlines.js';
 
 /** Exit code if the daemon cannot listen on one of its addresses. */
 export const EXIT_NO_ADDRESS = 4;
@@ -102,16 +103,13 @@
   waitMs: number,
   start: () => Promise<Daemon>,
 ): Promise<Daemon | undefined> {
-  const log = (line: string): void => {
-    process.stderr.write(`${line}\n`);
-  };
-  if (!(await waitForAddresses(addresses, waitMs, log))) return undefined;
+  if (!(await waitForAddresses(addresses, waitMs, writeStartLine))) return undefined;
   try {
     return await start();
   } catch (err) {
     if ((err as NodeJS.ErrnoException).syscall !== 'listen') throw err;
     // Another process was faster, or two addresses of the settings are the same.
-    log(`listen: ${String(err)}; ${FREE_REMEDY}`);
+    writeStartLine(`listen: ${String(err)}; ${FREE_REMEDY}`);
     return undefined;
   }
 }
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -13,6 +13,7 @@
 import { EXIT_NO_ADDRESS, startWhenFree } from './listenaddresses.js';
 import { safeParseSettings } from './settings.js';
 import { handleSignals } from './signals.js';
+import { writeStartLine } from './startlines.js';
 import { handleUnexpectedErrors } from './unexpectederrors.js';
 
 import type { Settings } from './settings.js';
@@ -34,12 +35,12 @@
   try {
     text = await readFile(file, 'utf8');
   } catch (err) {
-    process.stderr.write(`${file}: ${String(err)}; name a readable settings file\n`);
+    writeStartLine(`${file}: ${String(err)}; name a readable settings file`);
     return undefined;
   }
   const parsed = safeParseSettings(file, text);
   if (parsed.ok) return parsed.val;
-  parsed.val.forEach((problem) => process.stderr.write(`${formatProblem(problem)}\n`));
+  parsed.val.forEach((problem) => writeStartLine(formatProblem(problem)));
   return undefined;
 }
 
--- a/testbed/child.ts
+++ b/testbed/child.ts
@@ -23,6 +23,8 @@
   readonly logFile: string;
   /** What becomes of stdout; default 'kept'. */
   readonly output?: OutputFate;
+  /** Whether the reader of stderr ends before the first line; default false. */
+  readonly closesErrors?: boolean;
   /** Whether the child's output also goes to stdout and stderr of this process. */
   readonly inherit?: boolean;
   /** Number of files and sockets that the child may have open; default the limit of this process. */
@@ -70,7 +72,8 @@
     this.#process.once('exit', () => {
       if (output !== 'kept') this.endReader();
     });
-    this.#process.stderr?.pipe(log, { end: false });
+    if (options.closesErrors) this.#process.stderr?.destroy();
+    else this.#process.stderr?.pipe(log, { end: false });
     if (options.inherit) {
       this.#process.stdout?.pipe(process.stdout, { end: false });
       this.#process.stderr?.pipe(process.stderr, { end: false });
