--- a/src/gateway/allowancecontext.ts
+++ b/src/gateway/allowancecontext.ts
@@ -28,4 +28,6 @@
   readonly peerWaitMs?: number;
   /** Whether the store answered recently. */
   readonly isStoreUp: () => boolean;
+  /** Whether a graceful stop has begun. */
+  readonly isStopping: () => boolean;
 }
--- a/src/gateway/allowancerows.ts
+++ b/src/gateway/allowancerows.ts
@@ -116,14 +116,15 @@
 
   #planDraw(shard: number, stored: AllowanceShard): PlannedWrite | undefined {
     const { self, clock } = this.ctx;
-    if (this.#joinedShards.has(shard) && !hasRow(stored, self)) {
+    const hasJoined = this.#joinedShards.has(shard);
+    if (hasJoined && !hasRow(stored, self)) {
       this.#fence(shard);
       return undefined;
     }
     const now = clock.now();
-    const currentShard = this.#joinedShards.has(shard)
-      ? stored
-      : closeEarlierIncarnations(stored, self);
+    // During a stop, the other incarnation may be the successor.
+    const keepsRows = hasJoined || this.ctx.isStopping();
+    const currentShard = keepsRows ? stored : closeEarlierIncarnations(stored, self);
     const draws = this.ctx
       .workspaces()
       .filter((workspace) => this.shardOf(workspace) === shard && this.#needsLine(workspace))
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -356,6 +356,7 @@
       workspaces: () =>
         this.routingState.table?.configuration.workspaces?.map(({ name }) => name) ?? [],
       isStoreUp: () => this.routingState.isStoreUp,
+      isStopping: () => this.isStopping,
     });
   }
 }
--- a/src/gateway/tests/overspend.test.ts
+++ b/src/gateway/tests/overspend.test.ts
@@ -102,6 +102,7 @@
       paidOf: () => this.paid,
       workspaces: () => [WORKSPACE],
       isStoreUp: () => this.storeFaults < 100,
+      isStopping: () => false,
     });
     this.daemons.set(instance, { self, allowances, open: [] });
   }
--- a/testbed/allowancefleet.ts
+++ b/testbed/allowancefleet.ts
@@ -54,6 +54,9 @@
   /** Outcome of every store call until it is changed. */
   storeOutcome: CallOutcome = 'answered';
 
+  /** Daemons in a graceful stop. */
+  readonly stopping = new Set<Incarnation>();
+
   /** Whether the daemons believe that the store answers. */
   isStoreUp = true;
 
@@ -133,6 +136,7 @@
       workspaces: () => [WORKSPACE],
       ...(this.shape.peerWaitMs !== undefined && { peerWaitMs: this.shape.peerWaitMs }),
       isStoreUp: () => this.isStoreUp,
+      isStopping: () => this.stopping.has(self),
     });
     this.members.set(name, { name, self, allowances, holders, recorder, network });
   }
