--- a/src/gateway/tests/overlappingincarnations.test.ts
+++ b/src/gateway/tests/overlappingincarnations.test.ts
@@ -56,6 +56,11 @@
     hasDrawn: false,
     isStopping: true,
   },
+  {
+    name: 'a predecessor that draws its first units as it serves',
+    hasDrawn: false,
+    isStopping: false,
+  },
 ];
 
 async function overlap(t: ExecutionContext, { hasDrawn, isStopping }: Row): Promise<void> {
