Keep nothing of a body whose stated length is above the limit

What callers saw: one request with a content-length of 5 GB stopped its daemon; 60 callers that state 5 MB and send 4 MB took 380 MB.

Cause: such a body takes no room, as it is discarded, but its parts were kept until the limit was passed, in a buffer of the stated length. Above 4 GiB the allocation throws in a "data" handler, which is an unexpected error and stops the daemon (1020, exit code 1). The parts were also counted as received and never released, so the account took as much for free as they had been.

Fix: a body is discarded from its first part on if the length that it states is above the limit.

Evidence: statedlengths.test.ts (real process, limit 220 MB) failed in three of five rows: two stopped the daemon by a RangeError, peak 380 MB. None fails now, peak 177 MB. body.test.ts failed as a whole and passes.

--- a/src/request/body.ts
+++ b/src/request/body.ts
@@ -97,7 +97,7 @@
   readonly #onData = (part: Buffer): void => {
     const { source, limitBytes, lengthBytes, room } = this.body;
     this.#size += part.length;
-    if (this.#size > limitBytes) {
+    if (Math.max(this.#size, lengthBytes ?? 0) > limitBytes) {
       this.#parts = new BodyParts(undefined);
       if (this.#size <= limitBytes * (1 + MAX_DISCARDED_RATIO)) return;
       source.pause();
