--- a/src/upstream/watchedsocket.ts
+++ b/src/upstream/watchedsocket.ts
@@ -7,13 +7,19 @@
 
 /**
  * Number of bytes, beside its body and the framing of that, after which an answer is given up: the HTTP client reads
- * reasons, interim answers and extensions of chunks without a limit. More than a socket holds that was not parsed yet.
+ * reasons, interim answers and extensions of chunks without a limit.
  */
 const MAX_OVERHEAD_BYTES = 262_144;
 
 /** Bytes of framing for each byte of a body: chunks of a few bytes need as much as they carry. */
 const FRAMING_PER_BYTE = 1;
 
+/**
+ * Most bytes that the HTTP client takes at once. When it is paused, it puts back what it has not parsed; if it had taken
+ * all, the socket would receive more in between, and hold more at each pause.
+ */
+const MAX_READ_BYTES = 65_536;
+
 /** How the other side ended a socket. */
 export type SocketEnding = 'closed' | 'reset';
 
@@ -39,8 +45,8 @@
 
   #ending: SocketEnding | undefined;
 
-  /** Number of bytes that were received before the current answer. */
-  #receivedBefore = 0;
+  /** Number of bytes that were parsed before the current answer. */
+  #parsedBefore = 0;
 
   /** Number of bytes of the current answer's body. */
   #bodyBytes = 0;
@@ -60,7 +66,7 @@
 
   /** Records that a request is sent, so that an answer begins. */
   beginAnswer(): void {
-    this.#receivedBefore = this.#socket?.bytesRead ?? 0;
+    this.#parsedBefore = this.#parsedBytes;
     this.#bodyBytes = 0;
   }
 
@@ -94,12 +100,24 @@
     };
   }
 
+  /** Number of bytes that the HTTP client has parsed. */
+  get #parsedBytes(): number {
+    return this.#socket ? this.#socket.bytesRead - this.#socket.readableLength : 0;
+  }
+
   /** Adds listeners that run before those of the HTTP client, which reports the end of an answer at once. */
   #watch(socket: Socket, address: string): void {
     this.#socket = socket;
+    const read = socket.read.bind(socket);
+    Object.assign(socket, {
+      read: (size?: number): unknown => {
+        const isLarge = size === undefined && socket.readableLength > MAX_READ_BYTES;
+        return read(isLarge ? MAX_READ_BYTES : size);
+      },
+    });
     socket.prependListener('readable', () => {
-      const received = socket.bytesRead - this.#receivedBefore;
-      const overhead = received - this.#bodyBytes * (1 + FRAMING_PER_BYTE);
+      const parsed = this.#parsedBytes - this.#parsedBefore;
+      const overhead = parsed - this.#bodyBytes * (1 + FRAMING_PER_BYTE);
       if (overhead > MAX_OVERHEAD_BYTES) socket.destroy(new OverheadError(address, overhead));
     });
     socket.prependListener('end', () => {
