A repeat that is not sent gives its retry back

Seen: withheldretries.test.ts, a request is rejected by one upstream, placed at another and withheld there, as that one has just named a limit. After 40 such requests 6 retries had been taken and the budget was empty, although none was sent; repeats that could have been sent would be refused. The same held for upstreams that leave or pause.

Cause: the retry is taken when the repeat is placed, before it is known whether it is sent.

--- a/src/gateway/callrun.ts
+++ b/src/gateway/callrun.ts
@@ -143,6 +143,7 @@
       this.#perform(command),
     ).catch((err: unknown) => this.#outcomeOfError(err));
     this.#settle();
+    if (this.#hasRetry) this.ctx.retries.returnRetry();
     this.#finish(outcome);
   }
 
--- a/src/route/retrybudget.ts
+++ b/src/route/retrybudget.ts
@@ -62,4 +62,10 @@
     this.#retries += 1;
     return true;
   }
+
+  /** Returns a retry that was granted and not sent. */
+  returnRetry(): void {
+    this.#saved = Math.min(this.limits().reserve, this.#saved + 1);
+    this.#retries -= 1;
+  }
 }
