--- a/src/gateway/tests/limitfleet.test.ts
+++ b/src/gateway/tests/limitfleet.test.ts
@@ -78,6 +78,17 @@
     ]).flat(),
     used: [],
   },
+  {
+    title: 'daemons restart one after the other, the steward first',
+    events: [0, 1, 2, 3].flatMap((rank) => [
+      { at: 15_000 + 5_000 * rank, rank, does: 'dies' as const },
+      { at: 17_500 + 5_000 * rank, rank, does: 'restarts' as const },
+    ]),
+    used: [
+      [6_000, 15_000],
+      [44_000, FOR_MS],
+    ],
+  },
   {
     title: 'a new steward joins, which daemons notice one after the other',
     events: [{ at: 20_000, rank: 0, does: 'joins' }],
