A stop ends half a second before the process would be killed

What operators saw: a process that stalls in pauses still ran 8 s after SIGTERM and was killed, with what it had not finished. Cause: open requests were cut at 90% of the stop time and the process ended at 97%, so 240 ms of 8 s were left: less than one pause of those that are no excuse (half a second). Fix: the end moves to 93%, the cut and the wait for last answers with it (86% and 89%), so that the return of units keeps its 4%. The cost: requests that may last longer than what is left are refused 0.32 s sooner.

--- a/src/gateway/stopping.ts
+++ b/src/gateway/stopping.ts
@@ -57,13 +57,16 @@
  * Share of the stop time after which the daemon stops waiting for open requests. Those that still run
  * when the process ends are aborted.
  */
-const CUT_SHARE = 0.9;
+const CUT_SHARE = 0.86;
 
 /** Share of the stop time after which the daemon no longer waits until its last answers have been sent. */
-const LAST_ANSWER_SHARE = 0.93;
+const LAST_ANSWER_SHARE = 0.89;
 
-/** Share of the stop time after which the process ends, even if the stop is not complete. */
-const EXIT_SHARE = 0.97;
+/**
+ * Share of the stop time after which the process ends, even if the stop is not complete. A process that is paused for half
+ * a second then still ends before a stop time of 8 s is over.
+ */
+const EXIT_SHARE = 0.93;
 
 /**
  * Longest time before a stop signal was read at which it may have arrived, as a share of the stop time. After a longer
