--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -11,7 +11,7 @@
 
 import type { NestFastifyApplication } from '@nestjs/platform-fastify';
 import type { FastifyReply, FastifyRequest } from 'fastify';
-import { freshPoll } from '../ingress/index.js';
+import { closeListener, freshPoll } from '../ingress/index.js';
 import { failure, FailureError, SteadyClock } from '../kernel/index.js';
 import { readBody } from '../request/index.js';
 import { AppModule } from './app.module.js';
@@ -135,6 +135,7 @@
     }
     await this.runtime.finishStop();
     const server = this.app.getHttpServer();
+    await closeListener(server, this.clock, this.clock.now() + CLOSE_TIMEOUT_MS);
     // A request that has arrived but was not read would be reset with its idle connection.
     await freshPoll(this.clock, this.clock.now() + CLOSE_TIMEOUT_MS);
     server.closeIdleConnections();
