--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -1,6 +1,5 @@
 /** Creates, starts and stops the tasks of one gateway daemon. */
 import { setTimeout as delay } from 'node:timers/promises';
-import { getHeapStatistics } from 'node:v8';
 
 import type { Socket } from 'node:net';
 import { makeRecorder } from '../daemon/daemonrecorder.js';
@@ -21,7 +20,7 @@
 import { Membership } from './membership.js';
 import { MemoryWatch, memoryLimitBytes } from './memorywatch.js';
 import { GatewayMetrics } from './metrics.js';
-import { REFUSED_SHARE, requestLimit } from './requestlimit.js';
+import { heldRequests, REFUSED_SHARE } from './requestlimit.js';
 import { retryLimits } from './retrylimits.js';
 import { processorCores } from './settings.js';
 import { OpenRequests } from './openrequests.js';
@@ -107,7 +106,7 @@
 
   readonly bodyGate: BodyGate;
 
-  readonly #maxRequests = requestLimit(getHeapStatistics().heap_size_limit);
+  readonly #maxRequests = heldRequests();
 
   readonly readAhead = new ReadAhead<Socket>(this.#maxRequests);
 
--- a/src/ingress/readahead.ts
+++ b/src/ingress/readahead.ts
@@ -47,6 +47,16 @@
   return !isFull(state) && state.own < MAX_AHEAD;
 }
 
+/** Runs tasks later. */
+export interface Schedule {
+  /** Runs a task after those of the present callback: a socket that was resumed in it ignores a pause. */
+  readonly afterCallback: (task: () => void) => void;
+  /** Runs a task after the next poll of the sockets. */
+  readonly afterPoll: (task: () => void) => void;
+}
+
+const EVENT_LOOP: Schedule = { afterCallback: process.nextTick, afterPoll: setImmediate };
+
 /** Holds back the connections of callers that send too many requests ahead. */
 export class ReadAhead<Connection extends ReadableConnection> {
   /** Number of unanswered requests of each open connection. */
@@ -61,8 +71,12 @@
   /**
    * Creates an empty set.
    * @param limit - number of unanswered requests of all connections from which none is read
+   * @param schedule - when connections are paused and resumed
    */
-  constructor(private readonly limit: number) {}
+  constructor(
+    private readonly limit: number,
+    private readonly schedule: Schedule = EVENT_LOOP,
+  ) {}
 
   /** Numbers for the log. */
   get facts(): Readonly<Record<string, number>> {
@@ -140,11 +154,16 @@
     this.#isFull = isFull({ all: this.#all, limit: this.limit, isFull: wasFull });
     if (this.#isFull === wasFull) return;
     if (this.#isFull) [...this.#unanswered.keys()].forEach((connection) => this.#pause(connection));
-    else {
-      [...this.#paused].forEach((connection) =>
-        this.#resumeIfRead(connection, this.#unanswered.get(connection) ?? 0),
-      );
-    }
+    else this.#resumeNext();
+  }
+
+  /** Resumes one connection in each iteration of the event loop, as each brings as many requests as one read holds. */
+  #resumeNext(): void {
+    if (this.#isFull) return;
+    const next = [...this.#paused].find((connection) => this.#isRead(this.unanswered(connection)));
+    if (!next) return;
+    this.#resumeIfRead(next, this.unanswered(next));
+    this.schedule.afterPoll(() => this.#resumeNext());
   }
 
   #resumeIfRead(connection: Connection, own: number): void {
@@ -159,6 +178,8 @@
 
   #pause(connection: Connection): void {
     this.#paused.add(connection);
-    connection.pause();
+    this.schedule.afterCallback(() => {
+      if (this.#paused.has(connection)) connection.pause();
+    });
   }
 }
