--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,6 +1,7 @@
 /** One attempt at an upstream: sends the request and relays the answer. */
 import type { Dispatcher } from 'undici';
 import { PolledTimer } from '../kernel/index.js';
+import { AnswerFlow } from './answerflow.js';
 import { EventStream } from './eventstream.js';
 
 import type { UpstreamConnections } from './connections.js';
@@ -118,6 +119,8 @@
 
   #interimAnswers = 0;
 
+  readonly #flow: AnswerFlow;
+
   #stage: Stage = 'queued';
 
   #head: AnswerHead | undefined;
@@ -125,8 +128,6 @@
   /** Whether the answer is discarded rather than relayed to the caller. */
   #isDiscarded = false;
 
-  #controller: Dispatcher.DispatchController | undefined;
-
   constructor(
     private readonly cfg: AttemptConfig,
     connection: UpstreamConnection,
@@ -134,11 +135,12 @@
   ) {
     const { reply } = cfg.call;
     this.#connection = connection;
+    this.#flow = new AnswerFlow(cfg.connections.chunkShare);
     this.#timeoutTimer = new PolledTimer(cfg.timeoutMs, () => this.#onTimeout());
     this.#startAnswerTimer();
     reply.onDisconnect = () => this.#abandon({ kind: 'left' });
     reply.onStop = () => this.#onStop();
-    reply.onDrain = () => this.#controller?.resume();
+    reply.onDrain = () => this.#flow.drained();
   }
 
   start(): void {
@@ -163,7 +165,6 @@
       controller.abort(new Error('withheld'));
       return;
     }
-    this.#controller = controller;
     this.#stage = 'sent';
     this.#connection.noteRequest();
     this.cfg.onSent();
@@ -207,6 +208,7 @@
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.#stage === 'done') return;
     this.#connection.noteBody(chunk.length);
+    this.#flow.arrived(controller, chunk.length);
     this.#isReadLate = this.#timeoutTimer.isDue;
     if (this.#isDiscarded) {
       this.#discard(chunk.length);
@@ -220,7 +222,7 @@
     }
     if (bytes.length === 0) return;
     this.#begin();
-    if (!this.cfg.call.reply.write(bytes)) controller.pause();
+    if (!this.cfg.call.reply.write(bytes)) this.#flow.waitForCaller();
   }
 
   onResponseEnd(): void {
@@ -298,7 +300,8 @@
   }
 
   #onTimeout(): void {
-    if (this.#isReadLate && this.#latePolls < MAX_LATE_POLLS) {
+    const isRead = this.#isReadLate || this.#flow.waitsForShare;
+    if (isRead && this.#latePolls < MAX_LATE_POLLS) {
       this.#isReadLate = false;
       this.#latePolls += 1;
       this.#timeoutTimer.pollAgain();
@@ -354,6 +357,7 @@
     this.#timeoutTimer.clear();
     this.#answerTimer?.clear();
     this.#discardTimer?.clear();
+    this.#flow.end();
     const { reply, events } = this.cfg.call;
     reply.onDisconnect = () => undefined;
     reply.onStop = () => undefined;
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -1,4 +1,5 @@
 /** Pool of connections to one upstream. */
+import { ChunkShare } from './chunkshare.js';
 import { UpstreamConnection } from './upstreamconnection.js';
 
 /** Maximum number of idle connections that are kept to one upstream. */
@@ -8,6 +9,9 @@
 export class UpstreamConnections {
   readonly #idle: UpstreamConnection[] = [];
 
+  /** Part of the event loop for small chunks of answers on these connections. */
+  readonly chunkShare = new ChunkShare();
+
   /** Number of connections opened so far. */
   opened = 0;
 
