Refuse a body on a connection that closes only after its end

What callers saw: the connection was reset instead of a 503. It hit callers whose body found no room if they use HTTP/1.0 or send "Connection: close", and every such caller of a daemon in a planned stop.

Cause: the refusal was sent before the rest of the body had been read. If the connection closes after the answer, the server closes it over unread bytes, which resets it, and the caller loses an answer that it has not read yet.

Fix: such a refusal waits until the rest has been discarded. A connection that is kept gets it at once as before, and so does a caller that waits to be asked for its body.

Evidence: refusedbodies.test.ts, a real process, 20 callers with 4 MB and no room for them: none of 20 had an answer with "Connection: close", over HTTP/1.0 and in a stop (EPIPE); all have the 503 now. The row with kept connections passed before.

--- a/src/gateway/httpreply.ts
+++ b/src/gateway/httpreply.ts
@@ -66,6 +66,11 @@
     return this.res.writableLength;
   }
 
+  /** Whether the connection would be closed after an answer that begins now. */
+  get closesConnection(): boolean {
+    return !this.res.shouldKeepAlive || this.isStopping();
+  }
+
   override get isBegun(): boolean {
     return this.res.headersSent;
   }
--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -5,7 +5,7 @@
 
 import type { FastifyReply, FastifyRequest } from 'fastify';
 import { failure } from '../kernel/index.js';
-import { askForBody } from '../ingress/index.js';
+import { askForBody, waitsToBeAsked } from '../ingress/index.js';
 import { readBody, statedLength } from '../request/index.js';
 import { answerFailure, internalFailure } from './answerfailure.js';
 import { CallRun, TIMEOUT_SLACK_MS } from './callrun.js';
@@ -54,6 +54,15 @@
   return at + timeLimitMs(route, deadlineMs) + TIMEOUT_SLACK_MS;
 }
 
+/** Resolves once a body that is discarded has ended or its connection is closed. */
+function bodyEnd(req: IncomingMessage): Promise<void> {
+  return new Promise((resolve) => {
+    if (req.readableEnded || req.destroyed) resolve();
+    req.once('end', resolve);
+    req.once('close', resolve);
+  });
+}
+
 /** Reply, connection and arrival of one request. */
 interface Exchange {
   readonly caller: HttpReply;
@@ -172,6 +181,8 @@
       this.runtime.recorder.record('callEnded', { request: head.id, detail: String(err) });
       return undefined;
     }
+    // The close of a connection with unread bytes resets it, and the caller could not read the refusal.
+    if (body.isRefused && caller.closesConnection && !waitsToBeAsked(req)) await bodyEnd(req);
     if (caller.isBegun) return undefined;
     open.onStop(() => undefined);
     if (body.isRefused) {
--- a/src/ingress/index.ts
+++ b/src/ingress/index.ts
@@ -4,7 +4,7 @@
 export { BodyRoom } from './bodyroom.js';
 export { CallerConnection } from './callerconnection.js';
 export { CallerConnections } from './callerconnections.js';
-export { askForBody, holdContinue } from './heldcontinue.js';
+export { askForBody, holdContinue, waitsToBeAsked } from './heldcontinue.js';
 export { RequestQueue } from './requestqueue.js';
 export type { Arrival } from './callerconnection.js';
 export type { Defer, QueueOutcome } from './requestqueue.js';
