Let more connections wait to be accepted than 511

What callers saw: their connection was reset after they had sent a whole request, if about 2,000 connected within a pause of half a second.

Cause: the listener asked for the default queue of 511 connections. Linux takes the handshake of some more, and resets them once the process accepts again; they are not in its log. The class is that of a listener that closes over connections that wait to be accepted.

Fix: the listener asks for 4,096, above the number of connections that a daemon takes by its open files. The system may lower it (somaxconn, 4096 here).

--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -43,6 +43,12 @@
 /** Largest headers that the server reads, in bytes: above the limits on callers' requests. */
 const MAX_HEADER_BYTES = 65_536;
 
+/**
+ * Largest number of connections that wait to be accepted; the operating system may set a lower one. It resets some of
+ * those beyond, with the requests that were sent on them.
+ */
+const MAX_WAITING_CONNECTIONS = 4_096;
+
 /** Interval at which a graceful stop checks whether the listener for callers may be closed, in milliseconds. */
 const DRAIN_POLL_MS = 25;
 
@@ -94,7 +100,7 @@
     holdContinue(server);
     await limitConnections(server, runtime.recorder, settings.openFiles);
     const { host, port } = splitAddress(settings.listen.callers);
-    await ingress.listen(port, host);
+    await ingress.listen({ port, host, backlog: MAX_WAITING_CONNECTIONS });
     void runtime.start();
     return new GatewayDaemon(runtime, ingress, internalListeners);
   }
