Leave room for what waits in callers' sockets

Cause: half of the free memory went to bodies; the other half had to hold parts that are not collected yet and those buffers.

Fix: two fifths for bodies. The tables of the decision and of the gate follow: 24 and 8 of 80 MB instead of 30 and 10.

--- a/src/ingress/bodylimit.ts
+++ b/src/ingress/bodylimit.ts
@@ -10,8 +10,11 @@
 /** Share of the memory limit that may be used; the rest covers what one sample of the resident size misses. */
 const USABLE_SHARE = 0.9;
 
-/** Share of the free memory for bodies. The rest is for parts that were copied and are not collected yet. */
-const BODIES_SHARE = 0.5;
+/**
+ * Share of the free memory for bodies. The rest is for parts that were copied and are not collected yet, and for what waits
+ * in the buffers of connections that are not accepted yet.
+ */
+const BODIES_SHARE = 0.4;
 
 /** Share of that for large bodies; the rest is for small ones. */
 const LARGE_SHARE = 0.75;
