A body's room that is given up while it waits to grow takes nothing afterwards

What callers saw: nothing directly; room for one large body was missing for the next ones, up to a tick (50 ms) after one of them began to wait.

Cause: a body in chunks that is revoked while it waits for its large room (a small one waits, and it was slow) ended its request; the wait was granted later, and the room stayed taken with nobody to release it. The account then ticked for ever.

Fix: a room that was released gives back what it is granted afterwards.

Evidence: bodyaccount.test.ts: 4,000,000 bytes held after all rooms were released, and the test process did not exit; 0 now.

--- a/src/ingress/bodyroom.ts
+++ b/src/ingress/bodyroom.ts
@@ -13,7 +13,8 @@
 
   #ticks = 0;
 
-  #isRevoked = false;
+  /** Whether the room was given up, after which none is taken. */
+  #isReleased = false;
 
   /** Called when the room is given to another request, as the body arrives too slowly. */
   onRevoke: () => void = () => undefined;
@@ -41,16 +42,18 @@
    * @returns whether there is room
    */
   async take(bytes: number): Promise<boolean> {
-    if (this.#isRevoked) return false;
+    if (this.#isReleased) return false;
     if (bytes <= this.#bytes) return true;
     const { gate } = this;
-    const isTaken = await gate.request(bytes, this.connection);
-    if (isTaken) {
-      gate.release(this.#bytes, 0);
-      this.#bytes = bytes;
-      gate.reading(this);
+    if (!(await gate.request(bytes, this.connection))) return false;
+    if (this.#isReleased) {
+      gate.release(bytes, 0);
+      return false;
     }
-    return isTaken;
+    gate.release(this.#bytes, 0);
+    this.#bytes = bytes;
+    gate.reading(this);
+    return true;
   }
 
   /**
@@ -89,13 +92,13 @@
 
   /** Gives the room to another request. */
   revoke(): void {
-    this.#isRevoked = true;
     this.onRevoke();
     this.release();
   }
 
   /** Gives up the room, once the body is not needed any more. */
   release(): void {
+    this.#isReleased = true;
     this.gate.wasRead(this);
     const bytes = this.#bytes;
     const receivedBytes = this.#receivedBytes;
