--- a/src/ingress/bodyroom.ts
+++ b/src/ingress/bodyroom.ts
@@ -1,14 +1,10 @@
 /** Room in memory for the body of one request. */
-import { KIB_BYTES } from '../kernel/index.js';
 import { bodySize, SMALL_BODY_BYTES } from './bodylimit.js';
 
 import type { BodyGate } from './bodygate.js';
 import type { BodySize } from './bodylimit.js';
 import type { CallerConnection } from './callerconnection.js';
 
-/** Rooms that a body of unknown length takes one after the other before that of the largest body, in bytes. */
-const GROWTH_BYTES: readonly number[] = [SMALL_BODY_BYTES, 512 * KIB_BYTES];
-
 /** Room of one body. */
 export class BodyRoom {
   #bytes = 0;
@@ -61,13 +57,14 @@
   }
 
   /**
-   * Takes room for a body whose length is not known yet, in steps up to the largest body.
+   * Takes room for a body whose length is not known yet: for a small one first, then for the largest.
    * @param bytes - length so far, in bytes
    * @returns whether there is room
    */
   grow(bytes: number): Promise<boolean> {
-    const stepBytes = GROWTH_BYTES.find((step) => bytes <= step) ?? this.limitBytes;
-    return this.take(Math.min(this.limitBytes, stepBytes));
+    return this.take(
+      Math.min(this.limitBytes, bytes <= SMALL_BODY_BYTES ? SMALL_BODY_BYTES : this.limitBytes),
+    );
   }
 
   /**
