The store's era is known before the result of each call, and keeps versions apart

Callers' side: a store that comes back from an older copy gives out revisions again. A conditional write or a watch with a revision that was read before could pass by chance, and a listing of two pages could be of two eras.

A version is now a revision together with the era in which it was read (store.era, src/store/era.ts): versions rise over a drill, a write with one of a former era is a conflict and is not sent, a watch is ended and listed again. A write that was sent before the rise was known and took effect after it counts as lost. A store without the header has no era, and versions are its revisions.

--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -4,6 +4,7 @@
 export * from './instancelist.js';
 export * from './objectstore.js';
 export * from './answerlimits.js';
+export * from './era.js';
 export * from './follower.js';
 export * from './snapshotstore.js';
 export * from './update.js';
--- a/src/store/objectstore.ts
+++ b/src/store/objectstore.ts
@@ -1,10 +1,14 @@
 /** Abstract interface of the platform's object store. */
 import type { Result } from '../kernel/index.js';
+import { StoreEra } from './era.js';
 
 /** One version of an object. */
 export interface StoredObject {
   readonly key: string;
-  /** Increases with every write of the key; 0 if the object does not exist. */
+  /**
+   * Increases with every write of the key, and over a rise of the store's era; 0 if the object does not exist. It has a
+   * meaning only for the store that returned it.
+   */
   readonly version: number;
   readonly value: unknown;
 }
@@ -26,10 +30,12 @@
 
 /**
  * Why a call to the store failed.
- * "conflict": the stored version is not the expected one; the write did not take effect.
+ * "conflict": the stored version is not the expected one, or the expected one is of a former era; the write did not take
+ * effect.
  * "refused": the call did not take effect, for example because of a rate limit or its size.
- * "lost": the call failed without a definite result; it may have taken effect.
- * "compacted": the store no longer has the history from the requested position; list again.
+ * "lost": the call failed without a definite result; it may have taken effect. Also an answer of a former era, and a
+ * conditional write that was sent in a former era and took effect in this one.
+ * "compacted": the store no longer has the history from the requested position, or that is of a former era; list again.
  * "oversized": the response is too large, or too long to be read in time; list again.
  */
 export type StoreProblem = 'conflict' | 'refused' | 'lost' | 'compacted' | 'oversized';
@@ -45,6 +51,9 @@
 
 /** Versioned objects with conditional updates and watches. */
 export abstract class ObjectStore {
+  /** The store's era, as stated in its answers; it is up to date before the result of a call is returned. */
+  readonly era = new StoreEra();
+
   /**
    * Reads an object.
    * @param key - object key
--- a/testbed/faultystore.ts
+++ b/testbed/faultystore.ts
@@ -25,9 +25,19 @@
 interface LateWrite {
   readonly key: string;
   readonly value: unknown;
-  readonly expected: number;
+  /** Revision that the object must have; that of a late write can be given out again before it is executed. */
+  readonly revision: number;
 }
 
+/** All objects of a store at one time. */
+export interface StoreCopy {
+  readonly objects: readonly StoredObject[];
+  readonly position: number;
+}
+
+/** Era of a store that has never come back from a copy. */
+const FIRST_ERA = 1;
+
 /** Keeps objects in memory; the test chooses the outcome of each read and write. */
 export class FaultyStore extends SnapshotStore {
   readonly #objects = new Map<string, StoredObject>();
@@ -48,6 +58,7 @@
    */
   constructor(private readonly nextOutcome: () => CallOutcome) {
     super();
+    this.era.observe(FIRST_ERA);
   }
 
   override async read(key: string): Promise<Result<StoredObject, StoreError>> {
@@ -56,7 +67,7 @@
     const fate = this.nextOutcome();
     if (fate === 'refused') return this.#err(key, 'refused');
     if (fate !== 'answered') return this.#err(key, 'lost');
-    return Ok(this.#find(key));
+    return Ok(this.#versioned(this.#find(key)));
   }
 
   override async write(
@@ -67,7 +78,9 @@
     this.calls += 1;
     if (this.answerMs > 0) await sleep(this.answerMs);
     const fate = this.nextOutcome();
-    const write = { key, value: structuredClone(value), expected };
+    const revision = this.era.revisionOf(expected);
+    if (revision === undefined) return this.#err(key, 'conflict');
+    const write = { key, value: structuredClone(value), revision };
     if (fate === 'refused') return this.#err(key, 'refused');
     if (fate === 'lost-before') return this.#err(key, 'lost');
     if (fate === 'late') {
@@ -81,7 +94,7 @@
   override async remove(key: string): Promise<Result<number, StoreError>> {
     this.#objects.delete(key);
     this.#position += 1;
-    return Ok(this.#position);
+    return Ok(this.era.versionOf(this.#position));
   }
 
   override async list(prefix: string): Promise<Result<readonly ObjectChange[], StoreError>> {
@@ -91,7 +104,10 @@
 
   override async snapshot(prefix: string): Promise<Result<Snapshot, StoreError>> {
     const objects = [...this.#objects.values()].filter(({ key }) => key.startsWith(prefix));
-    return Ok({ objects, position: this.#position });
+    return Ok({
+      objects: objects.map((object) => this.#versioned(object)),
+      position: this.era.versionOf(this.#position),
+    });
   }
 
   override async watch(
@@ -99,12 +115,37 @@
     position: number,
     waitMs: number,
   ): Promise<Result<WatchBatch, StoreError>> {
-    if (this.#position <= position)
+    if (this.era.versionOf(this.#position) <= position)
       await sleep(Math.min(waitMs, MAX_WATCH_WAIT_MS), undefined, { ref: false });
+    const since = this.era.revisionOf(position);
+    if (since === undefined || since > this.#position) return this.#err(prefix, 'compacted');
     const changes = [...this.#objects.values()].filter(
-      ({ key, version }) => key.startsWith(prefix) && version > position,
+      ({ key, version }) => key.startsWith(prefix) && version > since,
     );
-    return Ok({ changes, position: this.#position });
+    return Ok({
+      changes: changes.map((object) => this.#versioned(object)),
+      position: this.era.versionOf(this.#position),
+    });
+  }
+
+  /**
+   * Copies all objects.
+   * @returns the copy
+   */
+  copy(): StoreCopy {
+    return { objects: [...this.#objects.values()], position: this.#position };
+  }
+
+  /**
+   * Comes back from a copy: later writes are gone, their revisions are given out again, and the era rises. Late writes
+   * stay under way.
+   * @param copy - the copy
+   */
+  comeBack({ objects, position }: StoreCopy): void {
+    this.#objects.clear();
+    objects.forEach((object) => this.#objects.set(object.key, object));
+    this.#position = position;
+    this.era.observe((this.era.current ?? 0) + 1);
   }
 
   /** Applies the late writes whose expected version still matches and drops the others. */
@@ -127,14 +168,20 @@
     return this.#objects.get(key) ?? { key, version: 0, value: null };
   }
 
-  #apply({ key, value, expected }: LateWrite): Result<number, StoreError> {
+  #apply({ key, value, revision }: LateWrite): Result<number, StoreError> {
     const current = this.#find(key);
-    if (current.version !== expected) {
-      return Err({ problem: 'conflict', key, text: 'version does not match', current });
+    if (current.version !== revision) {
+      const stored = this.#versioned(current);
+      return Err({ problem: 'conflict', key, text: 'version does not match', current: stored });
     }
     this.#position += 1;
     this.#objects.set(key, { key, version: this.#position, value });
-    return Ok(this.#position);
+    return Ok(this.era.versionOf(this.#position));
+  }
+
+  #versioned(object: StoredObject): StoredObject {
+    const { version } = object;
+    return { ...object, version: version === 0 ? 0 : this.era.versionOf(version) };
   }
 
   #err(key: string, problem: StoreError['problem']): Result<never, StoreError> {
