--- a/src/store/era.ts
+++ b/src/store/era.ts
@@ -1,10 +1,19 @@
 /** Era of the store: how often it has come back from an older copy. */
 
+/** Distance of the versions of two eras: above every revision that a store gives out. */
+const ERA_STRIDE = 2 ** 40;
+
+/** Number of eras whose versions are exact numbers; the next one has the versions of the first again. */
+const ERAS = 2 ** 13;
+
 /**
- * Distance of the versions of two eras: above every revision that a store gives out, and small enough for 511 rises in
- * the life of a process.
+ * Returns the revision behind a version, of whichever era.
+ * @param version - the version
+ * @returns the revision, as the store names it
  */
-const ERA_STRIDE = 2 ** 44;
+export function revisionIn(version: number): number {
+  return version % ERA_STRIDE;
+}
 
 /** A rise of the era: the store has forgotten its last writes, and gives out their revisions again. */
 export interface EraRise {
@@ -19,8 +28,8 @@
 
 /**
  * The era as one process has seen it. It also keeps the revisions of different eras apart: a version is a revision
- * together with the era in which it was read, as one number that increases over a rise. In the first era that the process
- * sees, and with a store that states none, versions and revisions are the same.
+ * together with the era in which it was read, as one number that increases over a rise and is the same at every daemon.
+ * With a store that states no era, versions and revisions are the same.
  */
 export class StoreEra {
   readonly #listeners = new Set<(rise: EraRise) => void>();
@@ -67,22 +76,21 @@
 
   /**
    * Returns the version of a revision.
-   * @param revision - revision in the store, below 2^44
-   * @param rises - number of rises up to the answer that stated it; all by default
+   * @param revision - revision in the store, below 2^40
+   * @param era - era of the answer that stated it; the current one by default
    * @returns the version; it is above all versions of former eras
    */
-  versionOf(revision: number, rises = this.#rises): number {
-    return rises * ERA_STRIDE + revision;
+  versionOf(revision: number, era = this.#current): number {
+    return ((era ?? 0) % ERAS) * ERA_STRIDE + revision;
   }
 
   /**
-   * Returns the revision behind a version.
+   * Returns the revision behind a version of the current era.
    * @param version - result of "versionOf", or 0
    * @returns the revision; 0 for 0, in any era; undefined if the version is of a former era
    */
   revisionOf(version: number): number | undefined {
-    if (version === 0) return 0;
-    const revision = version - this.#rises * ERA_STRIDE;
-    return revision < 0 ? undefined : revision;
+    const revision = revisionIn(version);
+    return version === 0 || this.versionOf(revision) === version ? revision : undefined;
   }
 }
