--- a/src/gateway/adapter.ts
+++ b/src/gateway/adapter.ts
@@ -13,6 +13,8 @@
   readonly configurationKey: string;
   /** Key prefix of the upstreams' entries in the store. */
   readonly upstreamsPrefix: string;
+  /** Key prefix of the evacuations in the store; the rest of a key is the name of a data centre. */
+  readonly evacuationsPrefix: string;
   /**
    * Decodes a configuration object.
    * @param value - its content
--- a/src/gateway/callrun.ts
+++ b/src/gateway/callrun.ts
@@ -420,6 +420,7 @@
         registered: supply.registered,
         paused: supply.paused,
         limited: supply.limited,
+        ...(supply.evacuated !== undefined && { evacuated: supply.evacuated }),
       }),
     };
     const name = { refused: 'callRefused', failed: 'callFailed' } as const;
--- /dev/null
+++ b/src/gateway/evacuationwatch.ts
@@ -0,0 +1,170 @@
+/** Follows the evacuations in the store, and exchanges them with other daemons while one of them is cut off from it. */
+import { Follower } from '../store/index.js';
+import { Evacuations } from './evacuations.js';
+
+import type { Clock } from '../kernel/index.js';
+import type { PeerNetwork } from '../link/index.js';
+import type { ObjectChange, Snapshot, SnapshotStore, StoreError } from '../store/index.js';
+import type { Recorder } from '../telemetry/index.js';
+import type { EvacuationReport } from './evacuations.js';
+import type { GatewayMetrics } from './metrics.js';
+
+/**
+ * Longest wait of a watch, as a share of the time in which an evacuation must be in force: a connection that went
+ * silent is noticed when the wait is over.
+ */
+const WAIT_SHARE = 0.7;
+
+/** Number of other daemons that are told of each change that the store reports. */
+const TOLD_PEERS = 3;
+
+/** Interval at which another daemon is asked while the store does not answer, in milliseconds. */
+const ASK_INTERVAL_MS = 1_000;
+
+/** Timeout of a message to another daemon, in milliseconds. */
+const MESSAGE_TIMEOUT_MS = 1_000;
+
+/** Dependencies of the watch. */
+export interface EvacuationWatchConfig {
+  readonly store: SnapshotStore;
+  /** Key prefix of the evacuations; the rest of a key is the name of a data centre. */
+  readonly prefix: string;
+  /** Time in which an evacuation must be in force, in milliseconds. */
+  readonly evacuateMs: number;
+  /** Longest time for which the store holds a watch, in milliseconds. */
+  readonly watchMs: number;
+  readonly clock: Clock;
+  readonly recorder: Recorder;
+  readonly metrics: GatewayMetrics;
+  /** Random numbers in [0, 1). */
+  readonly random: () => number;
+  /** Called when the first of several calls to the store has failed. */
+  readonly onLost: (err: StoreError) => void;
+  /** Called when the store answers again. */
+  readonly onRegained: () => void;
+}
+
+/** Keeps the evacuations up to date. */
+export class EvacuationWatch {
+  readonly evacuations = new Evacuations();
+
+  readonly follower: Follower;
+
+  #network: PeerNetwork | undefined;
+
+  #isLost = false;
+
+  #askTimer: NodeJS.Timeout | undefined;
+
+  /** Evacuated data centres as last logged. */
+  #logged = '';
+
+  /**
+   * Creates the watch; nothing is read before its follower runs.
+   * @param cfg - dependencies
+   */
+  constructor(private readonly cfg: EvacuationWatchConfig) {
+    const { store, prefix, clock, recorder } = cfg;
+    const events = {
+      onSnapshot: ({ objects, position }: Snapshot) =>
+        this.#apply('store', () => {
+          const dataCentres = objects.map(({ key }) => this.#nameOf(key));
+          this.evacuations.applyListing({ revision: position, dataCentres }, clock.now());
+        }),
+      onChanges: (changes: readonly ObjectChange[], position: number) =>
+        this.#apply('store', () => {
+          const changed = changes.map(({ key, value }) => ({
+            dataCentre: this.#nameOf(key),
+            isEvacuated: value !== null && value !== undefined,
+          }));
+          this.evacuations.applyChanges(changed, position);
+        }),
+      onLost: (err: StoreError) => {
+        this.#isLost = true;
+        cfg.onLost(err);
+      },
+      onRegained: () => {
+        this.#isLost = false;
+        cfg.onRegained();
+      },
+      onHandlerError: (err: unknown) => {
+        recorder.record('storeHandlerFailed', { detail: String(err), facts: { prefix } });
+      },
+    };
+    const waitMs = Math.min(cfg.watchMs, cfg.evacuateMs * WAIT_SHARE);
+    this.follower = new Follower(store, prefix, events, clock, waitMs);
+  }
+
+  /**
+   * Starts to exchange evacuations with other daemons.
+   * @param network - links to them
+   */
+  join(network: PeerNetwork): void {
+    this.#network = network;
+    network.handle('evacuationsTold', ({ report }) => {
+      this.#adopt(report);
+      return this.#message();
+    });
+    this.#askTimer = setInterval(() => {
+      if (this.#isLost || !this.evacuations.isKnown) this.#tell(1);
+    }, ASK_INTERVAL_MS);
+    this.#askTimer.unref();
+  }
+
+  /** Stops the exchange. */
+  stop(): void {
+    clearInterval(this.#askTimer);
+  }
+
+  #nameOf(key: string): string {
+    return key.slice(this.cfg.prefix.length);
+  }
+
+  #message(): { readonly type: 'evacuationsTold'; readonly report?: EvacuationReport } {
+    const report = this.evacuations.report(this.cfg.clock.now());
+    return { type: 'evacuationsTold', ...(report && { report }) };
+  }
+
+  /** Exchanges reports with some other daemons: both then know the newer one. */
+  #tell(count: number): void {
+    const network = this.#network;
+    if (!network) return;
+    const left = [...network.peers()];
+    for (let told = 0; told < count && left.length > 0; told += 1) {
+      const [peer] = left.splice(Math.floor(this.cfg.random() * left.length), 1);
+      const req = {
+        to: peer?.name ?? '',
+        body: this.#message(),
+        reply: 'evacuationsTold',
+        timeoutMs: MESSAGE_TIMEOUT_MS,
+      } as const;
+      void network.request(req).then((replied) => {
+        if (replied.ok) this.#adopt(replied.val.report);
+      });
+    }
+  }
+
+  #adopt(report: EvacuationReport | undefined): void {
+    if (report) this.#apply('peer', () => this.evacuations.applyReport(report));
+  }
+
+  /** Applies a change and logs what is evacuated if that is different now. */
+  #apply(source: 'store' | 'peer', change: () => void): void {
+    const { clock, recorder, metrics } = this.cfg;
+    change();
+    const dataCentres = this.evacuations.dataCentres(clock.now());
+    const inForce = dataCentres.join(',');
+    if (inForce === this.#logged) return;
+    const facts = {
+      source,
+      inForce: inForce || 'none',
+      before: this.#logged || 'none',
+      revision: this.evacuations.report(clock.now())?.revision ?? 0,
+    };
+    this.#logged = inForce;
+    metrics.evacuatedDataCentres.set(dataCentres.length);
+    metrics.evacuationChanges.inc({ source });
+    recorder.record('evacuationsChanged', { facts });
+    if (source === 'store') this.#tell(TOLD_PEERS);
+  }
+}
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -108,6 +108,21 @@
     registers: [this.#registry],
   });
 
+  /** Data centres whose upstreams must receive nothing. */
+  readonly evacuatedDataCentres = new Gauge({
+    name: 'comfreyreel_evacuated_data_centres',
+    help: 'Evacuated data centres, as far as this daemon knows',
+    registers: [this.#registry],
+  });
+
+  /** Changes of the evacuations. */
+  readonly evacuationChanges = new Counter({
+    name: 'comfreyreel_evacuation_changes_total',
+    help: 'Changes of the evacuated data centres, by where this daemon learned of them',
+    labelNames: ['source'],
+    registers: [this.#registry],
+  });
+
   /** Changes of beliefs about prompt parts that crash upstreams. */
   readonly suspects = new Counter({
     name: 'comfreyreel_crash_suspects_total',
--- a/src/gateway/routingstate.ts
+++ b/src/gateway/routingstate.ts
@@ -1,6 +1,7 @@
 /** Follows the current configuration and the registered upstreams in the store. */
 import { DEFAULT_WATCH_WAIT_MS, Follower } from '../store/index.js';
 import { LineLimit } from '../telemetry/index.js';
+import { EvacuationWatch } from './evacuationwatch.js';
 import { RouteTable } from './routetable.js';
 import { UpstreamRegistry } from './upstreams.js';
 
@@ -8,6 +9,7 @@
 import type { ObjectChange, Snapshot, StoreError } from '../store/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { PlatformAdapter } from './adapter.js';
+import type { GatewayMetrics } from './metrics.js';
 
 /**
  * Time since the last answer of the store to a follower after which the store counts as unavailable, as a multiple of the
@@ -36,6 +38,9 @@
 export class RoutingState {
   readonly upstreams = new UpstreamRegistry();
 
+  /** Evacuations of data centres; undefined if they are not followed. */
+  readonly evacuationWatch: EvacuationWatch | undefined;
+
   readonly #followers: readonly Follower[];
 
   readonly #unreadableLines = new LineLimit(UNREADABLE_LINES, UNREADABLE_PERIOD_MS);
@@ -56,12 +61,15 @@
    * @param recorder - log and timeline
    * @param clock - time
    * @param watchMs - longest time for which the store holds one watch, in milliseconds
+   * @param evacuation - time in which an evacuation must be in force, in milliseconds, and metrics; undefined to follow
+   * no evacuations
    */
   constructor(
     private readonly adapter: PlatformAdapter,
     private readonly recorder: Recorder,
     private readonly clock: Clock,
     private readonly watchMs = DEFAULT_WATCH_WAIT_MS,
+    evacuation?: { readonly withinMs: number; readonly metrics: GatewayMetrics },
   ) {
     const { configurationKey, upstreamsPrefix } = adapter;
     const configurationPrefix = configurationKey.slice(0, configurationKey.indexOf('/') + 1);
@@ -75,6 +83,25 @@
         onChanges: (changes) => this.#changeUpstreams(changes),
       }),
     ];
+    if (!evacuation) return;
+    const { withinMs: evacuateMs, metrics } = evacuation;
+    const prefix = adapter.evacuationsPrefix;
+    const evacuationWatch = new EvacuationWatch({
+      store: adapter.store,
+      prefix,
+      evacuateMs,
+      watchMs,
+      clock,
+      recorder,
+      metrics,
+      random: Math.random,
+      onLost: (err) => this.#onLost(prefix, err),
+      onRegained: () => this.#onRegained(prefix),
+    });
+    this.evacuationWatch = evacuationWatch;
+    this.#followers = [...this.#followers, evacuationWatch.follower];
+    this.upstreams.isEvacuated = (dataCentre, now) =>
+      evacuationWatch.evacuations.has(dataCentre, now);
   }
 
   /** Starts to follow the store. */
@@ -87,6 +114,7 @@
   /** Stops following the store. */
   stop(): void {
     this.#followers.forEach((follower) => follower.stop());
+    this.evacuationWatch?.stop();
   }
 
   /** Current routes and workspaces; undefined before the first configuration was applied. */
@@ -94,12 +122,13 @@
     return this.#table;
   }
 
-  /** Whether configuration and upstreams are known. */
+  /** Whether configuration, upstreams and evacuations are known. */
   get isLoaded(): boolean {
-    return this.#table !== undefined && this.#hasUpstreams;
+    const areEvacuationsKnown = this.evacuationWatch?.evacuations.isKnown ?? true;
+    return this.#table !== undefined && this.#hasUpstreams && areEvacuationsKnown;
   }
 
-  /** Whether the store has answered both followers recently, and the last call of neither has failed. */
+  /** Whether the store has answered all followers recently, and the last call of none has failed. */
   get isStoreUp(): boolean {
     const now = this.clock.now();
     const isRecent = this.#followers.every(
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -158,7 +158,11 @@
       }),
       (residentBytes) => this.bodyGate.sample(residentBytes),
     );
-    this.routingState = new RoutingState(adapter, this.recorder, this.clock, settings.watchMs);
+    const { metrics } = this;
+    const { watchMs, evacuateMs } = settings;
+    const evacuation =
+      typeof evacuateMs === 'number' ? { withinMs: evacuateMs, metrics } : undefined;
+    this.routingState = new RoutingState(adapter, this.recorder, this.clock, watchMs, evacuation);
     this.#crashWatch = new CrashWatch({
       store: adapter.store,
       recorder: this.recorder,
@@ -195,6 +199,7 @@
       clock: this.clock,
     });
     membership.start();
+    this.routingState.evacuationWatch?.join(membership.network);
     this.#membership = membership;
     const allowances = this.#createAllowances(membership, await this.#readShardCount());
     this.#allowances = allowances;
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -33,6 +33,11 @@
      * the store that went silent is noticed when it ends; a longer wait saves calls.
      */
     watchMs: z.number().positive().max(30_000).default(3_000),
+    /**
+     * Time in which the evacuation of a data centre must be in force, in milliseconds. Without it this daemon does not
+     * follow evacuations.
+     */
+    evacuateMs: z.number().positive().nullish(),
     logLevel: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info'),
     processor: z
       .strictObject({
--- a/src/gateway/shortage.ts
+++ b/src/gateway/shortage.ts
@@ -2,12 +2,14 @@
 
 /** Upstreams of a service that are in use. */
 export interface UpstreamSupply {
-  /** Number of upstreams that are registered and do not leave, including paused and limited ones. */
+  /** Number of upstreams that are registered, do not leave and are not evacuated, including paused and limited ones. */
   readonly registered: number;
   /** Number of those that have asked for a pause. */
   readonly paused: number;
   /** Number of those that name a limit. */
   readonly limited: number;
+  /** Number of other upstreams, in evacuated data centres; missing if there is none. */
+  readonly evacuated?: number;
   /**
    * Time until the first pause, or the wait for the next permit, ends, in milliseconds; undefined unless every upstream is
    * paused or limited.
--- /dev/null
+++ b/src/gateway/tests/evacuations.test.ts
@@ -0,0 +1,142 @@
+import test from 'ava';
+
+import { Evacuations } from '../evacuations.js';
+
+interface Step {
+  readonly at: number;
+  readonly revision: number;
+  /** Takes a listing of the store, or the report of another daemon, or sees one evacuation begin or end. */
+  readonly does: 'lists' | 'hears' | 'begins' | 'ends';
+  readonly dataCentres: readonly string[];
+}
+
+interface Row {
+  readonly title: string;
+  readonly steps: readonly Step[];
+  /** Evacuated data centres, each at a point in time. */
+  readonly inForce: readonly (readonly [at: number, dataCentres: readonly string[]])[];
+}
+
+const ROWS: readonly Row[] = [
+  {
+    title: 'an evacuation that began before this daemon did',
+    steps: [{ at: 0, does: 'lists', revision: 5, dataCentres: ['b', 'a'] }],
+    inForce: [[1, ['a', 'b']]],
+  },
+  {
+    title: 'one that begins and is taken back',
+    steps: [
+      { at: 0, does: 'lists', revision: 5, dataCentres: [] },
+      { at: 10, does: 'begins', revision: 6, dataCentres: ['a'] },
+      { at: 20, does: 'ends', revision: 7, dataCentres: ['a'] },
+    ],
+    inForce: [
+      [10, ['a']],
+      [20, []],
+    ],
+  },
+  {
+    title: 'one that was taken back while the store did not answer',
+    steps: [
+      { at: 0, does: 'lists', revision: 5, dataCentres: ['a'] },
+      { at: 10, does: 'lists', revision: 9, dataCentres: [] },
+    ],
+    inForce: [[10, []]],
+  },
+  {
+    title: 'one that another daemon reports first',
+    steps: [
+      { at: 0, does: 'lists', revision: 5, dataCentres: [] },
+      { at: 10, does: 'hears', revision: 6, dataCentres: ['a'] },
+      { at: 20, does: 'begins', revision: 6, dataCentres: ['a'] },
+    ],
+    inForce: [
+      [10, ['a']],
+      [20, ['a']],
+    ],
+  },
+  {
+    title: 'a late report from before it was taken back',
+    steps: [
+      { at: 0, does: 'lists', revision: 5, dataCentres: ['a'] },
+      { at: 10, does: 'ends', revision: 7, dataCentres: ['a'] },
+      { at: 20, does: 'hears', revision: 6, dataCentres: ['a'] },
+    ],
+    inForce: [[20, []]],
+  },
+  {
+    title: 'a late change from before it was taken back',
+    steps: [
+      { at: 0, does: 'lists', revision: 5, dataCentres: [] },
+      { at: 10, does: 'hears', revision: 7, dataCentres: [] },
+      { at: 20, does: 'begins', revision: 6, dataCentres: ['a'] },
+    ],
+    inForce: [[20, []]],
+  },
+  {
+    title:
+      'one that a store that came back from a copy lacks until the operator has written it again',
+    steps: [
+      { at: 0, does: 'lists', revision: 9, dataCentres: ['a', 'b'] },
+      { at: 10, does: 'lists', revision: 4, dataCentres: ['c'] },
+      { at: 900, does: 'begins', revision: 5, dataCentres: ['a'] },
+    ],
+    inForce: [
+      [10, ['a', 'b', 'c']],
+      [5_009, ['a', 'b', 'c']],
+      [5_011, ['a', 'c']],
+    ],
+  },
+  {
+    title: 'one that is taken back after the store came back from a copy',
+    steps: [
+      { at: 0, does: 'lists', revision: 9, dataCentres: ['a'] },
+      { at: 10, does: 'lists', revision: 4, dataCentres: [] },
+      { at: 20, does: 'ends', revision: 5, dataCentres: ['a'] },
+    ],
+    inForce: [[20, []]],
+  },
+  {
+    title: 'a second listing from a copy does not prolong it',
+    steps: [
+      { at: 0, does: 'lists', revision: 9, dataCentres: ['a'] },
+      { at: 10, does: 'lists', revision: 4, dataCentres: [] },
+      { at: 3_000, does: 'lists', revision: 3, dataCentres: [] },
+    ],
+    inForce: [
+      [5_009, ['a']],
+      [5_011, []],
+    ],
+  },
+];
+
+function apply(evacuations: Evacuations, { at, does, revision, dataCentres }: Step): void {
+  if (does === 'lists') evacuations.applyListing({ revision, dataCentres }, at);
+  else if (does === 'hears') evacuations.applyReport({ revision, dataCentres });
+  else {
+    const isEvacuated = does === 'begins';
+    const changes = dataCentres.map((dataCentre) => ({ dataCentre, isEvacuated }));
+    evacuations.applyChanges(changes, revision);
+  }
+}
+
+ROWS.forEach(({ title, steps, inForce }) => {
+  test(`evacuations are in force from when they are known until they are taken back: ${title}`, (t) => {
+    const evacuations = new Evacuations();
+    const left = [...steps];
+    const seen = inForce.map(([at]) => {
+      while (left[0] && left[0].at <= at) apply(evacuations, left.shift() as Step);
+      return [at, evacuations.dataCentres(at)];
+    });
+    t.deepEqual(seen, inForce as unknown as typeof seen);
+  });
+});
+
+test('evacuations count as unknown until the store or another daemon has reported them', (t) => {
+  const evacuations = new Evacuations();
+  t.false(evacuations.isKnown);
+  t.is(evacuations.report(0), undefined);
+  t.true(evacuations.applyReport({ revision: 3, dataCentres: ['a'] }));
+  t.true(evacuations.isKnown);
+  t.deepEqual(evacuations.report(0), { revision: 3, dataCentres: ['a'] });
+});
--- a/src/gateway/tests/upstreams.test.ts
+++ b/src/gateway/tests/upstreams.test.ts
@@ -310,3 +310,21 @@
   });
   t.false(used.includes(true));
 });
+
+test('a request that was placed before an evacuation is not sent, and none is placed until it is taken back', (t) => {
+  const registry = new UpstreamRegistry();
+  const other = { ...RECORD, id: 'v', dataCentre: 'b' };
+  registry.replace([RECORD, other], 0);
+  registry.isEvacuated = (dataCentre, now) => dataCentre === 'a' && now >= 10 && now < 20;
+  const reasons = [9, 10, 20].map((at) => registry.refusalReason(RECORD, at));
+  t.deepEqual(reasons, [undefined, 'evacuated', undefined]);
+  const serving = [9, 10, 20].map((at) =>
+    registry
+      .serving('s', at)
+      .map(({ id }) => id)
+      .join(),
+  );
+  t.deepEqual(serving, ['u,v', 'v', 'u,v']);
+  const supply = { registered: 1, paused: 0, limited: 0, evacuated: 1, pauseEndsInMs: undefined };
+  t.deepEqual(registry.supply('s', 10), supply);
+});
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -55,6 +55,9 @@
   /** Limits that the upstreams name, in force in the same way. */
   readonly limits = new UpstreamLimits();
 
+  /** Checks whether a data centre is evacuated; by default none is. */
+  isEvacuated: (dataCentre: string, now: number) => boolean = () => false;
+
   /** Time of the last sign of a store outage, in milliseconds. */
   #disturbedAt = Number.NEGATIVE_INFINITY;
 
@@ -119,12 +122,15 @@
    * Lists the upstreams of a service that may receive new requests.
    * @param service - the service
    * @param now - current time, in milliseconds
-   * @returns the upstreams that are listed or within their grace period, without leaving and paused ones, and those
-   * that name a limit and have no permits left
+   * @returns the upstreams that are listed or within their grace period, without leaving, evacuated and paused ones, and
+   * those that name a limit and have no permits left
    */
   serving(service: string, now: number): readonly UpstreamRecord[] {
     return this.#registered(service, now).filter(
-      (record) => !this.#isPaused(record, now) && !this.limits.isHeld(record, now),
+      (record) =>
+        !this.isEvacuated(record.dataCentre, now) &&
+        !this.#isPaused(record, now) &&
+        !this.limits.isHeld(record, now),
     );
   }
 
@@ -135,7 +141,8 @@
    * @returns their numbers, and when the first may receive requests again
    */
   supply(service: string, now: number): UpstreamSupply {
-    const registered = this.#registered(service, now);
+    const listed = this.#registered(service, now);
+    const registered = listed.filter(({ dataCentre }) => !this.isEvacuated(dataCentre, now));
     const paused = registered.filter((record) => this.#isPaused(record, now));
     const limited = registered.filter((record) => this.limits.limitOf(record) !== undefined);
     const unavailable = new Set([...paused, ...limited]);
@@ -147,6 +154,7 @@
       registered: registered.length,
       paused: paused.length,
       limited: limited.length,
+      ...(listed.length > registered.length && { evacuated: listed.length - registered.length }),
       pauseEndsInMs: areAllUnavailable ? Math.min(...waits) : undefined,
     };
   }
@@ -177,12 +185,13 @@
     { id, service, startedAt }: UpstreamRecord,
     now: number,
     permittedUntil = Number.NEGATIVE_INFINITY,
-  ): 'gone' | 'leaving' | 'paused' | 'limited' | undefined {
+  ): 'gone' | 'leaving' | 'evacuated' | 'paused' | 'limited' | undefined {
     const entry = this.#entries.get(id);
     if (!entry || (entry.missingUntil !== undefined && entry.missingUntil <= now)) return 'gone';
     const { record } = entry;
     if (record.service !== service || record.startedAt !== startedAt) return 'gone';
     if (this.isLeaving(record)) return 'leaving';
+    if (this.isEvacuated(record.dataCentre, now)) return 'evacuated';
     if (this.#isPaused(record, now)) return 'paused';
     const isLimited = this.limits.limitOf(record) !== undefined;
     return isLimited && now > permittedUntil ? 'limited' : undefined;
--- a/src/route/messages.ts
+++ b/src/route/messages.ts
@@ -45,5 +45,26 @@
   })
   .readonly();
 
+/** Tells another daemon which data centres are evacuated; the reply says the same of that daemon. */
+export const evacuationsToldSchema = z
+  .object({
+    type: z.literal('evacuationsTold'),
+    /** Missing if the sender does not know the evacuations. */
+    report: z
+      .object({
+        /** Revision of the store at which they were in force. */
+        revision: z.number().nonnegative(),
+        dataCentres: z.array(z.string()).readonly(),
+      })
+      .readonly()
+      .optional(),
+  })
+  .readonly();
+
 /** Schemas of the messages. */
-export const routeMessages = [promptSentSchema, limitAskedSchema, limitAnsweredSchema] as const;
+export const routeMessages = [
+  promptSentSchema,
+  limitAskedSchema,
+  limitAnsweredSchema,
+  evacuationsToldSchema,
+] as const;
--- a/src/store/follower.ts
+++ b/src/store/follower.ts
@@ -21,8 +21,8 @@
 export interface FollowerEvents {
   /** All objects under the prefix: at the start, and when changes can no longer be read from the last position. */
   readonly onSnapshot: (snapshot: Snapshot) => void;
-  /** Changes since the last snapshot or the last changes. */
-  readonly onChanges: (changes: readonly ObjectChange[]) => void;
+  /** Changes since the last snapshot or the last changes, and the revision of the store after them. */
+  readonly onChanges: (changes: readonly ObjectChange[], position: number) => void;
   /** A call failed; reported only for the first of consecutive failures. */
   readonly onLost: (err: StoreError) => void;
   /** The store answered after one or more failures. */
@@ -102,7 +102,7 @@
     this.#recordAnswer();
     this.#position = Math.max(this.#position ?? 0, batch.val.position);
     if (batch.val.changes.length === 0) return undefined;
-    this.#notify(() => this.events.onChanges(batch.val.changes));
+    this.#notify(() => this.events.onChanges(batch.val.changes, batch.val.position));
     if (this.batchDelayMs > 0) await sleep(this.batchDelayMs);
     return undefined;
   }
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -181,6 +181,11 @@
     level: 'info',
     text: 'no permit for a request to an upstream that names a limit; requests are placed elsewhere meanwhile',
   },
+  evacuationsChanged: {
+    number: 7201,
+    level: 'info',
+    text: 'evacuated data centres changed; their upstreams receive no requests',
+  },
   upstreamCrashed: {
     number: 7101,
     level: 'warn',
