--- a/src/gateway/evacuations.ts
+++ b/src/gateway/evacuations.ts
@@ -1,14 +1,20 @@
 /** Data centres whose upstreams must receive nothing, as far as this daemon knows. */
 
 /**
- * Time for which an evacuation stays in force that a listing of an older revision lacks, in milliseconds. A store that
- * came back from a copy lacks what the operator wrote after the copy was made, until the operator has written it again.
+ * Time for which an evacuation stays in force that a listing of another era lacks, in milliseconds. A store that came back
+ * from a copy lacks what the operator wrote after the copy was made, until the operator has written it again.
  */
 const REWRITE_GRACE_MS = 5_000;
 
-/** The evacuations at one revision of the store. */
-export interface EvacuationReport {
+/** A point in the history of the store. */
+export interface StorePoint {
+  /** Era of the store; 0 if it states none. */
+  readonly era: number;
   readonly revision: number;
+}
+
+/** The evacuations at one point. */
+export interface EvacuationReport extends StorePoint {
   /** Names of the evacuated data centres. */
   readonly dataCentres: readonly string[];
 }
@@ -19,19 +25,24 @@
   readonly isEvacuated: boolean;
 }
 
+/** Whether a point is before another one; an era that rose comes after all revisions of the former one. */
+function isBefore(point: StorePoint, other: StorePoint): boolean {
+  return point.era === other.era ? point.revision < other.revision : point.era < other.era;
+}
+
 /**
- * Merges what the store and other daemons report about evacuations. A report contains all evacuations at its revision, so
- * the one with the highest revision applies as a whole.
+ * Merges what the store and other daemons report about evacuations. A report contains all evacuations at its point, so the
+ * latest one applies as a whole.
  */
 export class Evacuations {
-  #revision: number | undefined;
+  #known: StorePoint | undefined;
 
-  /** Time until which each evacuation is in force, in milliseconds; infinity until it is taken back. */
-  #inForceUntil = new Map<string, number>();
+  /** Time until which each evacuation is in force, in milliseconds; infinity for one that the store lists. */
+  readonly #inForceUntil = new Map<string, number>();
 
   /** Whether the evacuations have been read from the store or from another daemon. */
   get isKnown(): boolean {
-    return this.#revision !== undefined;
+    return this.#known !== undefined;
   }
 
   /**
@@ -53,44 +64,32 @@
     return [...this.#inForceUntil.keys()].filter((name) => this.has(name, now)).sort();
   }
 
-  /**
-   * Returns what other daemons are told.
-   * @param now - current time, in milliseconds
-   * @returns the evacuations; undefined before they are known
-   */
-  report(now: number): EvacuationReport | undefined {
-    const revision = this.#revision;
-    return revision === undefined ? undefined : { revision, dataCentres: this.dataCentres(now) };
+  /** What other daemons are told: the evacuations that the store lists; undefined before they are known. */
+  get report(): EvacuationReport | undefined {
+    const listed = this.dataCentres(Number.MAX_VALUE);
+    return this.#known && { ...this.#known, dataCentres: listed };
   }
 
   /**
-   * Applies a complete listing of the store. One that is older than what is known either was overtaken by the report of
-   * another daemon, or the store came back from a copy: evacuations that it lacks stay in force for a while.
+   * Applies a complete listing of the store, also one that the report of another daemon has overtaken.
    * @param listing - the listing
    * @param now - current time, in milliseconds
    */
-  applyListing({ revision, dataCentres }: EvacuationReport, now: number): void {
-    const isOlder = this.#revision !== undefined && revision < this.#revision;
-    const missing = isOlder
-      ? this.dataCentres(now).filter((name) => !dataCentres.includes(name))
-      : [];
-    const missingUntil = now + REWRITE_GRACE_MS;
-    this.#revision = revision;
-    this.#inForceUntil = new Map([
-      ...missing.map((name) => [name, Math.min(this.#until(name), missingUntil)] as const),
-      ...dataCentres.map((name) => [name, Number.POSITIVE_INFINITY] as const),
-    ]);
+  applyListing(listing: EvacuationReport, now: number): void {
+    const known = this.#known;
+    const mayLack = known !== undefined && (known.era !== listing.era || isBefore(listing, known));
+    this.#replace(listing, mayLack, now);
   }
 
   /**
    * Applies changes that a watch of the store has returned. Changes that a report of another daemon already included
    * are ignored.
    * @param changes - the changes, in order
-   * @param revision - revision of the store after them
+   * @param point - point in the history of the store after them
    */
-  applyChanges(changes: readonly EvacuationChange[], revision: number): void {
-    if (this.#revision !== undefined && revision < this.#revision) return;
-    this.#revision = revision;
+  applyChanges(changes: readonly EvacuationChange[], { era, revision }: StorePoint): void {
+    if (this.#known && isBefore({ era, revision }, this.#known)) return;
+    this.#known = { era, revision };
     changes.forEach(({ dataCentre, isEvacuated }) => {
       if (isEvacuated) this.#inForceUntil.set(dataCentre, Number.POSITIVE_INFINITY);
       else this.#inForceUntil.delete(dataCentre);
@@ -100,16 +99,25 @@
   /**
    * Applies the report of another daemon if it is newer.
    * @param report - the report
-   * @returns whether it was newer than what was known
+   * @param now - current time, in milliseconds
    */
-  applyReport({ revision, dataCentres }: EvacuationReport): boolean {
-    if (this.#revision !== undefined && revision <= this.#revision) return false;
-    this.#revision = revision;
-    this.#inForceUntil = new Map(dataCentres.map((name) => [name, Number.POSITIVE_INFINITY]));
-    return true;
+  applyReport(report: EvacuationReport, now: number): void {
+    const known = this.#known;
+    if (known && !isBefore(known, report)) return;
+    this.#replace(report, known !== undefined && known.era !== report.era, now);
   }
 
-  #until(dataCentre: string): number {
-    return this.#inForceUntil.get(dataCentre) ?? 0;
+  /**
+   * Replaces what is known. Evacuations that are missing end at once, or after a grace period if the report may lack them;
+   * those in a grace period keep it.
+   */
+  #replace({ era, revision, dataCentres }: EvacuationReport, mayLack: boolean, now: number): void {
+    this.#known = { era, revision };
+    this.#inForceUntil.forEach((until, name) => {
+      if (Number.isFinite(until)) return;
+      if (mayLack) this.#inForceUntil.set(name, now + REWRITE_GRACE_MS);
+      else this.#inForceUntil.delete(name);
+    });
+    dataCentres.forEach((name) => this.#inForceUntil.set(name, Number.POSITIVE_INFINITY));
   }
 }
--- a/src/gateway/evacuationwatch.ts
+++ b/src/gateway/evacuationwatch.ts
@@ -6,7 +6,7 @@
 import type { PeerNetwork } from '../link/index.js';
 import type { ObjectChange, Snapshot, SnapshotStore, StoreError } from '../store/index.js';
 import type { Recorder } from '../telemetry/index.js';
-import type { EvacuationReport } from './evacuations.js';
+import type { EvacuationReport, StorePoint } from './evacuations.js';
 import type { GatewayMetrics } from './metrics.js';
 
 /**
@@ -69,7 +69,7 @@
       onSnapshot: ({ objects, position }: Snapshot) =>
         this.#apply('store', () => {
           const dataCentres = objects.map(({ key }) => this.#nameOf(key));
-          this.evacuations.applyListing({ revision: position, dataCentres }, clock.now());
+          this.evacuations.applyListing({ ...this.#pointOf(position), dataCentres }, clock.now());
         }),
       onChanges: (changes: readonly ObjectChange[], position: number) =>
         this.#apply('store', () => {
@@ -77,7 +77,7 @@
             dataCentre: this.#nameOf(key),
             isEvacuated: value !== null && value !== undefined,
           }));
-          this.evacuations.applyChanges(changed, position);
+          this.evacuations.applyChanges(changed, this.#pointOf(position));
         }),
       onLost: (err: StoreError) => {
         this.#isLost = true;
@@ -107,6 +107,7 @@
     });
     this.#askTimer = setInterval(() => {
       if (this.#isLost || !this.evacuations.isKnown) this.#tell(1);
+      this.#record('grace');
     }, ASK_INTERVAL_MS);
     this.#askTimer.unref();
   }
@@ -120,8 +121,14 @@
     return key.slice(this.cfg.prefix.length);
   }
 
+  /** The point of a position. Positions of different daemons cannot be compared over a rise of the era. */
+  #pointOf(position: number): StorePoint {
+    const { era } = this.cfg.store;
+    return { era: era.current ?? 0, revision: era.revisionOf(position) ?? 0 };
+  }
+
   #message(): { readonly type: 'evacuationsTold'; readonly report?: EvacuationReport } {
-    const report = this.evacuations.report(this.cfg.clock.now());
+    const { report } = this.evacuations;
     return { type: 'evacuationsTold', ...(report && { report }) };
   }
 
@@ -145,13 +152,18 @@
   }
 
   #adopt(report: EvacuationReport | undefined): void {
-    if (report) this.#apply('peer', () => this.evacuations.applyReport(report));
+    if (report)
+      this.#apply('peer', () => this.evacuations.applyReport(report, this.cfg.clock.now()));
   }
 
-  /** Applies a change and logs what is evacuated if that is different now. */
   #apply(source: 'store' | 'peer', change: () => void): void {
-    const { clock, recorder, metrics } = this.cfg;
     change();
+    this.#record(source);
+  }
+
+  /** Logs what is evacuated if that is different now, because of a report or the end of a grace period. */
+  #record(source: 'store' | 'peer' | 'grace'): void {
+    const { clock, recorder, metrics } = this.cfg;
     const dataCentres = this.evacuations.dataCentres(clock.now());
     const inForce = dataCentres.join(',');
     if (inForce === this.#logged) return;
@@ -159,7 +171,7 @@
       source,
       inForce: inForce || 'none',
       before: this.#logged || 'none',
-      revision: this.evacuations.report(clock.now())?.revision ?? 0,
+      revision: this.evacuations.report?.revision ?? 0,
     };
     this.#logged = inForce;
     metrics.evacuatedDataCentres.set(dataCentres.length);
--- a/src/gateway/tests/evacuations.test.ts
+++ b/src/gateway/tests/evacuations.test.ts
@@ -4,6 +4,8 @@
 
 interface Step {
   readonly at: number;
+  /** Default 1. */
+  readonly era?: number;
   readonly revision: number;
   /** Takes a listing of the store, or the report of another daemon, or sees one evacuation begin or end. */
   readonly does: 'lists' | 'hears' | 'begins' | 'ends';
@@ -78,8 +80,8 @@
       'one that a store that came back from a copy lacks until the operator has written it again',
     steps: [
       { at: 0, does: 'lists', revision: 9, dataCentres: ['a', 'b'] },
-      { at: 10, does: 'lists', revision: 4, dataCentres: ['c'] },
-      { at: 900, does: 'begins', revision: 5, dataCentres: ['a'] },
+      { at: 10, does: 'lists', era: 2, revision: 4, dataCentres: ['c'] },
+      { at: 900, does: 'begins', era: 2, revision: 5, dataCentres: ['a'] },
     ],
     inForce: [
       [10, ['a', 'b', 'c']],
@@ -87,36 +89,70 @@
       [5_011, ['a', 'c']],
     ],
   },
+  {
+    title: 'one that a store lacks whose revisions have passed the former ones',
+    steps: [
+      { at: 0, does: 'lists', revision: 9, dataCentres: ['a'] },
+      { at: 10, does: 'lists', era: 2, revision: 40, dataCentres: [] },
+    ],
+    inForce: [[5_009, ['a']]],
+  },
   {
     title: 'one that is taken back after the store came back from a copy',
     steps: [
       { at: 0, does: 'lists', revision: 9, dataCentres: ['a'] },
-      { at: 10, does: 'lists', revision: 4, dataCentres: [] },
-      { at: 20, does: 'ends', revision: 5, dataCentres: ['a'] },
+      { at: 10, does: 'lists', era: 2, revision: 4, dataCentres: [] },
+      { at: 20, does: 'begins', era: 2, revision: 5, dataCentres: ['a'] },
+      { at: 30, does: 'ends', era: 2, revision: 6, dataCentres: ['a'] },
+    ],
+    inForce: [
+      [20, ['a']],
+      [30, []],
     ],
-    inForce: [[20, []]],
   },
   {
-    title: 'a second listing from a copy does not prolong it',
+    title: 'further listings after the store came back neither shorten nor prolong it',
     steps: [
       { at: 0, does: 'lists', revision: 9, dataCentres: ['a'] },
-      { at: 10, does: 'lists', revision: 4, dataCentres: [] },
-      { at: 3_000, does: 'lists', revision: 3, dataCentres: [] },
+      { at: 10, does: 'hears', era: 2, revision: 4, dataCentres: [] },
+      { at: 20, does: 'lists', era: 2, revision: 4, dataCentres: [] },
+      { at: 3_000, does: 'lists', era: 3, revision: 3, dataCentres: [] },
     ],
     inForce: [
       [5_009, ['a']],
       [5_011, []],
     ],
   },
+  {
+    title: 'a report of a former era is ignored, whatever its revision',
+    steps: [
+      { at: 0, does: 'lists', era: 2, revision: 4, dataCentres: ['a'] },
+      { at: 10, does: 'hears', era: 1, revision: 900, dataCentres: ['b'] },
+    ],
+    inForce: [[10, ['a']]],
+  },
+  {
+    title: 'a listing that the report of another daemon has overtaken',
+    steps: [
+      { at: 0, does: 'hears', revision: 6, dataCentres: ['a'] },
+      { at: 10, does: 'lists', revision: 5, dataCentres: [] },
+      { at: 20, does: 'begins', revision: 6, dataCentres: ['a'] },
+    ],
+    inForce: [
+      [10, ['a']],
+      [9_000, ['a']],
+    ],
+  },
 ];
 
-function apply(evacuations: Evacuations, { at, does, revision, dataCentres }: Step): void {
-  if (does === 'lists') evacuations.applyListing({ revision, dataCentres }, at);
-  else if (does === 'hears') evacuations.applyReport({ revision, dataCentres });
+function apply(evacuations: Evacuations, { at, does, era = 1, revision, dataCentres }: Step): void {
+  const report = { era, revision, dataCentres };
+  if (does === 'lists') evacuations.applyListing(report, at);
+  else if (does === 'hears') evacuations.applyReport(report, at);
   else {
     const isEvacuated = does === 'begins';
     const changes = dataCentres.map((dataCentre) => ({ dataCentre, isEvacuated }));
-    evacuations.applyChanges(changes, revision);
+    evacuations.applyChanges(changes, report);
   }
 }
 
@@ -135,8 +171,16 @@
 test('evacuations count as unknown until the store or another daemon has reported them', (t) => {
   const evacuations = new Evacuations();
   t.false(evacuations.isKnown);
-  t.is(evacuations.report(0), undefined);
-  t.true(evacuations.applyReport({ revision: 3, dataCentres: ['a'] }));
+  t.is(evacuations.report, undefined);
+  evacuations.applyReport({ era: 1, revision: 3, dataCentres: ['a'] }, 0);
   t.true(evacuations.isKnown);
-  t.deepEqual(evacuations.report(0), { revision: 3, dataCentres: ['a'] });
+  t.deepEqual(evacuations.report, { era: 1, revision: 3, dataCentres: ['a'] });
+});
+
+test('other daemons are not told of evacuations that the store lacks', (t) => {
+  const evacuations = new Evacuations();
+  evacuations.applyListing({ era: 1, revision: 9, dataCentres: ['a', 'b'] }, 0);
+  evacuations.applyListing({ era: 2, revision: 4, dataCentres: ['b'] }, 10);
+  t.deepEqual(evacuations.dataCentres(20), ['a', 'b']);
+  t.deepEqual(evacuations.report, { era: 2, revision: 4, dataCentres: ['b'] });
 });
--- a/src/route/messages.ts
+++ b/src/route/messages.ts
@@ -52,7 +52,8 @@
     /** Missing if the sender does not know the evacuations. */
     report: z
       .object({
-        /** Revision of the store at which they were in force. */
+        /** Era of the store, and its revision there, at which they were in force. */
+        era: z.number().nonnegative(),
         revision: z.number().nonnegative(),
         dataCentres: z.array(z.string()).readonly(),
       })
