--- a/src/gateway/callrun.ts
+++ b/src/gateway/callrun.ts
@@ -9,6 +9,7 @@
 import { recordAttempt } from './attemptrecord.js';
 import { placeCall } from './callplacement.js';
 import { timeLimitMs } from './configuration.js';
+import { allowedRegions } from './homes.js';
 import { placementRequestOf } from './placementrequest.js';
 import { PromptGuard } from './promptguard.js';
 import { RouteTable } from './routetable.js';
@@ -74,6 +75,9 @@
 
   readonly #service: string | undefined;
 
+  /** Regions that may serve the request; undefined for any. */
+  readonly #allowed: readonly string[] | undefined;
+
   readonly #placement: PlacementRequest;
 
   readonly #guard: PromptGuard;
@@ -118,6 +122,7 @@
   ) {
     this.#startedAt = arrival.at;
     this.#service = RouteTable.service(policy.route, ctx.random());
+    this.#allowed = allowedRegions(policy.route, policy.workspace);
     this.#placement = placementRequestOf(call);
     this.#guard = new PromptGuard(ctx.crashWatch, call);
   }
@@ -176,8 +181,8 @@
     if (this.#isStopped) return this.#refusedEvent(failure('not-ready', route.name));
     const service = this.#service ?? '';
     // Waiting for units would be in vain.
-    if (registry.serving(service, clock.now()).length === 0)
-      return this.#refusedEvent(failure('upstream-unavailable', service));
+    if (registry.serving(service, clock.now(), this.#allowed).length === 0)
+      return this.#refusedEvent(this.#noUpstream());
     const { promptTokens, outputTokens } = this.call.head.usage ?? {
       promptTokens: 0,
       outputTokens: 0,
@@ -212,12 +217,13 @@
     const service = this.#service ?? '';
     const { services } = this.policy.table.configuration;
     const memoryTokens = services.find(({ name }) => name === service)?.model?.memoryTokens;
-    const query = { service, request: this.#placement, excluded, memoryTokens };
+    const request = this.#placement;
+    const query = { service, request, excluded, memoryTokens, allowed: this.#allowed };
     const found = placeCall(this.ctx, query);
     const apply = (placed: PlacedCall | undefined): ServeEvent =>
       placed && (!isRepeat || this.#useRetry())
         ? this.#applyPlacement(placed, excluded, isRepeat)
-        : this.#refusedEvent(failure('upstream-unavailable', service));
+        : this.#refusedEvent(this.#noUpstream());
     if (!(found instanceof Promise)) return apply(found);
     return found.then((placed) => this.#endBeforeSend() ?? apply(placed));
   }
@@ -260,7 +266,8 @@
   #mayMove(silent: KnownUpstream, silenceMs: number): boolean {
     const { upstreamPool, retries } = this.ctx;
     const excluded = [...(this.#placed?.excluded ?? []), silent.record.id];
-    if (!upstreamPool.hasResponsive(this.#service ?? '', excluded, silenceMs)) return false;
+    const query = { service: this.#service ?? '', allowed: this.#allowed, excluded };
+    if (!upstreamPool.hasResponsive(query, silenceMs)) return false;
     this.#hasRetry = retries.takeRetry();
     return this.#hasRetry;
   }
@@ -373,11 +380,17 @@
     this.ctx.metrics.units.inc({ workspace: workspace.name }, charged);
   }
 
+  #noUpstream(): Failure {
+    const service = this.#service ?? '';
+    const regions = this.#allowed && ` in the allowed regions (${this.#allowed.join(', ')})`;
+    return failure('upstream-unavailable', `${service}${regions ?? ''}`);
+  }
+
   /** Upstreams in use, if there was none for the request. */
   #supplyOf(outcome: ServeOutcome): UpstreamSupply | undefined {
     if (!('refusal' in outcome) || outcome.refusal.code !== 'upstream-unavailable')
       return undefined;
-    return this.ctx.registry.supply(this.#service ?? '', this.ctx.clock.now());
+    return this.ctx.registry.supply(this.#service ?? '', this.ctx.clock.now(), this.#allowed);
   }
 
   /** The refusal of a request, with the delay after which an upstream may be available. */
--- a/src/gateway/configuration.ts
+++ b/src/gateway/configuration.ts
@@ -34,6 +34,8 @@
   readonly maxAttempts: number;
   /** Whether requests need no API key. */
   readonly isPublic: boolean;
+  /** Regions that may serve its requests; empty for any. */
+  readonly homes: readonly string[];
 }
 
 /** Properties of the model runtime that the upstreams of a service run. */
@@ -59,6 +61,8 @@
   readonly priority: number | undefined;
   /** Prepaid units (tokens); undefined for a workspace without a limit. */
   readonly paidUnits: number | undefined;
+  /** Regions that may serve its requests; empty for any. */
+  readonly homes: readonly string[];
 }
 
 /** Limits on callers' requests. */
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -163,6 +163,7 @@
     const evacuation =
       typeof evacuateMs === 'number' ? { withinMs: evacuateMs, metrics } : undefined;
     this.routingState = new RoutingState(adapter, this.recorder, this.clock, watchMs, evacuation);
+    this.routingState.upstreams.regions = settings.regions ?? {};
     this.#crashWatch = new CrashWatch({
       store: adapter.store,
       recorder: this.recorder,
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -12,6 +12,8 @@
     /** Name of the instance. */
     instance: z.string().min(1),
     dataCentre: z.string().min(1),
+    /** Region of each data centre; requests of routes and workspaces with homes are served nowhere else. */
+    regions: z.record(z.string(), z.string()).nullish(),
     listen: z
       .strictObject({
         /** Address for callers, over HTTP. */
--- a/src/gateway/upstreampool.ts
+++ b/src/gateway/upstreampool.ts
@@ -35,6 +35,8 @@
    * Tokens that fit into the memory of one upstream of the service; undefined for a service without a model.
    */
   readonly memoryTokens: number | undefined;
+  /** Regions that may serve it; undefined for any. */
+  readonly allowed?: readonly string[] | undefined;
   /** Whether upstreams that name a limit may not receive it; default false. */
   readonly isUnlimitedOnly?: boolean;
 }
@@ -75,7 +77,7 @@
     const now = this.clock.now();
     this.#sweep(now);
     const upstreams = this.registry
-      .serving(query.service, now)
+      .serving(query.service, now, query.allowed)
       .filter(({ id }) => !query.excluded.includes(id))
       .filter((record) => !query.isUnlimitedOnly || !this.#isLimited(record))
       .map((record) => this.#of(record));
@@ -91,15 +93,17 @@
 
   /**
    * Checks whether an upstream of a service can be expected to answer.
-   * @param service - the service
-   * @param excluded - ids of upstreams that do not count
+   * @param query - the service, the regions of the upstreams, and ids of upstreams that do not count
    * @param silenceMs - time after which an upstream with unanswered requests counts as silent, in milliseconds
    * @returns whether one may receive requests without a permit, is not failing and is not silent
    */
-  hasResponsive(service: string, excluded: readonly string[], silenceMs: number): boolean {
+  hasResponsive(
+    { service, allowed, excluded }: Pick<PlacementQuery, 'service' | 'allowed' | 'excluded'>,
+    silenceMs: number,
+  ): boolean {
     const now = this.clock.now();
     return this.registry
-      .serving(service, now)
+      .serving(service, now, allowed)
       .filter((record) => !excluded.includes(record.id) && !this.#isLimited(record))
       .map((record) => this.#of(record).stats)
       .some((stats) => !stats.health.isFailing && stats.silentMs(now) < silenceMs);
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -1,7 +1,9 @@
 /** Registered upstreams, and the decision which of them may receive new requests. */
+import { isAllowedIn } from './homes.js';
 import { UpstreamLimits } from './upstreamlimits.js';
 import { UpstreamSignals } from './upstreamsignals.js';
 
+import type { Regions } from './homes.js';
 import type { UpstreamSupply } from './shortage.js';
 import type { UpstreamIncarnation } from './upstreamsignals.js';
 
@@ -58,6 +60,9 @@
   /** Checks whether a data centre is evacuated; by default none is. */
   isEvacuated: (dataCentre: string, now: number) => boolean = () => false;
 
+  /** Region of each data centre. */
+  regions: Regions = {};
+
   /** Time of the last sign of a store outage, in milliseconds. */
   #disturbedAt = Number.NEGATIVE_INFINITY;
 
@@ -122,11 +127,12 @@
    * Lists the upstreams of a service that may receive new requests.
    * @param service - the service
    * @param now - current time, in milliseconds
+   * @param allowed - regions of the upstreams; default any
    * @returns the upstreams that are listed or within their grace period, without leaving, evacuated and paused ones, and
    * those that name a limit and have no permits left
    */
-  serving(service: string, now: number): readonly UpstreamRecord[] {
-    return this.#registered(service, now).filter(
+  serving(service: string, now: number, allowed?: readonly string[]): readonly UpstreamRecord[] {
+    return this.#registered(service, now, allowed).filter(
       (record) =>
         !this.isEvacuated(record.dataCentre, now) &&
         !this.#isPaused(record, now) &&
@@ -138,10 +144,11 @@
    * Counts the upstreams of a service that are in use, including paused and limited ones.
    * @param service - the service
    * @param now - current time, in milliseconds
+   * @param allowed - regions of the upstreams; default any
    * @returns their numbers, and when the first may receive requests again
    */
-  supply(service: string, now: number): UpstreamSupply {
-    const listed = this.#registered(service, now);
+  supply(service: string, now: number, allowed?: readonly string[]): UpstreamSupply {
+    const listed = this.#registered(service, now, allowed);
     const registered = listed.filter(({ dataCentre }) => !this.isEvacuated(dataCentre, now));
     const paused = registered.filter((record) => this.#isPaused(record, now));
     const limited = registered.filter((record) => this.limits.limitOf(record) !== undefined);
@@ -224,11 +231,16 @@
   }
 
   /** Upstreams of a service that are listed or within their grace period, without leaving ones. */
-  #registered(service: string, now: number): readonly UpstreamRecord[] {
+  #registered(
+    service: string,
+    now: number,
+    allowed: readonly string[] | undefined,
+  ): readonly UpstreamRecord[] {
     return [...this.#entries.values()]
       .filter(({ missingUntil }) => missingUntil === undefined || missingUntil > now)
       .map(({ record }) => record)
-      .filter((record) => record.service === service && !this.isLeaving(record));
+      .filter((record) => record.service === service && !this.isLeaving(record))
+      .filter(({ dataCentre }) => isAllowedIn(dataCentre, allowed, this.regions));
   }
 
   #isPaused(record: UpstreamRecord, now: number): boolean {
