Cold upstreams get what they tolerate from all daemons together

An upstream that has just started tolerates few requests a second and looks idle to every daemon at once. While it is cold by its entry, after the end of an evacuation, or possibly after an attempt without an answer, each request needs a permit of its steward, the same one that shares a limit named in answers: one way for both.

Stricter than for a named limit, as each second counts and daemons that are cut off count too: a first daemon without contact has the share of one that is alone, a successor two fifths, permits expire after 150 ms.

--- a/src/gateway/attemptrecord.ts
+++ b/src/gateway/attemptrecord.ts
@@ -12,6 +12,9 @@
 /** Outcomes after which an upstream may be down. */
 const DOWN_KINDS: ReadonlySet<SendOutcome['kind']> = new Set(['unsent', 'lost', 'cut', 'timeout']);
 
+/** Ends that an upstream causes by ending itself; a time limit is none. */
+const UNANSWERED_KINDS: ReadonlySet<SendOutcome['kind']> = new Set(['unsent', 'lost', 'cut']);
+
 /** An attempt that has ended. */
 export interface EndedAttempt {
   /** Id of the request. */
@@ -43,6 +46,8 @@
   const isMisdirected = kind === 'not-run' && outcome.status === MISDIRECTED_STATUS;
   if (kind === 'left' || kind === 'stopped' || (kind === 'not-run' && !isMisdirected)) return;
   const isDown = isMisdirected || DOWN_KINDS.has(kind);
+  // It may have started again, and be cold, before its entry tells.
+  if (UNANSWERED_KINDS.has(kind)) registry.warmups.suspect(record, 'unanswered', now);
   const isEjected = isDown && stats.health.recordFailure(now);
   const why = 'why' in outcome ? outcome.why : (refusal ?? '');
   const ending = 'ending' in outcome ? outcome.ending : undefined;
--- a/src/gateway/callplacement.ts
+++ b/src/gateway/callplacement.ts
@@ -1,4 +1,5 @@
-/** Places a request on an upstream, with a permit if that upstream names a limit. */
+/** Places a request on an upstream, with a permit if that upstream names a limit or is cold. */
+import type { Clock } from '../kernel/index.js';
 import type { Placement } from '../route/index.js';
 import type { LimitPermits } from './limitpermits.js';
 import type { KnownUpstream, PlacementQuery, UpstreamPool } from './upstreampool.js';
@@ -12,6 +13,7 @@
   readonly upstreamPool: UpstreamPool;
   readonly registry: UpstreamRegistry;
   readonly limitPermits: LimitPermits;
+  readonly clock: Clock;
   /** Random numbers in [0, 1). */
   readonly random: () => number;
 }
@@ -20,7 +22,7 @@
 export interface PlacedCall {
   readonly placement: Placement;
   readonly upstream: KnownUpstream;
-  /** Time until which it may be sent if the upstream names a limit, in milliseconds; negative infinity for no permit. */
+  /** Time until which it may be sent if the upstream names a limit or is cold, in milliseconds; negative infinity for no permit. */
   readonly permittedUntil: number;
 }
 
@@ -40,7 +42,7 @@
   const found = ctx.upstreamPool.place({ ...query, isUnlimitedOnly }, ctx.random());
   if (!found) return undefined;
   const { record } = found.upstream;
-  if (ctx.registry.limits.limitOf(record) === undefined)
+  if (!ctx.registry.limits.allowanceOf(record, ctx.clock.now()))
     return { ...found, permittedUntil: Number.NEGATIVE_INFINITY };
   return ctx.limitPermits
     .acquire(record)
--- a/src/gateway/configuration.ts
+++ b/src/gateway/configuration.ts
@@ -44,11 +44,21 @@
   readonly tokensPerEvent: number;
 }
 
+/** What a cold upstream of a service tolerates. */
+export interface WarmupRate {
+  /** Requests per second from all daemons together. */
+  readonly perSecond: number;
+  /** Time for which an upstream is cold after its start, in milliseconds. */
+  readonly forMs: number;
+}
+
 /** A service, which is a group of upstreams. */
 export interface GatewayService {
   readonly name: string;
   /** Undefined for a service without a model. */
   readonly model: ModelRuntime | undefined;
+  /** Missing if cold upstreams get as many requests as others. */
+  readonly warmup?: WarmupRate;
 }
 
 /** A workspace with its API keys and prepaid units. */
--- a/src/gateway/peerreach.ts
+++ b/src/gateway/peerreach.ts
@@ -10,6 +10,9 @@
 /** Least interval between two probes of a daemon, in milliseconds. */
 const PROBE_INTERVAL_MS = 1_000;
 
+/** Age from which contact is renewed before a decision that depends on it, in milliseconds. */
+const RENEWAL_MS = 4_000;
+
 /** Number of daemons after this one that it probes to find out whether it is cut off. */
 const LATER_PROBES = 2;
 
@@ -81,13 +84,14 @@
    * @param ranking - names of all daemons, the preferred steward first
    * @param own - name of this daemon
    * @param now - current time, in milliseconds
+   * @param isCold - whether the upstream is cold: then the first daemon, too, counts as alone without contact
    * @returns its role
    */
-  roleOf(ranking: readonly string[], own: string, now: number): StewardRole {
+  roleOf(ranking: readonly string[], own: string, now: number, isCold = false): StewardRole {
     const before = ranking.slice(0, Math.max(0, ranking.indexOf(own)));
-    if (before.length === 0) return 'first';
     const isAsked = now - this.#askedAt < CONTACT_MS;
     const hasContact = isAsked || now - this.#reachedAt < CONTACT_MS;
+    if (before.length === 0) return isCold && ranking.length > 1 && !hasContact ? 'alone' : 'first';
     const areUnreachable = before.every(
       (name) => now - (this.#peers.get(name)?.failedSince ?? now) >= SUCCESSION_MS,
     );
@@ -97,6 +101,19 @@
     return isAsked ? 'later' : 'alone';
   }
 
+  /**
+   * Lists the daemons with which the first one should renew contact before it decides, and counts them as probed.
+   * @param ranking - names of all daemons, the preferred steward first
+   * @param own - name of this daemon
+   * @param now - current time, in milliseconds
+   * @returns the next daemons after this one; none unless it is the first and contact is old
+   */
+  takeRenewals(ranking: readonly string[], own: string, now: number): readonly string[] {
+    if (ranking[0] !== own || now - Math.max(this.#reachedAt, this.#askedAt) < RENEWAL_MS)
+      return [];
+    return this.#takeDue(ranking.slice(1, 1 + LATER_PROBES), now);
+  }
+
   /**
    * Lists the daemons that should be probed now, and counts them as probed.
    * @param ranking - names of all daemons, the preferred steward first
@@ -108,10 +125,14 @@
     const steward = ranking.indexOf(this.stewardOf(ranking, own));
     const isOwn = ranking[steward] === own;
     const end = steward === 0 ? 0 : steward + (isOwn ? 1 + LATER_PROBES : 0);
-    const due = ranking
-      .slice(0, end)
-      .filter((name) => name !== own)
-      .filter((name) => now - (this.#peers.get(name) ?? UNKNOWN).probedAt >= PROBE_INTERVAL_MS);
+    const probed = ranking.slice(0, end).filter((name) => name !== own);
+    return this.#takeDue(probed, now);
+  }
+
+  #takeDue(names: readonly string[], now: number): readonly string[] {
+    const due = names.filter(
+      (name) => now - (this.#peers.get(name) ?? UNKNOWN).probedAt >= PROBE_INTERVAL_MS,
+    );
     due.forEach((name) => {
       this.#peers.set(name, { ...(this.#peers.get(name) ?? UNKNOWN), probedAt: now });
     });
--- a/src/gateway/routingstate.ts
+++ b/src/gateway/routingstate.ts
@@ -28,6 +28,10 @@
 /** Period of the limit on these log lines, in milliseconds. */
 const UNREADABLE_PERIOD_MS = 10_000;
 
+/** Maximum number of log lines on upstreams that are cold in one period, and the period in milliseconds. */
+const COLD_LINES = 20;
+const COLD_PERIOD_MS = 10_000;
+
 function nameOf(key: string): string {
   return key.slice(key.indexOf('/') + 1);
 }
@@ -40,6 +44,8 @@
 
   readonly #unreadableLines = new LineLimit(UNREADABLE_LINES, UNREADABLE_PERIOD_MS);
 
+  readonly #coldLines = new LineLimit(COLD_LINES, COLD_PERIOD_MS);
+
   #table: RouteTable | undefined;
 
   #hasUpstreams = false;
@@ -64,6 +70,12 @@
     private readonly watchMs = DEFAULT_WATCH_WAIT_MS,
   ) {
     const { configurationKey, upstreamsPrefix } = adapter;
+    this.upstreams.warmups.onCold = ({ id, startedAt }, why, leftMs) => {
+      const suppressed = this.#coldLines.admit(clock.now());
+      if (suppressed === undefined) return;
+      const facts = { why, leftMs: Math.round(leftMs), startedAt, suppressed };
+      recorder.record('upstreamCold', { upstream: id, facts });
+    };
     const configurationPrefix = configurationKey.slice(0, configurationKey.indexOf('/') + 1);
     this.#followers = [
       this.#follow(configurationPrefix, {
@@ -172,6 +184,7 @@
     // A stale read must not restore an older version.
     if (next.version <= before) return true;
     this.#table = new RouteTable(next);
+    this.upstreams.warmups.configure(next.services, this.upstreams.all(), this.clock.now());
     const facts = { version: next.version, before, revision: version, routes: next.routes.length };
     this.recorder.record('configApplied', { facts });
     this.onConfigurationChange();
--- a/src/gateway/tests/limitpermits.test.ts
+++ b/src/gateway/tests/limitpermits.test.ts
@@ -77,7 +77,7 @@
       tokensPerMs: 60,
     };
     const upstreamPool = new UpstreamPool(registry, 'a', options, clock);
-    const ctx = { upstreamPool, registry, limitPermits: permits, random: () => 0 };
+    const ctx = { upstreamPool, registry, limitPermits: permits, clock, random: () => 0 };
     const query = {
       service: 's',
       request: { sharedParts: [], sharedTokens: 0, promptTokens: 0, memoryTokens: 0 },
@@ -174,3 +174,73 @@
   t.is(placed?.upstream.record.id, 'u6');
   t.is(placed?.permittedUntil, Number.NEGATIVE_INFINITY);
 });
+
+const COLD = { perSecond: 4, until: 60_000, knownUntil: 60_000 };
+
+test('the steward counts requests to a cold upstream that it does not know to be cold yet', async (t) => {
+  const fleet = createFleet();
+  const third = pick(fleet, THIRD);
+  third.registry.limits.setCold(RECORD, COLD, 1_000);
+  t.is((await third.place())?.permittedUntil, 1_150);
+  t.is(await third.place(), undefined);
+  const known = pick(fleet, FIRST).registry.limits.coldOf(RECORD, fleet.clock.now());
+  t.deepEqual(known, COLD);
+});
+
+test('a daemon learns from the steward until when an upstream is cold', async (t) => {
+  const fleet = createFleet();
+  const third = pick(fleet, THIRD);
+  pick(fleet, FIRST).registry.limits.setCold(RECORD, COLD, 1_000);
+  third.registry.limits.setCold(RECORD, { ...COLD, until: 1_500, knownUntil: 1_500 }, 1_000);
+  await third.place();
+  t.deepEqual(third.registry.limits.coldOf(RECORD, 2_000), COLD);
+});
+
+test('the first daemon does not take the whole rate of a cold upstream while it reaches no other one', async (t) => {
+  const fleet = createFleet();
+  fleet.clock.at += 60_000;
+  const first = pick(fleet, FIRST);
+  first.network.isIsolated = true;
+  first.registry.limits.setCold(
+    RECORD,
+    { ...COLD, perSecond: 10, until: 90_000 },
+    fleet.clock.now(),
+  );
+  let granted = 0;
+  for (let step = 0; step < 100; step += 1) {
+    // eslint-disable-next-line no-await-in-loop
+    if (await first.place()) granted += 1;
+    fleet.clock.at += 100;
+  }
+  // A fifth of the rate, split between this daemon and another one that may be isolated, for 10 s.
+  t.true(granted > 0 && granted <= 11, `${granted} permits`);
+});
+
+test('the first daemon, which has run for long, grants the whole rate of a cold upstream at once', async (t) => {
+  const fleet = createFleet();
+  fleet.clock.at += 10_000;
+  const first = pick(fleet, FIRST);
+  first.registry.limits.setCold(
+    RECORD,
+    { ...COLD, perSecond: 10, until: 13_000 },
+    fleet.clock.now(),
+  );
+  let granted = 0;
+  for (let step = 0; step < 100; step += 1) {
+    // eslint-disable-next-line no-await-in-loop
+    if (await first.place()) granted += 1;
+    fleet.clock.at += 10;
+  }
+  t.true(granted >= 8 && granted <= 12, `${granted} permits in one second`);
+});
+
+test('the suspicion of one daemon that an upstream is cold does not spread', async (t) => {
+  const fleet = createFleet();
+  const second = pick(fleet, SECOND);
+  const third = pick(fleet, THIRD);
+  third.registry.limits.setCold(RECORD, { ...COLD, knownUntil: 0 }, 1_000);
+  t.not(await third.place(), undefined);
+  t.is(await third.place(), undefined);
+  t.is(pick(fleet, FIRST).registry.limits.coldOf(RECORD, 1_000), undefined);
+  t.is((await second.place())?.permittedUntil, Number.NEGATIVE_INFINITY);
+});
--- a/src/gateway/upstreamlimits.ts
+++ b/src/gateway/upstreamlimits.ts
@@ -1,4 +1,4 @@
-/** Limits that upstreams name in their answers, and which upstreams have denied this daemon a permit. */
+/** Limits that upstreams name in their answers or have while they are cold, and which upstreams have denied this daemon a permit. */
 import { MINUTE_MS } from '../kernel/index.js';
 import { incarnationKey } from './upstreamsignals.js';
 
@@ -21,8 +21,28 @@
 /** How an observation changed what is known. */
 export type LimitChange = 'named' | 'changed' | 'ended';
 
+/** Time in which an upstream is cold. */
+export interface ColdSpell {
+  /** Requests per second that it tolerates. */
+  readonly perSecond: number;
+  /** End, in milliseconds. */
+  readonly until: number;
+  /** Until when other daemons should take it for cold too, in milliseconds; from then on it is a suspicion of this daemon. */
+  readonly knownUntil: number;
+}
+
+/** Requests that an upstream may get from all daemons together. */
+export interface UpstreamAllowance {
+  readonly perSecond: number;
+  /** Whether it is cold. */
+  readonly isCold: boolean;
+}
+
 interface LimitState {
-  readonly observation: LimitObservation;
+  /** Undefined if it has never named a limit. */
+  readonly observation: LimitObservation | undefined;
+  /** Last time in which it was cold; undefined if there was none. */
+  readonly cold: ColdSpell | undefined;
   /** Time until which no permit is asked for, in milliseconds. */
   readonly heldUntil: number;
   /** Number of permits that are being asked for. */
@@ -31,7 +51,15 @@
   readonly touchedAt: number;
 }
 
-/** Remembers the newest limit of each incarnation. */
+const UNKNOWN: LimitState = {
+  observation: undefined,
+  cold: undefined,
+  heldUntil: Number.NEGATIVE_INFINITY,
+  asking: 0,
+  touchedAt: 0,
+};
+
+/** Remembers the newest limit of each incarnation, and until when it is cold. */
 export class UpstreamLimits {
   readonly #states = new Map<string, LimitState>();
 
@@ -53,9 +81,9 @@
     if (known && observation.at <= known.at) return undefined;
     const isEnd = observation.limit === undefined;
     this.#states.set(incarnationKey(incarnation), {
+      ...(state ?? UNKNOWN),
       observation,
-      heldUntil: isEnd ? Number.NEGATIVE_INFINITY : (state?.heldUntil ?? Number.NEGATIVE_INFINITY),
-      asking: state?.asking ?? 0,
+      ...(isEnd && { heldUntil: Number.NEGATIVE_INFINITY }),
       touchedAt: now,
     });
     if (known?.limit === observation.limit) return undefined;
@@ -81,6 +109,44 @@
     return this.observationOf(incarnation)?.limit;
   }
 
+  /**
+   * Records until when an upstream is cold.
+   * @param incarnation - the upstream
+   * @param spell - its rate and the end
+   * @param now - current time, in milliseconds
+   * @returns whether it was not taken for cold before
+   */
+  setCold(incarnation: UpstreamIncarnation, spell: ColdSpell, now: number): boolean {
+    const isNew = spell.until > now && !this.coldOf(incarnation, now);
+    const state = this.#find(incarnation) ?? UNKNOWN;
+    this.#states.set(incarnationKey(incarnation), { ...state, cold: spell, touchedAt: now });
+    return isNew;
+  }
+
+  /**
+   * Returns until when an upstream is cold.
+   * @param incarnation - the upstream
+   * @param now - current time, in milliseconds
+   * @returns its rate and the end; undefined if it is not cold
+   */
+  coldOf(incarnation: UpstreamIncarnation, now: number): ColdSpell | undefined {
+    const cold = this.#find(incarnation)?.cold;
+    return cold && cold.until > now ? cold : undefined;
+  }
+
+  /**
+   * Returns what an upstream may get from all daemons together: its limit, or its rate while it is cold if that is lower.
+   * @param incarnation - the upstream
+   * @param now - current time, in milliseconds
+   * @returns the allowance; undefined if it needs no permits
+   */
+  allowanceOf(incarnation: UpstreamIncarnation, now: number): UpstreamAllowance | undefined {
+    const limit = this.limitOf(incarnation);
+    const cold = this.coldOf(incarnation, now);
+    if (!cold) return limit === undefined ? undefined : { perSecond: limit, isCold: false };
+    return { perSecond: Math.min(limit ?? cold.perSecond, cold.perSecond), isCold: true };
+  }
+
   /**
    * Returns when a permit for an upstream may be asked for.
    * @param incarnation - the upstream
@@ -89,7 +155,7 @@
    */
   heldMs(incarnation: UpstreamIncarnation, now: number): number {
     const state = this.#find(incarnation);
-    if (state?.observation.limit === undefined) return 0;
+    if (!state || !this.allowanceOf(incarnation, now)) return 0;
     return Math.max(0, state.heldUntil - now);
   }
 
@@ -101,9 +167,9 @@
    */
   isHeld(incarnation: UpstreamIncarnation, now: number): boolean {
     const state = this.#find(incarnation);
-    const limit = state?.observation.limit;
-    if (!state || limit === undefined) return false;
-    return state.heldUntil > now || state.asking >= Math.max(1, Math.ceil(limit));
+    const allowance = this.allowanceOf(incarnation, now);
+    if (!state || !allowance) return false;
+    return state.heldUntil > now || state.asking >= Math.max(1, Math.ceil(allowance.perSecond));
   }
 
   /**
--- a/src/gateway/upstreampool.ts
+++ b/src/gateway/upstreampool.ts
@@ -77,7 +77,7 @@
     const upstreams = this.registry
       .serving(query.service, now)
       .filter(({ id }) => !query.excluded.includes(id))
-      .filter((record) => !query.isUnlimitedOnly || !this.#isLimited(record))
+      .filter((record) => !query.isUnlimitedOnly || !this.#isLimited(record, now))
       .map((record) => this.#of(record));
     const candidates = upstreams.map((known) => this.#candidate(known, query, now));
     const hotParts = this.#hotParts.get(query.service) ?? new HotParts();
@@ -100,7 +100,7 @@
     const now = this.clock.now();
     return this.registry
       .serving(service, now)
-      .filter((record) => !excluded.includes(record.id) && !this.#isLimited(record))
+      .filter((record) => !excluded.includes(record.id) && !this.#isLimited(record, now))
       .map((record) => this.#of(record).stats)
       .some((stats) => !stats.health.isFailing && stats.silentMs(now) < silenceMs);
   }
@@ -121,8 +121,8 @@
     this.#known.forEach(({ connections }) => connections.close());
   }
 
-  #isLimited(record: UpstreamRecord): boolean {
-    return this.registry.limits.limitOf(record) !== undefined;
+  #isLimited(record: UpstreamRecord, now: number): boolean {
+    return this.registry.limits.allowanceOf(record, now) !== undefined;
   }
 
   #of(record: UpstreamRecord): KnownUpstream {
@@ -157,7 +157,8 @@
       silentMs: stats.silentMs(now),
       failedShare: stats.failedShare,
       isEjected: stats.health.isEjected(now),
-      warmupMs: record.warmupMs,
+      // Permits keep a cold upstream from more than it tolerates: within that it is of use.
+      warmupMs: this.registry.warmups.hasRate(record.service) ? 0 : record.warmupMs,
     };
   }
 
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -1,6 +1,7 @@
 /** Registered upstreams, and the decision which of them may receive new requests. */
 import { UpstreamLimits } from './upstreamlimits.js';
 import { UpstreamSignals } from './upstreamsignals.js';
+import { Warmups } from './warmups.js';
 
 import type { UpstreamSupply } from './shortage.js';
 import type { UpstreamIncarnation } from './upstreamsignals.js';
@@ -55,6 +56,9 @@
   /** Limits that the upstreams name, in force in the same way. */
   readonly limits = new UpstreamLimits();
 
+  /** Upstreams that are cold. */
+  readonly warmups = new Warmups(this.limits);
+
   /** Time of the last sign of a store outage, in milliseconds. */
   #disturbedAt = Number.NEGATIVE_INFINITY;
 
@@ -74,6 +78,7 @@
    */
   list(record: UpstreamRecord, now: number): void {
     this.#entries.set(record.id, { record, listedAt: now, missingUntil: undefined });
+    this.warmups.noteEntry(record, now);
   }
 
   /**
@@ -115,6 +120,17 @@
     return record.isLeaving || this.signals.isLeaving(record);
   }
 
+  /**
+   * Takes the upstreams of a data centre for cold, as they may be at the end of its evacuation.
+   * @param dataCentre - the data centre
+   * @param now - current time, in milliseconds
+   */
+  suspectCold(dataCentre: string, now: number): void {
+    this.all()
+      .filter((record) => record.dataCentre === dataCentre)
+      .forEach((record) => this.warmups.suspect(record, 'evacuated', now));
+  }
+
   /**
    * Lists the upstreams of a service that may receive new requests.
    * @param service - the service
@@ -137,7 +153,7 @@
   supply(service: string, now: number): UpstreamSupply {
     const registered = this.#registered(service, now);
     const paused = registered.filter((record) => this.#isPaused(record, now));
-    const limited = registered.filter((record) => this.limits.limitOf(record) !== undefined);
+    const limited = registered.filter((record) => this.limits.allowanceOf(record, now));
     const unavailable = new Set([...paused, ...limited]);
     const waits = [...unavailable].map((record) =>
       Math.max(this.signals.pausedUntil(record) - now, this.limits.heldMs(record, now)),
@@ -184,7 +200,7 @@
     if (record.service !== service || record.startedAt !== startedAt) return 'gone';
     if (this.isLeaving(record)) return 'leaving';
     if (this.#isPaused(record, now)) return 'paused';
-    const isLimited = this.limits.limitOf(record) !== undefined;
+    const isLimited = this.limits.allowanceOf(record, now) !== undefined;
     return isLimited && now > permittedUntil ? 'limited' : undefined;
   }
 
@@ -195,6 +211,7 @@
   forgetGone(now: number): void {
     this.signals.retain(this.all(), now);
     this.limits.retain(this.all(), now);
+    this.warmups.retain(this.all());
   }
 
   /**
--- a/src/route/limitsteward.ts
+++ b/src/route/limitsteward.ts
@@ -1,6 +1,6 @@
 /**
- * Grants permits for requests to upstreams that name a limit. Answers the load of many daemons that send to an upstream of
- * which each sees only its own requests: a single daemon, the steward, counts the requests of all.
+ * Grants permits for requests to upstreams that name a limit or are cold. Answers the load of many daemons that send to an
+ * upstream of which each sees only its own requests: a single daemon, the steward, counts the requests of all.
  */
 import { SECOND_MS } from '../kernel/index.js';
 
@@ -16,8 +16,12 @@
   readonly upstream: string;
   /** Name of the daemon that asks. */
   readonly asker: string;
-  /** Requests per second that the upstream names. */
+  /** Requests per second that the upstream names, or tolerates while it is cold. */
   readonly limit: number;
+  /** Whether the limit is that of a cold upstream, which counts each second and also the requests of daemons that are cut off. */
+  readonly isCold: boolean;
+  /** Whether this daemon has been the first for so long that no other one counts as the first any more. */
+  readonly isEstablished: boolean;
   readonly role: StewardRole;
   /** Number of daemons in the fleet. */
   readonly daemons: number;
@@ -43,6 +47,15 @@
 /** Share that daemons which reach no other one have together, beside a steward that they may not reach. */
 const ALONE_SHARE = 0.5;
 
+/** The same shares for a cold upstream: in any second, daemons on both sides of a cut together stay within its tolerance. */
+const COLD_SHARES: Readonly<Record<StewardRole, number>> = {
+  first: 0.95,
+  successor: 0.4,
+  second: 0.3,
+  later: 0.05,
+  alone: 0.2,
+};
+
 /** Time for which a new steward grants only the share of one that settles, in milliseconds. */
 const SETTLING_MS = 4_000;
 
@@ -59,6 +72,9 @@
 const MIN_WAIT_MS = 20;
 const MAX_WAIT_MS = 2_000;
 
+/** The same upper bound for a cold upstream, which is cold for a few seconds only. */
+const MAX_COLD_WAIT_MS = 250;
+
 /** Time by which each daemon that asks raises the upper bound, in milliseconds: it limits the requests for permits. */
 const MAX_WAIT_PER_ASKER_MS = 10;
 
@@ -77,15 +93,17 @@
   readonly askers: Map<string, number>;
 }
 
-function shareOf({ role, daemons }: PermitQuery, isSettled: boolean): number {
+function shareOf({ role, daemons, isCold }: PermitQuery, isSettled: boolean): number {
+  if (isCold && (role !== 'first' || isSettled))
+    return COLD_SHARES[role] / (role === 'alone' ? Math.max(1, daemons - 1) : 1);
   if (role === 'first') return isSettled ? FULL_SHARE : SETTLING_SHARE;
   if (role === 'successor') return FULL_SHARE;
   if (role === 'alone') return ALONE_SHARE / Math.max(1, daemons - 1);
   return role === 'second' ? SECOND_SHARE : LATER_SHARE;
 }
 
-function maxWaitMs(askers: number): number {
-  return Math.max(MAX_WAIT_MS, askers * MAX_WAIT_PER_ASKER_MS);
+function maxWaitMs(askers: number, isCold: boolean): number {
+  return Math.max(isCold ? MAX_COLD_WAIT_MS : MAX_WAIT_MS, askers * MAX_WAIT_PER_ASKER_MS);
 }
 
 /** Counts the permits that one daemon grants. */
@@ -103,13 +121,13 @@
    */
   decide(query: PermitQuery, now: number, draw: number): PermitDecision {
     this.#sweep(now);
-    const { upstream, asker, role } = query;
+    const { upstream, asker, role, isCold, isEstablished } = query;
     const found = this.#grants.get(upstream);
     const known = found && now - found.at < IDLE_MS ? found : undefined;
     const startedAt = known?.startedAt ?? now;
-    const share = shareOf(query, now - startedAt >= SETTLING_MS);
-    const rate = Math.max(MIN_LIMIT, query.limit) * share;
-    const first = role === 'alone' ? 0 : 1;
+    const isSettled = now - startedAt >= SETTLING_MS || (isCold && isEstablished);
+    const rate = Math.max(MIN_LIMIT, query.limit) * shareOf(query, isSettled);
+    const first = role === 'alone' || (isCold && role === 'later') ? 0 : 1;
     const gained = known ? known.tokens + (known.rate * (now - known.at)) / SECOND_MS : first;
     const tokens = Math.min(1 + rate * BURST_SECONDS, gained);
     const isPermitted = tokens >= 1;
@@ -123,24 +141,25 @@
       askers,
     });
     if (isPermitted) return { isPermitted, waitMs: 0 };
-    return { isPermitted, waitMs: LimitSteward.#waitMs(tokens, rate, askers, now, draw) };
+    const nextMs = ((1 - tokens) / rate) * SECOND_MS;
+    const spreadMs = draw * (SECOND_MS / (2 * rate));
+    return { isPermitted, waitMs: LimitSteward.#waitMs(nextMs, spreadMs, query, askers, now) };
   }
 
   /** Time until the next permit, spread over the daemons that have asked recently. */
   static #waitMs(
-    tokens: number,
-    rate: number,
+    nextMs: number,
+    spreadMs: number,
+    { isCold }: PermitQuery,
     askers: Map<string, number>,
     now: number,
-    draw: number,
   ): number {
-    const memoryMs = 2 * maxWaitMs(askers.size);
+    const memoryMs = 2 * maxWaitMs(askers.size, isCold);
     askers.forEach((askedAt, asker) => {
       if (now - askedAt > memoryMs) askers.delete(asker);
     });
-    const nextMs = ((1 - tokens) / rate) * SECOND_MS;
-    const spreadMs = (draw * (askers.size - 1) * SECOND_MS) / (2 * rate);
-    return Math.min(maxWaitMs(askers.size), Math.max(MIN_WAIT_MS, nextMs + spreadMs));
+    const waitMs = Math.max(MIN_WAIT_MS, nextMs + spreadMs * (askers.size - 1));
+    return Math.min(maxWaitMs(askers.size, isCold), waitMs);
   }
 
   #sweep(now: number): void {
--- a/src/route/messages.ts
+++ b/src/route/messages.ts
@@ -21,6 +21,18 @@
   })
   .readonly();
 
+/** Longest time for which another daemon's word that an upstream is cold is taken, in milliseconds. */
+const MAX_COLD_MS = 60_000;
+
+const coldSpellSchema = z
+  .object({
+    /** Requests per second that the upstream tolerates. */
+    perSecond: z.number().positive(),
+    /** Time for which it remains cold, in milliseconds; 0 if that is only suspected. */
+    leftMs: z.number().nonnegative().max(MAX_COLD_MS),
+  })
+  .readonly();
+
 /** Reports the limit of an upstream to the daemon that counts the requests to it, and may ask for a permit for one. */
 export const limitAskedSchema = z
   .object({
@@ -29,6 +41,8 @@
     upstream: z.object({ id: z.string(), startedAt: z.number(), address: z.string() }).readonly(),
     /** Newest observation of the sender; missing if there is none. */
     observed: observedLimitSchema.optional(),
+    /** Missing unless the sender takes the upstream for cold. */
+    cold: coldSpellSchema.optional(),
     wantsPermit: z.boolean(),
   })
   .readonly();
@@ -42,6 +56,8 @@
     waitMs: z.number().nonnegative(),
     /** Newest observation of the sender; missing if there is none. */
     observed: observedLimitSchema.optional(),
+    /** Missing unless the sender takes the upstream for cold. */
+    cold: coldSpellSchema.optional(),
   })
   .readonly();
 
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -174,12 +174,17 @@
   limitSteward: {
     number: 7010,
     level: 'info',
-    text: 'this daemon grants permits for an upstream that names a limit; its role has changed',
+    text: 'this daemon grants permits for an upstream that names a limit or is cold; its role has changed',
   },
   permitDenied: {
     number: 7011,
     level: 'info',
-    text: 'no permit for a request to an upstream that names a limit; requests are placed elsewhere meanwhile',
+    text: 'no permit for a request to an upstream that names a limit or is cold; requests are placed elsewhere meanwhile',
+  },
+  upstreamCold: {
+    number: 7012,
+    level: 'info',
+    text: 'an upstream is or may be cold; it receives requests by permit, at the rate that its service names',
   },
   upstreamCrashed: {
     number: 7101,
--- a/testbed/limitfleet.ts
+++ b/testbed/limitfleet.ts
@@ -10,6 +10,12 @@
 /** Longest time from a request for a permit until its request is sent, in milliseconds. */
 const PERMIT_VALID_MS = 300;
 
+/** The same while the upstream is cold. */
+const COLD_PERMIT_VALID_MS = 150;
+
+/** Time from which a daemon that has run for long counts as established, in milliseconds. */
+const ESTABLISHED_MS = 4_000;
+
 /** Delay of one message, in milliseconds. */
 const DELAY_MS = 2;
 
@@ -39,11 +45,15 @@
   readonly forMs: number;
   readonly events: readonly FleetEvent[];
   readonly seed: number;
+  /** Whether the upstream is cold, which also counts the requests of daemons that are cut off; default false. */
+  readonly isCold?: boolean;
+  /** Time of the first request, in milliseconds; default 0. */
+  readonly fromMs?: number;
 }
 
 /** What happened. */
 export interface LimitFleetResult {
-  /** When requests were sent to the upstream by daemons that have their links, in milliseconds. */
+  /** When requests were sent to the upstream, by daemons that have their links unless it is cold, in milliseconds. */
   readonly sent: readonly number[];
   /** Number of messages that asked for a permit. */
   readonly asks: number;
@@ -55,6 +65,7 @@
   reach: PeerReach;
   heldUntil: number;
   state: 'runs' | 'dead' | 'frozen' | 'cut';
+  startedAt: number;
   /** Time from which each other daemon knows of it, in milliseconds. */
   knownFrom: number;
 }
@@ -85,6 +96,7 @@
       reach: new PeerReach(),
       heldUntil: 0,
       state: 'runs',
+      startedAt: Number.NEGATIVE_INFINITY,
       knownFrom: 0,
     }));
     this.#byName = new Map(this.#daemons.map((daemon) => [daemon.name, daemon]));
@@ -102,7 +114,8 @@
     for (; fleet.#now < cfg.forMs; fleet.#now += 1) {
       (fleet.#due.get(fleet.#now) ?? []).forEach((run) => run());
       fleet.#due.delete(fleet.#now);
-      if (fleet.#random() < cfg.demand / SECOND_MS) fleet.#arrive();
+      const isBusy = fleet.#now >= (cfg.fromMs ?? 0);
+      if (isBusy && fleet.#random() < cfg.demand / SECOND_MS) fleet.#arrive();
     }
     return { sent: fleet.#sent.sort((a, b) => a - b), asks: fleet.#asks };
   }
@@ -128,7 +141,9 @@
     } as const;
     this.#at(at, () => {
       daemon.state = states[does];
+      if (does === 'joins') daemon.startedAt = this.#now;
       if (does !== 'restarts') return;
+      daemon.startedAt = this.#now;
       daemon.steward = new LimitSteward();
       daemon.reach = new PeerReach();
     });
@@ -158,7 +173,9 @@
     this.#probe(daemon);
     if (!steward) return;
     if (steward === daemon) {
-      this.#apply(daemon, this.#decide(daemon, daemon), askedAt);
+      const decide = (): void => this.#apply(daemon, this.#decide(daemon, daemon), askedAt);
+      if (!this.cfg.isCold || !this.#renew(daemon)) decide();
+      else this.#at(this.#now + 2 * DELAY_MS + 1, decide);
       return;
     }
     this.#asks += 1;
@@ -185,7 +202,19 @@
   }
 
   #probe(prober: Daemon): void {
-    prober.reach.takeProbes(this.#rankingOf(prober), prober.name, this.#now).forEach((name) => {
+    const names = prober.reach.takeProbes(this.#rankingOf(prober), prober.name, this.#now);
+    this.#reachOut(prober, names);
+  }
+
+  /** Renews the contact of the first daemon with others; returns whether there is something to wait for. */
+  #renew(daemon: Daemon): boolean {
+    const names = daemon.reach.takeRenewals(this.#rankingOf(daemon), daemon.name, this.#now);
+    this.#reachOut(daemon, names);
+    return names.length > 0;
+  }
+
+  #reachOut(prober: Daemon, names: readonly string[]): void {
+    names.forEach((name) => {
       const peer = this.#byName.get(name);
       const isLinked = peer !== undefined && LimitFleet.#isLinked(prober, peer);
       this.#at(this.#now + (isLinked ? 2 * DELAY_MS : ASK_TIMEOUT_MS), () => {
@@ -205,7 +234,9 @@
       upstream: UPSTREAM,
       asker: asker.name,
       limit: this.cfg.limit,
-      role: steward.reach.roleOf(ranking, steward.name, this.#now),
+      isCold: this.cfg.isCold ?? false,
+      isEstablished: this.#now - steward.startedAt >= ESTABLISHED_MS,
+      role: steward.reach.roleOf(ranking, steward.name, this.#now, this.cfg.isCold),
       daemons: ranking.length,
     };
     return steward.steward.decide(query, this.#now, this.#random());
@@ -217,8 +248,11 @@
     askedAt: number,
   ): void {
     const daemon = asker;
+    const { isCold } = this.cfg;
+    const isCounted = isCold || daemon.state !== 'cut';
     const sendAt = this.#now + this.#random() * 10;
     if (!isPermitted) daemon.heldUntil = this.#now + waitMs;
-    else if (sendAt <= askedAt + PERMIT_VALID_MS && daemon.state !== 'cut') this.#sent.push(sendAt);
+    else if (sendAt <= askedAt + (isCold ? COLD_PERMIT_VALID_MS : PERMIT_VALID_MS) && isCounted)
+      this.#sent.push(sendAt);
   }
 }
