--- a/src/gateway/upstreampool.ts
+++ b/src/gateway/upstreampool.ts
@@ -79,7 +79,7 @@
     const upstreams = this.registry
       .serving(query.service, now, query.allowed)
       .filter(({ id }) => !query.excluded.includes(id))
-      .filter((record) => !query.isUnlimitedOnly || !this.#isLimited(record))
+      .filter((record) => !query.isUnlimitedOnly || !this.#isLimited(record, now))
       .map((record) => this.#of(record));
     const candidates = upstreams.map((known) => this.#candidate(known, query, now));
     const hotParts = this.#hotParts.get(query.service) ?? new HotParts();
@@ -104,7 +104,7 @@
     const now = this.clock.now();
     return this.registry
       .serving(service, now, allowed)
-      .filter((record) => !excluded.includes(record.id) && !this.#isLimited(record))
+      .filter((record) => !excluded.includes(record.id) && !this.#isLimited(record, now))
       .map((record) => this.#of(record).stats)
       .some((stats) => !stats.health.isFailing && stats.silentMs(now) < silenceMs);
   }
@@ -125,8 +125,8 @@
     this.#known.forEach(({ connections }) => connections.close());
   }
 
-  #isLimited(record: UpstreamRecord): boolean {
-    return this.registry.limits.limitOf(record) !== undefined;
+  #isLimited(record: UpstreamRecord, now: number): boolean {
+    return this.registry.limits.allowanceOf(record, now) !== undefined;
   }
 
   #of(record: UpstreamRecord): KnownUpstream {
@@ -161,7 +161,8 @@
       silentMs: stats.silentMs(now),
       failedShare: stats.failedShare,
       isEjected: stats.health.isEjected(now),
-      warmupMs: record.warmupMs,
+      // Permits keep a cold upstream from more than it tolerates: within that it is of use.
+      warmupMs: this.registry.warmups.hasRate(record.service) ? 0 : record.warmupMs,
     };
   }
 
