--- a/testbed/watchedstore.ts
+++ b/testbed/watchedstore.ts
@@ -13,6 +13,11 @@
 
   #revision = 10;
 
+  /** Version of the last change. */
+  get #version(): number {
+    return this.era.versionOf(this.#revision);
+  }
+
   /** Whether listings and watches fail. */
   isDown = false;
 
@@ -27,8 +32,8 @@
    */
   put(key: string): void {
     this.#revision += 1;
-    this.#versions.set(key, this.#revision);
-    this.#history.push({ key, version: this.#revision, value: {} });
+    this.#versions.set(key, this.#version);
+    this.#history.push({ key, version: this.#version, value: {} });
   }
 
   /**
@@ -38,7 +43,7 @@
   drop(key: string): void {
     this.#revision += 1;
     this.#versions.delete(key);
-    this.#history.push({ key, version: this.#revision, value: null });
+    this.#history.push({ key, version: this.#version, value: null });
   }
 
   /** Drops the history, as a compaction does. */
@@ -49,7 +54,7 @@
   override async snapshot(prefix: string): Promise<Result<Snapshot, StoreError>> {
     if (this.isDown) return Err({ problem: 'lost', key: prefix, text: 'down' });
     const objects = [...this.#versions].map(([key, version]) => ({ key, version, value: {} }));
-    return Ok({ objects, position: this.#revision });
+    return Ok({ objects, position: this.#version });
   }
 
   override async watch(
@@ -60,8 +65,8 @@
     await super.watch(prefix, Number.MAX_SAFE_INTEGER, waitMs);
     if (this.isDown) return Err({ problem: 'lost', key: prefix, text: 'down' });
     const changes = this.#history.filter(({ version }) => version > position);
-    if (changes.length < this.#revision - position)
+    if (changes.length < this.#version - position)
       return Err({ problem: 'compacted', key: prefix, text: 'history dropped' });
-    return Ok({ changes, position: this.#revision });
+    return Ok({ changes, position: this.#version });
   }
 }
