--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -156,7 +156,7 @@
         ...this.bodyGate.facts,
         ...this.readAhead.facts,
       }),
-      (residentBytes) => this.bodyGate.sample(residentBytes),
+      this.bodyGate,
     );
     this.routingState = new RoutingState(adapter, this.recorder, this.clock, settings.watchMs);
     this.#crashWatch = new CrashWatch({
--- a/src/ingress/bodygate.ts
+++ b/src/ingress/bodygate.ts
@@ -1,6 +1,6 @@
 /** Keeps account of the bodies of callers' requests, and holds back those for which there is no room. */
 import { PolledTimer } from '../kernel/index.js';
-import { bodySize, bodyStep, unreadBytes } from './bodylimit.js';
+import { bodySize, bodyStep, freeBytes, unreadBytes } from './bodylimit.js';
 import { BodyRoom } from './bodyroom.js';
 
 import type { Clock } from '../kernel/index.js';
@@ -40,6 +40,8 @@
 
   #otherBytes = 0;
 
+  #fileBytes = 0;
+
   #timer: PolledTimer | undefined;
 
   /**
@@ -62,12 +64,19 @@
     };
   }
 
+  /** Memory that is left for bodies and what they entail, in bytes. */
+  get freeBytes(): number {
+    return freeBytes(this.#memory);
+  }
+
   /**
    * Takes a sample of the resident size of the process.
    * @param residentBytes - size in bytes
+   * @param fileBytes - part of it that is in files, in bytes
    */
-  sample(residentBytes: number): void {
+  sample(residentBytes: number, fileBytes: number): void {
     this.#otherBytes = Math.max(0, residentBytes - this.#receivedBytes);
+    this.#fileBytes = fileBytes;
   }
 
   /**
@@ -162,8 +171,12 @@
       held: this.#held,
       unreadBytes: this.#unreadBytes,
     };
-    const memory: MemoryState = { limitBytes: this.limitBytes, otherBytes: this.#otherBytes };
-    return bodyStep({ bytes, waitedMs: this.clock.now() - since, isFirst }, bodies, memory);
+    return bodyStep({ bytes, waitedMs: this.clock.now() - since, isFirst }, bodies, this.#memory);
+  }
+
+  get #memory(): MemoryState {
+    const { limitBytes } = this;
+    return { limitBytes, otherBytes: this.#otherBytes, fileBytes: this.#fileBytes };
   }
 
   /** Decides on all requests that wait, in the order of their arrival. */
--- a/src/ingress/bodylimit.ts
+++ b/src/ingress/bodylimit.ts
@@ -10,6 +10,18 @@
 /** Share of the memory limit that may be used; the rest covers what one sample of the resident size misses. */
 const USABLE_SHARE = 0.9;
 
+/**
+ * Share of the free memory that is used where pages of files do not count. Systems differ in whether they count them;
+ * where they do, this stays within what USABLE_SHARE leaves.
+ */
+const WITHOUT_FILES_SHARE = 0.5;
+
+/**
+ * Share of the memory limit that small bodies may take in any case: a process grows by connections and its heap too, and
+ * to refuse small bodies for that frees next to nothing.
+ */
+const SMALL_FLOOR_SHARE = 1 / 32;
+
 /**
  * Share of the free memory for bodies. The rest is for parts that were copied and are not collected yet, and for what waits
  * in the buffers of connections that are not accepted yet.
@@ -35,8 +47,10 @@
 export interface MemoryState {
   /** Memory that the process may use, in bytes. */
   readonly limitBytes: number;
-  /** Part of it that is used, without the bodies of requests, in bytes. */
+  /** Resident size without the bodies of requests, in bytes. */
   readonly otherBytes: number;
+  /** Part of it that the system can take back, as it is in files: mostly the program, in bytes. */
+  readonly fileBytes: number;
 }
 
 /** Bodies that are kept or wait to be read. */
@@ -78,9 +92,15 @@
   return Math.min(bytes, CONNECTION_BUFFER_BYTES);
 }
 
-/** Memory that is not used by anything but bodies, in bytes. */
-function freeBytes({ limitBytes, otherBytes }: MemoryState): number {
-  return Math.max(0, limitBytes * USABLE_SHARE - otherBytes);
+/**
+ * Returns the memory that is left for bodies and what they entail. Pages of files alone do not use it up: a process that
+ * weighs little more than its program runs in a limit that its resident size exceeds.
+ * @param memory - memory of the process
+ * @returns size in bytes
+ */
+export function freeBytes({ limitBytes, otherBytes, fileBytes }: MemoryState): number {
+  const withFiles = limitBytes * USABLE_SHARE - otherBytes;
+  return Math.max(0, withFiles, (withFiles + fileBytes) * WITHOUT_FILES_SHARE);
 }
 
 /**
@@ -97,11 +117,13 @@
   const share = size === 'large' ? LARGE_SHARE : 1 - LARGE_SHARE;
   const heldBytes = bodies.held[size];
   const allHeld = bodies.held.small + bodies.held.large;
+  const floor = size === 'small' ? memory.limitBytes * SMALL_FLOOR_SHARE : 0;
   // A body that is larger than the share of its size is read alone.
   const isAlone = heldBytes === 0 && allHeld + bytes <= free;
-  const hasRoom = heldBytes + bytes <= free * BODIES_SHARE * share || isAlone;
+  const hasRoom = heldBytes + bytes <= Math.max(free * BODIES_SHARE * share, floor) || isAlone;
   if (isFirst && hasRoom) return 'read';
   const canNeverFit = bytes > memory.limitBytes * USABLE_SHARE;
-  const isUnreadFull = bodies.unreadBytes + unreadBytes(bytes) > free * UNREAD_SHARE;
+  const maxUnread = Math.max(free * UNREAD_SHARE, floor);
+  const isUnreadFull = bodies.unreadBytes + unreadBytes(bytes) > maxUnread;
   return canNeverFit || isUnreadFull || waitedMs >= MAX_WAIT_MS ? 'refuse' : 'wait';
 }
--- a/testbed/procfs.ts
+++ b/testbed/procfs.ts
@@ -16,6 +16,8 @@
   readonly cpuSeconds: number;
   /** Resident memory, in bytes. */
   readonly rssBytes: number;
+  /** Part of it that is not in files, so that the system cannot take it back, in bytes. */
+  readonly anonymousBytes: number;
   /** Bytes read and written, files and sockets together. */
   readonly ioBytes: number;
 }
@@ -39,6 +41,7 @@
   return {
     cpuSeconds: ticks / TICKS_PER_SECOND,
     rssBytes: field(status ?? '', 'VmRSS') * BYTES_PER_KIB,
+    anonymousBytes: field(status ?? '', 'RssAnon') * BYTES_PER_KIB,
     ioBytes: field(io ?? '', 'rchar') + field(io ?? '', 'wchar'),
   };
 }
