--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -156,7 +156,7 @@
         ...this.bodyGate.facts,
         ...this.readAhead.facts,
       }),
-      (residentBytes) => this.bodyGate.sample(residentBytes),
+      this.bodyGate,
     );
     const { metrics } = this;
     const { watchMs, evacuateMs } = settings;
