What the store lost of the fleet itself is written again: entries, key, number of shards

Callers' side: after a return from a copy that is older than the fleet's start a daemon that starts finds no secret of the links, stores a new one and reaches no peer: it borrows nothing, and its holders lend nothing to it. Entries were written once, at the start.

Each daemon compares its entry, the secret and the number of shards with the store after a rise of the era and writes what is missing. Of two secrets the one of the older era applies (it ends with its era); a refused link makes a daemon compare again, at most once a second. Of two numbers of shards the one that was in use before the rise applies; the daemon that stored one compares before its first draw.

--- a/src/gateway/membership.ts
+++ b/src/gateway/membership.ts
@@ -1,12 +1,12 @@
 /** Registers this daemon in the store, finds the others there and keeps links to them. */
-import { randomBytes } from 'node:crypto';
-import { setTimeout as sleep } from 'node:timers/promises';
+
+import { isDeepStrictEqual } from 'node:util';
 
 import { instanceOf } from '../kernel/index.js';
 import { WsPeerNetwork } from '../link/index.js';
-import { Follower } from '../store/index.js';
+import { AfterEachRise, Follower } from '../store/index.js';
 import { LineLimit } from '../telemetry/index.js';
-import { readOrCreate } from './sharedvalue.js';
+import { FleetKey } from './fleetkey.js';
 import { DAEMONS_PREFIX, FollowedInstances } from './followedinstances.js';
 
 import type { Clock, Incarnation } from '../kernel/index.js';
@@ -15,12 +15,6 @@
 import type { Recorder } from '../telemetry/index.js';
 import type { RegisteredDaemon } from './followedinstances.js';
 
-/** Key of the object that stores the shared secret of the peer links. */
-const FLEET_KEY = 'fleet/key';
-
-/** Length of the shared secret, in random bytes. */
-const KEY_BYTES = 24;
-
 /**
  * Longest time for which the store holds one watch of the daemon list, in milliseconds. It is long, as no
  * decision depends on an up-to-date list.
@@ -33,9 +27,6 @@
  */
 const WATCH_PAUSE_MS = 2_000;
 
-/** Delay before a failed registration is retried, in milliseconds. */
-const REGISTER_RETRY_MS = 500;
-
 /** Maximum number of log lines on unreadable entries of daemons in one period. */
 const UNREADABLE_LINES = 10;
 
@@ -61,7 +52,7 @@
 
   readonly #unreadableLines = new LineLimit(UNREADABLE_LINES, UNREADABLE_PERIOD_MS);
 
-  #isStopped = false;
+  readonly #registering: AfterEachRise;
 
   #resolveListed: () => void = () => undefined;
 
@@ -74,7 +65,9 @@
     private readonly cfg: MembershipConfig,
     private readonly links: WsPeerNetwork,
     private readonly instances: FollowedInstances,
+    private readonly fleetKey: FleetKey,
   ) {
+    this.#registering = new AfterEachRise(cfg.store.era, () => this.#register());
     this.#follower = new Follower(
       cfg.store,
       DAEMONS_PREFIX,
@@ -108,22 +101,20 @@
    */
   static async join(cfg: MembershipConfig): Promise<Membership> {
     const instances = new FollowedInstances();
-    const fleetKey = await readOrCreate(
-      cfg.store,
-      FLEET_KEY,
-      (value) => typeof value === 'string',
-      () => randomBytes(KEY_BYTES).toString('hex'),
-    );
-    const { self, host, port, recorder } = cfg;
+    const { self, host, port, store, recorder, clock } = cfg;
+    const fleetKey = await FleetKey.join(store, recorder, clock);
     const links = new WsPeerNetwork({
       self,
-      fleetKey,
+      get fleetKey() {
+        return fleetKey.current;
+      },
+      onRefused: () => fleetKey.check(),
       host,
       port,
       directory: instances,
       recorder,
     });
-    return new Membership(cfg, links, instances);
+    return new Membership(cfg, links, instances, fleetKey);
   }
 
   /** Links to the other daemons. */
@@ -145,12 +136,13 @@
   start(): void {
     this.links.start();
     void this.#follower.run();
-    void this.#register();
+    void this.#registering.run();
   }
 
   /** Stops following the list and closes the links; the entry of this daemon stays in the store. */
   async stop(): Promise<void> {
-    this.#isStopped = true;
+    this.#registering.stop();
+    this.fleetKey.stop();
     this.#follower.stop();
     await this.links.stop();
   }
@@ -173,18 +165,19 @@
     this.cfg.recorder.record('daemonsListed', { facts });
   }
 
-  async #register(): Promise<void> {
-    const { self, store, dataCentre, host, port, cores } = this.cfg;
+  /** Writes the entry of this daemon unless it is stored; returns whether it is then. */
+  async #register(): Promise<boolean> {
+    const { self, store, dataCentre, host, port, cores, recorder } = this.cfg;
     const key = `${DAEMONS_PREFIX}${instanceOf(self)}`;
     const value = { dataCentre, peerAddress: `${host}:${port}`, cores };
-    while (!this.#isStopped) {
-      // eslint-disable-next-line no-await-in-loop
-      const found = await store.read(key);
-      // eslint-disable-next-line no-await-in-loop
-      const written = found.ok ? await store.write(key, value, found.val.version) : found;
-      if (written.ok) return;
-      // eslint-disable-next-line no-await-in-loop
-      await sleep(REGISTER_RETRY_MS);
+    const found = await store.read(key);
+    if (found.err) return false;
+    if (isDeepStrictEqual(found.val.value, value)) return true;
+    const written = await store.write(key, value, found.val.version);
+    const before = found.val.version === 0 ? 'missing' : 'another one';
+    if (written.ok && store.era.rises > 0) {
+      recorder.record('storeWrittenAgain', { facts: { key, before } });
     }
+    return written.ok;
   }
 }
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -8,7 +8,6 @@
 import { SteadyClock } from '../kernel/index.js';
 import { RetryBudget } from '../route/index.js';
 import { Allowances } from './allowances.js';
-import { readOrCreate } from './sharedvalue.js';
 import { Announcements } from './announcements.js';
 import { TIMEOUT_SLACK_MS } from './callrun.js';
 import { CrashWatch } from './crashwatch.js';
@@ -18,6 +17,7 @@
 import { LimitPermits } from './limitpermits.js';
 import { LoopDelay } from './loopdelay.js';
 import { Membership } from './membership.js';
+import { joinShardCount } from './shardcount.js';
 import { MemoryWatch, memoryLimitBytes } from './memorywatch.js';
 import { GatewayMetrics } from './metrics.js';
 import { heldRequests, REFUSED_SHARE } from './requestlimit.js';
@@ -40,11 +40,9 @@
 import type { RequestStage } from './openrequests.js';
 import type { RegisteredDaemon } from './followedinstances.js';
 import type { GatewaySettings } from './settings.js';
+import type { SharedValue } from './sharedvalue.js';
 import type { StopLoad, StopWindow } from './stopping.js';
 
-/** Key of the object that stores the number of allowance shards. */
-const SHARD_COUNT_KEY = 'fleet/allowance-shards';
-
 /**
  * Time constant of the moving average of prepaid units used, in milliseconds: longer than the interval at
  * which daemons report their use to the store.
@@ -116,6 +114,8 @@
 
   #membership: Membership | undefined;
 
+  #shards: SharedValue<number> | undefined;
+
   #callContext: CallContext | undefined;
 
   #allowances: Allowances | undefined;
@@ -196,13 +196,19 @@
     });
     membership.start();
     this.#membership = membership;
-    const allowances = this.#createAllowances(membership, await this.#readShardCount());
+    const { store } = this.adapter;
+    const shards = await joinShardCount(store, this.settings.allowances.shards, this.recorder);
+    this.#shards = shards;
+    const allowances = this.#createAllowances(membership, shards);
     this.#allowances = allowances;
     allowances.whenFenced(() => this.onFenced());
     this.routingState.onConfigurationChange = () => allowances.refresh();
     // The number of units that a daemon keeps depends on the other daemons. These may be starting as well, so
     // the first draw waits until they have had time to register.
-    void membership.listed.then(() => delay(FLEET_DISCOVERY_MS)).then(() => allowances.start());
+    void membership.listed
+      .then(() => delay(FLEET_DISCOVERY_MS))
+      .then(() => (shards.isCreated ? shards.compare() : undefined))
+      .then(() => allowances.start());
     const { retries } = this.settings;
     this.#callContext = {
       codec: this.adapter.headers,
@@ -359,6 +365,7 @@
   async finishStop(): Promise<void> {
     this.routingState.stop();
     this.#crashWatch.stop();
+    this.#shards?.stop();
     await this.#allowances?.stop();
     await this.#membership?.stop();
     this.upstreamPool.close();
@@ -368,20 +375,6 @@
     this.recorder.flush();
   }
 
-  /**
-   * Reads the number of shard objects that the fleet started with; if none is stored, stores the number in
-   * the settings of this daemon. With another number this daemon would look
-   * for the rows of a workspace in another shard, and the units spent there would count as unspent.
-   */
-  async #readShardCount(): Promise<number> {
-    const { shards: wanted } = this.settings.allowances;
-    const isCount = (value: unknown): value is number =>
-      Number.isInteger(value) && Number(value) > 0;
-    const shards = await readOrCreate(this.adapter.store, SHARD_COUNT_KEY, isCount, () => wanted);
-    if (shards !== wanted) this.recorder.record('shardsKept', { facts: { shards, wanted } });
-    return shards;
-  }
-
   #createLimitPermits(membership: Membership): LimitPermits {
     const { clock, recorder, metrics } = this;
     return new LimitPermits({
@@ -396,7 +389,7 @@
     });
   }
 
-  #createAllowances(membership: Membership, shards: number): Allowances {
+  #createAllowances(membership: Membership, shards: SharedValue<number>): Allowances {
     const { aloneSeconds, exposure, idlePart, holdersUpTo } = this.settings.allowances;
     const { clock, recorder } = this;
     const { network } = membership;
@@ -425,7 +418,9 @@
         smoothingMs: DEMAND_SMOOTHING_MS,
       }),
       holders: workspaceHolders,
-      shards,
+      get shards() {
+        return shards.current;
+      },
       paidOf: (workspace) => this.routingState.table?.workspaceNamed(workspace)?.paidUnits,
       workspaces: () =>
         this.routingState.table?.configuration.workspaces?.map(({ name }) => name) ?? [],
--- a/src/link/acceptedlink.ts
+++ b/src/link/acceptedlink.ts
@@ -29,6 +29,8 @@
     body: PeerMessage,
     from: Incarnation,
   ) => Promise<PeerMessage | undefined>;
+  /** Called if a connecting daemon did not prove that it knows the key. */
+  readonly onRefused?: () => void;
 }
 
 /** Owns one accepted socket. Requests are served only after the handshake. */
@@ -88,6 +90,7 @@
     if (!isProofValid || !(await this.cfg.isListed(instanceOf(from)))) {
       this.cfg.recorder.record('linkRefused', { peer: from });
       this.socket.terminate();
+      if (!isProofValid) this.cfg.onRefused?.();
       return;
     }
     this.#from = from;
--- a/src/link/peerlink.ts
+++ b/src/link/peerlink.ts
@@ -59,6 +59,8 @@
   readonly onOpen: (incarnation: Incarnation) => void;
   /** Called once, when the socket has closed. */
   readonly onClose: () => void;
+  /** Called if the peer did not prove that it knows the key, or closed the socket instead of accepting the proof. */
+  readonly onRefused?: () => void;
 }
 
 type SettleRequest = (result: Result<PeerMessage, Failure>) => void;
@@ -81,6 +83,9 @@
 
   #open = false;
 
+  /** Whether the own proof was sent, and the peer has not accepted it yet. */
+  #isProving = false;
+
   #settleHandshake: (open: boolean) => void = () => undefined;
 
   /**
@@ -172,6 +177,7 @@
     const { self, fleetKey } = this.cfg;
     const proof = computeProof(fleetKey, nonce, self);
     this.#send({ kind: 'hello', from: self, nonce: this.#nonce, proof });
+    this.#isProving = true;
   }
 
   #handleWelcome(from: Incarnation, proof: string): void {
@@ -180,6 +186,7 @@
       this.#socket.terminate();
       return;
     }
+    this.#isProving = false;
     this.#open = true;
     this.#settleHandshake(true);
     this.cfg.onOpen(from);
@@ -197,5 +204,6 @@
     this.#settleHandshake(false);
     [...this.#pending.keys()].forEach((id) => this.#settle(id, this.#unreachable()));
     this.cfg.onClose();
+    if (this.#isProving) this.cfg.onRefused?.();
   }
 }
--- a/src/link/wspeernetwork.ts
+++ b/src/link/wspeernetwork.ts
@@ -20,7 +20,10 @@
 /** Configuration of the network of one daemon. */
 export interface NetworkConfig {
   readonly self: Incarnation;
+  /** Secret key that all daemons share; read for each link, as it may be replaced. */
   readonly fleetKey: string;
+  /** Called when a link could not be opened or accepted, possibly because the keys of both sides differ. */
+  readonly onRefused?: () => void;
   readonly host: string;
   readonly port: number;
   readonly directory: InstanceDirectory;
@@ -55,16 +58,20 @@
 
   /** Opens the listener. */
   start(): void {
-    const { self, fleetKey, host, port, directory, recorder } = this.cfg;
+    const { cfg } = this;
+    const { self, host, port, directory, recorder } = cfg;
     this.#listener = new PeerListener({
       self,
-      fleetKey,
+      get fleetKey() {
+        return cfg.fleetKey;
+      },
       host,
       port,
       clock: recorder.clock,
       recorder,
       isListed: (instance) => directory.isMember(instance),
       handleRequest: (body, from) => this.#handleRequest(body, from),
+      onRefused: () => cfg.onRefused?.(),
     });
   }
 
@@ -144,6 +151,7 @@
       recorder,
       onOpen: (incarnation) => this.#handleOpen(connection, incarnation),
       onClose: () => this.#handleClose(connection, peer.name),
+      onRefused: () => this.cfg.onRefused?.(),
     });
   }
 
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -3,6 +3,7 @@
 export * from './httpobjectstore.js';
 export * from './instancelist.js';
 export * from './objectstore.js';
+export * from './aftereachrise.js';
 export * from './answerlimits.js';
 export * from './era.js';
 export * from './follower.js';
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -139,6 +139,21 @@
     level: 'error',
     text: 'objects from the store could not be applied; report this line',
   },
+  storeEraRose: {
+    number: 6005,
+    level: 'warn',
+    text: 'the store came back from an older copy: its last writes are lost, and are written again',
+  },
+  storeWrittenAgain: {
+    number: 6006,
+    level: 'info',
+    text: 'an object that the store had lost or replaced was written again',
+  },
+  sharedValueAdopted: {
+    number: 6007,
+    level: 'warn',
+    text: 'a value that the fleet shares was replaced by that of the others',
+  },
   upstreamEjected: { number: 7001, level: 'warn', text: 'failing upstream ejected for a while' },
   upstreamsChanged: {
     number: 7003,
