--- a/src/allowance/holding.ts
+++ b/src/allowance/holding.ts
@@ -220,6 +220,32 @@
   return idle > 0 ? { ...holding, escrow: returnUnits(escrow, idle) } : holding;
 }
 
+/**
+ * Returns a view that shows no free units, so that a line written with it draws none.
+ * @param view - the workspace as the store shows it
+ * @param holding - the daemon's holding
+ * @returns the view
+ */
+export function withoutFreeUnits(view: AllowanceView, { escrow }: AllowanceHolding): AllowanceView {
+  return { ...view, free: Math.min(view.free, rowGrant(escrow)) };
+}
+
+/**
+ * Gives up available units that other daemons may have drawn meanwhile: what the rows grant beyond the paid units.
+ * @param holding - the daemon's holding
+ * @param view - the workspace as the store shows it
+ * @returns the holding without them, as far as they are neither spent, lent nor reserved
+ */
+export function returnExcess(holding: AllowanceHolding, view: AllowanceView): AllowanceHolding {
+  const { escrow } = holding;
+  const excess = Math.min(
+    rowGrant(escrow) - Math.max(0, view.free),
+    rowGrant(escrow) - netSpent(escrow),
+    available(escrow),
+  );
+  return excess > 0 ? { ...holding, escrow: returnUnits(escrow, excess) } : holding;
+}
+
 /**
  * Applies a line that was written to the store.
  * @param holding - the holding, which may have changed since the line was computed
--- a/src/allowance/shard.ts
+++ b/src/allowance/shard.ts
@@ -9,6 +9,7 @@
 import * as z from 'zod';
 
 import { hash32, instanceOf } from '../kernel/index.js';
+import { heldBackUnits, recoverySchema } from './recovery.js';
 
 /** Schema of one daemon's units of one workspace. */
 export const lineSchema = z
@@ -37,21 +38,24 @@
 /** Units that one daemon may spend, by workspace. */
 export type AllowanceRow = z.infer<typeof rowSchema>;
 
-const shardSchema = z
+/** Schema of a shard object. */
+export const allowanceShardSchema = z
   .object({
     rows: z.array(rowSchema).readonly(),
     /** Units that count as spent under closed rows, by workspace. */
     retired: z
       .array(z.object({ workspace: z.string(), units: z.number().int().nonnegative() }).readonly())
       .readonly(),
+    /** What is certain in this era of the store; missing for a store without eras. */
+    recovery: recoverySchema.optional(),
   })
   .readonly();
 
 /** A shard object: the allowances of several workspaces. */
-export type AllowanceShard = z.infer<typeof shardSchema>;
+export type AllowanceShard = z.infer<typeof allowanceShardSchema>;
 
 /** A shard that does not exist in the store yet. */
-const EMPTY_SHARD: AllowanceShard = { rows: [], retired: [] };
+export const EMPTY_SHARD: AllowanceShard = { rows: [], retired: [] };
 
 /**
  * Parses a stored shard.
@@ -60,7 +64,7 @@
  * @throws ZodError if the value is not a shard
  */
 export function parseAllowances(value: unknown): AllowanceShard {
-  return value === null || value === undefined ? EMPTY_SHARD : shardSchema.parse(value);
+  return value === null || value === undefined ? EMPTY_SHARD : allowanceShardSchema.parse(value);
 }
 
 /**
@@ -136,10 +140,11 @@
   });
   const sum = (of: (line: AllowanceLine) => number): number =>
     lines.reduce((total, { line }) => total + of(line), 0);
+  const certain = paid - heldBackUnits(shard.recovery, paid);
   return {
     workspace,
-    free: paid - retired - sum(({ granted }) => granted),
-    unspent: paid - retired - sum(({ spent }) => spent),
+    free: certain - retired - sum(({ granted }) => granted),
+    unspent: certain - retired - sum(({ spent }) => spent),
     retired,
     othersRate: sum(({ rate }) => rate),
     others: lines.map(({ holder: other, line }) => ({
@@ -174,7 +179,7 @@
  * @param counted - units of a line that count as spent
  * @returns the shard without the rows
  */
-function closeRows(
+export function closeRows(
   shard: AllowanceShard,
   isClosed: (row: AllowanceRow) => boolean,
   counted: (line: AllowanceLine) => number,
@@ -188,6 +193,7 @@
       retired.set(line.workspace, (retired.get(line.workspace) ?? 0) + counted(line));
     });
   return {
+    ...shard,
     rows: shard.rows.filter((row) => !isClosed(row)),
     retired: [...retired].map(([workspace, units]) => ({ workspace, units })),
   };
--- a/src/gateway/allowancerows.ts
+++ b/src/gateway/allowancerows.ts
@@ -4,21 +4,29 @@
  */
 import {
   allowanceShardOf,
-  closeEarlierIncarnations,
-  closeRow,
+  applyWrittenLine,
   buildRowLine,
-  hasRow,
+  closePredecessors,
+  closeRow,
+  confirmHolder,
   hasGrantedUnits,
+  hasRow,
+  isClosedHolder,
+  isResolved,
   parseAllowances,
-  applyWrittenLine,
-  rowGrant,
+  returnExcess,
   returnIdleUnits,
+  rowGrant,
   viewAllowance,
   withLines,
+  withoutFreeUnits,
 } from '../allowance/index.js';
 import { available } from '../budget/index.js';
+import { AllowanceCopies } from './allowancecopies.js';
+import { AllowanceEras } from './allowanceeras.js';
 
 import type { AllowanceDraw, AllowanceShard, AllowanceView } from '../allowance/index.js';
+import type { Incarnation } from '../kernel/index.js';
 import type { StoredObject, StoreError } from '../store/index.js';
 import type { AllowanceContext } from './allowancecontext.js';
 import type { Holdings } from './holdings.js';
@@ -29,15 +37,22 @@
 /** Time after which an invalid shard object is read again, in milliseconds: bounds calls and log lines. */
 const INVALID_RETRY_MS = 1_000;
 
+/** Time after which a shard with unheard daemons is read again, in milliseconds. */
+const UNRESOLVED_RETRY_MS = 250;
+
+/** Age of the oldest copy that a store with eras comes back from, in milliseconds. */
+const COPY_AGE_MS = 10_000;
+
 /** New content of a shard object, computed but not yet written. */
 interface PlannedWrite {
   readonly shard: AllowanceShard;
   readonly draws: readonly { readonly draw: AllowanceDraw; readonly view: AllowanceView }[];
+  /** Earlier incarnations of this instance whose rows it closes. */
+  readonly closed: readonly Incarnation[];
 }
 
-function shardKey(shard: number): string {
-  return `allowances/shard-${shard}`;
-}
+/** Result of one attempt to write a shard object; "conflict" may be tried again. */
+type WriteOutcome = 'written' | 'conflict' | 'failed';
 
 /**
  * Reads and writes the rows of this daemon in the shard objects, and caches each object as last read
@@ -49,8 +64,14 @@
   /** Shards in which this daemon has written a row. */
   readonly #joinedShards = new Set<number>();
 
-  /** Time until which an invalid shard object is not read again, in milliseconds. */
-  readonly #invalidUntil = new Map<number, number>();
+  /** Time until which a shard object that cannot be used yet is not read again, in milliseconds. */
+  readonly #pausedUntil = new Map<number, number>();
+
+  readonly #eras: AllowanceEras;
+
+  #era: number | undefined;
+
+  readonly #copies: AllowanceCopies;
 
   readonly #runningDraws = new Map<number, Promise<boolean>>();
 
@@ -65,7 +86,12 @@
   constructor(
     private readonly ctx: AllowanceContext,
     private readonly holdings: Holdings,
-  ) {}
+  ) {
+    this.#eras = new AllowanceEras(ctx, holdings, (workspace) => this.shardOf(workspace));
+    this.#copies = new AllowanceCopies(ctx, COPY_AGE_MS);
+    this.#era = this.#eras.current;
+    ctx.store.era.onRise(() => this.#rise());
+  }
 
   /**
    * Returns the shard of a workspace.
@@ -83,10 +109,12 @@
    * @returns whether the draw was written to the store
    */
   draw(shard: number): Promise<boolean> {
+    // A store may begin to state its era.
+    if (this.#era !== this.#eras.current) this.#rise();
     const running = this.#runningDraws.get(shard);
     if (running) return running;
-    const isInvalid = this.ctx.clock.now() < (this.#invalidUntil.get(shard) ?? 0);
-    if (this.holdings.isClosed || isInvalid) return Promise.resolve(false);
+    const isPaused = this.ctx.clock.now() < (this.#pausedUntil.get(shard) ?? 0);
+    if (this.holdings.isClosed || isPaused) return Promise.resolve(false);
     const drawing = this.#update(shard, (stored) => this.#planDraw(shard, stored)).finally(() => {
       this.#runningDraws.delete(shard);
     });
@@ -108,23 +136,89 @@
 
   async #end(shard: number, handOver: (shard: number) => Promise<void>): Promise<void> {
     this.#objects.delete(shard);
-    const object = await this.#read(shardKey(shard));
+    const object = await this.#read(this.#eras.keyOf(shard));
     if (object) this.#objects.set(shard, object);
-    else await handOver(shard);
-    await this.#closeShardRow(shard);
+    const isForgotten = this.#eras.current !== undefined && object?.version === 0;
+    if (!object || isForgotten) await handOver(shard);
+    if (!isForgotten) await this.#closeShardRow(shard);
+  }
+
+  /**
+   * Returns whether the store shows nothing certain of a shard in its current era.
+   * @param shard - number of the shard
+   * @returns whether the row must be written again, or daemons are unheard
+   */
+  isUnsettled(shard: number): boolean {
+    const isForgotten = this.#eras.hasJoined(shard) && !this.#joinedShards.has(shard);
+    return isForgotten || this.#eras.isWaiting(shard);
+  }
+
+  /** Numbers of all shards. */
+  get shards(): readonly number[] {
+    return Array.from({ length: this.ctx.shards }, (_, shard) => shard);
+  }
+
+  /** Forgets what the store showed in its former era; the rows of this daemon have to be written again. */
+  #rise(): void {
+    this.#era = this.#eras.current;
+    this.#objects.clear();
+    this.#joinedShards.clear();
+    this.#pausedUntil.clear();
+    this.#eras.rise();
   }
 
   #planDraw(shard: number, stored: AllowanceShard): PlannedWrite | undefined {
-    const { self, clock } = this.ctx;
+    const { self } = this.ctx;
     const hasJoined = this.#joinedShards.has(shard);
-    if (hasJoined && !hasRow(stored, self)) {
+    if ((hasJoined && !hasRow(stored, self)) || isClosedHolder(stored, self)) {
       this.#fence(shard);
       return undefined;
     }
-    const now = clock.now();
+    if (hasJoined) return this.#planLines(shard, stored);
+    if (this.#eras.hasJoined(shard)) return this.#planReturn(shard, stored);
+    // Without a row of its own this daemon waits until units may be drawn.
+    if (!isResolved(stored)) return { shard: stored, draws: [], closed: [] };
     // During a stop, the other incarnation may be the successor.
-    const keepsRows = hasJoined || this.ctx.isStopping();
-    const currentShard = keepsRows ? stored : closeEarlierIncarnations(stored, self);
+    if (this.ctx.isStopping()) return this.#planLines(shard, stored);
+    const current = closePredecessors(stored, self, this.#eras.uncopiedShare);
+    const closed = stored.rows
+      .map(({ holder }) => holder)
+      .filter((holder) => !hasRow(current, holder));
+    return this.#planLines(shard, current, closed);
+  }
+
+  /** Writes the row of this daemon again in a new era of the store. */
+  #planReturn(shard: number, stored: AllowanceShard): PlannedWrite | undefined {
+    const { self } = this.ctx;
+    const isLate = isResolved(stored);
+    const confirmed = confirmHolder(stored, this.#eras.hearing(shard));
+    if (isClosedHolder(confirmed, self)) {
+      this.#fence(shard);
+      return undefined;
+    }
+    // The others may have drawn units while this daemon was given up.
+    if (isLate) this.#returnExcess(shard, confirmed);
+    return this.#planLines(shard, confirmHolder(confirmed, this.#eras.hearing(shard)));
+  }
+
+  #returnExcess(shard: number, stored: AllowanceShard): void {
+    this.holdings.workspaces
+      .filter((workspace) => this.shardOf(workspace) === shard)
+      .forEach((workspace) => {
+        const paid = this.ctx.paidOf(workspace);
+        if (paid === undefined) return;
+        const view = viewAllowance(stored, this.ctx.self, workspace, paid);
+        this.holdings.set(workspace, returnExcess(this.holdings.of(workspace), view));
+      });
+  }
+
+  #planLines(
+    shard: number,
+    currentShard: AllowanceShard,
+    closed: readonly Incarnation[] = [],
+  ): PlannedWrite {
+    const { self, clock } = this.ctx;
+    const now = clock.now();
     const draws = this.ctx
       .workspaces()
       .filter((workspace) => this.shardOf(workspace) === shard && this.#needsLine(workspace))
@@ -132,14 +226,16 @@
         const paid = this.ctx.paidOf(workspace);
         if (paid === undefined) return [];
         const policy = this.ctx.policy(workspace);
-        const view = viewAllowance(currentShard, self, workspace, paid);
-        const holding = returnIdleUnits({ ...this.holdings.of(workspace), view }, policy, now);
+        const seen = viewAllowance(currentShard, self, workspace, paid);
+        const opened = { ...this.holdings.of(workspace), view: seen };
+        const holding = returnIdleUnits(opened, policy, now);
         this.holdings.set(workspace, holding);
+        const view = isResolved(currentShard) ? seen : withoutFreeUnits(seen, holding);
         const lacking = this.holdings.missing(workspace) - available(holding.escrow);
         return [{ draw: buildRowLine(holding, view, lacking, policy, now), view }];
       });
     const lines = draws.map(({ draw }) => draw.line);
-    return { shard: withLines(currentShard, self, lines), draws };
+    return { shard: withLines(currentShard, self, lines), draws, closed };
   }
 
   /**
@@ -163,26 +259,68 @@
     shard: number,
     plan: (stored: AllowanceShard) => PlannedWrite | undefined,
   ): Promise<boolean> {
-    const key = shardKey(shard);
     for (let write = 0; write < MAX_WRITE_ATTEMPTS; write += 1) {
       // eslint-disable-next-line no-await-in-loop
-      const object = this.#objects.get(shard) ?? (await this.#read(key));
-      if (!object) return false;
-      const stored = this.#parse(shard, object);
-      const planned = stored && plan(stored);
-      if (!planned) return false;
-      // eslint-disable-next-line no-await-in-loop
-      const written = await this.ctx.store.write(key, planned.shard, object.version);
-      if (written.ok) {
-        this.#objects.set(shard, { key, version: written.val, value: planned.shard });
-        this.#applyDraws(shard, planned);
-        return true;
-      }
-      if (!this.#mayRetryWrite(shard, written.val)) return false;
+      const outcome = await this.#tryUpdate(shard, plan);
+      if (outcome !== 'conflict') return outcome === 'written';
     }
     return false;
   }
 
+  async #tryUpdate(
+    shard: number,
+    plan: (stored: AllowanceShard) => PlannedWrite | undefined,
+  ): Promise<WriteOutcome> {
+    const era = this.#eras.current;
+    const key = this.#eras.keyOf(shard);
+    const object = this.#objects.get(shard) ?? (await this.#read(key));
+    const parsed = object && this.#parse(shard, object);
+    if (!object || !parsed) return 'failed';
+    if (era !== this.#eras.current) return this.#pause(shard);
+    this.#eras.note(shard, parsed);
+    const stored =
+      era === undefined ? parsed : await this.#eras.prepare(shard, object.version, parsed);
+    if (!stored || era !== this.#eras.current) return this.#pause(shard);
+    const planned = plan(stored);
+    if (!planned) return 'failed';
+    const next = era === undefined ? planned.shard : this.#eras.number(planned.shard, parsed);
+    const written = await this.ctx.store.write(key, next, object.version);
+    // An answer from the former era says nothing about the current one.
+    if (era !== this.#eras.current) return 'failed';
+    if (written.err) return this.#mayRetryWrite(shard, written.val) ? 'conflict' : 'failed';
+    this.#objects.set(shard, { key, version: written.val, value: next });
+    if (era === undefined) this.#applyDraws(shard, planned, true);
+    else await this.#applyInEra(shard, era, { ...planned, shard: next });
+    return 'written';
+  }
+
+  /** Applies a written shard of a store with eras once peers keep a copy of it. */
+  async #applyInEra(shard: number, era: number, planned: PlannedWrite): Promise<void> {
+    this.#eras.note(shard, planned.shard);
+    if (!isResolved(planned.shard)) {
+      this.#objects.delete(shard);
+      this.#pause(shard);
+    }
+    const isGain = planned.draws.some(
+      ({ draw }) => draw.grant > rowGrant(this.holdings.of(draw.line.workspace).escrow),
+    );
+    const isEnd = isResolved(planned.shard) && !hasRow(planned.shard, this.ctx.self);
+    const needsCopy = isGain || isEnd;
+    const isCopied = !needsCopy || (await this.#copies.copy(shard, planned.shard));
+    if (era !== this.#eras.current) return;
+    const isReturn = !this.#joinedShards.has(shard) && this.#eras.hasJoined(shard);
+    if (hasRow(planned.shard, this.ctx.self)) this.#eras.joined(shard, planned.closed);
+    this.#applyDraws(shard, planned, isCopied);
+    if (!isReturn) return;
+    const facts = { shard, era, lines: planned.draws.length };
+    this.ctx.recorder.record('allowanceRestored', { facts });
+  }
+
+  #pause(shard: number): 'failed' {
+    this.#pausedUntil.set(shard, this.ctx.clock.now() + UNRESOLVED_RETRY_MS);
+    return 'failed';
+  }
+
   /**
    * Returns whether a failed write may be retried: only after a conflict. Caches the current object if
    * the conflict returned it; otherwise the next attempt reads the object again.
@@ -207,7 +345,7 @@
       return parseAllowances(value);
     } catch (err) {
       this.#objects.delete(shard);
-      this.#invalidUntil.set(shard, this.ctx.clock.now() + INVALID_RETRY_MS);
+      this.#pausedUntil.set(shard, this.ctx.clock.now() + INVALID_RETRY_MS);
       const detail = `not an allowance shard, so its units cannot be drawn; restore the object: ${String(err)}`;
       this.ctx.recorder.record('allowanceDelayed', { detail, facts: { key, problem: 'invalid' } });
       return undefined;
@@ -225,12 +363,23 @@
     this.ctx.recorder.record('allowanceDelayed', { detail: text, facts: { key, problem } });
   }
 
-  #applyDraws(shard: number, { draws }: PlannedWrite): void {
-    this.#joinedShards.add(shard);
-    draws.forEach(({ draw, view }) => {
-      const { workspace, granted, spent } = draw.line;
+  /** Units of a draw that may be used: without a copy at a peer, only few of them. */
+  #usable({ line, grant }: AllowanceDraw, isCopied: boolean): AllowanceDraw {
+    const held = rowGrant(this.holdings.of(line.workspace).escrow);
+    if (isCopied || grant <= held) return { line, grant };
+    const limit = (this.ctx.paidOf(line.workspace) ?? 0) * this.#eras.uncopiedShare;
+    const taken = this.#copies.takeUncopied(line.workspace, grant - held, limit);
+    return { line, grant: held + taken };
+  }
+
+  #applyDraws(shard: number, planned: PlannedWrite, isCopied: boolean): void {
+    if (hasRow(planned.shard, this.ctx.self)) this.#joinedShards.add(shard);
+    planned.draws.forEach(({ draw, view }) => {
+      const { workspace, spent } = draw.line;
       const before = this.holdings.of(workspace);
-      const holding = applyWrittenLine(before, draw, view, this.ctx.clock.now());
+      const usable = this.#usable(draw, isCopied);
+      const granted = usable.grant;
+      const holding = applyWrittenLine(before, usable, view, this.ctx.clock.now());
       this.holdings.set(workspace, holding);
       const gained = granted - rowGrant(before.escrow);
       if (gained <= 0) return;
@@ -263,11 +412,14 @@
     this.onFenced();
   }
 
-  #closeShardRow(shard: number): Promise<boolean> {
+  async #closeShardRow(shard: number): Promise<boolean> {
+    const { self } = this.ctx;
     const spent = this.holdings.spentAtClose();
-    return this.#update(shard, (stored) => ({
-      shard: closeRow(stored, this.ctx.self, spent),
-      draws: [],
-    }));
+    return this.#update(shard, (stored) => {
+      const current = this.#eras.hasJoined(shard)
+        ? confirmHolder(stored, this.#eras.hearing(shard))
+        : stored;
+      return { shard: closeRow(current, self, spent), draws: [], closed: [] };
+    });
   }
 }
--- a/src/gateway/allowances.ts
+++ b/src/gateway/allowances.ts
@@ -119,7 +119,8 @@
         needsDraw(this.#holdings.of(workspace), this.ctx.policy(workspace), now),
       )
       .map((workspace) => this.#rows.shardOf(workspace));
-    new Set(due).forEach((shard) => {
+    const unsettled = this.#rows.shards.filter((shard) => this.#rows.isUnsettled(shard));
+    new Set([...due, ...unsettled]).forEach((shard) => {
       void this.#rows.draw(shard);
     });
   }
--- a/src/gateway/tests/overspend.test.ts
+++ b/src/gateway/tests/overspend.test.ts
@@ -20,6 +20,11 @@
 /** Values of "allUpTo" for a data centre of four daemons: with 4 all of them are holders, with 1 only one is. */
 const ALL_HOLDERS_LIMITS = [4, 1] as const;
 
+const FLEETS = ALL_HOLDERS_LIMITS.flatMap((holders) => [
+  { holders, hasEras: false, store: 'a store without eras' },
+  { holders, hasEras: true, store: 'a store with eras' },
+]);
+
 interface Open {
   readonly units: number;
 }
@@ -57,11 +62,13 @@
   constructor(
     private readonly draw: RandomBelow,
     private readonly holders: number,
+    hasEras: boolean,
   ) {
     const fates: readonly CallOutcome[] = ['lost-before', 'lost-after', 'late', 'refused'];
     const links: readonly DeliveryOutcome[] = ['lost-before', 'lost-after'];
-    this.store = new FaultyStore(() =>
-      draw(100) < this.storeFaults ? (fates[draw(fates.length)] ?? 'answered') : 'answered',
+    this.store = new FaultyStore(
+      () => (draw(100) < this.storeFaults ? (fates[draw(fates.length)] ?? 'answered') : 'answered'),
+      hasEras,
     );
     this.#hub = new MemoryHub(() =>
       draw(100) < this.linkFaults ? (links[draw(links.length)] ?? 'answered') : 'answered',
@@ -168,11 +175,11 @@
   }
 }
 
-ALL_HOLDERS_LIMITS.forEach((holders) => {
-  test(`all of up to ${holders} are holders: no order of lost, late and refused calls, crashes and loans spends more than was paid`, async (t) => {
+FLEETS.forEach(({ holders, hasEras, store }) => {
+  test(`all of up to ${holders} are holders, ${store}: no order of lost, late and refused calls, crashes and loans spends more than was paid`, async (t) => {
     for (let index = 0; index < SIMULATIONS; index += 1) {
       const seed = DEFAULT_SEED + index;
-      const fleet = new SimulatedFleet(randomBelowOf(seed), holders);
+      const fleet = new SimulatedFleet(randomBelowOf(seed), holders, hasEras);
       for (let step = 0; step < STEPS; step += 1) {
         // Steps run one after the other.
         // eslint-disable-next-line no-await-in-loop
@@ -186,8 +193,8 @@
     t.pass();
   });
 
-  test(`all of up to ${holders} are holders: without crashes, requests are refused only once 97% of the paid units are spent`, async (t) => {
-    const fleet = new SimulatedFleet(randomBelowOf(DEFAULT_SEED), holders);
+  test(`all of up to ${holders} are holders, ${store}: without crashes, requests are refused only once 97% of the paid units are spent`, async (t) => {
+    const fleet = new SimulatedFleet(randomBelowOf(DEFAULT_SEED), holders, hasEras);
     let refusals = 0;
     for (let round = 0; refusals < INSTANCES.length && round < fleet.paid; round += 1) {
       const instance = INSTANCES[round % INSTANCES.length] ?? 'a';
--- a/src/link/messages.ts
+++ b/src/link/messages.ts
@@ -1,6 +1,7 @@
 /** All messages between daemons: the union of the messages that each module defines. */
 import * as z from 'zod';
 
+import { allowanceMessages } from '../allowance/messages.js';
 import { budgetMessages } from '../budget/messages.js';
 import { configMessages } from '../config/messages.js';
 import { fleetMessages } from '../fleet/messages.js';
@@ -12,6 +13,7 @@
 /** Schema of the body of a peer message. */
 export const peerMessageSchema = z.discriminatedUnion('type', [
   ...fleetMessages,
+  ...allowanceMessages,
   ...budgetMessages,
   ...configMessages,
   ...planMessages,
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -253,6 +253,21 @@
     level: 'warn',
     text: 'configured number of shard objects ignored; the stored one applies',
   },
+  allowanceEraOpened: {
+    number: 8110,
+    level: 'info',
+    text: 'the rows of a shard are made for an era of the store from what the daemons know',
+  },
+  allowanceRestored: {
+    number: 8111,
+    level: 'info',
+    text: 'the row of this daemon was written again in a new era of the store',
+  },
+  allowanceUncertain: {
+    number: 8112,
+    level: 'warn',
+    text: 'instances were not heard in a new era of the store; a part of the paid units is held back for each',
+  },
   signalIgnored: {
     number: 1009,
     level: 'info',
--- a/testbed/allowancefleet.ts
+++ b/testbed/allowancefleet.ts
@@ -38,13 +38,15 @@
   readonly paid: number;
   /** Up to this number of daemons in a data centre, all of them hold units; default 3. */
   readonly allUpTo?: number;
+  /** Whether the store states its era; default false. */
+  readonly hasEras?: boolean;
   /** Time for which a daemon waits for the reply of a peer, in milliseconds; default that of a daemon. */
   readonly peerWaitMs?: number;
 }
 
 /** Fleet on an in-memory store and network; the test sets the faults of both. */
 export class AllowanceFleet {
-  readonly store = new FaultyStore(() => this.storeOutcome);
+  readonly store: FaultyStore;
 
   readonly members = new Map<string, FleetMember>();
 
@@ -72,6 +74,7 @@
    * @param shape - data centres, number of daemons and paid units
    */
   constructor(readonly shape: FleetShape) {
+    this.store = new FaultyStore(() => this.storeOutcome, shape.hasEras ?? false);
     this.#hub = new MemoryHub(
       () => this.deliveryOutcome,
       (name) => this.#dataCentres.get(name) ?? '',
--- a/testbed/faultystore.ts
+++ b/testbed/faultystore.ts
@@ -55,10 +55,14 @@
   /**
    * Creates a store.
    * @param nextOutcome - returns the outcome of the next read or write
+   * @param hasEras - whether it states its era; default true
    */
-  constructor(private readonly nextOutcome: () => CallOutcome) {
+  constructor(
+    private readonly nextOutcome: () => CallOutcome,
+    hasEras = true,
+  ) {
     super();
-    this.era.observe(FIRST_ERA);
+    if (hasEras) this.era.observe(FIRST_ERA);
   }
 
   override async read(key: string): Promise<Result<StoredObject, StoreError>> {
--- a/testbed/memoryhub.ts
+++ b/testbed/memoryhub.ts
@@ -10,6 +10,8 @@
   /** Delay of every reply, in milliseconds. */
   delayMs = 0;
 
+  readonly #cut = new Set<Incarnation>();
+
   readonly #nodes = new Map<InstanceName, MemoryNetwork>();
 
   /**
@@ -41,6 +43,25 @@
     if (this.#nodes.get(instanceOf(self))?.self === self) this.#nodes.delete(instanceOf(self));
   }
 
+  /**
+   * Cuts a daemon from all others, or connects it again.
+   * @param self - incarnation of the daemon
+   * @param isCut - whether it is cut
+   */
+  setCut(self: Incarnation, isCut: boolean): void {
+    if (isCut) this.#cut.add(self);
+    else this.#cut.delete(self);
+  }
+
+  /**
+   * Returns whether a daemon is cut from all others.
+   * @param self - incarnation of the daemon
+   * @returns whether no message of it arrives
+   */
+  isCut(self: Incarnation): boolean {
+    return this.#cut.has(self);
+  }
+
   /**
    * Finds the network of a daemon.
    * @param instance - instance name
--- a/testbed/memorynetwork.ts
+++ b/testbed/memorynetwork.ts
@@ -28,6 +28,7 @@
   readonly instances: readonly InstanceName[];
   readonly dataCentreOf: (instance: InstanceName) => string;
   readonly node: (instance: InstanceName) => PeerNode | undefined;
+  readonly isCut: (self: Incarnation) => boolean;
 }
 
 /** Receiving side of a daemon. */
@@ -62,7 +63,8 @@
   }: PeerRequest<Reply>): Promise<Result<PeerMessageOf<Reply>, Failure>> {
     const fate = this.hub.nextOutcome();
     const peer = this.hub.node(to);
-    if (!peer || fate === 'lost-before') return Err(failure('peer-unreachable', to));
+    const isCut = this.hub.isCut(this.self) || (peer !== undefined && this.hub.isCut(peer.self));
+    if (!peer || isCut || fate === 'lost-before') return Err(failure('peer-unreachable', to));
     // If the handler throws, the sender gets no reply.
     const reply = await Promise.resolve()
       .then(() => peer.receive(body, this.self))
