--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -158,7 +158,12 @@
       }),
       (residentBytes) => this.bodyGate.sample(residentBytes),
     );
-    this.routingState = new RoutingState(adapter, this.recorder, this.clock, settings.watchMs);
+    const { metrics } = this;
+    const { watchMs, evacuateMs } = settings;
+    const evacuation =
+      typeof evacuateMs === 'number' ? { withinMs: evacuateMs, metrics } : undefined;
+    this.routingState = new RoutingState(adapter, this.recorder, this.clock, watchMs, evacuation);
+    this.routingState.upstreams.regions = settings.regions ?? {};
     this.#crashWatch = new CrashWatch({
       store: adapter.store,
       recorder: this.recorder,
@@ -195,6 +200,7 @@
       clock: this.clock,
     });
     membership.start();
+    this.routingState.evacuationWatch?.join(membership.network);
     this.#membership = membership;
     const { store } = this.adapter;
     const shards = await joinShardCount(store, this.settings.allowances.shards, this.recorder);
