Configuration, upstreams and evacuations outlast an older copy, also at a daemon that starts on it

Callers' side: a copy shows upstreams as serving that had announced that they leave or had left, and requests went there; a daemon that started on the copy took the older configuration (keys that were dropped are valid again) and sent to evacuated data centres.

After a rise an entry of the copy is doubted for 5 s if its incarnation was seen leaving or removed, until it is written anew. It is not ready while the store shows an older version, for at most 5 s.

--- a/src/gateway/evacuations.ts
+++ b/src/gateway/evacuations.ts
@@ -1,4 +1,5 @@
 /** Data centres whose upstreams must receive nothing, as far as this daemon knows. */
+import type { AwaitedEvacuation } from './startnews.js';
 
 /**
  * Time for which an evacuation stays in force that a listing of another era lacks, in milliseconds. A store that came back
@@ -64,6 +65,31 @@
     return [...this.#inForceUntil.keys()].filter((name) => this.has(name, now)).sort();
   }
 
+  /**
+   * Lists the evacuations that the store lacks, and that are in force until the operator has had time to write them again.
+   * @param now - current time, in milliseconds
+   * @returns each with the time for which it is still in force
+   */
+  awaited(now: number): readonly AwaitedEvacuation[] {
+    return [...this.#inForceUntil]
+      .filter(([, until]) => until > now && Number.isFinite(until))
+      .map(([dataCentre, until]) => ({ dataCentre, leftMs: until - now }));
+  }
+
+  /**
+   * Takes over evacuations that the store lacks, from a daemon that knew them before.
+   * @param awaited - the evacuations
+   * @param now - current time, in milliseconds
+   */
+  await(awaited: readonly AwaitedEvacuation[], now: number): void {
+    awaited.forEach(({ dataCentre, leftMs }) => {
+      const until = now + Math.min(leftMs, REWRITE_GRACE_MS);
+      if ((this.#inForceUntil.get(dataCentre) ?? 0) < until) {
+        this.#inForceUntil.set(dataCentre, until);
+      }
+    });
+  }
+
   /** What other daemons are told: the evacuations that the store lists; undefined before they are known. */
   get report(): EvacuationReport | undefined {
     const listed = this.dataCentres(Number.MAX_VALUE);
--- a/src/gateway/routingstate.ts
+++ b/src/gateway/routingstate.ts
@@ -10,6 +10,7 @@
 import type { Recorder } from '../telemetry/index.js';
 import type { PlatformAdapter } from './adapter.js';
 import type { GatewayMetrics } from './metrics.js';
+import type { StartNews } from './startnews.js';
 
 /**
  * Time since the last answer of the store to a follower after which the store counts as unavailable, as a multiple of the
@@ -34,6 +35,18 @@
   return key.slice(key.indexOf('/') + 1);
 }
 
+/**
+ * Longest time for which a daemon that starts waits until the store shows the configuration that others have, in
+ * milliseconds: by then the operator has written it again.
+ */
+const AWAIT_MS = 5_000;
+
+/** Time after a daemon has started in which a listing may be from an older copy, in milliseconds. */
+const NEWS_MS = 10_000;
+
+/** Maximum number of upstreams that a log line names. */
+const MAX_LOGGED_UPSTREAMS = 20;
+
 /** Keeps the current route table and the registered upstreams. */
 export class RoutingState {
   readonly upstreams = new UpstreamRegistry();
@@ -49,6 +62,21 @@
 
   #hasUpstreams = false;
 
+  /** Rises of the store's era up to the last listing of the upstreams. */
+  #listedRises: number;
+
+  /** Time until which a listing may show what other daemons know to be outdated, in milliseconds. */
+  #newsUntil = 0;
+
+  /** Version of the configuration that other daemons have, and until when this one waits for it, in milliseconds. */
+  #awaited = { version: 0, until: 0 };
+
+  /** Whether other daemons are still to be asked; until then this one is not loaded. */
+  isAwaitingNews = false;
+
+  /** Outdated version that was logged last. */
+  #outdated = 0;
+
   /** Number of followers whose last call to the store failed. */
   #lostFollowers = 0;
 
@@ -71,7 +99,8 @@
     private readonly watchMs = DEFAULT_WATCH_WAIT_MS,
     evacuation?: { readonly withinMs: number; readonly metrics: GatewayMetrics },
   ) {
-    const { configurationKey, upstreamsPrefix } = adapter;
+    const { configurationKey, upstreamsPrefix, store } = adapter;
+    this.#listedRises = store.era.rises;
     const configurationPrefix = configurationKey.slice(0, configurationKey.indexOf('/') + 1);
     this.#followers = [
       this.#follow(configurationPrefix, {
@@ -125,7 +154,47 @@
   /** Whether configuration, upstreams and evacuations are known. */
   get isLoaded(): boolean {
     const areEvacuationsKnown = this.evacuationWatch?.evacuations.isKnown ?? true;
-    return this.#table !== undefined && this.#hasUpstreams && areEvacuationsKnown;
+    return (
+      this.#table !== undefined &&
+      this.#hasUpstreams &&
+      areEvacuationsKnown &&
+      !this.isAwaitingNews &&
+      !this.#awaitsConfiguration
+    );
+  }
+
+  /** What daemons that start are told. */
+  get news(): StartNews {
+    const now = this.clock.now();
+    return {
+      version: this.#table?.configuration.version ?? 0,
+      left: this.upstreams.left(now),
+      evacuations: this.evacuationWatch?.evacuations.awaited(now) ?? [],
+    };
+  }
+
+  /**
+   * Takes what other daemons know, at the start of this one.
+   * @param news - what they know; undefined if none has replied
+   */
+  hear(news: StartNews | undefined): void {
+    this.isAwaitingNews = false;
+    if (!news) return;
+    const now = this.clock.now();
+    this.#newsUntil = now + NEWS_MS;
+    this.#awaited = { version: news.version, until: now + AWAIT_MS };
+    this.upstreams.hearLeft(news.left, now);
+    this.evacuationWatch?.evacuations.await(news.evacuations, now);
+    const version = this.#table?.configuration.version ?? 0;
+    if (version > 0 && version < news.version) {
+      const facts = { version, awaited: news.version, atMostMs: AWAIT_MS };
+      this.recorder.record('configAwaited', { facts });
+    }
+  }
+
+  get #awaitsConfiguration(): boolean {
+    const { version, until } = this.#awaited;
+    return (this.#table?.configuration.version ?? 0) < version && this.clock.now() < until;
   }
 
   /** Whether the store has answered all followers recently, and the last call of none has failed. */
@@ -199,7 +268,10 @@
     const next = decoded.val;
     const before = this.#table?.configuration.version ?? 0;
     // A stale read must not restore an older version.
-    if (next.version <= before) return true;
+    if (next.version <= before) {
+      this.#recordOutdated(next.version, before);
+      return true;
+    }
     this.#table = new RouteTable(next);
     const facts = { version: next.version, before, revision: version, routes: next.routes.length };
     this.recorder.record('configApplied', { facts });
@@ -214,7 +286,13 @@
       this.#recordUnreadable(object, decoded.val);
       return [];
     });
-    this.upstreams.replace(records, this.clock.now());
+    const now = this.clock.now();
+    const { rises } = this.adapter.store.era;
+    if (rises !== this.#listedRises || now < this.#newsUntil) {
+      const doubted = this.upstreams.replaceFromCopy(records, now);
+      if (doubted.length > 0) this.#recordDoubted(doubted);
+    } else this.upstreams.replace(records, now);
+    this.#listedRises = rises;
     this.#hasUpstreams = true;
     const unreadable = objects.length - records.length;
     const facts = { listed: records.length, unreadable, revision: position };
@@ -245,6 +323,18 @@
     });
   }
 
+  /** Logs once that the store shows an older version than the one in force. */
+  #recordOutdated(shown: number, kept: number): void {
+    if (shown === kept || shown === this.#outdated) return;
+    this.#outdated = shown;
+    this.recorder.record('configOutdated', { facts: { shown, kept } });
+  }
+
+  #recordDoubted(ids: readonly string[]): void {
+    const named = ids.slice(0, MAX_LOGGED_UPSTREAMS).join(' ');
+    this.recorder.record('upstreamDoubted', { detail: named, facts: { upstreams: ids.length } });
+  }
+
   #recordChange(upstream: string, revision: number, state: string): void {
     this.recorder.record('upstreamsChanged', { upstream, facts: { revision, state } });
   }
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -17,6 +17,7 @@
 import { LimitPermits } from './limitpermits.js';
 import { LoopDelay } from './loopdelay.js';
 import { Membership } from './membership.js';
+import { askNews, tellNews } from './startnews.js';
 import { joinShardCount } from './shardcount.js';
 import { MemoryWatch, memoryLimitBytes } from './memorywatch.js';
 import { GatewayMetrics } from './metrics.js';
@@ -186,6 +187,7 @@
     this.recorder.record('daemonStarted', { peer: this.recorder.source });
     this.#loopDelay.start();
     this.#memoryWatch.start();
+    this.routingState.isAwaitingNews = true;
     this.routingState.start();
     this.#crashWatch.start();
     const { host, port } = splitAddress(this.settings.listen.peers);
@@ -201,6 +203,8 @@
     });
     membership.start();
     this.routingState.evacuationWatch?.join(membership.network);
+    tellNews(membership.network, () => this.routingState.news);
+    void membership.listed.then(() => this.#hearNews(membership));
     this.#membership = membership;
     const { store } = this.adapter;
     const shards = await joinShardCount(store, this.settings.allowances.shards, this.recorder);
@@ -381,6 +385,12 @@
     this.recorder.flush();
   }
 
+  /** Asks other daemons what the store may have lost, if it is one that can have come back from an older copy. */
+  async #hearNews({ network }: Membership): Promise<void> {
+    const mayHaveLost = this.adapter.store.era.current !== undefined;
+    this.routingState.hear(mayHaveLost ? await askNews(network, Math.random) : undefined);
+  }
+
   #createLimitPermits(membership: Membership): LimitPermits {
     const { clock, recorder, metrics } = this;
     return new LimitPermits({
--- a/src/gateway/tests/storedrill.test.ts
+++ b/src/gateway/tests/storedrill.test.ts
@@ -75,7 +75,7 @@
   const secret = store.peek(KEY);
   store.comeBack(empty);
   // It has created a secret of its own before the other daemon writes the lost one again.
-  await store.write(KEY, `${'f'.repeat(48)  }.2`, 0);
+  await store.write(KEY, `${'f'.repeat(48)}.2`, 0);
   const late = await join(t, store, 'late');
   await waitFor('the late one reaches a', () => reaches(late, 'a'));
   await waitFor('a reaches the late one', () => reaches(a, 'late'));
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -4,6 +4,7 @@
 import { UpstreamSignals } from './upstreamsignals.js';
 
 import type { Regions } from './homes.js';
+import type { LeftUpstream } from './startnews.js';
 import type { UpstreamSupply } from './shortage.js';
 import type { UpstreamIncarnation } from './upstreamsignals.js';
 
@@ -33,6 +34,18 @@
  */
 const LAPSE_WINDOW_MS = 1_800;
 
+/**
+ * Time for which an entry is doubted that a copy of the store shows, in milliseconds, if the upstream leaves or has left:
+ * by then it, or the platform, has written again what it wrote after the copy was made.
+ */
+const DOUBT_MS = 5_000;
+
+/** Time for which removed upstreams are remembered, in milliseconds: above the age of a copy. */
+const LEFT_MEMORY_MS = 60_000;
+
+/** Maximum number of these that another daemon is told. */
+const MAX_TOLD = 500;
+
 interface Entry {
   readonly record: UpstreamRecord;
   /** When the upstream was last listed in the store, in milliseconds. */
@@ -42,6 +55,8 @@
    * while it is listed.
    */
   readonly missingUntil: number | undefined;
+  /** Time until which an entry that a copy of the store shows counts as leaving, in milliseconds. */
+  readonly doubtedUntil?: number;
 }
 
 /**
@@ -51,6 +66,9 @@
 export class UpstreamRegistry {
   readonly #entries = new Map<string, Entry>();
 
+  /** Incarnations that were removed, or that other daemons have seen leaving, and until when that is remembered. */
+  readonly #left = new Map<string, { readonly startedAt: number; readonly until: number }>();
+
   /** Announcements in answers. They stay in force whatever the entries in the store say. */
   readonly signals = new UpstreamSignals();
 
@@ -81,6 +99,7 @@
    * @param now - current time, in milliseconds
    */
   list(record: UpstreamRecord, now: number): void {
+    this.#left.delete(record.id);
     this.#entries.set(record.id, { record, listedAt: now, missingUntil: undefined });
   }
 
@@ -100,7 +119,51 @@
     const mayHaveLapsed = isOutage && entry.listedAt < this.#disturbedAt;
     if (mayHaveLapsed && !this.isLeaving(entry.record))
       this.#entries.set(id, { ...entry, missingUntil: now + MISSING_GRACE_MS });
-    else this.#entries.delete(id);
+    else {
+      this.#entries.delete(id);
+      this.#left.set(id, { startedAt: entry.record.startedAt, until: now + LEFT_MEMORY_MS });
+    }
+  }
+
+  /**
+   * Applies a complete list that may be from an older copy of the store: upstreams that it shows as serving and that leave
+   * or have left stay out of use for a while. They are used at once if they are listed anew.
+   * @param records - every listed upstream
+   * @param now - current time, in milliseconds
+   * @returns the ids of the doubted upstreams
+   */
+  replaceFromCopy(records: readonly UpstreamRecord[], now: number): readonly string[] {
+    const doubted = records.filter((record) => !record.isLeaving && this.#hasLeft(record, now));
+    this.replace(records, now);
+    doubted.forEach((record) => this.#doubt(record, now));
+    return doubted.map(({ id }) => id);
+  }
+
+  /**
+   * Lists the incarnations that leave or have left, for daemons that start.
+   * @param now - current time, in milliseconds
+   * @returns the incarnations
+   */
+  left(now: number): readonly LeftUpstream[] {
+    const leaving = this.all().filter((record) => this.#isOut(record, now));
+    const removed = [...this.#left].filter(([, { until }]) => until > now);
+    return [
+      ...leaving.map(({ id, startedAt }) => ({ id, startedAt })),
+      ...removed.map(([id, { startedAt }]) => ({ id, startedAt })),
+    ].slice(0, MAX_TOLD);
+  }
+
+  /**
+   * Takes over which upstreams leave or have left, from daemons that were there before.
+   * @param left - their incarnations
+   * @param now - current time, in milliseconds
+   */
+  hearLeft(left: readonly LeftUpstream[], now: number): void {
+    left.forEach(({ id, startedAt }) => {
+      this.#left.set(id, { startedAt, until: now + LEFT_MEMORY_MS });
+      const record = this.#entries.get(id)?.record;
+      if (record && !record.isLeaving && record.startedAt === startedAt) this.#doubt(record, now);
+    });
   }
 
   /**
@@ -197,7 +260,7 @@
     if (!entry || (entry.missingUntil !== undefined && entry.missingUntil <= now)) return 'gone';
     const { record } = entry;
     if (record.service !== service || record.startedAt !== startedAt) return 'gone';
-    if (this.isLeaving(record)) return 'leaving';
+    if (this.#isOut(record, now)) return 'leaving';
     if (this.isEvacuated(record.dataCentre, now)) return 'evacuated';
     if (this.#isPaused(record, now)) return 'paused';
     const isLimited = this.limits.limitOf(record) !== undefined;
@@ -209,6 +272,9 @@
    * @param now - current time, in milliseconds
    */
   forgetGone(now: number): void {
+    this.#left.forEach(({ until }, id) => {
+      if (until <= now) this.#left.delete(id);
+    });
     this.signals.retain(this.all(), now);
     this.limits.retain(this.all(), now);
   }
@@ -239,10 +305,28 @@
     return [...this.#entries.values()]
       .filter(({ missingUntil }) => missingUntil === undefined || missingUntil > now)
       .map(({ record }) => record)
-      .filter((record) => record.service === service && !this.isLeaving(record))
+      .filter((record) => record.service === service && !this.#isOut(record, now))
       .filter(({ dataCentre }) => isAllowedIn(dataCentre, allowed, this.regions));
   }
 
+  /** Whether an upstream leaves, or is doubted because the store shows it as it was in a copy. */
+  #isOut(record: UpstreamRecord, now: number): boolean {
+    return this.isLeaving(record) || (this.#entries.get(record.id)?.doubtedUntil ?? 0) > now;
+  }
+
+  #hasLeft(record: UpstreamRecord, now: number): boolean {
+    const { id, startedAt } = record;
+    const known = this.#entries.get(id)?.record;
+    if (known?.startedAt === startedAt) return this.#isOut(known, now);
+    const left = this.#left.get(id);
+    return left !== undefined && left.startedAt === startedAt && left.until > now;
+  }
+
+  #doubt(record: UpstreamRecord, now: number): void {
+    const entry = { record, listedAt: now, missingUntil: undefined };
+    this.#entries.set(record.id, { ...entry, doubtedUntil: now + DOUBT_MS });
+  }
+
   #isPaused(record: UpstreamRecord, now: number): boolean {
     return this.signals.pausedUntil(record) > now;
   }
--- a/src/route/messages.ts
+++ b/src/route/messages.ts
@@ -62,10 +62,30 @@
   })
   .readonly();
 
+/** Asks what the store may have lost, of a daemon that was there before. */
+export const routingAskedSchema = z.object({ type: z.literal('routingAsked') }).readonly();
+
+/** Reply: what the sender knows, whether the store shows it or not. */
+export const routingToldSchema = z
+  .object({
+    type: z.literal('routingTold'),
+    /** Version of the configuration in force; 0 for none. */
+    version: z.number().nonnegative(),
+    /** Upstreams that leave or have left. */
+    left: z.array(z.object({ id: z.string(), startedAt: z.number() }).readonly()).readonly(),
+    /** Evacuations that the store lacks, and for how long they are still in force, in milliseconds. */
+    evacuations: z
+      .array(z.object({ dataCentre: z.string(), leftMs: z.number().nonnegative() }).readonly())
+      .readonly(),
+  })
+  .readonly();
+
 /** Schemas of the messages. */
 export const routeMessages = [
   promptSentSchema,
   limitAskedSchema,
   limitAnsweredSchema,
   evacuationsToldSchema,
+  routingAskedSchema,
+  routingToldSchema,
 ] as const;
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -106,6 +106,16 @@
     level: 'warn',
     text: 'configuration loaded from peers: the object API does not answer',
   },
+  configOutdated: {
+    number: 4006,
+    level: 'warn',
+    text: 'the store shows an older configuration than the one in force, which stays in force',
+  },
+  configAwaited: {
+    number: 4007,
+    level: 'warn',
+    text: 'other daemons have a newer configuration than the store shows; not ready until it is written again',
+  },
   piecesRemoved: { number: 4005, level: 'info', text: 'old configuration pieces removed' },
   planMoved: { number: 4501, level: 'info', text: 'plan state updated' },
   planTakenOver: {
@@ -160,6 +170,11 @@
     level: 'info',
     text: 'upstreams registered, leaving or removed',
   },
+  upstreamDoubted: {
+    number: 7012,
+    level: 'info',
+    text: 'a copy of the store shows upstreams as serving that leave or have left; they get no requests',
+  },
   upstreamUnreadable: { number: 7004, level: 'warn', text: 'an upstream entry cannot be used' },
   upstreamLeaving: {
     number: 7005,
--- a/testbed/faultystore.ts
+++ b/testbed/faultystore.ts
@@ -35,7 +35,7 @@
   readonly position: number;
 }
 
-/** Era of a store that has never come back from a copy. */
+/** Era before the first return from a copy; the store states none until then. */
 const FIRST_ERA = 1;
 
 /** Keeps objects in memory; the test chooses the outcome of each read and write. */
@@ -58,7 +58,6 @@
    */
   constructor(private readonly nextOutcome: () => CallOutcome) {
     super();
-    this.era.observe(FIRST_ERA);
   }
 
   override async read(key: string): Promise<Result<StoredObject, StoreError>> {
@@ -145,6 +144,7 @@
     this.#objects.clear();
     objects.forEach((object) => this.#objects.set(object.key, object));
     this.#position = position;
+    if (this.era.current === undefined) this.era.observe(FIRST_ERA);
     this.era.observe((this.era.current ?? 0) + 1);
   }
 
