--- a/testbed/faultystore.ts
+++ b/testbed/faultystore.ts
@@ -35,7 +35,7 @@
   readonly position: number;
 }
 
-/** Era before the first return from a copy; the store states none until then. */
+/** Era of a store that has never come back from a copy. */
 const FIRST_ERA = 1;
 
 /** Keeps objects in memory; the test chooses the outcome of each read and write. */
@@ -55,9 +55,14 @@
   /**
    * Creates a store.
    * @param nextOutcome - returns the outcome of the next read or write
+   * @param hasEras - whether it states its era; default true
    */
-  constructor(private readonly nextOutcome: () => CallOutcome) {
+  constructor(
+    private readonly nextOutcome: () => CallOutcome,
+    hasEras = true,
+  ) {
     super();
+    if (hasEras) this.era.observe(FIRST_ERA);
   }
 
   override async read(key: string): Promise<Result<StoredObject, StoreError>> {
@@ -144,7 +149,6 @@
     this.#objects.clear();
     objects.forEach((object) => this.#objects.set(object.key, object));
     this.#position = position;
-    if (this.era.current === undefined) this.era.observe(FIRST_ERA);
     this.era.observe((this.era.current ?? 0) + 1);
   }
 
