--- a/testbed/watchedstore.ts
+++ b/testbed/watchedstore.ts
@@ -23,7 +23,7 @@
 
   /** Creates an empty store. */
   constructor() {
-    super(() => 'answered');
+    super(() => 'answered', false);
   }
 
   /**
