--- a/src/gateway/allowanceloans.ts
+++ b/src/gateway/allowanceloans.ts
@@ -1,5 +1,5 @@
 /** Loans of prepaid units between daemons. */
-import { loanUnits, netSpent } from '../allowance/index.js';
+import { borrowedShortfall, borrowedTarget, loanUnits, netSpent } from '../allowance/index.js';
 
 import { available, counterOf, lendUnits } from '../budget/index.js';
 import { instanceOf, waitAtMost } from '../kernel/index.js';
@@ -133,6 +133,29 @@
     return borrowing;
   }
 
+  /**
+   * Borrows units for the next requests of the workspaces of which this daemon is no holder, where those that it keeps run
+   * low.
+   */
+  topUp(): void {
+    const now = this.ctx.clock.now();
+    this.holdings.workspaces
+      .filter((workspace) => !this.ctx.holders.isHolder(workspace))
+      .forEach((workspace) => {
+        const unspent = this.lastKnownUnspent(workspace) ?? 0;
+        const units = borrowedShortfall(this.holdings.of(workspace), unspent, now);
+        if (units > 0 && !this.isKnownShort(workspace, units))
+          void this.#borrowAhead(workspace, units);
+      });
+  }
+
+  async #borrowAhead(workspace: string, units: number): Promise<void> {
+    // The units count as missing until the holders have replied, or a return would take away what has just come.
+    const needed = units + available(this.holdings.of(workspace).escrow);
+    this.holdings.adjustMissing(workspace, needed);
+    await this.borrow(workspace, 1).finally(() => this.holdings.adjustMissing(workspace, -needed));
+  }
+
   /** Accepts units that a peer transfers although this daemon has not requested them. */
   #acceptTransfer(message: PeerMessageOf<'lent'>): PeerMessageOf<'lent'> {
     const { budget, borrower, lender, passed } = message;
@@ -163,7 +186,7 @@
       asked += 1;
       // Peers are asked one after the other, as a single one may lend all missing units.
       // eslint-disable-next-line no-await-in-loop
-      await this.#askPeer(peer, workspace, missing, isHolder ? missing : 0);
+      await this.#askPeer(peer, workspace, missing, isHolder ? missing : this.#spare(workspace));
     }
     const after = available(this.holdings.of(workspace).escrow);
     const gained = after - before;
@@ -178,6 +201,12 @@
     return gained > 0;
   }
 
+  /** Units beyond the missing ones that this daemon, which is no holder, keeps for its next requests. */
+  #spare(workspace: string): number {
+    const unspent = this.lastKnownUnspent(workspace) ?? 0;
+    return borrowedTarget(this.holdings.of(workspace), unspent, this.ctx.clock.now());
+  }
+
   async #askPeer(peer: string, workspace: string, missing: number, wanted: number): Promise<void> {
     const { network } = this.ctx;
     const { escrow, view } = this.holdings.of(workspace);
--- a/src/gateway/allowancereturns.ts
+++ b/src/gateway/allowancereturns.ts
@@ -2,6 +2,7 @@
  * Transfers prepaid units to daemons that have not requested them: unused borrowed units, and all
  * available units of a daemon that stops while the store is unavailable.
  */
+import { borrowedTarget } from '../allowance/index.js';
 import { counterOf, lendUnits } from '../budget/index.js';
 import { instanceOf, rendezvous } from '../kernel/index.js';
 
@@ -18,6 +19,9 @@
  */
 const MAX_LEFTOVER_SHARE = 0.01;
 
+/** Multiple of the units kept for the next requests above which units are returned: a loan may add more than is used at once. */
+const KEPT_FACTOR = 2;
+
 /**
  * Returns unused borrowed units to their holders. When this daemon stops while the store is unavailable,
  * transfers all its available units to another daemon.
@@ -97,9 +101,10 @@
     const { holdings, ctx } = this;
     if (holdings.isClosed || holdings.missing(workspace) > 0) return false;
     if (ctx.holders.isHolder(workspace)) return false;
-    const allowedUnits =
-      ((this.lastKnownUnspent(workspace) ?? 0) * MAX_LEFTOVER_SHARE) / ctx.holders.fleetSize;
-    return holdings.lendableUnits(workspace) > allowedUnits;
+    const unspent = this.lastKnownUnspent(workspace) ?? 0;
+    const keptUnits = borrowedTarget(holdings.of(workspace), unspent, ctx.clock.now());
+    const allowedUnits = (unspent * MAX_LEFTOVER_SHARE) / ctx.holders.fleetSize;
+    return holdings.lendableUnits(workspace) > Math.max(allowedUnits, keptUnits * KEPT_FACTOR);
   }
 
   async #resend(peer: Incarnation, workspaces: ReadonlySet<string>): Promise<void> {
--- a/src/gateway/allowances.ts
+++ b/src/gateway/allowances.ts
@@ -109,6 +109,7 @@
   refresh(): void {
     this.#logTotals();
     void this.#returns.refresh();
+    if (!this.#holdings.isClosed) this.#loans.topUp();
     const now = this.ctx.clock.now();
     const due = this.ctx
       .workspaces()
--- a/src/gateway/tests/borrowing.test.ts
+++ b/src/gateway/tests/borrowing.test.ts
@@ -111,3 +111,32 @@
     t.is(asked.length, rounds);
   });
 });
+
+const CUTS = [
+  { title: 'callers that come steadily', before: 20, ok: true },
+  { title: 'a first caller', before: 0, ok: false },
+] as const;
+
+CUTS.forEach(({ title, before, ok }) => {
+  test(`a borrower that loses its links refuses callers for want of units: ${title}`, async (t) => {
+    const fleet = new AllowanceFleet({ dataCentres: ['x'], perDataCentre: 5, paid: 1_000_000 });
+    const borrower = [...fleet.members.values()].find(
+      ({ holders }) => !holders.isHolder(WORKSPACE),
+    );
+    if (!borrower) throw new Error('no daemon is a borrower');
+    fleet.refresh();
+    await delay(20);
+    for (let served = 0; served < before; served += 1) {
+      // eslint-disable-next-line no-await-in-loop
+      t.true(await fleet.serve(borrower, 200, 100));
+      // eslint-disable-next-line no-await-in-loop
+      await delay(10);
+    }
+    fleet.refresh();
+    await delay(20);
+    fleet.storeOutcome = 'lost-before';
+    fleet.isStoreUp = false;
+    fleet.delay(5_000);
+    t.is(await fleet.serve(borrower, 200, 100), ok);
+  });
+});
