--- a/src/budget/messages.ts
+++ b/src/budget/messages.ts
@@ -39,6 +39,8 @@
      * Unspent units of the budget, as the store last showed them to the lender; absent if unknown.
      */
     unspent: z.number().int().optional(),
+    /** Whether the lender reaches the store, and so has drawn for the borrower what there is; absent if so. */
+    isStoreUp: z.boolean().optional(),
   })
   .readonly();
 
--- a/src/gateway/allowanceloans.ts
+++ b/src/gateway/allowanceloans.ts
@@ -45,6 +45,8 @@
   readonly unspent: number | undefined;
   /** Units that the holders which replied kept. */
   readonly left: number;
+  /** Whether one of those that replied reaches the store. */
+  readonly canDraw: boolean;
 }
 
 /** Lends to other daemons and borrows from them. */
@@ -88,10 +90,19 @@
   }
 
   /**
-   * Checks whether a holder replied in time in the last round of borrowing.
+   * Checks whether a holder that reaches the store replied in time in the last round of borrowing.
    * @param workspace - workspace that pays
    * @returns whether one did; before its reply, it has tried to draw missing units from the store
    */
+  hasHolderDrawn(workspace: string): boolean {
+    return this.#holderAnswers.get(workspace)?.canDraw ?? false;
+  }
+
+  /**
+   * Checks whether a holder replied in time in the last round of borrowing.
+   * @param workspace - workspace that pays
+   * @returns whether one did
+   */
   hasHolderAnswered(workspace: string): boolean {
     return (this.#holderAnswers.get(workspace)?.answered ?? 0) > 0;
   }
@@ -173,7 +184,8 @@
     const before = available(this.holdings.of(workspace).escrow);
     const isHolder = this.ctx.holders.isHolder(workspace);
     const peers = this.#candidates(workspace).slice(0, maxPeers);
-    const noAnswers = { answered: 0, unspent: this.lastKnownUnspent(workspace), left: 0 };
+    const unspent = this.lastKnownUnspent(workspace);
+    const noAnswers = { answered: 0, unspent, left: 0, canDraw: false };
     this.#holderAnswers.set(workspace, noAnswers);
     const units = this.holdings.missing(workspace);
     let asked = 0;
@@ -239,7 +251,7 @@
    * @param lateMs - time since the request if the reply is late, in milliseconds; undefined if it is not
    */
   #acceptLoan(workspace: string, loan: PeerMessageOf<'lent'>, lateMs: number | undefined): void {
-    const { lender, passed, unspent, left } = loan;
+    const { lender, passed, unspent, left, isStoreUp = true } = loan;
     const units = this.holdings.noteBorrowed(workspace, { peer: lender, units: passed });
     if (lateMs !== undefined) {
       const facts = { units, tookMs: Math.round(lateMs) };
@@ -251,6 +263,7 @@
       answered: (before?.answered ?? 0) + 1,
       unspent,
       left: (before?.left ?? 0) + left,
+      canDraw: (before?.canDraw ?? false) || isStoreUp,
     });
   }
 
@@ -298,6 +311,7 @@
       left,
       isDurable: true,
       ...(unspent !== undefined && { unspent }),
+      ...(!this.ctx.isStoreUp() && { isStoreUp: false }),
     };
   }
 
--- a/src/gateway/allowancerows.ts
+++ b/src/gateway/allowancerows.ts
@@ -4,6 +4,7 @@
  */
 import {
   allowanceShardOf,
+  borrowedTarget,
   closeEarlierIncarnations,
   closeRow,
   buildRowLine,
@@ -135,7 +136,11 @@
         const view = viewAllowance(currentShard, self, workspace, paid);
         const holding = returnIdleUnits({ ...this.holdings.of(workspace), view }, policy, now);
         this.holdings.set(workspace, holding);
-        const lacking = this.holdings.missing(workspace) - available(holding.escrow);
+        // A daemon that is no holder draws when no holder can, and then for its next requests too.
+        const kept = this.ctx.holders.isHolder(workspace)
+          ? 0
+          : borrowedTarget(holding, view.unspent, now);
+        const lacking = this.holdings.missing(workspace) + kept - available(holding.escrow);
         return [{ draw: buildRowLine(holding, view, lacking, policy, now), view }];
       });
     const lines = draws.map(({ draw }) => draw.line);
--- a/src/gateway/allowances.ts
+++ b/src/gateway/allowances.ts
@@ -261,8 +261,11 @@
     }
     if (isCancelled()) return false;
     if (reserved()) return true;
-    // A holder that replied has already tried to draw from the store for this request.
-    if (!isHolder && this.#loans.hasHolderAnswered(workspace)) return false;
+    // A holder that reaches the store has already tried to draw for this request. Without one, this daemon draws itself.
+    const isDrawn =
+      this.#loans.hasHolderDrawn(workspace) ||
+      (this.#loans.hasHolderAnswered(workspace) && !this.ctx.isStoreUp());
+    if (!isHolder && isDrawn) return false;
     const drawn = this.#draw(workspace);
     if (this.ctx.isStoreUp())
       await Promise.race([waitAtMost(drawn, STORE_WAIT_MS), ...cancellations]);
--- a/src/gateway/tests/borrowing.test.ts
+++ b/src/gateway/tests/borrowing.test.ts
@@ -140,3 +140,24 @@
     t.is(await fleet.serve(borrower, 200, 100), ok);
   });
 });
+
+const CUT_HOLDERS = [
+  { title: 'the borrower reaches the store', isBorrowerCut: false, ok: true },
+  { title: 'nobody reaches the store', isBorrowerCut: true, ok: false },
+] as const;
+
+CUT_HOLDERS.forEach(({ title, isBorrowerCut, ok }) => {
+  test(`units that are free in the store stay there while all holders are cut off from it: ${title}`, async (t) => {
+    const fleet = new AllowanceFleet(SHAPE);
+    const daemons = [...fleet.members.values()];
+    const isHolder = ({ holders }: (typeof daemons)[number]): boolean =>
+      holders.isHolder(WORKSPACE);
+    const borrower = daemons.find((each) => !isHolder(each));
+    if (!borrower) throw new Error('no daemon is a borrower');
+    fleet.refresh();
+    await delay(20);
+    const cut = daemons.filter((each) => isHolder(each) || (isBorrowerCut && each === borrower));
+    cut.forEach(({ name }) => fleet.withoutStore.add(name));
+    t.is(await fleet.serve(borrower, 4_000, 4_000), ok);
+  });
+});
--- a/testbed/allowancefleet.ts
+++ b/testbed/allowancefleet.ts
@@ -84,6 +84,9 @@
     [...this.#dataCentres.keys()].forEach((name) => this.start(name));
   }
 
+  /** Names of daemons that do not reach the store while others do. */
+  readonly withoutStore = new Set<string>();
+
   /**
    * Delays every reply between daemons.
    * @param delayMs - milliseconds
@@ -135,7 +138,7 @@
       paidOf: () => this.shape.paid,
       workspaces: () => [WORKSPACE],
       ...(this.shape.peerWaitMs !== undefined && { peerWaitMs: this.shape.peerWaitMs }),
-      isStoreUp: () => this.isStoreUp,
+      isStoreUp: () => this.isStoreUp && !this.withoutStore.has(name),
       isStopping: () => this.stopping.has(self),
     });
     this.members.set(name, { name, self, allowances, holders, recorder, network });
