--- a/src/gateway/allowanceloans.ts
+++ b/src/gateway/allowanceloans.ts
@@ -1,5 +1,5 @@
 /** Loans of prepaid units between daemons. */
-import { loanUnits, netSpent } from '../allowance/index.js';
+import { borrowedShortfall, borrowedTarget, loanUnits, netSpent } from '../allowance/index.js';
 
 import { available, counterOf, lendUnits } from '../budget/index.js';
 import { instanceOf, waitAtMost } from '../kernel/index.js';
@@ -45,6 +45,8 @@
   readonly unspent: number | undefined;
   /** Units that the holders which replied kept. */
   readonly left: number;
+  /** Whether one of those that replied reaches the store. */
+  readonly canDraw: boolean;
 }
 
 /** Lends to other daemons and borrows from them. */
@@ -88,10 +90,19 @@
   }
 
   /**
-   * Checks whether a holder replied in time in the last round of borrowing.
+   * Checks whether a holder that reaches the store replied in time in the last round of borrowing.
    * @param workspace - workspace that pays
    * @returns whether one did; before its reply, it has tried to draw missing units from the store
    */
+  hasHolderDrawn(workspace: string): boolean {
+    return this.#holderAnswers.get(workspace)?.canDraw ?? false;
+  }
+
+  /**
+   * Checks whether a holder replied in time in the last round of borrowing.
+   * @param workspace - workspace that pays
+   * @returns whether one did
+   */
   hasHolderAnswered(workspace: string): boolean {
     return (this.#holderAnswers.get(workspace)?.answered ?? 0) > 0;
   }
@@ -133,6 +144,29 @@
     return borrowing;
   }
 
+  /**
+   * Borrows units for the next requests of the workspaces of which this daemon is no holder, where those that it keeps run
+   * low.
+   */
+  topUp(): void {
+    const now = this.ctx.clock.now();
+    this.holdings.workspaces
+      .filter((workspace) => !this.ctx.holders.isHolder(workspace))
+      .forEach((workspace) => {
+        const unspent = this.lastKnownUnspent(workspace) ?? 0;
+        const units = borrowedShortfall(this.holdings.of(workspace), unspent, now);
+        if (units > 0 && !this.isKnownShort(workspace, units))
+          void this.#borrowAhead(workspace, units);
+      });
+  }
+
+  async #borrowAhead(workspace: string, units: number): Promise<void> {
+    // The units count as missing until the holders have replied, or a return would take away what has just come.
+    const needed = units + available(this.holdings.of(workspace).escrow);
+    this.holdings.adjustMissing(workspace, needed);
+    await this.borrow(workspace, 1).finally(() => this.holdings.adjustMissing(workspace, -needed));
+  }
+
   /** Accepts units that a peer transfers although this daemon has not requested them. */
   #acceptTransfer(message: PeerMessageOf<'lent'>): PeerMessageOf<'lent'> {
     const { budget, borrower, lender, passed } = message;
@@ -150,7 +184,8 @@
     const before = available(this.holdings.of(workspace).escrow);
     const isHolder = this.ctx.holders.isHolder(workspace);
     const peers = this.#candidates(workspace).slice(0, maxPeers);
-    const noAnswers = { answered: 0, unspent: this.lastKnownUnspent(workspace), left: 0 };
+    const unspent = this.lastKnownUnspent(workspace);
+    const noAnswers = { answered: 0, unspent, left: 0, canDraw: false };
     this.#holderAnswers.set(workspace, noAnswers);
     const units = this.holdings.missing(workspace);
     let asked = 0;
@@ -163,7 +198,7 @@
       asked += 1;
       // Peers are asked one after the other, as a single one may lend all missing units.
       // eslint-disable-next-line no-await-in-loop
-      await this.#askPeer(peer, workspace, missing, isHolder ? missing : 0);
+      await this.#askPeer(peer, workspace, missing, isHolder ? missing : this.#spare(workspace));
     }
     const after = available(this.holdings.of(workspace).escrow);
     const gained = after - before;
@@ -178,6 +213,12 @@
     return gained > 0;
   }
 
+  /** Units beyond the missing ones that this daemon, which is no holder, keeps for its next requests. */
+  #spare(workspace: string): number {
+    const unspent = this.lastKnownUnspent(workspace) ?? 0;
+    return borrowedTarget(this.holdings.of(workspace), unspent, this.ctx.clock.now());
+  }
+
   async #askPeer(peer: string, workspace: string, missing: number, wanted: number): Promise<void> {
     const { network } = this.ctx;
     const { escrow, view } = this.holdings.of(workspace);
@@ -210,7 +251,7 @@
    * @param lateMs - time since the request if the reply is late, in milliseconds; undefined if it is not
    */
   #acceptLoan(workspace: string, loan: PeerMessageOf<'lent'>, lateMs: number | undefined): void {
-    const { lender, passed, unspent, left } = loan;
+    const { lender, passed, unspent, left, isStoreUp = true } = loan;
     const units = this.holdings.noteBorrowed(workspace, { peer: lender, units: passed });
     if (lateMs !== undefined) {
       const facts = { units, tookMs: Math.round(lateMs) };
@@ -222,6 +263,7 @@
       answered: (before?.answered ?? 0) + 1,
       unspent,
       left: (before?.left ?? 0) + left,
+      canDraw: (before?.canDraw ?? false) || isStoreUp,
     });
   }
 
@@ -269,6 +311,7 @@
       left,
       isDurable: true,
       ...(unspent !== undefined && { unspent }),
+      ...(!this.ctx.isStoreUp() && { isStoreUp: false }),
     };
   }
 
--- a/src/gateway/allowancerows.ts
+++ b/src/gateway/allowancerows.ts
@@ -5,6 +5,7 @@
 import {
   allowanceShardOf,
   applyWrittenLine,
+  borrowedTarget,
   buildRowLine,
   closePredecessors,
   closeRow,
@@ -231,7 +232,11 @@
         const holding = returnIdleUnits(opened, policy, now);
         this.holdings.set(workspace, holding);
         const view = isResolved(currentShard) ? seen : withoutFreeUnits(seen, holding);
-        const lacking = this.holdings.missing(workspace) - available(holding.escrow);
+        // A daemon that is no holder draws when no holder can, and then for its next requests too.
+        const kept = this.ctx.holders.isHolder(workspace)
+          ? 0
+          : borrowedTarget(holding, view.unspent, now);
+        const lacking = this.holdings.missing(workspace) + kept - available(holding.escrow);
         return [{ draw: buildRowLine(holding, view, lacking, policy, now), view }];
       });
     const lines = draws.map(({ draw }) => draw.line);
