--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -35,6 +35,9 @@
  */
 const OTHER_DAEMON_RETRY_MS = 100;
 
+/** Least retry delay sent to callers for whom other daemons are known to have room, in milliseconds. */
+const ELSEWHERE_RETRY_MS = 10;
+
 /**
  * Least retry delay sent to callers whose bodies find no room, in milliseconds: other daemons are as full if all of them
  * get large bodies.
@@ -49,6 +52,14 @@
   return OTHER_DAEMON_RETRY_MS * (1 + Math.random());
 }
 
+/**
+ * Returns a random retry delay for a caller that another daemon can serve at once. It only spreads the callers that are
+ * sent away together.
+ */
+function elsewhereRetryMs(): number {
+  return ELSEWHERE_RETRY_MS * (1 + Math.random());
+}
+
 /** Returns the time at which a request has ended at the latest, in milliseconds. */
 function endTime(route: GatewayRoute, { deadlineMs }: CallHead, { at }: Arrival): number {
   return at + timeLimitMs(route, deadlineMs) + TIMEOUT_SLACK_MS;
@@ -105,7 +116,8 @@
     const open = runtime.openRequests.add();
     runtime.metrics.open.inc();
     const isClosing = (): boolean =>
-      (runtime.isStopping || connection.hasEnded) && connection.isLast(arrival);
+      (runtime.isStopping || runtime.isResting || connection.hasEnded) &&
+      connection.isLast(arrival);
     const caller = new HttpReply(reply.raw, connection, isClosing);
     const room = runtime.bodyGate.open(connection, this.#bodyLimit);
     let isAdmitted = false;
@@ -213,7 +225,9 @@
     const { requestQueue } = this.runtime;
     const endsAt = endTime(found.route, head, arrival);
     const waitMs = this.runtime.longestWaitMs(endsAt);
-    const outcome = await requestQueue.waitForTurn(connection, waitMs);
+    const isElsewhere =
+      !this.runtime.isStopping && this.runtime.sendsElsewhere(head.id, found.route.targetMs);
+    const outcome = isElsewhere ? 'overloaded' : await requestQueue.waitForTurn(connection, waitMs);
     if (outcome === 'left') {
       this.#recordDisconnect(head.id, arrival);
       return undefined;
@@ -228,7 +242,7 @@
       this.#refuse(
         caller,
         head,
-        { ...refusal, retryAfterMs: otherDaemonRetryMs() },
+        { ...refusal, retryAfterMs: isElsewhere ? elsewhereRetryMs() : otherDaemonRetryMs() },
         requestQueue.facts,
       );
       return undefined;
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -92,6 +92,20 @@
     registers: [this.#registry],
   });
 
+  /** Requests that were refused because other daemons of the data centre would serve them sooner. */
+  readonly sentElsewhere = new Counter({
+    name: 'comfreyreel_sent_elsewhere_total',
+    help: 'Requests refused at once because other daemons had room',
+    registers: [this.#registry],
+  });
+
+  /** 1 while this daemon takes no new connections because it is busy and others have room. */
+  readonly resting = new Gauge({
+    name: 'comfreyreel_resting',
+    help: 'Whether this daemon is busy and has left the rotation of new connections',
+    registers: [this.#registry],
+  });
+
   /** Permits for requests to upstreams that name a limit. */
   readonly permits = new Counter({
     name: 'comfreyreel_limit_permits_total',
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -18,6 +18,7 @@
 import { LimitPermits } from './limitpermits.js';
 import { LoopDelay } from './loopdelay.js';
 import { Membership } from './membership.js';
+import { Overflow } from './overflow.js';
 import { MemoryWatch, memoryLimitBytes } from './memorywatch.js';
 import { GatewayMetrics } from './metrics.js';
 import { heldRequests, REFUSED_SHARE } from './requestlimit.js';
@@ -120,6 +121,8 @@
 
   #allowances: Allowances | undefined;
 
+  #overflow: Overflow | undefined;
+
   readonly #crashWatch: CrashWatch;
 
   #stopWindow: StopWindow | undefined;
@@ -203,6 +206,17 @@
     // The number of units that a daemon keeps depends on the other daemons. These may be starting as well, so
     // the first draw waits until they have had time to register.
     void membership.listed.then(() => delay(FLEET_DISCOVERY_MS)).then(() => allowances.start());
+    this.#overflow = new Overflow({
+      self: this.settings.instance,
+      dataCentre: this.settings.dataCentre,
+      network: membership.network,
+      daemons: () => membership.daemons,
+      waitMs: () => this.requestQueue.expectedWaitMs,
+      recorder: this.recorder,
+      metrics: this.metrics,
+      clock: this.clock,
+    });
+    this.#overflow.start();
     const { retries } = this.settings;
     this.#callContext = {
       codec: this.adapter.headers,
@@ -227,7 +241,22 @@
 
   /** Whether the load balancer should route requests to this daemon. */
   get isReady(): boolean {
-    return this.#stopWindow === undefined && this.callContext !== undefined;
+    return this.#stopWindow === undefined && this.callContext !== undefined && !this.isResting;
+  }
+
+  /** Whether callers should open new connections to other daemons, as this one is busy and others have room. */
+  get isResting(): boolean {
+    return this.#overflow?.isResting ?? false;
+  }
+
+  /**
+   * Decides whether the caller of a request is sent to another daemon, which would serve it sooner.
+   * @param request - id of the request, for the log
+   * @param targetMs - target time of its route, in milliseconds
+   * @returns whether the request is refused now
+   */
+  sendsElsewhere(request: string, targetMs: number): boolean {
+    return this.#overflow?.sendsElsewhere(request, targetMs) ?? false;
   }
 
   /** Whether a graceful stop has begun. */
@@ -358,6 +387,7 @@
   /** Returns unspent units, closes the links to the other daemons and stops the tasks. */
   async finishStop(): Promise<void> {
     this.routingState.stop();
+    this.#overflow?.stop();
     this.#crashWatch.stop();
     await this.#allowances?.stop();
     await this.#membership?.stop();
--- a/src/ingress/index.ts
+++ b/src/ingress/index.ts
@@ -5,9 +5,17 @@
 export { CallerConnection } from './callerconnection.js';
 export { CallerConnections } from './callerconnections.js';
 export { askForBody, holdContinue, waitsToBeAsked } from './heldcontinue.js';
+export {
+  hasRoomElsewhere,
+  IN_ROTATION,
+  isBetterElsewhere,
+  needsReports,
+  nextRotation,
+} from './overflow.js';
 export { ReadAhead } from './readahead.js';
 export { RequestQueue } from './requestqueue.js';
 export type { Arrival } from './callerconnection.js';
+export type { Rotation, WaitReport } from './overflow.js';
 export type { Defer, QueueOutcome } from './requestqueue.js';
 export { closeListener } from './listenerclose.js';
 export type { ListenerClosing } from './listenerclose.js';
--- /dev/null
+++ b/src/ingress/overflow.ts
@@ -0,0 +1,130 @@
+/**
+ * Decides when callers of a busy daemon are sent to others. Answers the load of a large workspace whose callers all reach
+ * one small daemon while others in its data centre are idle: waiting there would make every answer late. Has no clock and
+ * no sockets.
+ */
+import { SECOND_MS } from '../kernel/index.js';
+
+/** Share of a route's target time that a request may wait for its turn if another daemon has room. */
+const WAIT_SHARE = 0.5;
+
+/** Expected wait for a turn up to which a daemon has room for the callers of others, in milliseconds. */
+const ROOM_WAIT_MS = 25;
+
+/** Expected wait for a turn above which a daemon is busy, in milliseconds. */
+const BUSY_WAIT_MS = 100;
+
+/** Time for which a daemon is busy before it leaves the rotation of new connections, in milliseconds. */
+const BUSY_MS = SECOND_MS;
+
+/**
+ * Least and longest time outside the rotation, in milliseconds. The load balancer needs two checks, one second apart, to
+ * notice either change.
+ */
+const MIN_REST_MS = 4 * SECOND_MS;
+const MAX_REST_MS = 16 * SECOND_MS;
+
+/** Time in the rotation after which the next rest is a short one again, in milliseconds. */
+const CALM_MS = 10 * SECOND_MS;
+
+/** Share of the daemons that were asked that must have room. */
+const ROOM_SHARE = 0.5;
+
+/** Time for which a report of another daemon counts, in milliseconds. */
+const REPORT_TTL_MS = 2 * SECOND_MS;
+
+/** Fewest reports on which callers are sent to other daemons: a single one may be an exception. */
+const MIN_REPORTS = 2;
+
+/** What another daemon has reported. */
+export interface WaitReport {
+  /** Time for which a new request would wait for its turn there, in milliseconds. */
+  readonly waitMs: number;
+  /** When it was reported, in milliseconds. */
+  readonly at: number;
+}
+
+/**
+ * Decides whether other daemons have room.
+ * @param reports - newest report of each daemon that was asked
+ * @param now - current time, in milliseconds
+ * @returns whether most of those that have reported lately would serve a further request at once
+ */
+export function hasRoomElsewhere(reports: readonly WaitReport[], now: number): boolean {
+  const recent = reports.filter(({ at }) => now - at <= REPORT_TTL_MS);
+  const free = recent.filter(({ waitMs }) => waitMs <= ROOM_WAIT_MS);
+  return recent.length >= MIN_REPORTS && free.length > recent.length * ROOM_SHARE;
+}
+
+/**
+ * Decides whether other daemons are asked for reports.
+ * @param waitMs - time for which a new request would wait here, in milliseconds
+ * @returns whether this daemon may soon have to send callers to others
+ */
+export function needsReports(waitMs: number): boolean {
+  return waitMs > ROOM_WAIT_MS;
+}
+
+/**
+ * Decides whether the caller of a request is sent to another daemon instead of waiting here.
+ * @param waitMs - time for which the request would wait here, in milliseconds
+ * @param targetMs - target time of its route, in milliseconds
+ * @param isRoomElsewhere - whether other daemons have room
+ * @returns whether it is refused at once
+ */
+export function isBetterElsewhere(
+  waitMs: number,
+  targetMs: number,
+  isRoomElsewhere: boolean,
+): boolean {
+  return isRoomElsewhere && waitMs > Math.max(ROOM_WAIT_MS, targetMs * WAIT_SHARE);
+}
+
+/** Whether a daemon takes new connections. */
+export interface Rotation {
+  /** When the daemon became busy, in milliseconds; undefined while it is not. */
+  readonly busySince: number | undefined;
+  /** Time up to which it takes no new connections, in milliseconds; undefined while it takes them. */
+  readonly restsUntil: number | undefined;
+  /** When it took new connections again, in milliseconds. */
+  readonly returnedAt: number;
+  /** Length of the last rest, in milliseconds. */
+  readonly restMs: number;
+}
+
+/** A daemon that takes new connections. */
+export const IN_ROTATION: Rotation = {
+  busySince: undefined,
+  restsUntil: undefined,
+  returnedAt: Number.NEGATIVE_INFINITY,
+  restMs: 0,
+};
+
+/**
+ * Computes whether a daemon goes on to take new connections. A daemon that was busy for a while rests, longer if it has
+ * just come back, and comes back early if no other daemon has room.
+ * @param rotation - state so far
+ * @param waitMs - time for which a new request would wait here, in milliseconds
+ * @param isRoomElsewhere - whether other daemons have room
+ * @param now - current time, in milliseconds
+ * @returns the new state
+ */
+export function nextRotation(
+  rotation: Rotation,
+  waitMs: number,
+  isRoomElsewhere: boolean,
+  now: number,
+): Rotation {
+  const { restsUntil, returnedAt, restMs, busySince } = rotation;
+  if (restsUntil !== undefined) {
+    const isOver = now >= restsUntil && waitMs <= ROOM_WAIT_MS;
+    if (!isOver && isRoomElsewhere) return rotation;
+    return { ...IN_ROTATION, returnedAt: now, restMs };
+  }
+  if (waitMs <= BUSY_WAIT_MS || !isRoomElsewhere) return { ...rotation, busySince: undefined };
+  if (busySince === undefined) return { ...rotation, busySince: now };
+  if (now - busySince < BUSY_MS) return rotation;
+  const isCalm = now - returnedAt > CALM_MS;
+  const nextRestMs = isCalm ? MIN_REST_MS : Math.min(MAX_REST_MS, restMs * 2);
+  return { busySince: undefined, restsUntil: now + nextRestMs, returnedAt, restMs: nextRestMs };
+}
--- a/src/ingress/requestqueue.ts
+++ b/src/ingress/requestqueue.ts
@@ -78,6 +78,11 @@
     return this.#waiting.size;
   }
 
+  /** Time for which a request that arrives now would wait for its turn, in milliseconds. */
+  get expectedWaitMs(): number {
+    return this.#waiting.size * this.#meanIntervalMs;
+  }
+
   /** Values that decide whether a request is queued or rejected, for the log. */
   get facts(): Readonly<Record<string, number>> {
     return { waiting: this.#waiting.size, intervalMs: Math.round(this.#meanIntervalMs) };
@@ -96,7 +101,7 @@
    */
   waitForTurn(connection: CallerConnection, leftMs: number): Promise<QueueOutcome> {
     if (this.#isStopped) return Promise.resolve('stopped');
-    if (this.length * this.#meanIntervalMs > leftMs) return Promise.resolve('overloaded');
+    if (this.expectedWaitMs > leftMs) return Promise.resolve('overloaded');
     return new Promise((resolve) => {
       const unsubscribe: (() => void)[] = [];
       const waiting: WaitingRequest = {
--- a/src/route/messages.ts
+++ b/src/route/messages.ts
@@ -45,5 +45,23 @@
   })
   .readonly();
 
+/** Asks a daemon how long a new request would wait for its turn there. */
+export const waitAskedSchema = z.object({ type: z.literal('waitAsked') }).readonly();
+
+/** Reply. */
+export const waitAnsweredSchema = z
+  .object({
+    type: z.literal('waitAnswered'),
+    /** Expected wait of a new request, in milliseconds. */
+    waitMs: z.number().nonnegative(),
+  })
+  .readonly();
+
 /** Schemas of the messages. */
-export const routeMessages = [promptSentSchema, limitAskedSchema, limitAnsweredSchema] as const;
+export const routeMessages = [
+  promptSentSchema,
+  limitAskedSchema,
+  limitAnsweredSchema,
+  waitAskedSchema,
+  waitAnsweredSchema,
+] as const;
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -232,6 +232,16 @@
     level: 'info',
     text: 'the caller closed its sending side before the end of its answer',
   },
+  callSentElsewhere: {
+    number: 8021,
+    level: 'info',
+    text: 'request refused because other daemons would serve it sooner; it has not run',
+  },
+  rotationChanged: {
+    number: 8022,
+    level: 'info',
+    text: 'this daemon left or joined the rotation of new connections',
+  },
   allowanceDrawn: { number: 8101, level: 'info', text: 'prepaid units drawn or reported' },
   allowanceDelayed: { number: 8102, level: 'warn', text: 'prepaid units could not be drawn' },
   allowanceLent: { number: 8103, level: 'info', text: 'prepaid units lent to another daemon' },
