--- a/src/gateway/overflow.ts
+++ b/src/gateway/overflow.ts
@@ -1,15 +1,18 @@
 /** Sends callers of a busy daemon to others: asks those for their waits, and takes this daemon out of the rotation. */
+import { performance } from 'node:perf_hooks';
+
 import { rendezvous, SECOND_MS } from '../kernel/index.js';
 import {
   hasRoomElsewhere,
   IN_ROTATION,
   isBetterElsewhere,
+  isBusy,
   needsReports,
   nextRotation,
 } from '../ingress/index.js';
 import { LineLimit } from '../telemetry/index.js';
 
-import type { Rotation, WaitReport } from '../ingress/index.js';
+import type { DaemonLoad, Rotation, WaitReport } from '../ingress/index.js';
 import type { Clock } from '../kernel/index.js';
 import type { PeerNetwork } from '../link/index.js';
 import type { Recorder } from '../telemetry/index.js';
@@ -19,6 +22,12 @@
 /** Interval at which the wait of this daemon is examined, in milliseconds. */
 const SAMPLE_INTERVAL_MS = 100;
 
+/** Weight of the newest sample in the moving average of the utilization: it covers about half a second. */
+const UTILIZATION_WEIGHT = 0.3;
+
+/** Wait that a busy daemon reports if its queue is short, in milliseconds: its callers wait to be accepted. */
+const BUSY_REPORT_MS = 1_000;
+
 /** Interval at which other daemons are asked while this one is busy, in milliseconds. */
 const ASK_INTERVAL_MS = 500;
 
@@ -26,7 +35,7 @@
 const ASKED_DAEMONS = 4;
 
 /** Timeout of a question, in milliseconds. */
-const ASK_TIMEOUT_MS = 300;
+const ASK_TIMEOUT_MS = 2 * SECOND_MS;
 
 /** Maximum number of log lines on callers that were sent elsewhere in one period, and the period in milliseconds. */
 const REDIRECT_LINES = 5;
@@ -55,6 +64,10 @@
 
   #timer: NodeJS.Timeout | undefined;
 
+  #loopUsed = performance.eventLoopUtilization();
+
+  #utilization = 0;
+
   readonly #lines = new LineLimit(REDIRECT_LINES, REDIRECT_PERIOD_MS);
 
   /**
@@ -65,7 +78,7 @@
     cfg.network.handle('waitAsked', () => ({
       type: 'waitAnswered',
       // A daemon that has left the rotation takes no callers of others.
-      waitMs: this.isResting ? Number.MAX_SAFE_INTEGER : Math.round(cfg.waitMs()),
+      waitMs: this.isResting || isBusy(this.#load) ? BUSY_REPORT_MS : Math.round(cfg.waitMs()),
     }));
   }
 
@@ -106,23 +119,36 @@
 
   /** Examines the wait of this daemon once. */
   sample(): void {
-    const { waitMs, clock, recorder, metrics } = this.cfg;
+    const { clock, recorder, metrics } = this.cfg;
     const now = clock.now();
-    const expectedMs = waitMs();
-    if (needsReports(expectedMs) || this.isResting) this.#ask(now);
+    this.#measureLoop();
+    const load = this.#load;
+    if (needsReports(load) || this.isResting) this.#ask(now);
     const wasResting = this.isResting;
-    this.#rotation = nextRotation(this.#rotation, expectedMs, this.#isRoomElsewhere, now);
+    this.#rotation = nextRotation(this.#rotation, load, this.#isRoomElsewhere, now);
     if (this.isResting === wasResting) return;
     metrics.resting.set(this.isResting ? 1 : 0);
     const facts = {
       isResting: this.isResting,
-      waitMs: Math.round(expectedMs),
+      waitMs: Math.round(load.waitMs),
+      utilization: Number(load.utilization.toFixed(2)),
       restMs: this.#rotation.restMs,
       ...this.#reportFacts,
     };
     recorder.record('rotationChanged', { facts });
   }
 
+  get #load(): DaemonLoad {
+    return { waitMs: this.cfg.waitMs(), utilization: this.#utilization };
+  }
+
+  #measureLoop(): void {
+    const used = performance.eventLoopUtilization();
+    const { utilization } = performance.eventLoopUtilization(used, this.#loopUsed);
+    this.#loopUsed = used;
+    this.#utilization += (utilization - this.#utilization) * UTILIZATION_WEIGHT;
+  }
+
   get #isRoomElsewhere(): boolean {
     return hasRoomElsewhere([...this.#reports.values()], this.cfg.clock.now());
   }
@@ -153,8 +179,8 @@
           timeoutMs: ASK_TIMEOUT_MS,
         })
         .then((replied) => {
+          // A reply may be late because this daemon is busy; the last report counts until it is too old.
           if (replied.ok) this.#reports.set(name, { waitMs: replied.val.waitMs, at: clock.now() });
-          else this.#reports.delete(name);
         });
     });
   }
--- a/src/ingress/index.ts
+++ b/src/ingress/index.ts
@@ -9,13 +9,14 @@
   hasRoomElsewhere,
   IN_ROTATION,
   isBetterElsewhere,
+  isBusy,
   needsReports,
   nextRotation,
 } from './overflow.js';
 export { ReadAhead } from './readahead.js';
 export { RequestQueue } from './requestqueue.js';
 export type { Arrival } from './callerconnection.js';
-export type { Rotation, WaitReport } from './overflow.js';
+export type { DaemonLoad, Rotation, WaitReport } from './overflow.js';
 export type { Defer, QueueOutcome } from './requestqueue.js';
 export { closeListener } from './listenerclose.js';
 export type { ListenerClosing } from './listenerclose.js';
--- a/src/ingress/overflow.ts
+++ b/src/ingress/overflow.ts
@@ -14,8 +14,17 @@
 /** Expected wait for a turn above which a daemon is busy, in milliseconds. */
 const BUSY_WAIT_MS = 100;
 
-/** Time for which a daemon is busy before it leaves the rotation of new connections, in milliseconds. */
-const BUSY_MS = SECOND_MS;
+/**
+ * Part of the time in which the event loop runs above which a daemon is busy: connections then wait to be accepted, and
+ * their requests are not in the queue yet.
+ */
+const BUSY_UTILIZATION = 0.95;
+
+/**
+ * Time for which a daemon is busy before it leaves the rotation of new connections, in milliseconds. The load balancer
+ * takes no notice of a shorter absence than a second.
+ */
+const BUSY_MS = 400;
 
 /**
  * Least and longest time outside the rotation, in milliseconds. The load balancer needs two checks, one second apart, to
@@ -31,7 +40,7 @@
 const ROOM_SHARE = 0.5;
 
 /** Time for which a report of another daemon counts, in milliseconds. */
-const REPORT_TTL_MS = 2 * SECOND_MS;
+const REPORT_TTL_MS = 4 * SECOND_MS;
 
 /** Fewest reports on which callers are sent to other daemons: a single one may be an exception. */
 const MIN_REPORTS = 2;
@@ -44,6 +53,23 @@
   readonly at: number;
 }
 
+/** Load of one daemon. */
+export interface DaemonLoad {
+  /** Time for which a new request would wait for its turn, in milliseconds. */
+  readonly waitMs: number;
+  /** Part of the time in which its event loop runs. */
+  readonly utilization: number;
+}
+
+/**
+ * Decides whether a daemon is busy.
+ * @param load - its load
+ * @returns whether its callers wait, in its queue or to be accepted
+ */
+export function isBusy({ waitMs, utilization }: DaemonLoad): boolean {
+  return waitMs > BUSY_WAIT_MS || utilization > BUSY_UTILIZATION;
+}
+
 /**
  * Decides whether other daemons have room.
  * @param reports - newest report of each daemon that was asked
@@ -58,11 +84,11 @@
 
 /**
  * Decides whether other daemons are asked for reports.
- * @param waitMs - time for which a new request would wait here, in milliseconds
+ * @param load - load of this daemon
  * @returns whether this daemon may soon have to send callers to others
  */
-export function needsReports(waitMs: number): boolean {
-  return waitMs > ROOM_WAIT_MS;
+export function needsReports(load: DaemonLoad): boolean {
+  return load.waitMs > ROOM_WAIT_MS || isBusy(load);
 }
 
 /**
@@ -104,24 +130,24 @@
  * Computes whether a daemon goes on to take new connections. A daemon that was busy for a while rests, longer if it has
  * just come back, and comes back early if no other daemon has room.
  * @param rotation - state so far
- * @param waitMs - time for which a new request would wait here, in milliseconds
+ * @param load - load of this daemon
  * @param isRoomElsewhere - whether other daemons have room
  * @param now - current time, in milliseconds
  * @returns the new state
  */
 export function nextRotation(
   rotation: Rotation,
-  waitMs: number,
+  load: DaemonLoad,
   isRoomElsewhere: boolean,
   now: number,
 ): Rotation {
   const { restsUntil, returnedAt, restMs, busySince } = rotation;
   if (restsUntil !== undefined) {
-    const isOver = now >= restsUntil && waitMs <= ROOM_WAIT_MS;
+    const isOver = now >= restsUntil && load.waitMs <= ROOM_WAIT_MS && !isBusy(load);
     if (!isOver && isRoomElsewhere) return rotation;
     return { ...IN_ROTATION, returnedAt: now, restMs };
   }
-  if (waitMs <= BUSY_WAIT_MS || !isRoomElsewhere) return { ...rotation, busySince: undefined };
+  if (!isBusy(load) || !isRoomElsewhere) return { ...rotation, busySince: undefined };
   if (busySince === undefined) return { ...rotation, busySince: now };
   if (now - busySince < BUSY_MS) return rotation;
   const isCalm = now - returnedAt > CALM_MS;
