--- a/src/route/messages.ts
+++ b/src/route/messages.ts
@@ -96,6 +96,18 @@
   })
   .readonly();
 
+/** Asks a daemon how long a new request would wait for its turn there. */
+export const waitAskedSchema = z.object({ type: z.literal('waitAsked') }).readonly();
+
+/** Reply. */
+export const waitAnsweredSchema = z
+  .object({
+    type: z.literal('waitAnswered'),
+    /** Expected wait of a new request, in milliseconds. */
+    waitMs: z.number().nonnegative(),
+  })
+  .readonly();
+
 /** Schemas of the messages. */
 export const routeMessages = [
   promptSentSchema,
@@ -104,4 +116,6 @@
   evacuationsToldSchema,
   routingAskedSchema,
   routingToldSchema,
+  waitAskedSchema,
+  waitAnsweredSchema,
 ] as const;
