--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -123,6 +123,20 @@
     registers: [this.#registry],
   });
 
+  /** Era of the store. */
+  readonly storeEra = new Gauge({
+    name: 'comfreyreel_store_era',
+    help: 'Era of the store after its last return from an older copy; 0 if this daemon has seen none',
+    registers: [this.#registry],
+  });
+
+  /** Rises of the era of the store. */
+  readonly storeRises = new Counter({
+    name: 'comfreyreel_store_rises_total',
+    help: 'Returns of the store from an older copy that this daemon has seen',
+    registers: [this.#registry],
+  });
+
   /** Changes of beliefs about prompt parts that crash upstreams. */
   readonly suspects = new Counter({
     name: 'comfreyreel_crash_suspects_total',
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -18,6 +18,7 @@
 import { LoopDelay } from './loopdelay.js';
 import { Membership } from './membership.js';
 import { askNews, tellNews } from './startnews.js';
+import { watchStoreEra } from './storeerawatch.js';
 import { joinShardCount } from './shardcount.js';
 import { MemoryWatch, memoryLimitBytes } from './memorywatch.js';
 import { GatewayMetrics } from './metrics.js';
@@ -117,6 +118,8 @@
 
   #shards: SharedValue<number> | undefined;
 
+  #releaseEra: () => void = () => undefined;
+
   #callContext: CallContext | undefined;
 
   #allowances: Allowances | undefined;
@@ -188,6 +191,7 @@
     this.#loopDelay.start();
     this.#memoryWatch.start();
     this.routingState.isAwaitingNews = true;
+    this.#releaseEra = watchStoreEra(this.adapter.store.era, this.recorder, this.metrics);
     this.routingState.start();
     this.#crashWatch.start();
     const { host, port } = splitAddress(this.settings.listen.peers);
@@ -376,6 +380,7 @@
     this.routingState.stop();
     this.#crashWatch.stop();
     this.#shards?.stop();
+    this.#releaseEra();
     await this.#allowances?.stop();
     await this.#membership?.stop();
     this.upstreamPool.close();
--- a/testbed/memorystore.ts
+++ b/testbed/memorystore.ts
@@ -60,6 +60,23 @@
     return Ok({ changes: [], position: 0 });
   }
 
+  /**
+   * Copies all objects.
+   * @returns the copy
+   */
+  copy(): readonly StoredObject[] {
+    return [...this.#objects.values()];
+  }
+
+  /**
+   * Comes back from a copy: what was written since is gone, and its versions are given out again.
+   * @param copy - the copy
+   */
+  comeBack(copy: readonly StoredObject[]): void {
+    this.#objects.clear();
+    copy.forEach((object) => this.#objects.set(object.key, object));
+  }
+
   /**
    * Reads an object without injected faults.
    * @param key - object key
