--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -18,6 +18,7 @@
 import { LoopDelay } from './loopdelay.js';
 import { Membership } from './membership.js';
 import { askNews, tellNews } from './startnews.js';
+import { watchStoreEra } from './storeerawatch.js';
 import { joinShardCount } from './shardcount.js';
 import { Overflow } from './overflow.js';
 import { MemoryWatch, memoryLimitBytes } from './memorywatch.js';
@@ -118,6 +119,8 @@
 
   #shards: SharedValue<number> | undefined;
 
+  #releaseEra: () => void = () => undefined;
+
   #callContext: CallContext | undefined;
 
   #allowances: Allowances | undefined;
@@ -191,6 +194,7 @@
     this.#loopDelay.start();
     this.#memoryWatch.start();
     this.routingState.isAwaitingNews = true;
+    this.#releaseEra = watchStoreEra(this.adapter.store.era, this.recorder, this.metrics);
     this.routingState.start();
     this.#crashWatch.start();
     const { host, port } = splitAddress(this.settings.listen.peers);
@@ -406,6 +410,7 @@
     this.#overflow?.stop();
     this.#crashWatch.stop();
     this.#shards?.stop();
+    this.#releaseEra();
     await this.#allowances?.stop();
     await this.#membership?.stop();
     this.upstreamPool.close();
