--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -92,10 +92,18 @@
     registers: [this.#registry],
   });
 
-  /** Permits for requests to upstreams that name a limit. */
+  /** Times at which upstreams were taken for cold. */
+  readonly coldUpstreams = new Counter({
+    name: 'comfreyreel_cold_upstreams_total',
+    help: 'Upstreams that were taken for cold, by what this daemon concluded it from',
+    labelNames: ['why'],
+    registers: [this.#registry],
+  });
+
+  /** Permits for requests to upstreams that name a limit or are cold. */
   readonly permits = new Counter({
     name: 'comfreyreel_limit_permits_total',
-    help: 'Permits that were granted and denied for requests to upstreams that name a limit',
+    help: 'Permits that were granted and denied for requests to upstreams that name a limit or are cold',
     labelNames: ['end'],
     registers: [this.#registry],
   });
@@ -108,6 +116,21 @@
     registers: [this.#registry],
   });
 
+  /** Data centres whose upstreams must receive nothing. */
+  readonly evacuatedDataCentres = new Gauge({
+    name: 'comfreyreel_evacuated_data_centres',
+    help: 'Evacuated data centres, as far as this daemon knows',
+    registers: [this.#registry],
+  });
+
+  /** Changes of the evacuations. */
+  readonly evacuationChanges = new Counter({
+    name: 'comfreyreel_evacuation_changes_total',
+    help: 'Changes of the evacuated data centres, by where this daemon learned of them',
+    labelNames: ['source'],
+    registers: [this.#registry],
+  });
+
   /** Changes of beliefs about prompt parts that crash upstreams. */
   readonly suspects = new Counter({
     name: 'comfreyreel_crash_suspects_total',
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -21,6 +21,7 @@
 import { MemoryWatch, memoryLimitBytes } from './memorywatch.js';
 import { GatewayMetrics } from './metrics.js';
 import { heldRequests, REFUSED_SHARE } from './requestlimit.js';
+import { coldRecorder } from './coldrecord.js';
 import { retryLimits } from './retrylimits.js';
 import { processorCores } from './settings.js';
 import { OpenRequests } from './openrequests.js';
@@ -158,7 +159,13 @@
       }),
       (residentBytes) => this.bodyGate.sample(residentBytes),
     );
-    this.routingState = new RoutingState(adapter, this.recorder, this.clock, settings.watchMs);
+    const { metrics } = this;
+    const { watchMs, evacuateMs } = settings;
+    const evacuation =
+      typeof evacuateMs === 'number' ? { withinMs: evacuateMs, metrics } : undefined;
+    this.routingState = new RoutingState(adapter, this.recorder, this.clock, watchMs, evacuation);
+    this.routingState.upstreams.warmups.onCold = coldRecorder(this);
+    this.routingState.upstreams.regions = settings.regions ?? {};
     this.#crashWatch = new CrashWatch({
       store: adapter.store,
       recorder: this.recorder,
@@ -195,6 +202,7 @@
       clock: this.clock,
     });
     membership.start();
+    this.routingState.evacuationWatch?.join(membership.network);
     this.#membership = membership;
     const allowances = this.#createAllowances(membership, await this.#readShardCount());
     this.#allowances = allowances;
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -1,8 +1,10 @@
 /** Registered upstreams, and the decision which of them may receive new requests. */
+import { isAllowedIn } from './homes.js';
 import { UpstreamLimits } from './upstreamlimits.js';
 import { UpstreamSignals } from './upstreamsignals.js';
 import { Warmups } from './warmups.js';
 
+import type { Regions } from './homes.js';
 import type { UpstreamSupply } from './shortage.js';
 import type { UpstreamIncarnation } from './upstreamsignals.js';
 
@@ -59,6 +61,12 @@
   /** Upstreams that are cold. */
   readonly warmups = new Warmups(this.limits);
 
+  /** Checks whether a data centre is evacuated; by default none is. */
+  isEvacuated: (dataCentre: string, now: number) => boolean = () => false;
+
+  /** Region of each data centre. */
+  regions: Regions = {};
+
   /** Time of the last sign of a store outage, in milliseconds. */
   #disturbedAt = Number.NEGATIVE_INFINITY;
 
@@ -135,12 +143,16 @@
    * Lists the upstreams of a service that may receive new requests.
    * @param service - the service
    * @param now - current time, in milliseconds
-   * @returns the upstreams that are listed or within their grace period, without leaving and paused ones, and those
-   * that name a limit and have no permits left
+   * @param allowed - regions of the upstreams; default any
+   * @returns the upstreams that are listed or within their grace period, without leaving, evacuated and paused ones, and
+   * those that name a limit and have no permits left
    */
-  serving(service: string, now: number): readonly UpstreamRecord[] {
-    return this.#registered(service, now).filter(
-      (record) => !this.#isPaused(record, now) && !this.limits.isHeld(record, now),
+  serving(service: string, now: number, allowed?: readonly string[]): readonly UpstreamRecord[] {
+    return this.#registered(service, now, allowed).filter(
+      (record) =>
+        !this.isEvacuated(record.dataCentre, now) &&
+        !this.#isPaused(record, now) &&
+        !this.limits.isHeld(record, now),
     );
   }
 
@@ -148,10 +160,12 @@
    * Counts the upstreams of a service that are in use, including paused and limited ones.
    * @param service - the service
    * @param now - current time, in milliseconds
+   * @param allowed - regions of the upstreams; default any
    * @returns their numbers, and when the first may receive requests again
    */
-  supply(service: string, now: number): UpstreamSupply {
-    const registered = this.#registered(service, now);
+  supply(service: string, now: number, allowed?: readonly string[]): UpstreamSupply {
+    const listed = this.#registered(service, now, allowed);
+    const registered = listed.filter(({ dataCentre }) => !this.isEvacuated(dataCentre, now));
     const paused = registered.filter((record) => this.#isPaused(record, now));
     const limited = registered.filter((record) => this.limits.allowanceOf(record, now));
     const unavailable = new Set([...paused, ...limited]);
@@ -163,6 +177,7 @@
       registered: registered.length,
       paused: paused.length,
       limited: limited.length,
+      ...(listed.length > registered.length && { evacuated: listed.length - registered.length }),
       pauseEndsInMs: areAllUnavailable ? Math.min(...waits) : undefined,
     };
   }
@@ -193,12 +208,13 @@
     { id, service, startedAt }: UpstreamRecord,
     now: number,
     permittedUntil = Number.NEGATIVE_INFINITY,
-  ): 'gone' | 'leaving' | 'paused' | 'limited' | undefined {
+  ): 'gone' | 'leaving' | 'evacuated' | 'paused' | 'limited' | undefined {
     const entry = this.#entries.get(id);
     if (!entry || (entry.missingUntil !== undefined && entry.missingUntil <= now)) return 'gone';
     const { record } = entry;
     if (record.service !== service || record.startedAt !== startedAt) return 'gone';
     if (this.isLeaving(record)) return 'leaving';
+    if (this.isEvacuated(record.dataCentre, now)) return 'evacuated';
     if (this.#isPaused(record, now)) return 'paused';
     const isLimited = this.limits.allowanceOf(record, now) !== undefined;
     return isLimited && now > permittedUntil ? 'limited' : undefined;
@@ -232,11 +248,16 @@
   }
 
   /** Upstreams of a service that are listed or within their grace period, without leaving ones. */
-  #registered(service: string, now: number): readonly UpstreamRecord[] {
+  #registered(
+    service: string,
+    now: number,
+    allowed: readonly string[] | undefined,
+  ): readonly UpstreamRecord[] {
     return [...this.#entries.values()]
       .filter(({ missingUntil }) => missingUntil === undefined || missingUntil > now)
       .map(({ record }) => record)
-      .filter((record) => record.service === service && !this.isLeaving(record));
+      .filter((record) => record.service === service && !this.isLeaving(record))
+      .filter(({ dataCentre }) => isAllowedIn(dataCentre, allowed, this.regions));
   }
 
   #isPaused(record: UpstreamRecord, now: number): boolean {
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -186,6 +186,11 @@
     level: 'info',
     text: 'an upstream is or may be cold; it receives requests by permit, at the rate that its service names',
   },
+  evacuationsChanged: {
+    number: 7201,
+    level: 'info',
+    text: 'evacuated data centres changed; their upstreams receive no requests',
+  },
   upstreamCrashed: {
     number: 7101,
     level: 'warn',
