--- a/src/gateway/evacuationwatch.ts
+++ b/src/gateway/evacuationwatch.ts
@@ -59,6 +59,9 @@
   /** Evacuated data centres as last logged. */
   #logged = '';
 
+  /** Called when the evacuation of a data centre has ended. */
+  onEnd: (dataCentre: string) => void = () => undefined;
+
   /**
    * Creates the watch; nothing is read before its follower runs.
    * @param cfg - dependencies
@@ -167,6 +170,10 @@
     const dataCentres = this.evacuations.dataCentres(clock.now());
     const inForce = dataCentres.join(',');
     if (inForce === this.#logged) return;
+    const ended = this.#logged
+      .split(',')
+      .filter((name) => name !== '' && !dataCentres.includes(name));
+    ended.forEach((name) => this.onEnd(name));
     const facts = {
       source,
       inForce: inForce || 'none',
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -106,10 +106,18 @@
     registers: [this.#registry],
   });
 
-  /** Permits for requests to upstreams that name a limit. */
+  /** Times at which upstreams were taken for cold. */
+  readonly coldUpstreams = new Counter({
+    name: 'comfreyreel_cold_upstreams_total',
+    help: 'Upstreams that were taken for cold, by what this daemon concluded it from',
+    labelNames: ['why'],
+    registers: [this.#registry],
+  });
+
+  /** Permits for requests to upstreams that name a limit or are cold. */
   readonly permits = new Counter({
     name: 'comfreyreel_limit_permits_total',
-    help: 'Permits that were granted and denied for requests to upstreams that name a limit',
+    help: 'Permits that were granted and denied for requests to upstreams that name a limit or are cold',
     labelNames: ['end'],
     registers: [this.#registry],
   });
--- a/src/gateway/routingstate.ts
+++ b/src/gateway/routingstate.ts
@@ -31,10 +31,6 @@
 /** Period of the limit on these log lines, in milliseconds. */
 const UNREADABLE_PERIOD_MS = 10_000;
 
-/** Maximum number of log lines on upstreams that are cold in one period, and the period in milliseconds. */
-const COLD_LINES = 20;
-const COLD_PERIOD_MS = 10_000;
-
 function nameOf(key: string): string {
   return key.slice(key.indexOf('/') + 1);
 }
@@ -62,8 +58,6 @@
 
   readonly #unreadableLines = new LineLimit(UNREADABLE_LINES, UNREADABLE_PERIOD_MS);
 
-  readonly #coldLines = new LineLimit(COLD_LINES, COLD_PERIOD_MS);
-
   #table: RouteTable | undefined;
 
   #hasUpstreams = false;
@@ -107,12 +101,6 @@
   ) {
     const { configurationKey, upstreamsPrefix, store } = adapter;
     this.#listedRises = store.era.rises;
-    this.upstreams.warmups.onCold = ({ id, startedAt }, why, leftMs) => {
-      const suppressed = this.#coldLines.admit(clock.now());
-      if (suppressed === undefined) return;
-      const facts = { why, leftMs: Math.round(leftMs), startedAt, suppressed };
-      recorder.record('upstreamCold', { upstream: id, facts });
-    };
     const configurationPrefix = configurationKey.slice(0, configurationKey.indexOf('/') + 1);
     this.#followers = [
       this.#follow(configurationPrefix, {
@@ -139,6 +127,8 @@
       onLost: (err) => this.#onLost(prefix, err),
       onRegained: () => this.#onRegained(prefix),
     });
+    // Its upstreams may have become cold meanwhile.
+    evacuationWatch.onEnd = (dataCentre) => this.upstreams.suspectCold(dataCentre, clock.now());
     this.evacuationWatch = evacuationWatch;
     this.#followers = [...this.#followers, evacuationWatch.follower];
     this.upstreams.isEvacuated = (dataCentre, now) =>
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -24,6 +24,7 @@
 import { MemoryWatch, memoryLimitBytes } from './memorywatch.js';
 import { GatewayMetrics } from './metrics.js';
 import { heldRequests, REFUSED_SHARE } from './requestlimit.js';
+import { coldRecorder } from './coldrecord.js';
 import { retryLimits } from './retrylimits.js';
 import { processorCores } from './settings.js';
 import { OpenRequests } from './openrequests.js';
@@ -170,6 +171,7 @@
     const evacuation =
       typeof evacuateMs === 'number' ? { withinMs: evacuateMs, metrics } : undefined;
     this.routingState = new RoutingState(adapter, this.recorder, this.clock, watchMs, evacuation);
+    this.routingState.upstreams.warmups.onCold = coldRecorder(this);
     this.routingState.upstreams.regions = settings.regions ?? {};
     this.#crashWatch = new CrashWatch({
       store: adapter.store,
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -76,15 +76,15 @@
   /** Limits that the upstreams name, in force in the same way. */
   readonly limits = new UpstreamLimits();
 
+  /** Upstreams that are cold. */
+  readonly warmups = new Warmups(this.limits);
+
   /** Checks whether a data centre is evacuated; by default none is. */
   isEvacuated: (dataCentre: string, now: number) => boolean = () => false;
 
   /** Region of each data centre. */
   regions: Regions = {};
 
-  /** Upstreams that are cold. */
-  readonly warmups = new Warmups(this.limits);
-
   /** Time of the last sign of a store outage, in milliseconds. */
   #disturbedAt = Number.NEGATIVE_INFINITY;
 
