--- a/src/gateway/callrun.ts
+++ b/src/gateway/callrun.ts
@@ -53,6 +53,9 @@
  */
 const ANSWER_TIMEOUT_TARGETS = 3;
 
+/** Least status of an answer for which the upstream may not have done the work. */
+const FIRST_FAILURE = 300;
+
 /** Dependencies of a request run. */
 export interface CallContext extends PlacementContext, SignalContext {
   readonly codec: HeaderCodec;
@@ -244,12 +247,14 @@
     this.#placed = { ...placed, excluded, isRepeat };
     const { connectionMs, earlier } = this.arrival;
     const waitedMs = this.ctx.clock.now() - this.#startedAt;
+    this.ctx.metrics.pace.observe(placement.pace);
     if (!isRepeat) this.ctx.metrics.sendDelay.observe(waitedMs / 1_000);
     const facts = {
       waitedMs: Math.round(waitedMs),
       connectionMs: Math.round(connectionMs),
       earlier,
       delayMs: Math.round(placement.delayMs),
+      pacePercent: Math.round(placement.pace * 100),
       load: upstream.stats.estimatedOpen(this.ctx.clock.now()),
       version: table.configuration.version,
       isRepeat,
@@ -286,7 +291,7 @@
     const placed = this.#placed;
     if (!placed) throw new Error('an attempt needs a placement');
     const { upstream, placement, permittedUntil } = placed;
-    const { uncachedTokens } = placement;
+    const { uncachedTokens, workMs } = placement;
     const { record, stats } = upstream;
     const { clock, metrics } = this.ctx;
     const { route } = this.policy;
@@ -305,6 +310,10 @@
       sentAt: clock.now(),
       uncachedTokens,
       memoryTokens,
+      expected: {
+        expectedMs: workMs,
+        fill: stats.estimatedOpen(clock.now()) / record.capacity,
+      },
       isAnswered: false,
     });
     const progress = new AttemptProgress(this.call, clock.now());
@@ -330,7 +339,7 @@
       onProgress: (head) => {
         this.#guard.noteProgress(progress, head);
         this.#firstByteAt ??= clock.now();
-        stats.recordResponse(open, head?.load, clock.now());
+        stats.recordResponse(open, head?.load, clock.now(), head && head.status < FIRST_FAILURE);
         if (head) recordSignals(this.ctx, record, head, this.call.head.id, sentAt);
       },
     });
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -10,6 +10,9 @@
 /** Upper bounds of the buckets for delays inside a daemon, in seconds. */
 const DELAY_BUCKETS = [0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2];
 
+/** Upper bounds of the buckets for the pace of upstreams, as factors of the usual time. */
+const PACE_BUCKETS = [0.5, 0.8, 0.95, 1.05, 1.25, 1.6, 2.5, 5, 10];
+
 /** Metrics of the gateway. */
 export class GatewayMetrics {
   readonly #registry = new Registry();
@@ -108,6 +111,14 @@
     registers: [this.#registry],
   });
 
+  /** Pace of the upstreams that requests are sent to, as a factor of the usual time. */
+  readonly pace = new Histogram({
+    name: 'comfreyreel_upstream_pace',
+    help: 'Time that work takes at the upstreams that requests are sent to, as a factor of the usual time',
+    buckets: PACE_BUCKETS,
+    registers: [this.#registry],
+  });
+
   /** Data centres whose upstreams must receive nothing. */
   readonly evacuatedDataCentres = new Gauge({
     name: 'comfreyreel_evacuated_data_centres',
--- a/src/gateway/protocol.ts
+++ b/src/gateway/protocol.ts
@@ -54,6 +54,8 @@
   /** Number of requests that wait for a slot. */
   readonly waiting: number;
   readonly slots: number;
+  /** Time that work takes there now, in percent of the usual time; missing if the upstream does not state it. */
+  readonly pacePercent?: number;
 }
 
 /** Number of requests per second that an upstream names; "unreadable" if it names one that is no decimal number. */
--- a/src/gateway/upstreampool.ts
+++ b/src/gateway/upstreampool.ts
@@ -1,6 +1,6 @@
 /** Connections and load of each upstream, and placement of requests on the upstreams. */
 import { hash32 } from '../kernel/index.js';
-import { HotParts, placeRequest, UpstreamStats } from '../route/index.js';
+import { HotParts, placeRequest, UpstreamStats, UsualPace } from '../route/index.js';
 import { UpstreamConnections } from './connections.js';
 import { incarnationKey } from './upstreamsignals.js';
 
@@ -48,6 +48,9 @@
   /** Frequent prompt parts, by service. */
   readonly #hotParts = new Map<string, HotParts>();
 
+  /** Usual pace, by service. */
+  readonly #usualPaces = new Map<string, UsualPace>();
+
   #sweptAt = 0;
 
   /**
@@ -85,7 +88,8 @@
     const hotParts = this.#hotParts.get(query.service) ?? new HotParts();
     this.#hotParts.set(query.service, hotParts);
     const affinityPart = hotParts.choose(query.request, candidates.length, now);
-    const request = { ...query.request, affinityPart };
+    const usualMs = query.request.promptTokens === 0 ? this.#usualPace(query.service).answerMs : 0;
+    const request = { ...query.request, affinityPart, usualMs };
     const placement = placeRequest(candidates, request, this.options, draw);
     const upstream = upstreams.find(({ record }) => record.id === placement?.id);
     return placement && upstream ? { placement, upstream } : undefined;
@@ -135,13 +139,19 @@
     const known = {
       record,
       seed: found?.seed ?? hash32(record.id),
-      stats: found?.stats ?? new UpstreamStats(),
+      stats: found?.stats ?? new UpstreamStats(this.#usualPace(record.service)),
       connections: found?.connections ?? new UpstreamConnections(record.address),
     };
     this.#known.set(key, known);
     return known;
   }
 
+  #usualPace(service: string): UsualPace {
+    const found = this.#usualPaces.get(service) ?? new UsualPace();
+    this.#usualPaces.set(service, found);
+    return found;
+  }
+
   #candidate(
     { record, seed, stats }: KnownUpstream,
     { memoryTokens }: PlacementQuery,
@@ -149,12 +159,14 @@
   ): PlacementCandidate {
     const free =
       memoryTokens === undefined ? Number.POSITIVE_INFINITY : memoryTokens - stats.memoryTokens;
+    const load = stats.estimatedOpen(now);
     return {
       id: record.id,
       seed,
       isNear: record.dataCentre === this.dataCentre,
       capacity: record.capacity,
-      load: stats.estimatedOpen(now),
+      load,
+      pace: stats.pace.factor(load / record.capacity, now),
       waiting: stats.waiting(now),
       pendingTokens: stats.pendingTokens + stats.pendingPeerTokens(this.options.tokensPerMs, now),
       freeTokens: free,
--- a/src/route/placement.ts
+++ b/src/route/placement.ts
@@ -34,6 +34,8 @@
   readonly isEjected: boolean;
   /** Remaining warm-up time after its start, during which it is slow, in milliseconds. */
   readonly warmupMs: number;
+  /** Time that work takes there, as a factor of the usual time; default 1. */
+  readonly pace?: number;
 }
 
 /** A part of a prompt that other requests may have in common. */
@@ -57,6 +59,8 @@
   readonly promptTokens: number;
   /** Maximum token memory that it uses at the upstream. */
   readonly memoryTokens: number;
+  /** Usual time that its work takes beside its prompt, in milliseconds; default 0. */
+  readonly usualMs?: number;
 }
 
 /** Speeds and weights of the delay estimate. */
@@ -103,6 +107,32 @@
   return scored.sort((one, other) => other.score - one.score)[0]?.id;
 }
 
+/** Wait of a request for a slot, in milliseconds. */
+function queueDelayMs(
+  { load, capacity, waiting }: PlacementCandidate,
+  { slotWaitMs }: PlacementOptions,
+): number {
+  const waitingRequests = Math.max(0, load + 1 - capacity) + waiting;
+  return (waitingRequests / Math.max(1, capacity)) * slotWaitMs;
+}
+
+/**
+ * Estimates the time until an upstream of the usual pace begins to answer a request, without penalties.
+ * @param candidate - the upstream
+ * @param uncachedTokens - prompt tokens of the request that it has to process
+ * @param options - speeds and weights
+ * @returns milliseconds
+ */
+export function expectedWorkMs(
+  candidate: PlacementCandidate,
+  uncachedTokens: number,
+  options: PlacementOptions,
+): number {
+  const readMs = (candidate.pendingTokens + uncachedTokens) / options.tokensPerMs;
+  const loadMs = candidate.load * options.loadMsPerRequest;
+  return readMs + loadMs + queueDelayMs(candidate, options);
+}
+
 /**
  * Estimates the delay until an upstream begins to answer a request, penalties included.
  * @param candidate - the upstream
@@ -117,13 +147,12 @@
   isPreferred: boolean,
   options: PlacementOptions,
 ): number {
-  const { load, capacity, waiting, freeTokens, isNear, isEjected, silentMs } = candidate;
+  const { load, freeTokens, isNear, isEjected, silentMs, pace = 1 } = candidate;
   const cached = isPreferred ? request.sharedTokens * PREFERRED_CACHED_SHARE : 0;
   const rereadTokens = (request.sharedTokens - cached) * options.rereadWeight;
   const tokens = candidate.pendingTokens + request.promptTokens - cached + rereadTokens;
   const readMs = tokens / options.tokensPerMs;
-  const waitingRequests = Math.max(0, load + 1 - capacity) + waiting;
-  const queueMs = (waitingRequests / Math.max(1, capacity)) * options.slotWaitMs;
+  const queueMs = queueDelayMs(candidate, options);
   const memoryWaitMs = request.memoryTokens > freeTokens ? options.slotWaitMs : 0;
   const silenceMs = Math.max(0, silentMs - options.usualSilenceMs);
   const failureMs = candidate.failedShare * options.failurePenaltyMs;
@@ -131,17 +160,8 @@
   const ejectedMs = isEjected ? EJECTED_PENALTY_MS : 0;
   const warmupWaitMs = candidate.warmupMs > 0 ? options.slotWaitMs : 0;
   const loadMs = load * options.loadMsPerRequest;
-  return (
-    readMs +
-    loadMs +
-    queueMs +
-    memoryWaitMs +
-    silenceMs +
-    failureMs +
-    remoteMs +
-    ejectedMs +
-    warmupWaitMs
-  );
+  const workMs = (readMs + loadMs + queueMs + (request.usualMs ?? 0)) * pace;
+  return workMs + memoryWaitMs + silenceMs + failureMs + remoteMs + ejectedMs + warmupWaitMs;
 }
 
 /** The selected upstream of a request, with estimates. */
@@ -150,6 +170,10 @@
   readonly delayMs: number;
   /** Prompt tokens that are probably not cached at the upstream and have to be processed. */
   readonly uncachedTokens: number;
+  /** Expected time until the answer begins at the usual pace, without penalties, in milliseconds. */
+  readonly workMs: number;
+  /** Time that work takes at the upstream, as a factor of the usual time. */
+  readonly pace: number;
 }
 
 /**
@@ -176,7 +200,10 @@
     const delayMs = expectedDelayMs(candidate, request, isPreferred, options);
     if (best && best.delayMs <= delayMs) return;
     const cached = isPreferred ? request.sharedTokens * PREFERRED_CACHED_SHARE : 0;
-    best = { id: candidate.id, delayMs, uncachedTokens: request.promptTokens - cached };
+    const uncachedTokens = request.promptTokens - cached;
+    const workMs = expectedWorkMs(candidate, uncachedTokens, options);
+    const { id, pace = 1 } = candidate;
+    best = { id, delayMs, uncachedTokens, workMs, pace };
   });
   return best;
 }
--- a/src/route/upstreamstats.ts
+++ b/src/route/upstreamstats.ts
@@ -1,7 +1,10 @@
 /** Load and health of one upstream, as known to one daemon. */
 import { Health } from './health.js';
+import { UpstreamPace } from './pace.js';
+import { UsualPace } from './usualpace.js';
 
 import type { HealthOptions } from './health.js';
+import type { PaceSample } from './pace.js';
 
 /** Weight of the newest answer in the moving average of failed answers. */
 const FAILURE_WEIGHT = 0.15;
@@ -21,6 +24,8 @@
 interface ReportedLoad {
   readonly running: number;
   readonly waiting: number;
+  /** Time that work takes there now, in percent of the usual time; missing if it is not stated. */
+  readonly pacePercent?: number;
 }
 
 /** An open request at the upstream. */
@@ -30,6 +35,8 @@
   readonly uncachedTokens: number;
   /** Maximum token memory that it uses at the upstream. */
   readonly memoryTokens: number;
+  /** What was expected at the usual pace when it was sent; missing if its answer says nothing about the pace. */
+  readonly expected?: Pick<PaceSample, 'expectedMs' | 'fill'>;
   /** Whether part of the answer has arrived. */
   isAnswered: boolean;
 }
@@ -38,6 +45,8 @@
 export class UpstreamStats {
   readonly health = new Health(HEALTH_OPTIONS);
 
+  readonly pace: UpstreamPace;
+
   readonly #open = new Set<OpenRequest>();
 
   #load: ReportedLoad = { running: 0, waiting: 0 };
@@ -54,6 +63,14 @@
 
   #lastResponseAt = Number.NEGATIVE_INFINITY;
 
+  /**
+   * Starts without load.
+   * @param usualPace - what is usual for the service
+   */
+  constructor(usualPace = new UsualPace()) {
+    this.pace = new UpstreamPace(usualPace);
+  }
+
   /** Number of open requests of this daemon at the upstream. */
   get open(): number {
     return this.#open.size;
@@ -160,11 +177,21 @@
    * @param request - record of the request
    * @param load - load that the upstream reported with it; undefined for none
    * @param now - milliseconds
+   * @param isServed - whether the upstream has done the work; an answer without work says nothing about its pace
    */
-  recordResponse(request: OpenRequest, load: ReportedLoad | undefined, now: number): void {
+  recordResponse(
+    request: OpenRequest,
+    load: ReportedLoad | undefined,
+    now: number,
+    isServed = false,
+  ): void {
     const record = request;
+    const { isAnswered, expected, sentAt } = record;
     record.isAnswered = true;
     this.#lastResponseAt = now;
+    if (load?.pacePercent !== undefined) this.pace.noteStated(load.pacePercent, now);
+    if (!isAnswered && isServed && expected)
+      this.pace.noteAnswer({ ...expected, tookMs: now - sentAt }, now);
     if (!load) return;
     this.#load = load;
     this.#loadReportedAt = now;
