--- a/src/gateway/tests/evacuationwatch.test.ts
+++ b/src/gateway/tests/evacuationwatch.test.ts
@@ -14,6 +14,8 @@
 const PREFIX = 'evacuations/';
 
 interface Daemon {
+  /** Data centres whose evacuations have ended, in order. */
+  readonly ended: readonly string[];
   readonly path: CutStore;
   readonly watch: EvacuationWatch;
 }
@@ -27,6 +29,7 @@
   const clock = new SteadyClock();
   const self = newIncarnation(name);
   const path = new CutStore(store);
+  const ended: string[] = [];
   const sinks = { logger: pino({ level: 'silent' }), metrics: undefined };
   const watch = new EvacuationWatch({
     store: path,
@@ -37,6 +40,7 @@
     recorder: new Recorder(self, clock, sinks),
     metrics: new GatewayMetrics(),
     random: Math.random,
+    onEnded: (dataCentre) => ended.push(dataCentre),
     onLost: () => undefined,
     onRegained: () => undefined,
   });
@@ -45,7 +49,7 @@
     watch.follower.stop();
     watch.stop();
   });
-  return { path, watch };
+  return { ended, path, watch };
 }
 
 function run({ watch }: Daemon): void {
@@ -76,7 +80,7 @@
   store.put(`${PREFIX}d`);
   store.isDown = false;
   await waitFor('the changes made in an outage', () => all('c,d'));
-  t.pass();
+  daemons.forEach(({ ended }) => t.deepEqual(ended, ['a', 'b']));
 });
 
 test('a daemon that is cut off from the store hears of evacuations from the others', async (t) => {
--- a/src/gateway/upstreams.ts
+++ b/src/gateway/upstreams.ts
@@ -2,6 +2,7 @@
 import { isAllowedIn } from './homes.js';
 import { UpstreamLimits } from './upstreamlimits.js';
 import { UpstreamSignals } from './upstreamsignals.js';
+import { Warmups } from './warmups.js';
 
 import type { Regions } from './homes.js';
 import type { UpstreamSupply } from './shortage.js';
@@ -63,6 +64,9 @@
   /** Region of each data centre. */
   regions: Regions = {};
 
+  /** Upstreams that are cold. */
+  readonly warmups = new Warmups(this.limits);
+
   /** Time of the last sign of a store outage, in milliseconds. */
   #disturbedAt = Number.NEGATIVE_INFINITY;
 
@@ -82,6 +86,7 @@
    */
   list(record: UpstreamRecord, now: number): void {
     this.#entries.set(record.id, { record, listedAt: now, missingUntil: undefined });
+    this.warmups.noteEntry(record, now);
   }
 
   /**
@@ -123,6 +128,17 @@
     return record.isLeaving || this.signals.isLeaving(record);
   }
 
+  /**
+   * Takes the upstreams of a data centre for cold, as they may be at the end of its evacuation.
+   * @param dataCentre - the data centre
+   * @param now - current time, in milliseconds
+   */
+  suspectCold(dataCentre: string, now: number): void {
+    this.all()
+      .filter((record) => record.dataCentre === dataCentre)
+      .forEach((record) => this.warmups.suspect(record, 'evacuated', now));
+  }
+
   /**
    * Lists the upstreams of a service that may receive new requests.
    * @param service - the service
@@ -151,7 +167,7 @@
     const listed = this.#registered(service, now, allowed);
     const registered = listed.filter(({ dataCentre }) => !this.isEvacuated(dataCentre, now));
     const paused = registered.filter((record) => this.#isPaused(record, now));
-    const limited = registered.filter((record) => this.limits.limitOf(record) !== undefined);
+    const limited = registered.filter((record) => this.limits.allowanceOf(record, now));
     const unavailable = new Set([...paused, ...limited]);
     const waits = [...unavailable].map((record) =>
       Math.max(this.signals.pausedUntil(record) - now, this.limits.heldMs(record, now)),
@@ -200,7 +216,7 @@
     if (this.isLeaving(record)) return 'leaving';
     if (this.isEvacuated(record.dataCentre, now)) return 'evacuated';
     if (this.#isPaused(record, now)) return 'paused';
-    const isLimited = this.limits.limitOf(record) !== undefined;
+    const isLimited = this.limits.allowanceOf(record, now) !== undefined;
     return isLimited && now > permittedUntil ? 'limited' : undefined;
   }
 
@@ -211,6 +227,7 @@
   forgetGone(now: number): void {
     this.signals.retain(this.all(), now);
     this.limits.retain(this.all(), now);
+    this.warmups.retain(this.all());
   }
 
   /**
--- a/src/route/fadingmean.ts
+++ b/src/route/fadingmean.ts
@@ -4,7 +4,7 @@
 const LEARNED_MEMORY_MS = 6_000;
 
 /** Number of answers that count as much as the assumption that an upstream is as usual. */
-const ASSUMED_ANSWERS = 3;
+const ASSUMED_ANSWERS = 5;
 
 /** Mean of a series of observations. */
 export class FadingMean {
--- a/src/route/pace.ts
+++ b/src/route/pace.ts
@@ -16,8 +16,8 @@
 /** Share of its slots from which on an upstream is observed separately. */
 const HALF_FULL = 0.5;
 
-/** Difference of logarithms that counts as noise: about 15%. */
-const NOISE = 0.15;
+/** Difference of logarithms that counts as noise: about 40%. */
+const NOISE = 0.35;
 
 /** Least and greatest factor that is learned. */
 const LEAST_FACTOR = 0.2;
--- a/src/route/tests/pace.test.ts
+++ b/src/route/tests/pace.test.ts
@@ -141,10 +141,9 @@
   pace.noteStated(300, 0);
   t.deepEqual([0, 400, 5_000].map(factorAt), [1.5, 1.2, 1]);
   const other = new UpstreamPace(usual);
-  for (let count = 0; count < 60; count += 1) {
-    other.noteAnswer({ tookMs: 40, expectedMs: 0, fill: 0 }, 9_000);
-    if (count < 6) pace.noteAnswer({ tookMs: 400, expectedMs: 0, fill: 0 }, 9_000);
-  }
+  const answer = { tookMs: 40, expectedMs: 0, fill: 0 };
+  for (let count = 0; count < 60; count += 1) other.noteAnswer(answer, 9_000);
+  for (let count = 0; count < 12; count += 1) pace.noteAnswer({ ...answer, tookMs: 400 }, 9_000);
   t.true(pace.factor(0, 9_000) > 2, `${pace.factor(0, 9_000)}`);
   t.true(pace.factor(0, 60_000) < 1.1, `${pace.factor(0, 60_000)}`);
 });
