--- a/src/gateway/evacuationwatch.ts
+++ b/src/gateway/evacuationwatch.ts
@@ -38,6 +38,8 @@
   readonly metrics: GatewayMetrics;
   /** Random numbers in [0, 1). */
   readonly random: () => number;
+  /** Called when the evacuation of a data centre ends. */
+  readonly onEnded: (dataCentre: string) => void;
   /** Called when the first of several calls to the store has failed. */
   readonly onLost: (err: StoreError) => void;
   /** Called when the store answers again. */
@@ -57,10 +59,7 @@
   #askTimer: NodeJS.Timeout | undefined;
 
   /** Evacuated data centres as last logged. */
-  #logged = '';
-
-  /** Called when the evacuation of a data centre has ended. */
-  onEnd: (dataCentre: string) => void = () => undefined;
+  #logged: readonly string[] = [];
 
   /**
    * Creates the watch; nothing is read before its follower runs.
@@ -167,23 +166,21 @@
   /** Logs what is evacuated if that is different now, because of a report or the end of a grace period. */
   #record(source: 'store' | 'peer' | 'grace'): void {
     const { clock, recorder, metrics } = this.cfg;
-    const dataCentres = this.evacuations.dataCentres(clock.now());
-    const inForce = dataCentres.join(',');
-    if (inForce === this.#logged) return;
-    const ended = this.#logged
-      .split(',')
-      .filter((name) => name !== '' && !dataCentres.includes(name));
-    ended.forEach((name) => this.onEnd(name));
+    const before = this.#logged;
+    const inForce = this.evacuations.dataCentres(clock.now());
+    const ended = before.filter((name) => !inForce.includes(name));
+    if (ended.length === 0 && inForce.length === before.length) return;
+    this.#logged = inForce;
     const facts = {
       source,
-      inForce: inForce || 'none',
-      before: this.#logged || 'none',
+      inForce: inForce.join(',') || 'none',
+      before: before.join(',') || 'none',
       revision: this.evacuations.report?.revision ?? 0,
     };
-    this.#logged = inForce;
-    metrics.evacuatedDataCentres.set(dataCentres.length);
+    metrics.evacuatedDataCentres.set(inForce.length);
     metrics.evacuationChanges.inc({ source });
     recorder.record('evacuationsChanged', { facts });
+    ended.forEach(this.cfg.onEnded);
     if (source === 'store') this.#tell(TOLD_PEERS);
   }
 }
--- a/src/gateway/routingstate.ts
+++ b/src/gateway/routingstate.ts
@@ -124,11 +124,12 @@
       recorder,
       metrics,
       random: Math.random,
+      // They may have become cold meanwhile, and their entries say so only later.
+      onEnded: (dataCentre) => this.upstreams.suspectCold(dataCentre, this.clock.now()),
       onLost: (err) => this.#onLost(prefix, err),
       onRegained: () => this.#onRegained(prefix),
     });
     // Its upstreams may have become cold meanwhile.
-    evacuationWatch.onEnd = (dataCentre) => this.upstreams.suspectCold(dataCentre, clock.now());
     this.evacuationWatch = evacuationWatch;
     this.#followers = [...this.#followers, evacuationWatch.follower];
     this.upstreams.isEvacuated = (dataCentre, now) =>
