--- a/src/gateway/allowancecontext.ts
+++ b/src/gateway/allowancecontext.ts
@@ -5,6 +5,7 @@
 import type { SnapshotStore } from '../store/index.js';
 import type { Recorder } from '../telemetry/index.js';
 import type { Holders } from './holders.js';
+import type { GatewayMetrics } from './metrics.js';
 
 /** Store, links to peers, and current configuration. */
 export interface AllowanceContext {
@@ -12,6 +13,7 @@
   readonly store: SnapshotStore;
   readonly network: PeerNetwork;
   readonly recorder: Recorder;
+  readonly metrics?: GatewayMetrics;
   readonly clock: Clock;
   /** Determines how many units of a workspace this daemon keeps available. */
   readonly policy: (workspace: string) => AllowancePolicy;
--- a/src/gateway/allowanceeras.ts
+++ b/src/gateway/allowanceeras.ts
@@ -6,7 +6,6 @@
   giveUpUnheard,
   hasGrantedUnits,
   hearDaemons,
-  isFreshStart,
   isLater,
   isResolved,
   knowledgeStamp,
@@ -189,7 +188,7 @@
     if (!opened) return undefined;
     const heard = await this.#hear(shard, current, opened);
     const isPast = now - since >= GIVE_UP_MS;
-    if (isResolved(heard) || !(isPast || isFreshStart(heard))) return heard;
+    if (isResolved(heard) || !isPast) return heard;
     return this.#giveUp(shard, heard);
   }
 
@@ -223,6 +222,7 @@
     const opened = openShard(era, known, instances);
     const { base, unheard } = opened.recovery ?? { base: undefined, unheard: [] };
     const facts = { shard, era, baseEra: base?.era ?? 0, baseState: base?.sequence ?? 0 };
+    this.ctx.metrics?.allowanceEras.inc({ change: 'opened' });
     this.ctx.recorder.record('allowanceEraOpened', {
       facts: { ...facts, rows: opened.rows.length, unheard: unheard.length },
     });
@@ -293,6 +293,7 @@
     const unheard = heard.recovery?.unheard ?? [];
     const given = giveUpUnheard(heard, this.uncopiedShare);
     const facts = { shard, instances: unheard.length, share: this.uncopiedShare };
+    this.ctx.metrics?.allowanceEras.inc({ change: 'given-up' }, unheard.length);
     this.ctx.recorder.record('allowanceUncertain', {
       detail: unheard.slice(0, 8).join(' '),
       facts,
--- a/src/gateway/allowancerows.ts
+++ b/src/gateway/allowancerows.ts
@@ -5,30 +5,22 @@
 import {
   allowanceShardOf,
   applyWrittenLine,
-  buildRowLine,
-  closePredecessors,
   closeRow,
   confirmHolder,
-  hasGrantedUnits,
   hasRow,
-  isClosedHolder,
   isResolved,
   parseAllowances,
-  returnExcess,
-  returnIdleUnits,
   rowGrant,
-  viewAllowance,
-  withLines,
-  withoutFreeUnits,
 } from '../allowance/index.js';
 import { available } from '../budget/index.js';
 import { AllowanceCopies } from './allowancecopies.js';
 import { AllowanceEras } from './allowanceeras.js';
+import { AllowancePlans } from './allowanceplans.js';
 
-import type { AllowanceDraw, AllowanceShard, AllowanceView } from '../allowance/index.js';
-import type { Incarnation } from '../kernel/index.js';
+import type { AllowanceDraw, AllowanceShard } from '../allowance/index.js';
 import type { StoredObject, StoreError } from '../store/index.js';
 import type { AllowanceContext } from './allowancecontext.js';
+import type { PlannedWrite } from './allowanceplans.js';
 import type { Holdings } from './holdings.js';
 
 /** Maximum number of conditional writes in one update, if writes of other daemons conflict with it. */
@@ -43,14 +35,6 @@
 /** Age of the oldest copy that a store with eras comes back from, in milliseconds. */
 const COPY_AGE_MS = 10_000;
 
-/** New content of a shard object, computed but not yet written. */
-interface PlannedWrite {
-  readonly shard: AllowanceShard;
-  readonly draws: readonly { readonly draw: AllowanceDraw; readonly view: AllowanceView }[];
-  /** Earlier incarnations of this instance whose rows it closes. */
-  readonly closed: readonly Incarnation[];
-}
-
 /** Result of one attempt to write a shard object; "conflict" may be tried again. */
 type WriteOutcome = 'written' | 'conflict' | 'failed';
 
@@ -71,6 +55,8 @@
 
   #era: number | undefined;
 
+  readonly #plans: AllowancePlans;
+
   readonly #copies: AllowanceCopies;
 
   readonly #runningDraws = new Map<number, Promise<boolean>>();
@@ -88,6 +74,9 @@
     private readonly holdings: Holdings,
   ) {
     this.#eras = new AllowanceEras(ctx, holdings, (workspace) => this.shardOf(workspace));
+    this.#plans = new AllowancePlans(ctx, holdings, this.#eras, (workspace) =>
+      this.shardOf(workspace),
+    );
     this.#copies = new AllowanceCopies(ctx, COPY_AGE_MS);
     this.#era = this.#eras.current;
     ctx.store.era.onRise(() => this.#rise());
@@ -131,7 +120,10 @@
    */
   async end(handOver: (shard: number) => Promise<void>): Promise<void> {
     await Promise.all([...this.#runningDraws.values()]);
-    await Promise.all([...this.#joinedShards].map((shard) => this.#end(shard, handOver)));
+    const joined = this.shards.filter(
+      (shard) => this.#joinedShards.has(shard) || this.#eras.hasJoined(shard),
+    );
+    await Promise.all(joined.map((shard) => this.#end(shard, handOver)));
   }
 
   async #end(shard: number, handOver: (shard: number) => Promise<void>): Promise<void> {
@@ -149,8 +141,12 @@
    * @returns whether the row must be written again, or daemons are unheard
    */
   isUnsettled(shard: number): boolean {
-    const isForgotten = this.#eras.hasJoined(shard) && !this.#joinedShards.has(shard);
-    return isForgotten || this.#eras.isWaiting(shard);
+    return this.#isForgotten(shard) || this.#eras.isWaiting(shard);
+  }
+
+  /** Whether this daemon has a row that the current era does not show yet. */
+  #isForgotten(shard: number): boolean {
+    return this.#eras.hasJoined(shard) && !this.#joinedShards.has(shard);
   }
 
   /** Numbers of all shards. */
@@ -168,87 +164,11 @@
   }
 
   #planDraw(shard: number, stored: AllowanceShard): PlannedWrite | undefined {
-    const { self } = this.ctx;
     const hasJoined = this.#joinedShards.has(shard);
-    if ((hasJoined && !hasRow(stored, self)) || isClosedHolder(stored, self)) {
-      this.#fence(shard);
-      return undefined;
-    }
-    if (hasJoined) return this.#planLines(shard, stored);
-    if (this.#eras.hasJoined(shard)) return this.#planReturn(shard, stored);
-    // Without a row of its own this daemon waits until units may be drawn.
-    if (!isResolved(stored)) return { shard: stored, draws: [], closed: [] };
-    // During a stop, the other incarnation may be the successor.
-    if (this.ctx.isStopping()) return this.#planLines(shard, stored);
-    const current = closePredecessors(stored, self, this.#eras.uncopiedShare);
-    const closed = stored.rows
-      .map(({ holder }) => holder)
-      .filter((holder) => !hasRow(current, holder));
-    return this.#planLines(shard, current, closed);
-  }
-
-  /** Writes the row of this daemon again in a new era of the store. */
-  #planReturn(shard: number, stored: AllowanceShard): PlannedWrite | undefined {
-    const { self } = this.ctx;
-    const isLate = isResolved(stored);
-    const confirmed = confirmHolder(stored, this.#eras.hearing(shard));
-    if (isClosedHolder(confirmed, self)) {
-      this.#fence(shard);
-      return undefined;
-    }
-    // The others may have drawn units while this daemon was given up.
-    if (isLate) this.#returnExcess(shard, confirmed);
-    return this.#planLines(shard, confirmHolder(confirmed, this.#eras.hearing(shard)));
-  }
-
-  #returnExcess(shard: number, stored: AllowanceShard): void {
-    this.holdings.workspaces
-      .filter((workspace) => this.shardOf(workspace) === shard)
-      .forEach((workspace) => {
-        const paid = this.ctx.paidOf(workspace);
-        if (paid === undefined) return;
-        const view = viewAllowance(stored, this.ctx.self, workspace, paid);
-        this.holdings.set(workspace, returnExcess(this.holdings.of(workspace), view));
-      });
-  }
-
-  #planLines(
-    shard: number,
-    currentShard: AllowanceShard,
-    closed: readonly Incarnation[] = [],
-  ): PlannedWrite {
-    const { self, clock } = this.ctx;
-    const now = clock.now();
-    const draws = this.ctx
-      .workspaces()
-      .filter((workspace) => this.shardOf(workspace) === shard && this.#needsLine(workspace))
-      .flatMap((workspace) => {
-        const paid = this.ctx.paidOf(workspace);
-        if (paid === undefined) return [];
-        const policy = this.ctx.policy(workspace);
-        const seen = viewAllowance(currentShard, self, workspace, paid);
-        const opened = { ...this.holdings.of(workspace), view: seen };
-        const holding = returnIdleUnits(opened, policy, now);
-        this.holdings.set(workspace, holding);
-        const view = isResolved(currentShard) ? seen : withoutFreeUnits(seen, holding);
-        const lacking = this.holdings.missing(workspace) - available(holding.escrow);
-        return [{ draw: buildRowLine(holding, view, lacking, policy, now), view }];
-      });
-    const lines = draws.map(({ draw }) => draw.line);
-    return { shard: withLines(currentShard, self, lines), draws, closed };
-  }
-
-  /**
-   * Whether the row needs a line for the workspace: this daemon is a holder, its row grants units, or
-   * requests wait for units.
-   */
-  #needsLine(workspace: string): boolean {
-    const isNeeded = this.holdings.missing(workspace) > 0;
-    return (
-      hasGrantedUnits(this.holdings.of(workspace)) ||
-      isNeeded ||
-      this.ctx.holders.isHolder(workspace)
-    );
+    const isClosed = hasJoined && !hasRow(stored, this.ctx.self);
+    const planned = isClosed ? undefined : this.#plans.plan(shard, stored, hasJoined);
+    if (!planned) this.#fence(shard);
+    return planned;
   }
 
   /**
@@ -281,6 +201,7 @@
     const stored =
       era === undefined ? parsed : await this.#eras.prepare(shard, object.version, parsed);
     if (!stored || era !== this.#eras.current) return this.#pause(shard);
+    if (stored === parsed && this.#hasNothingToSay(shard, stored)) return this.#pause(shard);
     const planned = plan(stored);
     if (!planned) return 'failed';
     const next = era === undefined ? planned.shard : this.#eras.number(planned.shard, parsed);
@@ -313,9 +234,15 @@
     this.#applyDraws(shard, planned, isCopied);
     if (!isReturn) return;
     const facts = { shard, era, lines: planned.draws.length };
+    this.ctx.metrics?.allowanceEras.inc({ change: 'restored' });
     this.ctx.recorder.record('allowanceRestored', { facts });
   }
 
+  /** Whether a write would change nothing: nobody was heard, and this daemon has no row to write again. */
+  #hasNothingToSay(shard: number, stored: AllowanceShard): boolean {
+    return !isResolved(stored) && !this.#isForgotten(shard) && !this.holdings.isClosed;
+  }
+
   #pause(shard: number): 'failed' {
     this.#pausedUntil.set(shard, this.ctx.clock.now() + UNRESOLVED_RETRY_MS);
     return 'failed';
@@ -369,6 +296,9 @@
     if (isCopied || grant <= held) return { line, grant };
     const limit = (this.ctx.paidOf(line.workspace) ?? 0) * this.#eras.uncopiedShare;
     const taken = this.#copies.takeUncopied(line.workspace, grant - held, limit);
+    const facts = { units: grant - held, usable: taken };
+    this.ctx.metrics?.allowanceEras.inc({ change: 'uncopied' });
+    this.ctx.recorder.record('allowanceUncopied', { budget: line.workspace, facts });
     return { line, grant: held + taken };
   }
 
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -56,6 +56,14 @@
     registers: [this.#registry],
   });
 
+  /** Shards of prepaid units over eras of the store. */
+  readonly allowanceEras = new Counter({
+    name: 'comfreyreel_allowance_eras_total',
+    help: 'Shards opened in a new era of the store, rows written again, instances given up, draws without a copy',
+    labelNames: ['change'],
+    registers: [this.#registry],
+  });
+
   /** Connections opened to upstreams. */
   readonly connections = new Counter({
     name: 'comfreyreel_upstream_connections_total',
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -416,6 +416,7 @@
       store: this.adapter.store,
       network,
       recorder,
+      metrics: this.metrics,
       clock,
       policy: (workspace) => ({
         aloneSeconds,
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -268,6 +268,11 @@
     level: 'warn',
     text: 'instances were not heard in a new era of the store; a part of the paid units is held back for each',
   },
+  allowanceUncopied: {
+    number: 8113,
+    level: 'warn',
+    text: 'no other daemon keeps a copy of a draw; only a part of its units is used',
+  },
   signalIgnored: {
     number: 1009,
     level: 'info',
--- a/testbed/eraallowances.ts
+++ b/testbed/eraallowances.ts
@@ -5,7 +5,7 @@
 
 import { Allowances } from '../src/gateway/allowances.js';
 import { Holders } from '../src/gateway/holders.js';
-import { newIncarnation, SystemClock } from '../src/kernel/index.js';
+import { SystemClock } from '../src/kernel/index.js';
 import { Recorder } from '../src/telemetry/index.js';
 import { EraStore } from './erastore.js';
 import { FaultyStore } from './faultystore.js';
@@ -74,6 +74,9 @@
 
   #copies: readonly TimedCopy[] = [];
 
+  /** Number of processes so far; their names are the same in each run of a seed. */
+  #incarnations = 0;
+
   /**
    * Starts a fleet.
    * @param options - daemons, paid units and faults
@@ -92,7 +95,8 @@
    */
   start(name: string): void {
     if (this.daemons.has(name)) return;
-    const self = newIncarnation(name);
+    this.#incarnations += 1;
+    const self = `${name}~${this.#incarnations}`;
     const sinks = { logger: pino({ level: 'silent' }), metrics: undefined };
     const recorder = new Recorder(self, new SystemClock(), sinks);
     const network = this.#hub.join(self);
@@ -138,6 +142,18 @@
     this.daemons.set(name, daemon);
   }
 
+  /**
+   * Starts the successor of a daemon that goes on running.
+   * @param name - instance name
+   * @returns the predecessor, which still reaches the store and the others
+   */
+  succeed(name: string): EraDaemon | undefined {
+    const predecessor = this.daemons.get(name);
+    this.daemons.delete(name);
+    this.start(name);
+    return predecessor;
+  }
+
   /**
    * Ends a daemon at once. The worst-case units of its running requests count as spent.
    * @param name - instance name
