--- a/src/gateway/routingstate.ts
+++ b/src/gateway/routingstate.ts
@@ -129,7 +129,6 @@
       onLost: (err) => this.#onLost(prefix, err),
       onRegained: () => this.#onRegained(prefix),
     });
-    // Its upstreams may have become cold meanwhile.
     this.evacuationWatch = evacuationWatch;
     this.#followers = [...this.#followers, evacuationWatch.follower];
     this.upstreams.isEvacuated = (dataCentre, now) =>
