--- a/src/gateway/membership.ts
+++ b/src/gateway/membership.ts
@@ -4,7 +4,7 @@
 
 import { instanceOf } from '../kernel/index.js';
 import { WsPeerNetwork } from '../link/index.js';
-import { AfterEachRise, Follower } from '../store/index.js';
+import { AfterEachRise, Follower, revisionIn } from '../store/index.js';
 import { LineLimit } from '../telemetry/index.js';
 import { FleetKey } from './fleetkey.js';
 import { DAEMONS_PREFIX, FollowedInstances } from './followedinstances.js';
@@ -152,15 +152,15 @@
     const suppressed = this.#unreadableLines.admit(this.cfg.clock.now());
     if (suppressed === undefined) return;
     const { key, version } = change;
-    const facts = { revision: version, suppressed };
+    const facts = { revision: revisionIn(version), suppressed };
     this.cfg.recorder.record('daemonUnreadable', { peer: key, facts });
   }
 
-  #recordMembers(revision: number): void {
+  #recordMembers(version: number): void {
     const facts = {
       registered: this.daemons.length,
       reachable: this.network.peers().length,
-      revision,
+      revision: revisionIn(version),
     };
     this.cfg.recorder.record('daemonsListed', { facts });
   }
--- a/src/gateway/routingstate.ts
+++ b/src/gateway/routingstate.ts
@@ -1,5 +1,5 @@
 /** Follows the current configuration and the registered upstreams in the store. */
-import { DEFAULT_WATCH_WAIT_MS, Follower } from '../store/index.js';
+import { DEFAULT_WATCH_WAIT_MS, Follower, revisionIn } from '../store/index.js';
 import { LineLimit } from '../telemetry/index.js';
 import { EvacuationWatch } from './evacuationwatch.js';
 import { RouteTable } from './routetable.js';
@@ -261,7 +261,7 @@
     const decoded = this.adapter.decodeConfiguration(value);
     if (decoded.err) {
       const kept = this.#table?.configuration.version ?? 0;
-      const facts = { revision: version, kept };
+      const facts = { revision: revisionIn(version), kept };
       this.recorder.record('configRejected', { detail: decoded.val, facts });
       return false;
     }
@@ -273,7 +273,12 @@
       return true;
     }
     this.#table = new RouteTable(next);
-    const facts = { version: next.version, before, revision: version, routes: next.routes.length };
+    const facts = {
+      version: next.version,
+      before,
+      revision: revisionIn(version),
+      routes: next.routes.length,
+    };
     this.recorder.record('configApplied', { facts });
     this.onConfigurationChange();
     return true;
@@ -295,7 +300,7 @@
     this.#listedRises = rises;
     this.#hasUpstreams = true;
     const unreadable = objects.length - records.length;
-    const facts = { listed: records.length, unreadable, revision: position };
+    const facts = { listed: records.length, unreadable, revision: revisionIn(position) };
     this.recorder.record('upstreamsChanged', { facts });
   }
 
@@ -335,14 +340,17 @@
     this.recorder.record('upstreamDoubted', { detail: named, facts: { upstreams: ids.length } });
   }
 
-  #recordChange(upstream: string, revision: number, state: string): void {
-    this.recorder.record('upstreamsChanged', { upstream, facts: { revision, state } });
+  #recordChange(upstream: string, version: number, state: string): void {
+    this.recorder.record('upstreamsChanged', {
+      upstream,
+      facts: { revision: revisionIn(version), state },
+    });
   }
 
   #recordUnreadable({ key, version }: ObjectChange, detail: string): void {
     const suppressed = this.#unreadableLines.admit(this.clock.now());
     if (suppressed === undefined) return;
-    const facts = { revision: version, outcome: 'not used', suppressed };
+    const facts = { revision: revisionIn(version), outcome: 'not used', suppressed };
     this.recorder.record('upstreamUnreadable', { upstream: key, detail, facts });
   }
 }
