--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -106,6 +106,16 @@
     level: 'warn',
     text: 'configuration loaded from peers: the object API does not answer',
   },
+  configOutdated: {
+    number: 4006,
+    level: 'warn',
+    text: 'the store shows an older configuration than the one in force, which stays in force',
+  },
+  configAwaited: {
+    number: 4007,
+    level: 'warn',
+    text: 'other daemons have a newer configuration than the store shows; not ready until it is written again',
+  },
   piecesRemoved: { number: 4005, level: 'info', text: 'old configuration pieces removed' },
   planMoved: { number: 4501, level: 'info', text: 'plan state updated' },
   planTakenOver: {
@@ -139,12 +149,32 @@
     level: 'error',
     text: 'objects from the store could not be applied; report this line',
   },
+  storeEraRose: {
+    number: 6005,
+    level: 'warn',
+    text: 'the store came back from an older copy: its last writes are lost, and are written again',
+  },
+  storeWrittenAgain: {
+    number: 6006,
+    level: 'info',
+    text: 'an object that the store had lost or replaced was written again',
+  },
+  sharedValueAdopted: {
+    number: 6007,
+    level: 'warn',
+    text: 'a value that the fleet shares was replaced by that of the others',
+  },
   upstreamEjected: { number: 7001, level: 'warn', text: 'failing upstream ejected for a while' },
   upstreamsChanged: {
     number: 7003,
     level: 'info',
     text: 'upstreams registered, leaving or removed',
   },
+  upstreamDoubted: {
+    number: 7012,
+    level: 'info',
+    text: 'a copy of the store shows upstreams as serving that leave or have left; they get no requests',
+  },
   upstreamUnreadable: { number: 7004, level: 'warn', text: 'an upstream entry cannot be used' },
   upstreamLeaving: {
     number: 7005,
@@ -263,6 +293,21 @@
     level: 'warn',
     text: 'configured number of shard objects ignored; the stored one applies',
   },
+  allowanceEraOpened: {
+    number: 8110,
+    level: 'info',
+    text: 'the rows of a shard are made for an era of the store from what the daemons know',
+  },
+  allowanceRestored: {
+    number: 8111,
+    level: 'info',
+    text: 'the row of this daemon was written again in a new era of the store',
+  },
+  allowanceUncertain: {
+    number: 8112,
+    level: 'warn',
+    text: 'instances were not heard in a new era of the store; a part of the paid units is held back for each',
+  },
   signalIgnored: {
     number: 1009,
     level: 'info',
--- a/testbed/cutstore.ts
+++ b/testbed/cutstore.ts
@@ -14,7 +14,7 @@
    * @param store - the store
    */
   constructor(private readonly store: SnapshotStore) {
-    super(() => 'answered');
+    super(() => 'answered', false);
   }
 
   override async snapshot(prefix: string): Promise<Result<Snapshot, StoreError>> {
