Changes in the store are gathered for two fifths of the time in which they must be in force

Each change of an upstream woke the watch of every daemon after a pause of 400 ms, up to 2.5 calls a second and daemon.

--- a/src/gateway/routingstate.ts
+++ b/src/gateway/routingstate.ts
@@ -19,12 +19,36 @@
 const STORE_TIMEOUT_WATCHES = 1.5;
 
 /**
- * Pause of a watch after a batch of changes, in milliseconds. The changes of a starting fleet, of a release or of a series
- * of configurations then arrive in few calls; each of them would otherwise wake the watch of each daemon. It is a
- * fraction of the time in which a change must be in force.
+ * Pause of a watch after a batch of changes, as a share of the time in which a change must be in force. The changes of a
+ * starting fleet, of a release or of a series of configurations then arrive in few calls; each of them would otherwise wake
+ * the watch of each daemon. The rest of the time is left for the call, for a slow store and for requests on the way.
  */
+const BATCH_SHARE = 0.4;
+
+/** The same pause if that time is not known, in milliseconds. */
 const BATCH_DELAY_MS = 400;
 
+/** Longest pause, in milliseconds: a new upstream should be of use soon. */
+const MAX_BATCH_DELAY_MS = 1_200;
+
+/** Times in which changes in the store must be in force, in milliseconds; null or missing if not known. */
+export interface ChangeBounds {
+  /** For the configuration. */
+  readonly applyMs?: number | null | undefined;
+  /** For an upstream that leaves. */
+  readonly drainMs?: number | null | undefined;
+}
+
+/**
+ * Computes the pause of a watch after a batch of changes.
+ * @param boundMs - time in which a change must be in force, in milliseconds; null or undefined if it is not known
+ * @returns milliseconds
+ */
+export function batchDelayMs(boundMs: number | null | undefined): number {
+  if (typeof boundMs !== 'number') return BATCH_DELAY_MS;
+  return Math.min(MAX_BATCH_DELAY_MS, boundMs * BATCH_SHARE);
+}
+
 /** Maximum number of log lines on unreadable entries of upstreams in one period. */
 const UNREADABLE_LINES = 10;
 
@@ -91,6 +115,7 @@
    * @param watchMs - longest time for which the store holds one watch, in milliseconds
    * @param evacuation - time in which an evacuation must be in force, in milliseconds, and metrics; undefined to follow
    * no evacuations
+   * @param bounds - times in which changes must be in force
    */
   constructor(
     private readonly adapter: PlatformAdapter,
@@ -98,16 +123,17 @@
     private readonly clock: Clock,
     private readonly watchMs = DEFAULT_WATCH_WAIT_MS,
     evacuation?: { readonly withinMs: number; readonly metrics: GatewayMetrics },
+    { applyMs, drainMs }: ChangeBounds = {},
   ) {
     const { configurationKey, upstreamsPrefix, store } = adapter;
     this.#listedRises = store.era.rises;
     const configurationPrefix = configurationKey.slice(0, configurationKey.indexOf('/') + 1);
     this.#followers = [
-      this.#follow(configurationPrefix, {
+      this.#follow(configurationPrefix, batchDelayMs(applyMs), {
         onSnapshot: ({ objects }) => this.#applyNewest(objects),
         onChanges: (changes) => this.#applyNewest(changes),
       }),
-      this.#follow(upstreamsPrefix, {
+      this.#follow(upstreamsPrefix, batchDelayMs(drainMs), {
         onSnapshot: (snapshot) => this.#replaceUpstreams(snapshot),
         onChanges: (changes) => this.#changeUpstreams(changes),
       }),
@@ -210,6 +236,7 @@
 
   #follow(
     prefix: string,
+    delayMs: number,
     handlers: {
       readonly onSnapshot: (snapshot: Snapshot) => void;
       readonly onChanges: (changes: readonly ObjectChange[]) => void;
@@ -223,14 +250,7 @@
         this.recorder.record('storeHandlerFailed', { detail: String(err), facts: { prefix } });
       },
     };
-    return new Follower(
-      this.adapter.store,
-      prefix,
-      events,
-      this.clock,
-      this.watchMs,
-      BATCH_DELAY_MS,
-    );
+    return new Follower(this.adapter.store, prefix, events, this.clock, this.watchMs, delayMs);
   }
 
   #onLost(prefix: string, { problem, text }: StoreError): void {
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -164,10 +164,17 @@
       (residentBytes) => this.bodyGate.sample(residentBytes),
     );
     const { metrics } = this;
-    const { watchMs, evacuateMs } = settings;
+    const { watchMs, evacuateMs, changes } = settings;
     const evacuation =
       typeof evacuateMs === 'number' ? { withinMs: evacuateMs, metrics } : undefined;
-    this.routingState = new RoutingState(adapter, this.recorder, this.clock, watchMs, evacuation);
+    this.routingState = new RoutingState(
+      adapter,
+      this.recorder,
+      this.clock,
+      watchMs,
+      evacuation,
+      changes ?? {},
+    );
     this.routingState.upstreams.warmups.onCold = coldRecorder(this);
     this.routingState.upstreams.regions = settings.regions ?? {};
     this.#crashWatch = new CrashWatch({
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -35,6 +35,18 @@
      * the store that went silent is noticed when it ends; a longer wait saves calls.
      */
     watchMs: z.number().positive().max(30_000).default(3_000),
+    /**
+     * Times in which changes in the store must be in force, in milliseconds. Changes are gathered for a part of them, which
+     * saves calls to the store; without them, for 400 ms.
+     */
+    changes: z
+      .strictObject({
+        /** For a configuration. */
+        applyMs: z.number().positive().nullish(),
+        /** For an upstream that leaves: time after which it must get no requests. */
+        drainMs: z.number().positive().nullish(),
+      })
+      .nullish(),
     /**
      * Time in which the evacuation of a data centre must be in force, in milliseconds. Without it this daemon does not
      * follow evacuations.
