Rejected prompt parts stay rejected when the store has lost the reports of crashes

Callers' side: after a return from an older copy the crashes of the lost seconds were forgotten by all daemons, and prompts that crash upstreams went there again.

Each daemon keeps the reports that it knows as its own after a rise, until the record lists them again, and writes them within 3 s unless another one has. crashwatch.test.ts: the new test fails without this; all pass with it.

--- a/src/gateway/crashwatch.ts
+++ b/src/gateway/crashwatch.ts
@@ -35,6 +35,9 @@
 /** Longest random delay before the record of the fleet is corrected: one daemon then does it, in milliseconds. */
 const CORRECTION_SPREAD_MS = 1_000;
 
+/** Longest random delay before lost reports are written again: few daemons then do it, in milliseconds. */
+const LOST_SPREAD_MS = 3_000;
+
 /** Least interval between two claims of trials by this daemon, in milliseconds; requests wait for the claim. */
 const CLAIM_INTERVAL_MS = 5_000;
 
@@ -84,6 +87,8 @@
 
   #isStopped = false;
 
+  #releaseEra: () => void = () => undefined;
+
   #isSharing = false;
 
   #shareTimer: NodeJS.Timeout | undefined;
@@ -131,12 +136,18 @@
 
   /** Starts to follow the record of the fleet. */
   start(): void {
+    const { store, clock, random } = this.cfg;
+    this.#releaseEra = store.era.onRise(() => {
+      this.#suspects.keepShared(clock.now());
+      this.#shareLater(random() * LOST_SPREAD_MS);
+    });
     void this.#follower.run();
   }
 
   /** Stops following and sharing. */
   stop(): void {
     this.#isStopped = true;
+    this.#releaseEra();
     this.#follower.stop();
     clearTimeout(this.#shareTimer);
   }
--- a/src/gateway/tests/crashwatch.test.ts
+++ b/src/gateway/tests/crashwatch.test.ts
@@ -42,7 +42,7 @@
   /** How the store answers. */
   readonly store: { outcome: CallOutcome };
   /** The store itself. */
-  readonly objects: SnapshotStore;
+  readonly objects: FaultyStore;
   readonly add: () => CrashWatch;
 }
 
@@ -102,6 +102,17 @@
   t.is(late.rejectionOf(['a']), undefined);
 });
 
+test('a part stays rejected when the store comes back from a copy without the crashes, also at a daemon that starts then', async (t) => {
+  const fleet = startFleet(t, 3);
+  const empty = fleet.objects.copy();
+  await crashTwice(fleet);
+  await waitFor('rejections', () => fleet.watches.every(isRejecting), SHARED_MS);
+  fleet.objects.comeBack(empty);
+  const late = fleet.add();
+  await waitFor('rejection at the new daemon', () => isRejecting(late), SHARED_MS);
+  t.true(fleet.watches.every(isRejecting));
+});
+
 test('of all daemons that have a request for a trial, one sends it, and its answer clears the part everywhere', async (t) => {
   const fleet = startFleet(t, 3);
   await crashTwice(fleet);
--- a/src/route/crashsuspects.ts
+++ b/src/route/crashsuspects.ts
@@ -66,6 +66,8 @@
 interface OwnReport {
   readonly report: CrashReport;
   readonly sharedAt: number | undefined;
+  /** Whether it was in the record of the fleet, which the store may have lost. */
+  readonly wasLost?: boolean;
 }
 
 /** Time after which an own report that is missing in the store was removed there, in milliseconds. */
@@ -195,7 +197,8 @@
       ),
     };
     const listed = new Map(reports.map(({ upstream, isPartial }) => [upstream, isPartial]));
-    [...this.#own].forEach(([upstream, { sharedAt }]) => {
+    [...this.#own].forEach(([upstream, { sharedAt, wasLost }]) => {
+      if (wasLost && listed.has(upstream)) this.#own.delete(upstream);
       // The parts that the record has no room for are offered again with the next report.
       if (sharedAt === undefined || listed.get(upstream) === true) return;
       if (listed.has(upstream) || now - sharedAt > SHARED_SETTLE_MS) this.#own.delete(upstream);
@@ -203,6 +206,23 @@
     this.#derive(now);
   }
 
+  /**
+   * Keeps the reports of the record as own ones until the record lists them again: the store may have lost them.
+   * @param now - current time, in milliseconds
+   */
+  keepShared(now: number): void {
+    this.#shared.reports
+      .filter(({ upstream }) => {
+        const own = this.#own.get(upstream);
+        return !own || own.sharedAt !== undefined;
+      })
+      .forEach((report) => {
+        this.#own.set(report.upstream, { report, sharedAt: undefined, wasLost: true });
+      });
+    this.#boundOwn();
+    this.#derive(now);
+  }
+
   /** Whether this daemon knows of crashes that the store does not have yet. */
   get hasUnshared(): boolean {
     const unshared = [...this.#own.values()].filter(({ sharedAt }) => sharedAt === undefined);
