--- a/src/gateway/tests/evacuations.test.ts
+++ b/src/gateway/tests/evacuations.test.ts
@@ -184,3 +184,17 @@
   t.deepEqual(evacuations.dataCentres(20), ['a', 'b']);
   t.deepEqual(evacuations.report, { era: 2, revision: 4, dataCentres: ['b'] });
 });
+
+test('a daemon that starts takes over evacuations that the store lacks, for the time that is left', (t) => {
+  const first = new Evacuations();
+  first.applyListing({ era: 1, revision: 5, dataCentres: ['a'] }, 0);
+  first.applyListing({ era: 2, revision: 3, dataCentres: [] }, 1_000);
+  const late = new Evacuations();
+  late.applyListing({ era: 2, revision: 3, dataCentres: [] }, 2_000);
+  late.await(first.awaited(2_000), 2_000);
+  t.deepEqual(first.awaited(2_000), [{ dataCentre: 'a', leftMs: 4_000 }]);
+  t.true(late.has('a', 5_900));
+  t.false(late.has('a', 6_100));
+  late.applyChanges([{ dataCentre: 'a', isEvacuated: true }], { era: 2, revision: 4 });
+  t.true(late.has('a', 60_000));
+});
