A stored number of shards beyond 100,000 counts as invalid; no wire name in a test

oddobjects.test.ts, 1e300 shards: the stop of a daemon threw 'Invalid array length' since the rows of prepaid units list all shards (merge of units). wirenames.test.ts found config/main in storedrill.test.ts.

--- a/src/gateway/shardcount.ts
+++ b/src/gateway/shardcount.ts
@@ -7,8 +7,11 @@
 /** Key of the object that stores the number of allowance shards. */
 const OBJECT_KEY = 'fleet/allowance-shards';
 
+/** Largest number of shards that a stored value can mean: each is looked at once a second. */
+const MAX_SHARDS = 100_000;
+
 function isCount(value: unknown): value is number {
-  return Number.isInteger(value) && Number(value) > 0;
+  return Number.isInteger(value) && Number(value) > 0 && Number(value) <= MAX_SHARDS;
 }
 
 /**
--- a/src/gateway/tests/storedrill.test.ts
+++ b/src/gateway/tests/storedrill.test.ts
@@ -287,7 +287,7 @@
       fleet.advance(1_000);
       // A daemon follows other objects of the store, and so sees its era.
       // eslint-disable-next-line no-await-in-loop
-      await predecessor?.store.read('config/main');
+      await predecessor?.store.read('configuration/any');
       predecessor?.allowances.refresh();
       // eslint-disable-next-line no-await-in-loop
       await fleet.refresh();
