--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -70,6 +70,9 @@
 
 const OK_STATUS = 200;
 
+/** Highest status code that has a meaning (RFC 9110, section 15). */
+const LAST_STATUS = 599;
+
 /** Lowest status code that counts as a failure of the upstream. */
 const FIRST_FAILURE_STATUS = 500;
 
@@ -183,6 +186,10 @@
       if (this.#interimAnswers > MAX_INTERIM_ANSWERS) this.#failAttempt('interim answers only');
       return;
     }
+    if (status > LAST_STATUS) {
+      this.#failAttempt(`answer with status ${status}`);
+      return;
+    }
     this.#answerTimer?.clear();
     this.#isReadLate = this.#timeoutTimer.isDue;
     const head = this.cfg.codec.decodeAnswer(status, flatten(headers));
--- a/src/upstream/httpplainservice.ts
+++ b/src/upstream/httpplainservice.ts
@@ -16,6 +16,9 @@
 /** Largest body of an answer, in bytes: it is held in memory as a whole. */
 const MAX_ANSWER_BYTES = 16_777_216;
 
+/** Highest status code that has a meaning (RFC 9110, section 15). */
+const LAST_STATUS = 599;
+
 /** Statuses whose answers have no body. */
 const EMPTY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
@@ -51,6 +54,7 @@
         bodyTimeout: call.timeoutMs,
         body: call.body.length > 0 ? call.body : null,
       });
+      if (res.statusCode > LAST_STATUS) throw new Error(`answer with status ${res.statusCode}`);
       const contentType = String(res.headers['content-type'] ?? 'application/octet-stream');
       const noteBody = (bytes: number): void => socket.noteBody(bytes);
       const body = await readBounded(res.body, MAX_ANSWER_BYTES, noteBody);
--- a/src/upstream/tests/plainservice.test.ts
+++ b/src/upstream/tests/plainservice.test.ts
@@ -74,6 +74,14 @@
     answer: { text: `${CLOSE}\r\nabcd`, then: 'reset' },
     body: undefined,
   },
+  ...['000', '099', '600', '999', '20', '2000'].map((status) => ({
+    title: `with status ${status}`,
+    answer: {
+      text: `HTTP/1.1 ${status} X\r\nContent-Length: 4\r\n\r\nabcd`,
+      then: 'keep',
+    } as const,
+    body: undefined,
+  })),
   ...(['close', 'reset', 'keep'] as const).flatMap((then) =>
     BROKEN.map((text) => ({
       title: `that breaks off, then ${then}: ${JSON.stringify(text)}`,
