--- a/src/allowance/index.ts
+++ b/src/allowance/index.ts
@@ -3,6 +3,7 @@
  * request.
  */
 export * from './era.js';
+export * from './borrowing.js';
 export * from './holders.js';
 export * from './holding.js';
 export * from './recovery.js';
