--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -212,7 +212,7 @@
     text: 'no permit for a request to an upstream that names a limit or is cold; requests are placed elsewhere meanwhile',
   },
   upstreamCold: {
-    number: 7012,
+    number: 7014,
     level: 'info',
     text: 'an upstream is or may be cold; it receives requests by permit, at the rate that its service names',
   },
