--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -172,7 +172,7 @@
       random: Math.random,
     });
     const { tokensPerMs } = settings.engines;
-    const options = { ...PLACEMENT_COSTS, tokensPerMs };
+    const options = { ...PLACEMENT_COSTS, tokensPerMs, usesPace: settings.usesPace };
     this.upstreamPool = new UpstreamPool(
       this.routingState.upstreams,
       dataCentre,
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -40,6 +40,8 @@
      * follow evacuations.
      */
     evacuateMs: z.number().positive().nullish(),
+    /** Whether requests are placed by the pace of the upstreams, as they state it and as it is learned. */
+    usesPace: z.boolean().default(false),
     logLevel: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info'),
     processor: z
       .strictObject({
--- a/src/gateway/upstreampool.ts
+++ b/src/gateway/upstreampool.ts
@@ -88,7 +88,8 @@
     const hotParts = this.#hotParts.get(query.service) ?? new HotParts();
     this.#hotParts.set(query.service, hotParts);
     const affinityPart = hotParts.choose(query.request, candidates.length, now);
-    const usualMs = query.request.promptTokens === 0 ? this.#usualPace(query.service).answerMs : 0;
+    const isSizeUnknown = this.options.usesPace && query.request.promptTokens === 0;
+    const usualMs = isSizeUnknown ? this.#usualPace(query.service).answerMs : 0;
     const request = { ...query.request, affinityPart, usualMs };
     const placement = placeRequest(candidates, request, this.options, draw);
     const upstream = upstreams.find(({ record }) => record.id === placement?.id);
@@ -166,7 +167,7 @@
       isNear: record.dataCentre === this.dataCentre,
       capacity: record.capacity,
       load,
-      pace: stats.pace.factor(load / record.capacity, now),
+      pace: this.options.usesPace ? stats.pace.factor(load / record.capacity, now) : 1,
       waiting: stats.waiting(now),
       pendingTokens: stats.pendingTokens + stats.pendingPeerTokens(this.options.tokensPerMs, now),
       freeTokens: free,
--- a/src/route/placement.ts
+++ b/src/route/placement.ts
@@ -83,6 +83,8 @@
   readonly failurePenaltyMs: number;
   /** Usual time before an answer begins, in milliseconds; only a longer wait counts as a delay. */
   readonly usualSilenceMs: number;
+  /** Whether the pace of upstreams is taken into account; default false. */
+  readonly usesPace?: boolean;
 }
 
 /** Penalty for an ejected upstream, in milliseconds; it is chosen only as a last resort. */
