--- a/src/budget/messages.ts
+++ b/src/budget/messages.ts
@@ -14,6 +14,8 @@
     outlook: z.object({ unspent: z.number(), totalRate: z.number() }).readonly(),
     /** The lender's counter for the borrower, as the borrower last received it. */
     known: z.number().int().nonnegative(),
+    /** Whether neither the borrower nor the holders that it has asked reach the store; absent if not. */
+    isStoreDown: z.boolean().optional(),
   })
   .readonly();
 
--- a/src/gateway/allowanceloans.ts
+++ b/src/gateway/allowanceloans.ts
@@ -2,7 +2,7 @@
 import { borrowedShortfall, borrowedTarget, loanUnits, netSpent } from '../allowance/index.js';
 
 import { available, counterOf, lendUnits } from '../budget/index.js';
-import { instanceOf, waitAtMost } from '../kernel/index.js';
+import { instanceOf, rendezvous, waitAtMost } from '../kernel/index.js';
 
 import type { Incarnation } from '../kernel/index.js';
 import type { PeerMessageOf } from '../link/index.js';
@@ -30,6 +30,9 @@
  */
 const SHORTAGE_MEMORY_MS = 250;
 
+/** Number of daemons that are asked to draw units for this one: two in three reach the store in a usual cut. */
+const MAX_DRAWERS = 3;
+
 /** A round of borrowing in which all holders together could not lend the missing units. */
 interface Shortage {
   readonly at: number;
@@ -57,6 +60,9 @@
 
   readonly #shortages = new Map<string, Shortage>();
 
+  /** The daemon that has last drawn units for this one, if there is one. */
+  #lastDrawer: readonly string[] = [];
+
   /**
    * Registers the handlers for loan requests and transfers of other daemons.
    * @param ctx - links to the other daemons, and the holders of each workspace
@@ -200,10 +206,12 @@
       // eslint-disable-next-line no-await-in-loop
       await this.#askPeer(peer, workspace, missing, isHolder ? missing : this.#spare(workspace));
     }
+    const isOutOfReach = !isHolder && !this.ctx.isStoreUp() && !this.hasHolderDrawn(workspace);
+    if (isOutOfReach) asked += await this.#askDrawers(workspace);
     const after = available(this.holdings.of(workspace).escrow);
     const gained = after - before;
     const { answered, left } = this.#holderAnswers.get(workspace) ?? noAnswers;
-    const isAllAsked = answered === this.ctx.holders.others(workspace).length;
+    const isAllAsked = answered >= this.ctx.holders.others(workspace).length;
     if (isAllAsked && after < this.holdings.missing(workspace)) {
       const obtainable = after + left;
       this.#shortages.set(workspace, { at: this.ctx.clock.now(), obtainable });
@@ -213,19 +221,59 @@
     return gained > 0;
   }
 
+  /**
+   * Asks other daemons to draw units, as neither this daemon nor a holder that has replied reaches the store.
+   * @returns number of daemons that were asked
+   */
+  async #askDrawers(workspace: string): Promise<number> {
+    const { network, self, holders } = this.ctx;
+    const known = new Set(holders.others(workspace));
+    const names = network.peers().map(({ name }) => name);
+    const others = rendezvous(
+      self,
+      names.filter((name) => !known.has(name)),
+    );
+    const drawers = [...new Set([...this.#lastDrawer, ...others])].slice(0, MAX_DRAWERS);
+    let asked = 0;
+    for (const peer of drawers) {
+      const missing =
+        this.holdings.missing(workspace) - available(this.holdings.of(workspace).escrow);
+      if (missing <= 0 || this.hasHolderDrawn(workspace)) break;
+      asked += 1;
+      // eslint-disable-next-line no-await-in-loop
+      await this.#askPeer(peer, workspace, missing, this.#spare(workspace), true);
+      // The one that reaches the store is asked first from now on.
+      this.#lastDrawer = this.hasHolderDrawn(workspace) ? [peer] : [];
+    }
+    return asked;
+  }
+
   /** Units beyond the missing ones that this daemon, which is no holder, keeps for its next requests. */
   #spare(workspace: string): number {
     const unspent = this.lastKnownUnspent(workspace) ?? 0;
     return borrowedTarget(this.holdings.of(workspace), unspent, this.ctx.clock.now());
   }
 
-  async #askPeer(peer: string, workspace: string, missing: number, wanted: number): Promise<void> {
+  async #askPeer(
+    peer: string,
+    workspace: string,
+    missing: number,
+    wanted: number,
+    drawsForMe = false,
+  ): Promise<void> {
     const { network } = this.ctx;
     const { escrow, view } = this.holdings.of(workspace);
     const incarnation = network.incarnationOf(peer);
     const known = incarnation ? counterOf(escrow.borrowed, incarnation) : 0;
     const outlook = { unspent: Math.max(0, view?.unspent ?? 0), totalRate: view?.othersRate ?? 0 };
-    const asked = { budget: workspace, missing, wanted, outlook, known };
+    const asked = {
+      budget: workspace,
+      missing,
+      wanted,
+      outlook,
+      known,
+      ...(drawsForMe && { isStoreDown: true }),
+    };
     const askedAt = this.ctx.clock.now();
     let isAwaited = true;
     const taken = network
@@ -288,7 +336,8 @@
     if (missing === 0 && this.holdings.isClosed)
       throw new Error('this daemon is stopping and accepts no transfer');
     const isForAnother = missing > 0 && !holders.isHolder(budget, from);
-    if (isForAnother && holders.isHolder(budget)) await this.#drawBeforeLoan(budget, missing);
+    const draws = holders.isHolder(budget) || message.isStoreDown === true;
+    if (isForAnother && draws) await this.#drawBeforeLoan(budget, missing);
     const holding = this.holdings.of(budget);
     const units = this.holdings.isClosed
       ? 0
