--- a/src/gateway/evacuationwatch.ts
+++ b/src/gateway/evacuationwatch.ts
@@ -8,6 +8,7 @@
 import type { Recorder } from '../telemetry/index.js';
 import type { EvacuationReport, StorePoint } from './evacuations.js';
 import type { GatewayMetrics } from './metrics.js';
+import type { AwaitedEvacuation } from './startnews.js';
 
 /**
  * Longest wait of a watch, as a share of the time in which an evacuation must be in force: a connection that went
@@ -114,6 +115,26 @@
     this.#askTimer.unref();
   }
 
+  /**
+   * Checks whether a data centre counts as evacuated. One whose grace period is over does so until its end was reported,
+   * as its upstreams may be cold.
+   * @param dataCentre - its name
+   * @param now - current time, in milliseconds
+   * @returns whether its upstreams may receive no requests
+   */
+  isEvacuated(dataCentre: string, now: number): boolean {
+    return this.evacuations.has(dataCentre, now) || this.#logged.includes(dataCentre);
+  }
+
+  /**
+   * Takes over evacuations that the store lacks, from a daemon that knew them before.
+   * @param awaited - the evacuations
+   * @param now - current time, in milliseconds
+   */
+  await(awaited: readonly AwaitedEvacuation[], now: number): void {
+    this.#apply('peer', () => this.evacuations.await(awaited, now));
+  }
+
   /** Stops the exchange. */
   stop(): void {
     clearInterval(this.#askTimer);
--- a/src/gateway/routingstate.ts
+++ b/src/gateway/routingstate.ts
@@ -157,8 +157,7 @@
     });
     this.evacuationWatch = evacuationWatch;
     this.#followers = [...this.#followers, evacuationWatch.follower];
-    this.upstreams.isEvacuated = (dataCentre, now) =>
-      evacuationWatch.evacuations.has(dataCentre, now);
+    this.upstreams.isEvacuated = (dataCentre, now) => evacuationWatch.isEvacuated(dataCentre, now);
   }
 
   /** Starts to follow the store. */
@@ -212,7 +211,7 @@
     this.#newsUntil = now + NEWS_MS;
     this.#awaited = { version: news.version, until: now + AWAIT_MS };
     this.upstreams.hearLeft(news.left, now);
-    this.evacuationWatch?.evacuations.await(news.evacuations, now);
+    this.evacuationWatch?.await(news.evacuations, now);
     const version = this.#table?.configuration.version ?? 0;
     if (version > 0 && version < news.version) {
       const facts = { version, awaited: news.version, atMostMs: AWAIT_MS };
--- a/src/gateway/tests/evacuationwatch.test.ts
+++ b/src/gateway/tests/evacuationwatch.test.ts
@@ -112,3 +112,32 @@
   await waitFor('the report of the other daemon', () => late.watch.evacuations.isKnown);
   t.is(inForce(late), 'a');
 });
+
+test('an evacuation whose grace period is over does not end before its upstreams count as cold', async (t) => {
+  const store = new WatchedStore();
+  const daemon = startDaemon(t, store, new MemoryHub(() => 'answered'), 'x');
+  const { ended, watch } = daemon;
+  store.put(`${PREFIX}a`);
+  run(daemon);
+  await waitFor('the listing', () => inForce(daemon) === 'a');
+  const { evacuations } = watch;
+  // Another era of the store, without the evacuation: its grace period is long over at the time that is asked for.
+  evacuations.applyListing({ era: 1, revision: 0, dataCentres: [] }, 0);
+  const afterGrace = 60_000;
+  t.false(evacuations.has('a', afterGrace));
+  t.deepEqual(ended, []);
+  t.true(watch.isEvacuated('a', afterGrace));
+  await waitFor('the end of the grace period', () => ended.length > 0, 10_000);
+  t.false(watch.isEvacuated('a', afterGrace));
+});
+
+test('an evacuation that a daemon takes over shortly before its end does not end before its upstreams count as cold', async (t) => {
+  const daemon = startDaemon(t, new WatchedStore(), new MemoryHub(() => 'answered'), 'x');
+  const { ended, watch } = daemon;
+  watch.await([{ dataCentre: 'a', leftMs: 100 }], new SteadyClock().now());
+  const afterGrace = 60_000;
+  t.true(watch.isEvacuated('a', afterGrace));
+  await waitFor('the end of the grace period', () => ended.length > 0);
+  t.deepEqual(ended, ['a']);
+  t.false(watch.isEvacuated('a', afterGrace));
+});
