--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -116,7 +116,7 @@
     const open = runtime.openRequests.add();
     runtime.metrics.open.inc();
     const isClosing = (): boolean =>
-      (runtime.isStopping || runtime.isResting || connection.hasEnded) &&
+      (runtime.isStopping || runtime.closesConnections || connection.hasEnded) &&
       connection.isLast(arrival);
     const caller = new HttpReply(reply.raw, connection, isClosing);
     const room = runtime.bodyGate.open(connection, this.#bodyLimit);
--- a/src/gateway/overflow.ts
+++ b/src/gateway/overflow.ts
@@ -3,16 +3,17 @@
 
 import { rendezvous, SECOND_MS } from '../kernel/index.js';
 import {
-  hasRoomElsewhere,
+  closesConnections,
   IN_ROTATION,
   isBetterElsewhere,
   isBusy,
   needsReports,
   nextRotation,
+  roomElsewhere,
 } from '../ingress/index.js';
 import { LineLimit } from '../telemetry/index.js';
 
-import type { DaemonLoad, Rotation, WaitReport } from '../ingress/index.js';
+import type { DaemonLoad, RoomElsewhere, Rotation, WaitReport } from '../ingress/index.js';
 import type { Clock } from '../kernel/index.js';
 import type { PeerNetwork } from '../link/index.js';
 import type { Recorder } from '../telemetry/index.js';
@@ -98,6 +99,11 @@
     return this.#rotation.restsUntil !== undefined;
   }
 
+  /** Whether kept connections are closed with their next answers. */
+  get closesConnections(): boolean {
+    return closesConnections(this.#rotation, this.cfg.clock.now());
+  }
+
   /**
    * Decides whether the caller of a request is sent to another daemon.
    * @param request - id of the request, for the log
@@ -107,7 +113,7 @@
   sendsElsewhere(request: string, targetMs: number): boolean {
     const { waitMs, recorder, metrics, clock } = this.cfg;
     const expectedMs = waitMs();
-    if (!isBetterElsewhere(expectedMs, targetMs, this.#isRoomElsewhere)) return false;
+    if (!isBetterElsewhere(expectedMs, targetMs, this.#room)) return false;
     metrics.sentElsewhere.inc();
     const suppressed = this.#lines.admit(clock.now());
     if (suppressed !== undefined) {
@@ -125,7 +131,7 @@
     const load = this.#load;
     if (needsReports(load) || this.isResting) this.#ask(now);
     const wasResting = this.isResting;
-    this.#rotation = nextRotation(this.#rotation, load, this.#isRoomElsewhere, now);
+    this.#rotation = nextRotation(this.#rotation, load, this.#room, now);
     if (this.isResting === wasResting) return;
     metrics.resting.set(this.isResting ? 1 : 0);
     const facts = {
@@ -149,8 +155,8 @@
     this.#utilization += (utilization - this.#utilization) * UTILIZATION_WEIGHT;
   }
 
-  get #isRoomElsewhere(): boolean {
-    return hasRoomElsewhere([...this.#reports.values()], this.cfg.clock.now());
+  get #room(): RoomElsewhere {
+    return roomElsewhere([...this.#reports.values()], this.cfg.clock.now());
   }
 
   get #reportFacts(): Readonly<Record<string, number>> {
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -278,6 +278,11 @@
     return this.#overflow?.isResting ?? false;
   }
 
+  /** Whether kept connections are closed, so that their callers reach other daemons. */
+  get closesConnections(): boolean {
+    return this.#overflow?.closesConnections ?? false;
+  }
+
   /**
    * Decides whether the caller of a request is sent to another daemon, which would serve it sooner.
    * @param request - id of the request, for the log
--- a/src/ingress/index.ts
+++ b/src/ingress/index.ts
@@ -6,17 +6,18 @@
 export { CallerConnections } from './callerconnections.js';
 export { askForBody, holdContinue, waitsToBeAsked } from './heldcontinue.js';
 export {
-  hasRoomElsewhere,
+  closesConnections,
   IN_ROTATION,
   isBetterElsewhere,
   isBusy,
   needsReports,
   nextRotation,
+  roomElsewhere,
 } from './overflow.js';
 export { ReadAhead } from './readahead.js';
 export { RequestQueue } from './requestqueue.js';
 export type { Arrival } from './callerconnection.js';
-export type { DaemonLoad, Rotation, WaitReport } from './overflow.js';
+export type { DaemonLoad, RoomElsewhere, Rotation, WaitReport } from './overflow.js';
 export type { Defer, QueueOutcome } from './requestqueue.js';
 export { closeListener } from './listenerclose.js';
 export type { ListenerClosing } from './listenerclose.js';
--- a/src/ingress/overflow.ts
+++ b/src/ingress/overflow.ts
@@ -39,6 +39,9 @@
 /** Share of the daemons that were asked that must have room. */
 const ROOM_SHARE = 0.5;
 
+/** Time in which the load balancer notices that a daemon rests, in milliseconds: two checks, one second apart. */
+const NOTICE_MS = 2 * SECOND_MS;
+
 /** Time for which a report of another daemon counts, in milliseconds. */
 const REPORT_TTL_MS = 4 * SECOND_MS;
 
@@ -70,16 +73,20 @@
   return waitMs > BUSY_WAIT_MS || utilization > BUSY_UTILIZATION;
 }
 
+/** Whether other daemons have room: most would serve a further request at once, or not, or too few have reported lately. */
+export type RoomElsewhere = 'some' | 'none' | 'unknown';
+
 /**
  * Decides whether other daemons have room.
  * @param reports - newest report of each daemon that was asked
  * @param now - current time, in milliseconds
- * @returns whether most of those that have reported lately would serve a further request at once
+ * @returns what most of those say that have reported lately
  */
-export function hasRoomElsewhere(reports: readonly WaitReport[], now: number): boolean {
+export function roomElsewhere(reports: readonly WaitReport[], now: number): RoomElsewhere {
   const recent = reports.filter(({ at }) => now - at <= REPORT_TTL_MS);
+  if (recent.length < MIN_REPORTS) return 'unknown';
   const free = recent.filter(({ waitMs }) => waitMs <= ROOM_WAIT_MS);
-  return recent.length >= MIN_REPORTS && free.length > recent.length * ROOM_SHARE;
+  return free.length > recent.length * ROOM_SHARE ? 'some' : 'none';
 }
 
 /**
@@ -95,15 +102,11 @@
  * Decides whether the caller of a request is sent to another daemon instead of waiting here.
  * @param waitMs - time for which the request would wait here, in milliseconds
  * @param targetMs - target time of its route, in milliseconds
- * @param isRoomElsewhere - whether other daemons have room
+ * @param room - whether other daemons have room
  * @returns whether it is refused at once
  */
-export function isBetterElsewhere(
-  waitMs: number,
-  targetMs: number,
-  isRoomElsewhere: boolean,
-): boolean {
-  return isRoomElsewhere && waitMs > Math.max(ROOM_WAIT_MS, targetMs * WAIT_SHARE);
+export function isBetterElsewhere(waitMs: number, targetMs: number, room: RoomElsewhere): boolean {
+  return room === 'some' && waitMs > Math.max(ROOM_WAIT_MS, targetMs * WAIT_SHARE);
 }
 
 /** Whether a daemon takes new connections. */
@@ -128,29 +131,39 @@
 
 /**
  * Computes whether a daemon goes on to take new connections. A daemon that was busy for a while rests, longer if it has
- * just come back, and comes back early if no other daemon has room.
+ * just come back, until its own callers no longer wait. It comes back early if the others say that they are busy too.
  * @param rotation - state so far
  * @param load - load of this daemon
- * @param isRoomElsewhere - whether other daemons have room
+ * @param room - whether other daemons have room
  * @param now - current time, in milliseconds
  * @returns the new state
  */
 export function nextRotation(
   rotation: Rotation,
   load: DaemonLoad,
-  isRoomElsewhere: boolean,
+  room: RoomElsewhere,
   now: number,
 ): Rotation {
   const { restsUntil, returnedAt, restMs, busySince } = rotation;
   if (restsUntil !== undefined) {
     const isOver = now >= restsUntil && load.waitMs <= ROOM_WAIT_MS && !isBusy(load);
-    if (!isOver && isRoomElsewhere) return rotation;
+    if (!isOver && room !== 'none') return rotation;
     return { ...IN_ROTATION, returnedAt: now, restMs };
   }
-  if (!isBusy(load) || !isRoomElsewhere) return { ...rotation, busySince: undefined };
+  if (!isBusy(load) || room !== 'some') return { ...rotation, busySince: undefined };
   if (busySince === undefined) return { ...rotation, busySince: now };
   if (now - busySince < BUSY_MS) return rotation;
   const isCalm = now - returnedAt > CALM_MS;
   const nextRestMs = isCalm ? MIN_REST_MS : Math.min(MAX_REST_MS, restMs * 2);
   return { busySince: undefined, restsUntil: now + nextRestMs, returnedAt, restMs: nextRestMs };
 }
+
+/**
+ * Decides whether a daemon closes its kept connections with their next answers.
+ * @param rotation - whether it takes new connections
+ * @param now - current time, in milliseconds
+ * @returns whether it rests and the load balancer knows; before that, the callers would come back to it at once
+ */
+export function closesConnections({ restsUntil, restMs }: Rotation, now: number): boolean {
+  return restsUntil !== undefined && now >= restsUntil - restMs + NOTICE_MS;
+}
--- a/src/ingress/tests/overflow.test.ts
+++ b/src/ingress/tests/overflow.test.ts
@@ -1,31 +1,37 @@
 import test from 'ava';
 
-import { hasRoomElsewhere, IN_ROTATION, isBetterElsewhere, nextRotation } from '../index.js';
+import {
+  closesConnections,
+  IN_ROTATION,
+  isBetterElsewhere,
+  nextRotation,
+  roomElsewhere,
+} from '../index.js';
 
-import type { Rotation, WaitReport } from '../index.js';
+import type { RoomElsewhere, Rotation, WaitReport } from '../index.js';
 
 interface ReportRow {
   readonly title: string;
   /** Waits that other daemons have reported, in milliseconds, and the ages of the reports. */
   readonly reports: readonly (readonly [waitMs: number, ageMs: number])[];
-  readonly hasRoom: boolean;
+  readonly room: RoomElsewhere;
 }
 
 const NOW_MS = 60_000;
 
 const REPORT_ROWS: readonly ReportRow[] = [
-  { title: 'nobody has reported', reports: [], hasRoom: false },
-  { title: 'a single idle daemon', reports: [[0, 0]], hasRoom: false },
-  { title: 'all are idle', reports: [[0, 0], [0, 100], [5, 200], [0, 300]], hasRoom: true }, // prettier-ignore
-  { title: 'half are idle', reports: [[0, 0], [0, 0], [400, 0], [400, 0]], hasRoom: false }, // prettier-ignore
-  { title: 'one of four is busy', reports: [[0, 0], [0, 0], [3, 0], [400, 0]], hasRoom: true }, // prettier-ignore
-  { title: 'old reports of idle daemons', reports: [[0, 4_500], [0, 4_500], [0, 5_000]], hasRoom: false }, // prettier-ignore
+  { title: 'nobody has reported', reports: [], room: 'unknown' },
+  { title: 'a single idle daemon', reports: [[0, 0]], room: 'unknown' },
+  { title: 'all are idle', reports: [[0, 0], [0, 100], [5, 200], [0, 300]], room: 'some' }, // prettier-ignore
+  { title: 'half are idle', reports: [[0, 0], [0, 0], [400, 0], [400, 0]], room: 'none' }, // prettier-ignore
+  { title: 'one of four is busy', reports: [[0, 0], [0, 0], [3, 0], [400, 0]], room: 'some' }, // prettier-ignore
+  { title: 'old reports of idle daemons', reports: [[0, 4_500], [0, 4_500], [0, 5_000]], room: 'unknown' }, // prettier-ignore
 ];
 
-REPORT_ROWS.forEach(({ title, reports, hasRoom }) => {
+REPORT_ROWS.forEach(({ title, reports, room }) => {
   test(`callers are sent to daemons that are as busy: ${title}`, (t) => {
     const made = reports.map(([waitMs, ageMs]): WaitReport => ({ waitMs, at: NOW_MS - ageMs }));
-    t.is(hasRoomElsewhere(made, NOW_MS), hasRoom);
+    t.is(roomElsewhere(made, NOW_MS), room);
   });
 });
 
@@ -33,22 +39,22 @@
   readonly title: string;
   readonly waitMs: number;
   readonly targetMs: number;
-  readonly isRoomElsewhere: boolean;
+  readonly room: RoomElsewhere;
   readonly isSent: boolean;
 }
 
 const WAIT_ROWS: readonly WaitRow[] = [
-  { title: 'no wait', waitMs: 0, targetMs: 400, isRoomElsewhere: true, isSent: false },
-  { title: 'a short wait', waitMs: 150, targetMs: 400, isRoomElsewhere: true, isSent: false },
-  { title: 'a long wait', waitMs: 250, targetMs: 400, isRoomElsewhere: true, isSent: true },
-  { title: 'all are busy', waitMs: 2_000, targetMs: 400, isRoomElsewhere: false, isSent: false },
-  { title: 'a patient route', waitMs: 250, targetMs: 1_500, isRoomElsewhere: true, isSent: false },
-  { title: 'a tiny target', waitMs: 20, targetMs: 20, isRoomElsewhere: true, isSent: false },
+  { title: 'no wait', waitMs: 0, targetMs: 400, room: 'some', isSent: false },
+  { title: 'a short wait', waitMs: 150, targetMs: 400, room: 'some', isSent: false },
+  { title: 'a long wait', waitMs: 250, targetMs: 400, room: 'some', isSent: true },
+  { title: 'all are busy', waitMs: 2_000, targetMs: 400, room: 'none', isSent: false },
+  { title: 'a patient route', waitMs: 250, targetMs: 1_500, room: 'some', isSent: false },
+  { title: 'a tiny target', waitMs: 20, targetMs: 20, room: 'some', isSent: false },
 ];
 
-WAIT_ROWS.forEach(({ title, waitMs, targetMs, isRoomElsewhere, isSent }) => {
+WAIT_ROWS.forEach(({ title, waitMs, targetMs, room, isSent }) => {
   test(`requests wait beside idle daemons until they are late: ${title}`, (t) => {
-    t.is(isBetterElsewhere(waitMs, targetMs, isRoomElsewhere), isSent);
+    t.is(isBetterElsewhere(waitMs, targetMs, room), isSent);
   });
 });
 
@@ -58,7 +64,7 @@
   readonly waitMs: number;
   /** Part of the time in which the event loop runs; default 0.5. */
   readonly utilization?: number;
-  readonly isRoomElsewhere: boolean;
+  readonly room: RoomElsewhere;
 }
 
 interface RotationRow {
@@ -70,8 +76,8 @@
 
 const STEP_MS = 100;
 
-const BUSY: Omit<Phase, 'ms'> = { waitMs: 900, isRoomElsewhere: true };
-const IDLE: Omit<Phase, 'ms'> = { waitMs: 0, isRoomElsewhere: true };
+const BUSY: Omit<Phase, 'ms'> = { waitMs: 900, room: 'some' };
+const IDLE: Omit<Phase, 'ms'> = { waitMs: 0, room: 'some' };
 
 const ROTATION_ROWS: readonly RotationRow[] = [
   { title: 'an idle daemon', phases: [{ ms: 60_000, ...IDLE }], restedSeconds: 0 },
@@ -90,13 +96,18 @@
   },
   {
     title: 'connections wait to be accepted',
-    phases: [{ ms: 1_500, waitMs: 0, utilization: 1, isRoomElsewhere: true }, { ms: 20_000, ...IDLE }], // prettier-ignore
+    phases: [{ ms: 1_500, waitMs: 0, utilization: 1, room: 'some' }, { ms: 20_000, ...IDLE }], // prettier-ignore
     restedSeconds: 4,
   },
-  { title: 'all are busy', phases: [{ ms: 30_000, waitMs: 900, isRoomElsewhere: false }], restedSeconds: 0 }, // prettier-ignore
+  { title: 'all are busy', phases: [{ ms: 30_000, waitMs: 900, room: 'none' }], restedSeconds: 0 }, // prettier-ignore
+  {
+    title: 'the others are not heard while callers wait',
+    phases: [{ ms: 2_000, ...BUSY }, { ms: 10_000, waitMs: 900, room: 'unknown' }, { ms: 20_000, ...IDLE }], // prettier-ignore
+    restedSeconds: 12,
+  },
   {
     title: 'the others fill up',
-    phases: [{ ms: 2_000, ...BUSY }, { ms: 30_000, waitMs: 900, isRoomElsewhere: false }], // prettier-ignore
+    phases: [{ ms: 2_000, ...BUSY }, { ms: 30_000, waitMs: 900, room: 'none' }], // prettier-ignore
     restedSeconds: 2,
   },
 ];
@@ -106,13 +117,25 @@
     let rotation: Rotation = IN_ROTATION;
     let now = 0;
     let restedMs = 0;
-    phases.forEach(({ ms, waitMs, utilization = 0.5, isRoomElsewhere }) => {
+    phases.forEach(({ ms, waitMs, utilization = 0.5, room }) => {
       for (let passedMs = 0; passedMs < ms; passedMs += STEP_MS) {
         now += STEP_MS;
-        rotation = nextRotation(rotation, { waitMs, utilization }, isRoomElsewhere, now);
+        rotation = nextRotation(rotation, { waitMs, utilization }, room, now);
         if (rotation.restsUntil !== undefined) restedMs += STEP_MS;
       }
     });
     t.is(Math.round(restedMs / 1_000), restedSeconds);
   });
 });
+
+const CLOSES = [
+  { title: 'in the rotation', restsUntil: undefined, at: 10_000, closes: false },
+  { title: 'before the load balancer knows', restsUntil: 14_000, at: 11_900, closes: false },
+  { title: 'once the load balancer knows', restsUntil: 14_000, at: 12_000, closes: true },
+] as const;
+
+CLOSES.forEach(({ title, restsUntil, at, closes }) => {
+  test(`callers whose connections are closed come back to the same busy daemon: ${title}`, (t) => {
+    t.is(closesConnections({ ...IN_ROTATION, restsUntil, restMs: 4_000 }, at), closes);
+  });
+});
