--- a/src/allowance/era.ts
+++ b/src/allowance/era.ts
@@ -206,6 +206,15 @@
   return markHeard(closeNamed(noted, closed), instance);
 }
 
+/**
+ * Returns whether nothing hints at a former era: no object of one, and no daemon that knew one.
+ * @param shard - shard of the current era
+ * @returns whether the unheard daemons need not be awaited
+ */
+export function isFreshStart({ recovery }: AllowanceShard): boolean {
+  return !recovery || (recovery.base.era === 0 && !recovery.hasWitness);
+}
+
 /**
  * Writes what several daemons said into the shard. Instances that were heard meanwhile are left out, as their rows may
  * have changed since they answered.
@@ -223,7 +232,7 @@
   const awaited = hearings.filter(({ holder }) => unheard.includes(instanceOf(holder)));
   const witnesses = awaited.filter(({ hasLived }) => hasLived);
   const confirmed = witnesses.reduce(confirmHolder, shard);
-  const isFormerKnown = witnesses.length > 0 || (shard.recovery?.base.era ?? 0) > 0;
+  const isFormerKnown = witnesses.length > 0 || !isFreshStart(confirmed);
   return awaited
     .filter(({ hasLived }) => !hasLived)
     .reduce((heard, { holder }) => {
@@ -233,15 +242,6 @@
     }, confirmed);
 }
 
-/**
- * Returns whether nothing hints at a former era: no object of one, and no daemon that knew one.
- * @param shard - shard of the current era
- * @returns whether the unheard daemons need not be awaited
- */
-export function isFreshStart({ recovery }: AllowanceShard): boolean {
-  return !recovery || (recovery.base.era === 0 && !recovery.hasWitness);
-}
-
 /**
  * Ends the wait for the unheard instances. Their rows stay, and a part of the paid units is held back for what they may
  * have drawn since.
