--- a/src/allowance/holding.ts
+++ b/src/allowance/holding.ts
@@ -207,16 +207,18 @@
  * @param holding - the holding
  * @param policy - how many units are kept available
  * @param now - current time in milliseconds
+ * @param kept - units that a daemon which is no holder keeps for its next requests
  * @returns the holding, reduced to the target if it had more than twice the target
  */
 export function returnIdleUnits(
   holding: AllowanceHolding,
   policy: AllowancePolicy,
   now: number,
+  kept = 0,
 ): AllowanceHolding {
   const { escrow, view } = holding;
   if (!view) return holding;
-  const idle = idleUnitsInRow(holding, readyTarget(holding, view, policy, now));
+  const idle = idleUnitsInRow(holding, Math.max(kept, readyTarget(holding, view, policy, now)));
   return idle > 0 ? { ...holding, escrow: returnUnits(escrow, idle) } : holding;
 }
 
--- a/src/allowance/tests/holding.test.ts
+++ b/src/allowance/tests/holding.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 
 import { receiveGrant } from '../../budget/index.js';
-import { openHolding, returnIdleUnits, needsDraw } from '../holding.js';
+import { needsDraw, openHolding, returnIdleUnits } from '../holding.js';
 
 import type { AllowanceHolding, AllowancePolicy } from '../holding.js';
 
@@ -51,3 +51,16 @@
     t.is(escrow.granted - escrow.returned, left);
   });
 });
+
+const KEPT = [
+  { title: 'as many as it keeps', granted: 3_000, left: 3_000 },
+  { title: 'more than twice as many as it keeps', granted: 7_000, left: 3_000 },
+] as const;
+
+KEPT.forEach(({ title, granted, left }) => {
+  test(`a borrower gives up the units of its next requests while its row is written: it holds ${title}`, (t) => {
+    const policy = { ...POLICY, exposure: 0 };
+    const { escrow } = returnIdleUnits(holdingOf(granted, 50_000), policy, 0, 3_000);
+    t.is(escrow.granted - escrow.returned, left);
+  });
+});
--- a/src/gateway/allowanceplans.ts
+++ b/src/gateway/allowanceplans.ts
@@ -107,13 +107,13 @@
         const policy = this.ctx.policy(workspace);
         const seen = viewAllowance(currentShard, self, workspace, paid);
         const opened = { ...this.holdings.of(workspace), view: seen };
-        const holding = returnIdleUnits(opened, policy, now);
-        this.holdings.set(workspace, holding);
-        const view = isResolved(currentShard) ? seen : withoutFreeUnits(seen, holding);
         // A daemon that is no holder draws when no holder can, and then for its next requests too.
         const kept = this.ctx.holders.isHolder(workspace)
           ? 0
-          : borrowedTarget(holding, view.unspent, now);
+          : borrowedTarget(opened, seen.unspent, now);
+        const holding = returnIdleUnits(opened, policy, now, kept);
+        this.holdings.set(workspace, holding);
+        const view = isResolved(currentShard) ? seen : withoutFreeUnits(seen, holding);
         const lacking = this.holdings.missing(workspace) + kept - available(holding.escrow);
         return [{ draw: buildRowLine(holding, view, lacking, policy, now), view }];
       });
--- a/src/gateway/tests/borrowing.test.ts
+++ b/src/gateway/tests/borrowing.test.ts
@@ -161,3 +161,26 @@
     t.is(await fleet.serve(borrower, 4_000, 4_000), ok);
   });
 });
+
+test('a borrower loses the units of its next requests when the store refuses a write of its row', async (t) => {
+  const fleet = new AllowanceFleet({ ...SHAPE, paid: 100_000 });
+  const daemons = [...fleet.members.values()];
+  const isHolder = ({ holders }: (typeof daemons)[number]): boolean => holders.isHolder(WORKSPACE);
+  const borrower = daemons.find((each) => !isHolder(each));
+  if (!borrower) throw new Error('no daemon is a borrower');
+  fleet.refresh();
+  await delay(20);
+  daemons.filter(isHolder).forEach(({ name }) => fleet.withoutStore.add(name));
+  // More than the holder has.
+  t.true(await fleet.serve(borrower, 20_000, 20_000));
+  for (let request = 0; request < 6; request += 1) {
+    // The requests run one at a time.
+    // eslint-disable-next-line no-await-in-loop
+    t.true(await fleet.serve(borrower, 200, 200));
+  }
+  fleet.storeOutcome = 'refused';
+  borrower.allowances.releaseExcess();
+  await delay(20);
+  fleet.deliveryOutcome = 'lost-before';
+  t.true(await fleet.serve(borrower, 200, 200));
+});
