--- a/src/allowance/holding.ts
+++ b/src/allowance/holding.ts
@@ -74,7 +74,7 @@
   readonly demand: Demand;
   /** The workspace as of the last write to the store; undefined before the first one. */
   readonly view: AllowanceView | undefined;
-  /** Units granted by this daemon's stored row, as of its last acknowledged write. */
+  /** Units granted by this daemon's stored row, as of its last acknowledged write, also those that it may not use. */
   readonly stored: number;
   /** Net spending that was last written to the store. */
   readonly reported: number;
@@ -268,7 +268,7 @@
     ...holding,
     escrow: receiveGrant(escrow, granted),
     view,
-    stored: draw.grant,
+    stored: draw.line.granted,
     reported: draw.line.spent,
     reportedAt: now,
   };
--- a/src/allowance/tests/holding.test.ts
+++ b/src/allowance/tests/holding.test.ts
@@ -1,7 +1,13 @@
 import test from 'ava';
 
 import { receiveGrant } from '../../budget/index.js';
-import { needsDraw, openHolding, returnIdleUnits } from '../holding.js';
+import {
+  applyWrittenLine,
+  hasGrantedUnits,
+  needsDraw,
+  openHolding,
+  returnIdleUnits,
+} from '../holding.js';
 
 import type { AllowanceHolding, AllowancePolicy } from '../holding.js';
 
@@ -64,3 +70,12 @@
     t.is(escrow.granted - escrow.returned, left);
   });
 });
+
+test('units of a draw that may not be used without a copy stay in the row for good', (t) => {
+  const holding = holdingOf(0, 50_000);
+  const line = { workspace: 'w', granted: 4_000, spent: 0, rate: 0 };
+  if (!holding.view) throw new Error('no view');
+  const written = applyWrittenLine(holding, { line, grant: 0 }, holding.view, 0);
+  t.true(hasGrantedUnits(written), 'the row is kept up to date');
+  t.true(needsDraw(written, { ...POLICY, exposure: 0 }, 0), 'the units are given back');
+});
