--- a/src/allowance/tests/holding.test.ts
+++ b/src/allowance/tests/holding.test.ts
@@ -1,7 +1,13 @@
 import test from 'ava';
 
 import { receiveGrant } from '../../budget/index.js';
-import { openHolding, returnIdleUnits, needsDraw } from '../holding.js';
+import {
+  applyWrittenLine,
+  hasGrantedUnits,
+  needsDraw,
+  openHolding,
+  returnIdleUnits,
+} from '../holding.js';
 
 import type { AllowanceHolding, AllowancePolicy } from '../holding.js';
 
@@ -51,3 +57,25 @@
     t.is(escrow.granted - escrow.returned, left);
   });
 });
+
+const KEPT = [
+  { title: 'as many as it keeps', granted: 3_000, left: 3_000 },
+  { title: 'more than twice as many as it keeps', granted: 7_000, left: 3_000 },
+] as const;
+
+KEPT.forEach(({ title, granted, left }) => {
+  test(`a borrower gives up the units of its next requests while its row is written: it holds ${title}`, (t) => {
+    const policy = { ...POLICY, exposure: 0 };
+    const { escrow } = returnIdleUnits(holdingOf(granted, 50_000), policy, 0, 3_000);
+    t.is(escrow.granted - escrow.returned, left);
+  });
+});
+
+test('units of a draw that may not be used without a copy stay in the row for good', (t) => {
+  const holding = holdingOf(0, 50_000);
+  const line = { workspace: 'w', granted: 4_000, spent: 0, rate: 0 };
+  if (!holding.view) throw new Error('no view');
+  const written = applyWrittenLine(holding, { line, grant: 0 }, holding.view, 0);
+  t.true(hasGrantedUnits(written), 'the row is kept up to date');
+  t.true(needsDraw(written, { ...POLICY, exposure: 0 }, 0), 'the units are given back');
+});
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -220,7 +220,9 @@
     membership.start();
     this.routingState.evacuationWatch?.join(membership.network);
     tellNews(membership.network, () => this.routingState.news);
-    void membership.listed.then(() => this.#hearNews(membership));
+    // A store that states no era has lost nothing.
+    if (this.adapter.store.era.current === undefined) this.routingState.hear(undefined);
+    else void membership.listed.then(() => this.#hearNews(membership));
     this.#membership = membership;
     const { store } = this.adapter;
     const shards = await joinShardCount(store, this.settings.allowances.shards, this.recorder);
@@ -434,10 +436,9 @@
     this.recorder.flush();
   }
 
-  /** Asks other daemons what the store may have lost, if it is one that can have come back from an older copy. */
+  /** Asks other daemons what the store may have lost. */
   async #hearNews({ network }: Membership): Promise<void> {
-    const mayHaveLost = this.adapter.store.era.current !== undefined;
-    this.routingState.hear(mayHaveLost ? await askNews(network, Math.random) : undefined);
+    this.routingState.hear(await askNews(network, Math.random));
   }
 
   #createLimitPermits(membership: Membership): LimitPermits {
