--- a/src/ingress/overflow.ts
+++ b/src/ingress/overflow.ts
@@ -45,8 +45,11 @@
 /** Time for which a report of another daemon counts, in milliseconds. */
 const REPORT_TTL_MS = 4 * SECOND_MS;
 
-/** Fewest reports on which callers are sent to other daemons: a single one may be an exception. */
-const MIN_REPORTS = 2;
+/**
+ * Fewest reports on which callers are sent to other daemons. In a data centre of few daemons each serves a large part of the
+ * callers, and the room of the others is gone as soon as those come.
+ */
+const MIN_REPORTS = 4;
 
 /** What another daemon has reported. */
 export interface WaitReport {
--- a/src/ingress/tests/overflow.test.ts
+++ b/src/ingress/tests/overflow.test.ts
@@ -22,10 +22,11 @@
 const REPORT_ROWS: readonly ReportRow[] = [
   { title: 'nobody has reported', reports: [], room: 'unknown' },
   { title: 'a single idle daemon', reports: [[0, 0]], room: 'unknown' },
+  { title: 'a data centre of four daemons', reports: [[0, 0], [0, 0], [0, 0]], room: 'unknown' }, // prettier-ignore
   { title: 'all are idle', reports: [[0, 0], [0, 100], [5, 200], [0, 300]], room: 'some' }, // prettier-ignore
   { title: 'half are idle', reports: [[0, 0], [0, 0], [400, 0], [400, 0]], room: 'none' }, // prettier-ignore
   { title: 'one of four is busy', reports: [[0, 0], [0, 0], [3, 0], [400, 0]], room: 'some' }, // prettier-ignore
-  { title: 'old reports of idle daemons', reports: [[0, 4_500], [0, 4_500], [0, 5_000]], room: 'unknown' }, // prettier-ignore
+  { title: 'old reports of idle daemons', reports: [[0, 4_500], [0, 4_500], [0, 5_000], [0, 0]], room: 'unknown' }, // prettier-ignore
 ];
 
 REPORT_ROWS.forEach(({ title, reports, room }) => {
