--- a/src/gateway/tests/evacuationwatch.test.ts
+++ b/src/gateway/tests/evacuationwatch.test.ts
@@ -134,8 +134,9 @@
 test('an evacuation that a daemon takes over shortly before its end does not end before its upstreams count as cold', async (t) => {
   const daemon = startDaemon(t, new WatchedStore(), new MemoryHub(() => 'answered'), 'x');
   const { ended, watch } = daemon;
-  watch.await([{ dataCentre: 'a', leftMs: 100 }], new SteadyClock().now());
-  const afterGrace = 60_000;
+  const now = new SteadyClock().now();
+  watch.await([{ dataCentre: 'a', leftMs: 100 }], now);
+  const afterGrace = now + 60_000;
   t.true(watch.isEvacuated('a', afterGrace));
   await waitFor('the end of the grace period', () => ended.length > 0);
   t.deepEqual(ended, ['a']);
