--- a/src/daemon/tests/latelistener.test.ts
+++ b/src/daemon/tests/latelistener.test.ts
@@ -8,6 +8,9 @@
 
 const CALLERS = 120;
 
+/** Longest time of the test, in milliseconds: far above that of a stop, and below the time after which the runner gives up. */
+const LIMIT_MS = 60_000;
+
 /** Time between two pauses of the process, and length of a pause, in milliseconds. */
 const RUN_MS = 40;
 const PAUSE_MS = 300;
@@ -38,6 +41,7 @@
 ].join('\r\n');
 
 test('a stop of the chat interface does not reset connections that wait to be accepted when its listener closes', async (t) => {
+  t.timeout(LIMIT_MS, 'the daemon has not ended');
   const fleet = await Fleet.start({ daemons: 1, units: 100_000 });
   t.teardown(() => fleet.stop());
   const { url, child } = fleet.daemon(0);
