--- a/review/common-2/daemon.js
+++ b/review/common-2/daemon.js
@@ -24,10 +24,17 @@
   });
 }
 
-/** Returns a port on which nothing listens. */
+/** Ports that one script takes: scripts that run beside each other begin at different ones. */
+const PORTS_PER_SCRIPT = 53;
+
+let nextPort =
+  FIRST_PORT + ((process.pid * PORTS_PER_SCRIPT) % (LAST_PORT - FIRST_PORT - PORTS_PER_SCRIPT));
+
+/** Returns a port on which nothing listens, another one each time. */
 export async function freePort() {
   for (;;) {
-    const port = FIRST_PORT + Math.floor(Math.random() * (LAST_PORT - FIRST_PORT));
+    const port = nextPort;
+    nextPort += 1;
     if (await isFree(port)) return port;
   }
 }
