--- a/review/common-2/client.js
+++ b/review/common-2/client.js
@@ -3,6 +3,13 @@
 
 let attempts = 0;
 
+let listener = () => undefined;
+
+/** Sets what is called with each answer. */
+export function onAnswer(called) {
+  listener = called;
+}
+
 /** Returns the id of a new attempt. */
 export function attemptId() {
   attempts += 1;
@@ -29,8 +36,11 @@
 }) {
   const sentAt = performance.now();
   return new Promise((resolve) => {
-    const finish = (result) =>
-      resolve({ id, sentAt, endedAt: performance.now(), port, path, ...result });
+    const finish = (result) => {
+      const answer = { id, sentAt, endedAt: performance.now(), port, path, ...result };
+      listener({ ...answer, method, key });
+      resolve(answer);
+    };
     const req = request(
       {
         host: '127.0.0.1',
--- a/review/common-2/scene.js
+++ b/review/common-2/scene.js
@@ -3,6 +3,7 @@
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { onAnswer } from './client.js';
 import { Daemon } from './daemon.js';
 import { Relay } from './relay.js';
 import { Store } from './store.js';
@@ -46,6 +47,7 @@
   constructor(recordFile) {
     this.recordFile = recordFile;
     this.hasTrouble = process.env.TROUBLE !== '0';
+    onAnswer((answer) => this.#noteAnswer(answer));
   }
 
   /** Adds a line to the record. */
@@ -54,6 +56,16 @@
     this.#lines.push({ at, text: `${seconds} ${text}` });
   }
 
+  /** Adds what a client sent, and what it was answered. */
+  #noteAnswer({ id, port, method, path, key, sentAt, endedAt, status, error, isComplete, text }) {
+    const machine = this.daemons.find(({ ports }) => ports.callers === port)?.name;
+    this.note(`sent ${id} to ${machine}: ${method} ${path} key ${key}`, sentAt);
+    const bytes = `${text?.length ?? 0} bytes`;
+    const how =
+      status === 0 ? error : `${status}, ${isComplete ? 'whole' : 'broken off'}, ${bytes}`;
+    this.note(`answered ${id}: ${how}`, endedAt);
+  }
+
   seconds(at) {
     return ((at - this.#startedAt) / 1_000).toFixed(3);
   }
@@ -94,6 +106,14 @@
     this.workers.forEach((worker) => worker.stop());
     this.relays.forEach((relay) => relay.stop());
     this.store?.stop();
+    this.workers.forEach((worker) => {
+      worker.arrivals.forEach(({ id, at, prompt }) => {
+        this.note(
+          `run ${id} at ${worker.id}${prompt === undefined ? '' : `, prompt ${prompt}`}`,
+          at,
+        );
+      });
+    });
     const text = [...this.#lines].sort((one, other) => one.at - other.at);
     await writeFile(this.recordFile, `${text.map((line) => line.text).join('\n')}\n`);
     await Promise.all(this.daemons.map((daemon) => daemon.ended));
