--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -5,7 +5,7 @@
 
 import type { FastifyReply, FastifyRequest } from 'fastify';
 import { failure } from '../kernel/index.js';
-import { askForBody, waitsToBeAsked } from '../ingress/index.js';
+import { askForBody, SocketHold, waitsToBeAsked } from '../ingress/index.js';
 import { readBody, statedLength } from '../request/index.js';
 import { answerFailure, internalFailure } from './answerfailure.js';
 import { CallRun, TIMEOUT_SLACK_MS } from './callrun.js';
@@ -171,6 +171,7 @@
     const { host, path: target } = requestTarget(request.originalUrl, req.headers.host ?? '');
     const { headers: codec } = this.runtime.adapter;
     const head = codec.decodeCall(req.rawHeaders);
+    const lengthBytes = statedLength(req.headers);
     let body: ReadBody;
     if (!this.runtime.openRequests.isStopped) {
       open.onStop(() => {
@@ -183,8 +184,8 @@
     try {
       body = await readBody({
         source: req,
-        connection: req.socket,
-        lengthBytes: statedLength(req.headers),
+        ...(lengthBytes === undefined && { connection: SocketHold.of(req.socket) }),
+        lengthBytes,
         limitBytes: this.#bodyLimit,
         room,
         onAdmitted: () => askForBody(req, res),
--- a/src/ingress/index.ts
+++ b/src/ingress/index.ts
@@ -16,6 +16,7 @@
 } from './overflow.js';
 export { ReadAhead } from './readahead.js';
 export { RequestQueue } from './requestqueue.js';
+export { SocketHold } from './sockethold.js';
 export type { Arrival } from './callerconnection.js';
 export type { DaemonLoad, RoomElsewhere, Rotation, WaitReport } from './overflow.js';
 export type { Defer, QueueOutcome } from './requestqueue.js';
--- a/src/request/body.ts
+++ b/src/request/body.ts
@@ -38,12 +38,10 @@
 
 /** Connection that is not read while a body waits for room. */
 export interface HeldConnection {
-  /** Whether it is held back already. */
-  readonly isPaused: () => boolean;
   /** Stops reading. */
-  readonly pause: () => unknown;
+  readonly hold: () => void;
   /** Reads on. */
-  readonly resume: () => unknown;
+  readonly release: () => void;
 }
 
 /** A body to be read. */
@@ -188,14 +186,12 @@
   }
 
   #hold(): void {
-    const { connection } = this.body;
-    if (!connection || this.#isHeld || connection.isPaused()) return;
     this.#isHeld = true;
-    connection.pause();
+    this.body.connection?.hold();
   }
 
   #readOn(): void {
-    if (this.#isHeld) this.body.connection?.resume();
+    if (this.#isHeld) this.body.connection?.release();
     this.#isHeld = false;
   }
 
--- a/src/request/tests/body.test.ts
+++ b/src/request/tests/body.test.ts
@@ -36,9 +36,8 @@
   const body = readBody({
     source,
     connection: {
-      isPaused: () => held.at(-1) === 'pause',
-      pause: () => held.push('pause'),
-      resume: () => held.push('resume'),
+      hold: () => held.push('hold'),
+      release: () => held.push('release'),
     },
     lengthBytes: undefined,
     limitBytes: LIMIT_BYTES,
@@ -58,10 +57,10 @@
   source.end();
   await new Promise(setImmediate);
   t.is(source.readableLength, 0);
-  t.deepEqual(held, ['pause']);
+  t.deepEqual(held, ['hold']);
   grant(true);
   t.is((await body).bytes?.length, 1_000);
-  t.deepEqual(held, ['pause', 'resume']);
+  t.deepEqual(held, ['hold', 'release']);
 });
 
 test('the connection of a body that is refused after a wait is read on', async (t) => {
@@ -70,9 +69,8 @@
   const body = readBody({
     source,
     connection: {
-      isPaused: () => false,
-      pause: () => held.push('pause'),
-      resume: () => held.push('resume'),
+      hold: () => held.push('hold'),
+      release: () => held.push('release'),
     },
     lengthBytes: undefined,
     limitBytes: LIMIT_BYTES,
@@ -86,5 +84,5 @@
   });
   source.write(Buffer.from('b'));
   t.like(await body, { bytes: undefined, isRefused: true });
-  t.deepEqual(held, ['pause', 'resume']);
+  t.deepEqual(held, ['hold', 'release']);
 });
