--- a/src/ingress/sockethold.ts
+++ b/src/ingress/sockethold.ts
@@ -2,7 +2,7 @@
 import type { Socket } from 'node:net';
 
 /** Connection that can be held. */
-export type HoldableSocket = Pick<Socket, 'pause' | 'resume' | 'isPaused' | 'on'>;
+export type HoldableSocket = Pick<Socket, 'pause' | 'resume' | 'readableFlowing' | 'on'>;
 
 /**
  * Hold on one connection. A pause alone does not last: the server resumes a connection each time a part of a body was
@@ -21,7 +21,8 @@
   private constructor(private readonly socket: HoldableSocket) {
     const resume = socket.resume.bind(socket);
     this.#resume = () => {
-      this.#isResuming = true;
+      // One that is flowing already does not say that it was resumed.
+      this.#isResuming ||= socket.readableFlowing !== true;
       return resume();
     };
     socket.on('resume', () => this.#onResume());
@@ -61,7 +62,7 @@
     this.#isResuming = false;
     if (!this.#isHeld) return;
     // The reading has started. Only a connection that counts as resumed is paused, so one that does not is resumed first.
-    if (this.socket.isPaused()) this.#resume();
-    else this.socket.pause();
+    if (this.socket.readableFlowing === true) this.socket.pause();
+    else this.#resume();
   }
 }
