--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -114,13 +114,13 @@
   }
 
   static async #parseBody(payload: Readable, limitBytes: number): Promise<Buffer> {
-    const { bytes, isTooLarge } = await readBody({
+    const { buffers, isTooLarge } = await readBody({
       source: payload,
       lengthBytes: undefined,
       limitBytes,
     });
     if (isTooLarge) throw new FailureError(failure('body-too-large', 'body'));
-    return bytes ?? Buffer.alloc(0);
+    return Buffer.concat(buffers);
   }
 
   /**
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -16,7 +16,8 @@
   readonly method: string;
   /** Path and query as sent. */
   readonly target: string;
-  readonly body: Buffer | undefined;
+  /** The body in consecutive buffers, which are used again once the request has ended; none if it is empty. */
+  readonly body: readonly Buffer[];
   readonly reply: CallerReply;
   /** Events of the answer, counted over all attempts. */
   readonly events: EventStream;
@@ -91,6 +92,18 @@
  */
 const MAX_LATE_POLLS = 128;
 
+/** What the HTTP client sends as the body, and the header that it needs for that. */
+function sentBody(buffers: readonly Buffer[]): {
+  readonly body: Buffer | readonly Buffer[] | null;
+  readonly length: readonly string[];
+} {
+  const [first = null] = buffers;
+  if (buffers.length < 2) return { body: first, length: [] };
+  // The client knows the length of a single buffer only.
+  const bytes = buffers.reduce((sum, { length }) => sum + length, 0);
+  return { body: buffers, length: ['content-length', String(bytes)] };
+}
+
 /** Flattens parsed headers into alternating names and values. */
 function flatten(headers: Readonly<Record<string, string | string[] | undefined>>): string[] {
   return Object.entries(headers).flatMap(([name, value]) =>
@@ -148,10 +161,12 @@
 
   start(): void {
     const { call, headers } = this.cfg;
-    const { method, target, body } = call;
-    const options = { method, path: target, headers, body: body ?? null };
+    const { method, target } = call;
+    const { body, length } = sentBody(call.body);
+    const options = { method, path: target, headers: [...headers, ...length], body };
     try {
-      this.#connection.client.dispatch(options, this);
+      // The types of the client leave out iterables, which it takes.
+      this.#connection.client.dispatch(options as Dispatcher.DispatchOptions, this);
     } catch (err) {
       this.#failAttempt(String(err));
     }
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -47,11 +47,12 @@
 
   /**
    * Puts a connection back into the pool after a complete answer; destroys it if it has closed or the pool is
-   * full.
+   * full, or if the upstream has answered before the end of the request: the buffers of its body are used again.
    * @param connection - the connection
    */
   release(connection: UpstreamConnection): void {
-    if (connection.isOpen && this.#idle.length < MAX_IDLE_CONNECTIONS) this.#idle.push(connection);
+    const isUsable = connection.isOpen && connection.isFlushed;
+    if (isUsable && this.#idle.length < MAX_IDLE_CONNECTIONS) this.#idle.push(connection);
     else connection.destroy();
   }
 
--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -253,7 +253,7 @@
       head,
       method: req.method ?? 'GET',
       target,
-      body: body.bytes,
+      body: body.buffers,
       reply: caller,
       events: new EventStream(),
     };
--- a/src/gateway/upstreamconnection.ts
+++ b/src/gateway/upstreamconnection.ts
@@ -65,6 +65,11 @@
     return this.#socket.isOpen;
   }
 
+  /** Whether the operating system has taken all that was written, so that no buffer of a request is in use. */
+  get isFlushed(): boolean {
+    return this.#socket.isFlushed;
+  }
+
   /**
    * How the socket ended, recorded before the client handles the end; undefined while it is open.
    */
--- a/src/ingress/bodygate.ts
+++ b/src/ingress/bodygate.ts
@@ -1,8 +1,9 @@
 /** Keeps account of the bodies of callers' requests, and holds back those for which there is no room. */
-import { PolledTimer } from '../kernel/index.js';
+import { KIB_BYTES, PolledTimer } from '../kernel/index.js';
 import { dueCollection } from './bodygarbage.js';
 import { bodySize, bodyStep, freeBytes, unreadBytes } from './bodylimit.js';
 import { BodyRoom } from './bodyroom.js';
+import { SegmentPool } from './segmentpool.js';
 
 import type { Clock, GarbageKind } from '../kernel/index.js';
 import type { BodySize, BodyState, BodyStep, MemoryState } from './bodylimit.js';
@@ -17,6 +18,9 @@
  */
 const SLOW_TICKS = 20;
 
+/** Size from which a body outside segments counts as garbage that only a major collection frees, in bytes. */
+const COLLECTED_BYTES = 16 * KIB_BYTES;
+
 interface WaitingRoom {
   readonly room: BodyRoom;
   readonly bytes: number;
@@ -26,6 +30,9 @@
 
 /** Account of all bodies of one daemon. */
 export class BodyGate {
+  /** Buffers of large bodies; for use by BodyRoom. */
+  readonly segments = new SegmentPool();
+
   readonly #held = { small: 0, large: 0 };
 
   readonly #waiting: Readonly<Record<BodySize, Set<WaitingRoom>>> = {
@@ -40,6 +47,8 @@
 
   #receivedBytes = 0;
 
+  #looseBytes = 0;
+
   #garbage = { passedBytes: 0, releasedBytes: 0 };
 
   #otherBytes = 0;
@@ -66,6 +75,7 @@
     return {
       heldBytes: this.#held.small + this.#held.large,
       receivedBytes: this.#receivedBytes,
+      segmentBytes: this.segments.residentBytes,
       waiting: small.size + large.size,
     };
   }
@@ -81,7 +91,8 @@
    * @param fileBytes - part of it that is in files, in bytes
    */
   sample(residentBytes: number, fileBytes: number): void {
-    this.#otherBytes = Math.max(0, residentBytes - this.#receivedBytes);
+    const bodyBytes = this.#looseBytes + this.segments.residentBytes;
+    this.#otherBytes = Math.max(0, residentBytes - bodyBytes);
     this.#fileBytes = fileBytes;
   }
 
@@ -155,7 +166,15 @@
   }
 
   /**
-   * Counts bytes that were read, whether they are kept or discarded; for use by BodyRoom.
+   * Counts bytes of bodies that are kept outside segments; for use by BodyRoom.
+   * @param bytes - number of bytes, negative if they were moved into segments
+   */
+  loosened(bytes: number): void {
+    this.#looseBytes += bytes;
+  }
+
+  /**
+   * Counts bytes that were read, whether they are kept or discarded.
    * @param bytes - number of bytes
    */
   passed(bytes: number): void {
@@ -175,13 +194,15 @@
    * Takes room back; for use by BodyRoom.
    * @param bytes - size in bytes
    * @param receivedBytes - part of it that had arrived
+   * @param looseBytes - part of that outside segments
    */
-  release(bytes: number, receivedBytes: number): void {
+  release(bytes: number, receivedBytes: number, looseBytes: number): void {
     this.#held[bodySize(bytes)] -= bytes;
     this.#receivedBytes -= receivedBytes;
-    // What was released is part of the process until it is collected.
-    this.#otherBytes += receivedBytes;
-    if (bodySize(bytes) === 'large') this.#garbage.releasedBytes += receivedBytes;
+    this.#looseBytes -= looseBytes;
+    // What is outside segments is part of the process until it is collected.
+    this.#otherBytes += looseBytes;
+    if (looseBytes > COLLECTED_BYTES) this.#garbage.releasedBytes += looseBytes;
     this.#decide();
   }
 
--- a/src/ingress/bodylimit.ts
+++ b/src/ingress/bodylimit.ts
@@ -22,6 +22,12 @@
  */
 const SMALL_FLOOR_SHARE = 1 / 32;
 
+/**
+ * Share of the memory limit that one large body may take when no other is kept: the resident size includes what the
+ * allocator keeps after a burst, and a daemon that went by it alone would refuse large bodies from then on.
+ */
+const LARGE_FLOOR_SHARE = 1 / 16;
+
 /**
  * Share of the free memory for bodies. The rest is for parts that were copied and are not collected yet, and for what waits
  * in the buffers of connections that are not accepted yet.
@@ -119,7 +125,8 @@
   const allHeld = bodies.held.small + bodies.held.large;
   const floor = size === 'small' ? memory.limitBytes * SMALL_FLOOR_SHARE : 0;
   // A body that is larger than the share of its size is read alone.
-  const isAlone = heldBytes === 0 && allHeld + bytes <= free;
+  const fitsAlone = allHeld + bytes <= free || bytes <= memory.limitBytes * LARGE_FLOOR_SHARE;
+  const isAlone = heldBytes === 0 && fitsAlone;
   const hasRoom = heldBytes + bytes <= Math.max(free * BODIES_SHARE * share, floor) || isAlone;
   if (isFirst && hasRoom) return 'read';
   const canNeverFit = bytes > memory.limitBytes * USABLE_SHARE;
--- a/src/ingress/bodyroom.ts
+++ b/src/ingress/bodyroom.ts
@@ -1,5 +1,6 @@
 /** Room in memory for the body of one request. */
 import { bodySize, SMALL_BODY_BYTES } from './bodylimit.js';
+import { SEGMENT_BYTES } from './segmentpool.js';
 
 import type { BodyGate } from './bodygate.js';
 import type { BodySize } from './bodylimit.js';
@@ -11,6 +12,11 @@
 
   #receivedBytes = 0;
 
+  /** Part of what was received that is kept outside segments, in bytes. */
+  #looseBytes = 0;
+
+  #segments: Buffer[] = [];
+
   #ticks = 0;
 
   /** Whether the room was given up, after which none is taken. */
@@ -38,6 +44,23 @@
     return this.#bytes;
   }
 
+  /** Size of a buffer for a body that is larger than one, in bytes. */
+  readonly segmentBytes = SEGMENT_BYTES;
+
+  /**
+   * Takes a buffer for a part of the body. It is given back with the room.
+   * @returns buffer of segmentBytes with any content
+   */
+  readonly takeSegment = (): Buffer => {
+    if (this.#isReleased) return Buffer.allocUnsafeSlow(SEGMENT_BYTES);
+    const segment = this.gate.segments.take();
+    this.#segments.push(segment);
+    // What was kept elsewhere before is copied into segments.
+    this.gate.loosened(-this.#looseBytes);
+    this.#looseBytes = 0;
+    return segment;
+  };
+
   /** Size class of the room. */
   get size(): BodySize {
     return bodySize(this.#bytes);
@@ -87,10 +110,13 @@
   received(bytes: number): void {
     this.#receivedBytes += bytes;
     this.gate.received(bytes);
+    if (this.#segments.length > 0) return;
+    this.#looseBytes += bytes;
+    this.gate.loosened(bytes);
   }
 
   /**
-   * Counts bytes that were read, whether they are kept or discarded.
+   * Counts bytes that were read.
    * @param bytes - number of bytes
    */
   passed(bytes: number): void {
@@ -117,15 +143,18 @@
     this.release();
   }
 
-  /** Gives up the room, once the body is not needed any more. */
+  /** Gives up the room, once nothing reads or writes the buffers of the body any more. */
   release(): void {
     this.#isReleased = true;
     this.#endWait();
     this.gate.wasRead(this);
     const bytes = this.#bytes;
     const receivedBytes = this.#receivedBytes;
+    const looseBytes = this.#looseBytes;
     this.#bytes = 0;
     this.#receivedBytes = 0;
-    if (bytes > 0 || receivedBytes > 0) this.gate.release(bytes, receivedBytes);
+    this.#looseBytes = 0;
+    this.gate.segments.giveBack(this.#segments.splice(0));
+    if (bytes > 0 || receivedBytes > 0) this.gate.release(bytes, receivedBytes, looseBytes);
   }
 }
--- a/src/request/body.ts
+++ b/src/request/body.ts
@@ -2,6 +2,8 @@
 import type { Readable } from 'node:stream';
 import { BodyParts } from './bodyparts.js';
 
+import type { Segments } from './bodyparts.js';
+
 /**
  * Maximum size that is read and discarded beyond the limit, as a multiple of the limit: a caller that is
  * still sending when the connection closes cannot read the response.
@@ -9,7 +11,7 @@
 const MAX_DISCARDED_RATIO = 4;
 
 /** Room in memory for one body. */
-export interface Room {
+export interface Room extends Segments {
   /**
    * Asks for room for a body of known length; called before a part of it is read.
    * @param bytes - its length, in bytes
@@ -62,15 +64,15 @@
 
 /** Result of reading a body. */
 export interface ReadBody {
-  /** The complete body; undefined if it is empty, too large or refused. */
-  readonly bytes: Buffer | undefined;
+  /** The complete body in consecutive buffers; none if it is empty, too large or refused. */
+  readonly buffers: readonly Buffer[];
   readonly isTooLarge: boolean;
   /** Whether there was no room for it. What is still arriving is discarded. */
   readonly isRefused: boolean;
 }
 
-const TOO_LARGE: ReadBody = { bytes: undefined, isTooLarge: true, isRefused: false };
-const REFUSED: ReadBody = { bytes: undefined, isTooLarge: false, isRefused: true };
+const TOO_LARGE: ReadBody = { buffers: [], isTooLarge: true, isRefused: false };
+const REFUSED: ReadBody = { buffers: [], isTooLarge: false, isRefused: true };
 
 /** Discards what still arrives of a refused body, and closes the connection of a caller that goes on without end. */
 function discard({ source, limitBytes, room }: BodySource): void {
@@ -103,7 +105,7 @@
     private readonly settle: (result: ReadBody) => void,
     private readonly fail: (err: unknown) => void,
   ) {
-    this.#parts = new BodyParts(body.lengthBytes, body.limitBytes);
+    this.#parts = new BodyParts({ ...body, segments: body.room });
   }
 
   /** Reads on until the end of the body or its refusal. */
@@ -129,7 +131,7 @@
     this.#size += part.length;
     room?.passed(part.length);
     if (Math.max(this.#size, lengthBytes ?? 0) > limitBytes) {
-      this.#parts = new BodyParts(undefined);
+      this.#parts = new BodyParts({ lengthBytes: undefined });
       if (this.#size <= limitBytes * (1 + MAX_DISCARDED_RATIO)) return;
       source.pause();
       this.#finish(TOO_LARGE);
@@ -144,7 +146,7 @@
     if (this.#isWaiting) return;
     const isTooLarge = this.#size > this.body.limitBytes;
     this.#finish(
-      isTooLarge ? TOO_LARGE : { ...REFUSED, isRefused: false, bytes: this.#parts.bytes },
+      isTooLarge ? TOO_LARGE : { ...REFUSED, isRefused: false, buffers: this.#parts.buffers },
     );
   };
 
@@ -215,7 +217,7 @@
     const { source, room } = this.body;
     this.#isDone = true;
     this.#readOn();
-    this.#parts = new BodyParts(undefined);
+    this.#parts = new BodyParts({ lengthBytes: undefined });
     if (room) room.onRevoke = () => undefined;
     source.off('data', this.#onData);
     source.off('end', this.#onEnd);
--- a/src/upstream/watchedsocket.ts
+++ b/src/upstream/watchedsocket.ts
@@ -56,6 +56,11 @@
     return this.#socket?.destroyed === false && this.#ending === undefined;
   }
 
+  /** Whether the operating system has taken all that was written. */
+  get isFlushed(): boolean {
+    return (this.#socket?.writableLength ?? 0) === 0;
+  }
+
   /**
    * How the socket ended; undefined while it is open. The HTTP client takes each end of a socket for the end of an answer that
    * has neither a length nor chunks; only the ending tells a close from a reset.
