--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -13,7 +13,7 @@
 import type { FastifyReply, FastifyRequest } from 'fastify';
 import { closeListener, freshPoll } from '../ingress/index.js';
 import { failure, FailureError, SteadyClock } from '../kernel/index.js';
-import { readBody } from '../request/index.js';
+import { drainBody, MAX_DRAIN_MS, MAX_DRAIN_RATIO, readBody } from '../request/index.js';
 import { AppModule } from './app.module.js';
 import { FailureFilter } from './failure.filter.js';
 import { limitConnections, watchListener } from './listenerwatch.js';
@@ -114,13 +114,13 @@
   }
 
   static async #parseBody(payload: Readable, limitBytes: number): Promise<Buffer> {
-    const { buffers, isTooLarge } = await readBody({
-      source: payload,
-      lengthBytes: undefined,
-      limitBytes,
-    });
-    if (isTooLarge) throw new FailureError(failure('body-too-large', 'body'));
-    return Buffer.concat(buffers);
+    const body = await readBody({ source: payload, lengthBytes: undefined, limitBytes });
+    if (body.isTooLarge) {
+      const bounds = { bytes: limitBytes * MAX_DRAIN_RATIO, ms: MAX_DRAIN_MS };
+      void drainBody(payload, bounds).then((end) => end !== 'ended' && payload.destroy());
+      throw new FailureError(failure('body-too-large', 'body'));
+    }
+    return Buffer.concat(body.buffers);
   }
 
   /**
--- a/src/gateway/httpreply.ts
+++ b/src/gateway/httpreply.ts
@@ -23,6 +23,9 @@
    */
   #isFramed = true;
 
+  /** Whether the end of an answer of the router itself is held back. */
+  #isEndHeld = false;
+
   /**
    * Wraps a response.
    * @param res - response of the server
@@ -102,6 +105,16 @@
     else this.res.socket?.resetAndDestroy();
   }
 
+  /**
+   * Holds back the end of an answer of the router itself, after which the server may close the connection; the caller
+   * knows by its length that it is complete.
+   * @param closes - whether the answer announces the close of the connection
+   */
+  holdEnd(closes: boolean): void {
+    this.#isEndHeld = true;
+    if (closes) this.res.shouldKeepAlive = false;
+  }
+
   /** Aborts an answer that was begun, unless it was written completely. */
   abortUnfinished(): void {
     if (!this.res.writableEnded) this.abortAnswer();
@@ -115,7 +128,11 @@
       'content-type': 'application/json',
       'content-length': Buffer.byteLength(body),
     });
-    this.res.end(body);
+    if (this.#isEndHeld) {
+      // An answer to HEAD has no body that would take its head along.
+      this.res.flushHeaders();
+      this.res.write(body);
+    } else this.res.end(body);
   }
 
   #markDisconnected(): void {
--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -5,8 +5,14 @@
 
 import type { FastifyReply, FastifyRequest } from 'fastify';
 import { failure } from '../kernel/index.js';
-import { askForBody, SocketHold, waitsToBeAsked } from '../ingress/index.js';
-import { readBody, statedLength } from '../request/index.js';
+import { askForBody, SocketHold } from '../ingress/index.js';
+import {
+  drainBody,
+  MAX_DRAIN_MS,
+  MAX_DRAIN_RATIO,
+  readBody,
+  statedLength,
+} from '../request/index.js';
 import { answerFailure, internalFailure } from './answerfailure.js';
 import { CallRun, TIMEOUT_SLACK_MS } from './callrun.js';
 import { timeLimitMs } from './configuration.js';
@@ -60,20 +66,19 @@
   return ELSEWHERE_RETRY_MS * (1 + Math.random());
 }
 
+/** Returns the refusal of a request for which there is no memory. */
+function memoryFull(subject: string): Failure {
+  return {
+    ...failure('memory-full', subject),
+    retryAfterMs: MEMORY_RETRY_MS * (1 + Math.random()),
+  };
+}
+
 /** Returns the time at which a request has ended at the latest, in milliseconds. */
 function endTime(route: GatewayRoute, { deadlineMs }: CallHead, { at }: Arrival): number {
   return at + timeLimitMs(route, deadlineMs) + TIMEOUT_SLACK_MS;
 }
 
-/** Resolves once a body that is discarded has ended or its connection is closed. */
-function bodyEnd(req: IncomingMessage): Promise<void> {
-  return new Promise((resolve) => {
-    if (req.readableEnded || req.destroyed) resolve();
-    req.once('end', resolve);
-    req.once('close', resolve);
-  });
-}
-
 /** Reply, connection and arrival of one request. */
 interface Exchange {
   readonly caller: HttpReply;
@@ -190,31 +195,26 @@
         room,
         onAdmitted: () => askForBody(req, res),
       });
-      if (!body.isRefused) {
-        connection.wasRead();
-        this.runtime.readAhead.wasRead(req.socket);
-      }
     } catch (err) {
       if (caller.isBegun) return undefined;
       // The caller disconnected before its request was complete.
       this.runtime.recorder.record('callEnded', { request: head.id, detail: String(err) });
       return undefined;
     }
-    // The close of a connection with unread bytes resets it, and the caller could not read the refusal.
-    if (body.isRefused && caller.closesConnection && !waitsToBeAsked(req)) await bodyEnd(req);
     if (caller.isBegun) return undefined;
-    open.onStop(() => undefined);
-    if (body.isRefused) {
-      this.#refuseBody(req, head, exchange);
+    if (body.isRefused || body.isTooLarge) {
+      const refusal = body.isTooLarge ? failure('body-too-large', target) : memoryFull('body');
+      await this.#refuseUnread(req, head, exchange, refusal);
       return undefined;
     }
+    connection.wasRead();
+    this.runtime.readAhead.wasRead(req.socket);
+    open.onStop(() => undefined);
     room.wasRead();
     const { callContext } = this.runtime;
-    const found = body.isTooLarge
-      ? failure('body-too-large', target)
-      : this.#policyOf(head, host, target, arrival);
+    const found = this.#policyOf(head, host, target, arrival);
     if (!('code' in found) && !this.runtime.hasRoom(req.socket)) {
-      this.#refuseForMemory(caller, head, found.route.name);
+      this.#refuse(caller, head, memoryFull(found.route.name), this.#memoryFacts);
       return undefined;
     }
     if ('code' in found || !callContext) {
@@ -273,36 +273,66 @@
     return (this.runtime.routingState.table?.configuration.limits ?? DEFAULT_LIMITS).bodyBytes;
   }
 
-  /** Refuses a request for whose body there is no room, unless its caller has left meanwhile. */
-  #refuseBody(req: IncomingMessage, head: CallHead, exchange: Exchange): void {
-    const { caller, connection, arrival } = exchange;
+  /**
+   * Refuses a request whose body was not read to its end. The caller gets the answer at once, and what it still sends is
+   * read within bounds, so that the answer reaches it.
+   */
+  async #refuseUnread(
+    req: IncomingMessage,
+    head: CallHead,
+    { caller, connection, arrival, open, room }: Exchange,
+    refusal: Failure,
+  ): Promise<void> {
+    room.release();
     if (caller.isDisconnected) {
       this.#recordDisconnect(head.id, arrival);
       return;
     }
-    // The caller may still be sending, and reads the answer after that.
-    req.once('end', () => connection.wasRead());
-    this.#refuseForMemory(caller, head, 'body');
+    caller.holdEnd(refusal.code === 'body-too-large');
+    const facts = refusal.code === 'memory-full' ? this.#memoryFacts : {};
+    this.#refuse(caller, head, refusal, facts);
+    open.onStop(() => {
+      caller.end();
+      void caller.finished.then(() => req.destroy());
+    });
+    const bounds = { bytes: this.#bodyLimit * MAX_DRAIN_RATIO, ms: MAX_DRAIN_MS };
+    const end = await drainBody(req, bounds, (bytes) => room.passed(bytes));
+    if (end === 'ended') {
+      connection.wasRead();
+      this.runtime.readAhead.wasRead(req.socket);
+      caller.end();
+    } else {
+      this.runtime.recorder.record('callEnded', { request: head.id, detail: `body ${end}` });
+      req.destroy();
+    }
   }
 
-  #refuseForMemory(caller: HttpReply, head: CallHead, subject: string): void {
-    const retryAfterMs = MEMORY_RETRY_MS * (1 + Math.random());
+  get #memoryFacts(): Readonly<Record<string, number>> {
     const { bodyGate, openRequests } = this.runtime;
-    const facts = { ...bodyGate.facts, taken: openRequests.taken };
-    this.#refuse(caller, head, { ...failure('memory-full', subject), retryAfterMs }, facts);
+    return { ...bodyGate.facts, taken: openRequests.taken };
   }
 
-  #policyOf(head: CallHead, host: string, target: string, arrival: Arrival): CallPolicy | Failure {
+  /** Finds the route and the workspace of a request by its head. */
+  #match(head: CallHead, host: string, target: string): CallPolicy | Failure {
     const { table } = this.runtime.routingState;
     const notReady = { ...failure('not-ready', target), retryAfterMs: NOT_READY_RETRY_MS };
     if (!table || !this.runtime.callContext) return notReady;
     const route = table.route(host, target);
     if (!route) return failure('unknown-route', `${host}${target}`);
     const workspace = this.#workspaceOf(table, head, route.isPublic);
-    if (workspace === 'unknown') return failure('unknown-key', route.name);
-    const endsAt = endTime(route, head, arrival);
-    return this.runtime.acceptsRequest(head.id, 'reading', route.name, endsAt)
-      ? { table, route, workspace }
+    return workspace === 'unknown'
+      ? failure('unknown-key', route.name)
+      : { table, route, workspace };
+  }
+
+  /** Decides whether a request that was read completely is served, by the configuration in force now. */
+  #policyOf(head: CallHead, host: string, target: string, arrival: Arrival): CallPolicy | Failure {
+    const found = this.#match(head, host, target);
+    if ('code' in found) return found;
+    const { name } = found.route;
+    const endsAt = endTime(found.route, head, arrival);
+    return this.runtime.acceptsRequest(head.id, 'reading', name, endsAt)
+      ? found
       : { ...failure('not-ready', target), retryAfterMs: otherDaemonRetryMs() };
   }
 
--- a/src/ingress/heldcontinue.ts
+++ b/src/ingress/heldcontinue.ts
@@ -23,12 +23,3 @@
 export function askForBody(req: IncomingMessage, res: ServerResponse): void {
   if (held.delete(req) && !res.headersSent) res.writeContinue();
 }
-
-/**
- * Checks whether the caller of a request sends the body only once it is asked for it.
- * @param req - the request
- * @returns whether it does and was not asked yet
- */
-export function waitsToBeAsked(req: IncomingMessage): boolean {
-  return held.has(req);
-}
--- a/src/ingress/index.ts
+++ b/src/ingress/index.ts
@@ -4,7 +4,7 @@
 export { BodyRoom } from './bodyroom.js';
 export { CallerConnection } from './callerconnection.js';
 export { CallerConnections } from './callerconnections.js';
-export { askForBody, holdContinue, waitsToBeAsked } from './heldcontinue.js';
+export { askForBody, holdContinue } from './heldcontinue.js';
 export {
   closesConnections,
   IN_ROTATION,
--- a/src/request/body.ts
+++ b/src/request/body.ts
@@ -4,12 +4,6 @@
 
 import type { Segments } from './bodyparts.js';
 
-/**
- * Maximum size that is read and discarded beyond the limit, as a multiple of the limit: a caller that is
- * still sending when the connection closes cannot read the response.
- */
-const MAX_DISCARDED_RATIO = 4;
-
 /** Room in memory for one body. */
 export interface Room extends Segments {
   /**
@@ -30,7 +24,7 @@
    */
   readonly received: (bytes: number) => void;
   /**
-   * Counts bytes that were read, whether they are kept or discarded.
+   * Counts bytes that were read.
    * @param bytes - number of bytes
    */
   readonly passed: (bytes: number) => void;
@@ -62,29 +56,18 @@
   readonly onAdmitted?: () => void;
 }
 
-/** Result of reading a body. */
+/** Result of reading a body. The rest of one that is too large or refused is not read. */
 export interface ReadBody {
   /** The complete body in consecutive buffers; none if it is empty, too large or refused. */
   readonly buffers: readonly Buffer[];
   readonly isTooLarge: boolean;
-  /** Whether there was no room for it. What is still arriving is discarded. */
+  /** Whether there was no room for it. */
   readonly isRefused: boolean;
 }
 
 const TOO_LARGE: ReadBody = { buffers: [], isTooLarge: true, isRefused: false };
 const REFUSED: ReadBody = { buffers: [], isTooLarge: false, isRefused: true };
 
-/** Discards what still arrives of a refused body, and closes the connection of a caller that goes on without end. */
-function discard({ source, limitBytes, room }: BodySource): void {
-  let size = 0;
-  source.on('data', (part: Buffer) => {
-    size += part.length;
-    room?.passed(part.length);
-    if (size > limitBytes * MAX_DISCARDED_RATIO) source.destroy();
-  });
-  source.resume();
-}
-
 /** Reads one body, part by part. */
 class BodyReader {
   #parts: BodyParts;
@@ -127,27 +110,21 @@
   }
 
   readonly #onData = (part: Buffer): void => {
-    const { source, limitBytes, lengthBytes, room } = this.body;
+    const { limitBytes, room } = this.body;
     this.#size += part.length;
     room?.passed(part.length);
-    if (Math.max(this.#size, lengthBytes ?? 0) > limitBytes) {
-      this.#parts = new BodyParts({ lengthBytes: undefined });
-      if (this.#size <= limitBytes * (1 + MAX_DISCARDED_RATIO)) return;
-      source.pause();
+    if (this.#size > limitBytes) {
       this.#finish(TOO_LARGE);
-    } else {
-      this.#keep(part);
-      if (this.#growing && !this.#isWaiting) this.#grow(this.#growing, this.#size);
+      return;
     }
+    this.#keep(part);
+    if (this.#growing && !this.#isWaiting) this.#grow(this.#growing, this.#size);
   };
 
   readonly #onEnd = (): void => {
     this.#hasEnded = true;
     if (this.#isWaiting) return;
-    const isTooLarge = this.#size > this.body.limitBytes;
-    this.#finish(
-      isTooLarge ? TOO_LARGE : { ...REFUSED, isRefused: false, buffers: this.#parts.buffers },
-    );
+    this.#finish({ buffers: this.#parts.buffers, isTooLarge: false, isRefused: false });
   };
 
   readonly #onError = (err: unknown): void => {
@@ -203,9 +180,7 @@
   }
 
   #refuse(): void {
-    if (this.#isDone) return;
-    this.#finish(REFUSED);
-    discard(this.body);
+    if (!this.#isDone) this.#finish(REFUSED);
   }
 
   #finish(result: ReadBody): void {
@@ -222,16 +197,17 @@
     source.off('data', this.#onData);
     source.off('end', this.#onEnd);
     source.off('close', this.#onClose);
-    // Errors of a body that is discarded have no effect.
+    if (!this.#hasEnded) source.pause();
+    // Errors after that have no effect.
     source.on('error', () => undefined);
     source.off('error', this.#onError);
   }
 }
 
-/** Takes room for a body of known length before it is read; one that is too large is discarded and needs none. */
-function takeRoom({ room, lengthBytes, limitBytes }: BodySource): boolean | Promise<boolean> {
+/** Takes room for a body of known length before it is read. */
+function takeRoom({ room, lengthBytes }: BodySource): boolean | Promise<boolean> {
   const needsRoom = room && lengthBytes !== undefined && lengthBytes > 0;
-  return !needsRoom || lengthBytes > limitBytes || room.take(lengthBytes);
+  return !needsRoom || room.take(lengthBytes);
 }
 
 /**
@@ -241,10 +217,8 @@
  * @throws if the caller closes its connection before the end
  */
 export async function readBody(body: BodySource): Promise<ReadBody> {
-  if (!(await takeRoom(body))) {
-    discard(body);
-    return REFUSED;
-  }
+  if ((body.lengthBytes ?? 0) > body.limitBytes) return TOO_LARGE;
+  if (!(await takeRoom(body))) return REFUSED;
   return new Promise((resolve, reject) => {
     new BodyReader(body, resolve, reject).start();
   });
--- a/src/request/index.ts
+++ b/src/request/index.ts
@@ -1,5 +1,6 @@
 /** Request aggregate: request bodies, idempotency keys, claims and the course of a request. */
 export * from './body.js';
+export * from './bodydrain.js';
 export * from './claim.js';
 export * from './keyrecord.js';
 export * from './keytable.js';
