--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -177,6 +177,16 @@
     const { headers: codec } = this.runtime.adapter;
     const head = codec.decodeCall(req.rawHeaders);
     const lengthBytes = statedLength(req.headers);
+    if (lengthBytes !== 0) {
+      // Nothing of a request that can't be served takes memory.
+      const found = this.#match(head, host, target);
+      const isTooLarge = (lengthBytes ?? 0) > this.#bodyLimit;
+      const refusal = 'code' in found ? found : isTooLarge && failure('body-too-large', target);
+      if (refusal) {
+        await this.#refuseUnread(req, head, exchange, refusal);
+        return undefined;
+      }
+    }
     let body: ReadBody;
     if (!this.runtime.openRequests.isStopped) {
       open.onStop(() => {
