--- a/src/ingress/bodygarbage.ts
+++ b/src/ingress/bodygarbage.ts
@@ -1,6 +1,6 @@
 /**
- * Decides when what is left of bodies is collected: it lies outside the heap of V8, which lets tens of megabytes of it
- * add up. Has no clock and collects nothing itself.
+ * Decides when garbage is collected that V8 would let add up: what is left of bodies lies outside its heap, and its heap
+ * may grow beyond the memory of a small instance. Has no clock and collects nothing itself.
  */
 import type { GarbageKind } from '../kernel/index.js';
 
@@ -39,3 +39,22 @@
   if (releasedBytes > bound(RELEASED_SHARES)) return 'major';
   return passedBytes > bound(PASSED_SHARES) ? 'minor' : undefined;
 }
+
+/** Free memory below which the growth of the process is answered by a collection, as a share of the limit. */
+const SCARCE_SHARE = 1 / 10;
+
+/** Growth since the last such collection after which there is another one, as a share of the limit. */
+const GROWTH_SHARE = 1 / 32;
+
+/**
+ * Decides whether all garbage is collected before the process grows further.
+ * @param grownBytes - growth of its resident size since it was last collected for that reason, in bytes
+ * @param bounds - memory of the process
+ * @returns whether it is
+ */
+export function isGrowthCollected(
+  grownBytes: number,
+  { limitBytes, freeBytes }: GarbageBounds,
+): boolean {
+  return freeBytes < limitBytes * SCARCE_SHARE && grownBytes > limitBytes * GROWTH_SHARE;
+}
--- a/src/ingress/bodygate.ts
+++ b/src/ingress/bodygate.ts
@@ -1,6 +1,6 @@
 /** Keeps account of the bodies of callers' requests, and holds back those for which there is no room. */
 import { KIB_BYTES, PolledTimer } from '../kernel/index.js';
-import { dueCollection } from './bodygarbage.js';
+import { dueCollection, isGrowthCollected } from './bodygarbage.js';
 import { bodySize, bodyStep, freeBytes, unreadBytes } from './bodylimit.js';
 import { BodyRoom } from './bodyroom.js';
 import { SegmentPool } from './segmentpool.js';
@@ -53,6 +53,9 @@
 
   #otherBytes = 0;
 
+  /** Least resident size since garbage was last collected as the process grew, in bytes. */
+  #collectedAtBytes = Number.POSITIVE_INFINITY;
+
   #fileBytes = 0;
 
   #timer: PolledTimer | undefined;
@@ -86,7 +89,7 @@
   }
 
   /**
-   * Takes a sample of the resident size of the process.
+   * Takes a sample of the resident size of the process, and collects garbage if it grows while memory is scarce.
    * @param residentBytes - size in bytes
    * @param fileBytes - part of it that is in files, in bytes
    */
@@ -94,6 +97,12 @@
     const bodyBytes = this.#looseBytes + this.segments.residentBytes;
     this.#otherBytes = Math.max(0, residentBytes - bodyBytes);
     this.#fileBytes = fileBytes;
+    this.#collectedAtBytes = Math.min(this.#collectedAtBytes, residentBytes);
+    const { limitBytes, freeBytes: free } = this;
+    const grownBytes = residentBytes - this.#collectedAtBytes;
+    if (!isGrowthCollected(grownBytes, { limitBytes, freeBytes: free })) return;
+    this.#collectedAtBytes = residentBytes;
+    this.collect('major');
   }
 
   /**
--- a/src/ingress/tests/bodygarbage.test.ts
+++ b/src/ingress/tests/bodygarbage.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 
 import { MEGABYTE_BYTES } from '../../kernel/index.js';
-import { dueCollection } from '../bodygarbage.js';
+import { dueCollection, isGrowthCollected } from '../bodygarbage.js';
 
 import type { GarbageKind } from '../../kernel/index.js';
 
@@ -56,3 +56,14 @@
     t.is(dueCollection(garbage, bounds), expected);
   });
 });
+
+[
+  { title: 'memory is scarce', grownMb: 3, freeMb: 8, expected: true },
+  { title: 'it has hardly grown', grownMb: 2, freeMb: 8, expected: false },
+  { title: 'there is memory', grownMb: 20, freeMb: 9, expected: false },
+].forEach(({ title, grownMb, freeMb, expected }) => {
+  test(`garbage is ${expected ? '' : 'not '}collected before a process grows: ${title}`, (t) => {
+    const bounds = { limitBytes: 88 * MEGABYTE_BYTES, freeBytes: freeMb * MEGABYTE_BYTES };
+    t.is(isGrowthCollected(grownMb * MEGABYTE_BYTES, bounds), expected);
+  });
+});
