--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -306,7 +306,9 @@
       void caller.finished.then(() => req.destroy());
     });
     const bounds = { bytes: this.#bodyLimit * MAX_DRAIN_RATIO, ms: MAX_DRAIN_MS };
+    const endDiscarding = connection.discards(this.runtime.clock.now());
     const end = await drainBody(req, bounds, (bytes) => room.passed(bytes));
+    endDiscarding();
     if (end === 'ended') {
       connection.wasRead();
       this.runtime.readAhead.wasRead(req.socket);
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -4,9 +4,16 @@
 import type { Socket } from 'node:net';
 import { makeRecorder } from '../daemon/daemonrecorder.js';
 import { splitAddress } from '../daemon/settings.js';
-import { BodyGate, CallerConnections, ReadAhead, RequestQueue } from '../ingress/index.js';
+import {
+  BodyGate,
+  CallerConnections,
+  connectionLimit,
+  ReadAhead,
+  RequestQueue,
+} from '../ingress/index.js';
 import { garbageCollector, SteadyClock } from '../kernel/index.js';
 import { RetryBudget } from '../route/index.js';
+import { LineLimit } from '../telemetry/index.js';
 import { Allowances } from './allowances.js';
 import { Announcements } from './announcements.js';
 import { TIMEOUT_SLACK_MS } from './callrun.js';
@@ -80,6 +87,10 @@
   usualSilenceMs: 600,
 };
 
+/** Maximum number of log lines on closed new connections in one period, and the period in milliseconds. */
+const MAX_DROPPED_LINES = 1;
+const DROPPED_LINES_MS = 1_000;
+
 /** How a graceful stop ended. */
 export interface StopEnd {
   /** Number of idle connections that it has closed. */
@@ -110,6 +121,11 @@
 
   readonly #maxRequests = heldRequests();
 
+  /** Number of connections of callers that the memory of the instance holds. */
+  readonly #maxConnections: number;
+
+  readonly #droppedLines = new LineLimit(MAX_DROPPED_LINES, DROPPED_LINES_MS);
+
   readonly readAhead = new ReadAhead<Socket>(this.#maxRequests);
 
   readonly #memoryWatch: MemoryWatch;
@@ -153,6 +169,7 @@
     this.recorder = makeRecorder({ instance, dataCentre, logLevel });
     this.#loopDelay = new LoopDelay(this.clock, this.recorder, this.metrics);
     const limitBytes = memoryLimitBytes(settings.memoryMb);
+    this.#maxConnections = connectionLimit(limitBytes);
     this.bodyGate = new BodyGate(limitBytes, this.clock, garbageCollector());
     this.#memoryWatch = new MemoryWatch(
       limitBytes,
@@ -310,7 +327,13 @@
    * @param socket - the connection
    */
   accepted(socket: Socket): void {
-    this.callers.of(socket).onClose(() => this.readAhead.closed(socket));
+    const connection = this.callers.of(socket);
+    if (this.callers.size > this.#maxConnections && !this.callers.closeLeastUseful()) {
+      connection.giveWay();
+      this.#recordDropped();
+      return;
+    }
+    connection.onClose(() => this.readAhead.closed(socket));
     this.readAhead.opened(socket);
     this.requestQueue.accepted();
   }
@@ -436,6 +459,14 @@
     this.recorder.flush();
   }
 
+  #recordDropped(): void {
+    const unlogged = this.#droppedLines.admit(this.clock.now());
+    if (unlogged === undefined) return;
+    const detail = 'all connections have open requests: give the instance more memory (memoryMb)';
+    const facts = { connections: this.callers.size, limit: this.#maxConnections, unlogged };
+    this.recorder.record('connectionDropped', { detail, facts });
+  }
+
   /** Asks other daemons what the store may have lost. */
   async #hearNews({ network }: Membership): Promise<void> {
     this.routingState.hear(await askNews(network, Math.random));
--- a/src/ingress/callerconnection.ts
+++ b/src/ingress/callerconnection.ts
@@ -5,6 +5,7 @@
 import { CallerSide } from './leaving.js';
 import { Occurrence } from './occurrence.js';
 
+import type { ConnectionUse, UsedConnection } from './connectionlimit.js';
 import type { CallerSideState } from './leaving.js';
 
 /** Arrival time of a request, and age and use of its connection. */
@@ -26,7 +27,7 @@
 }
 
 /** One connection of a caller. */
-export class CallerConnection {
+export class CallerConnection implements UsedConnection {
   readonly #side = new CallerSide();
 
   readonly #close = new Occurrence();
@@ -41,6 +42,11 @@
   /** Number of requests without a complete answer. */
   #unanswered = 0;
 
+  /** Number of these that were refused while the rest of their bodies is discarded. */
+  #discarding = 0;
+
+  #discardingSince = 0;
+
   /** Number of bytes received up to the last request, or up to the end of its body. */
   #requestBytes = 0;
 
@@ -82,6 +88,37 @@
     this.#side.expects(res);
   }
 
+  /** What the connection is used for. */
+  get use(): ConnectionUse {
+    if (this.#unanswered > this.#discarding) return 'busy';
+    if (this.#discarding > 0) return 'discarding';
+    return this.#requests === 0 ? 'unused' : 'idle';
+  }
+
+  /** Time since which it is used for that, in milliseconds; not known for a busy one. */
+  get useSince(): number {
+    if (this.#discarding > 0) return this.#discardingSince;
+    return this.#requests === 0 ? this.acceptedAt : this.#idleSince;
+  }
+
+  /**
+   * Records that a request was refused and that the rest of its body is discarded from now on.
+   * @param now - current time, in milliseconds
+   * @returns function that records the end of that
+   */
+  discards(now: number): () => void {
+    this.#discarding += 1;
+    this.#discardingSince = now;
+    return () => {
+      this.#discarding -= 1;
+    };
+  }
+
+  /** Closes the connection at once, for a new one. */
+  giveWay(): void {
+    this.socket.destroy();
+  }
+
   /** Records that the last request was read completely. */
   wasRead(): void {
     this.#requestBytes = this.socket.bytesRead;
--- a/src/ingress/callerconnections.ts
+++ b/src/ingress/callerconnections.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net';
 import { afterPoll, freshPoll, isFresh } from './afterpoll.js';
 import { CallerConnection } from './callerconnection.js';
+import { leastUseful } from './connectionlimit.js';
 
 import type { Clock } from '../kernel/index.js';
 
@@ -63,6 +64,19 @@
     return closed;
   }
 
+  /**
+   * Closes the least useful connection for a new one.
+   * @returns whether there was one that is not in use
+   */
+  closeLeastUseful(): boolean {
+    const found = leastUseful(this.#open, this.clock.now());
+    if (!found) return false;
+    // The event that the connection is closed follows later.
+    this.#open.delete(found);
+    found.giveWay();
+    return true;
+  }
+
   /**
    * Closes the connection of a socket whose idle time is over, unless a request has arrived meanwhile.
    * @param socket - the socket
--- a/src/ingress/index.ts
+++ b/src/ingress/index.ts
@@ -4,6 +4,7 @@
 export { BodyRoom } from './bodyroom.js';
 export { CallerConnection } from './callerconnection.js';
 export { CallerConnections } from './callerconnections.js';
+export { connectionLimit } from './connectionlimit.js';
 export { askForBody, holdContinue } from './heldcontinue.js';
 export {
   closesConnections,
