--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -40,9 +40,12 @@
  */
 const KEEP_ALIVE_MS = 60_000;
 
-/** Largest headers that the server reads, in bytes: above the limits on callers' requests. */
+/** Largest headers that the server reads, in bytes, whatever the configuration says. */
 const MAX_HEADER_BYTES = 65_536;
 
+/** Headers that are read, as a multiple of the limit on callers' requests. */
+const HEADER_RATIO = 2;
+
 /**
  * Largest number of connections that wait to be accepted; the operating system may set a lower one. It resets some of
  * those beyond, with the requests that were sent on them.
@@ -98,6 +101,12 @@
       runtime.callers.of(socket).expects(res);
       runtime.readAhead.arrived(socket);
     });
+    // Before the listener of the server, which reads the limit for each connection.
+    server.prependListener('connection', () => {
+      const { headerBytes } = runtime.callerLimits ?? { headerBytes: MAX_HEADER_BYTES };
+      const maxHeaderSize = Math.min(MAX_HEADER_BYTES, headerBytes * HEADER_RATIO);
+      Object.assign(server, { maxHeaderSize });
+    });
     watchListener(server, 'callers', runtime.recorder);
     refuseMalformedRequests(server);
     holdContinue(server);
--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -280,7 +280,7 @@
 
   /** Largest body that is read, in bytes. */
   get #bodyLimit(): number {
-    return (this.runtime.routingState.table?.configuration.limits ?? DEFAULT_LIMITS).bodyBytes;
+    return (this.runtime.callerLimits ?? DEFAULT_LIMITS).bodyBytes;
   }
 
   /**
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -48,6 +48,7 @@
 import type { Recorder } from '../telemetry/index.js';
 import type { PlatformAdapter } from './adapter.js';
 import type { CallContext } from './callrun.js';
+import type { CallerLimits } from './configuration.js';
 import type { RequestStage } from './openrequests.js';
 import type { RegisteredDaemon } from './followedinstances.js';
 import type { GatewaySettings } from './settings.js';
@@ -287,6 +288,11 @@
     return this.routingState.isLoaded ? this.#callContext : undefined;
   }
 
+  /** Limits on callers' requests; undefined before the first configuration is applied. */
+  get callerLimits(): CallerLimits | undefined {
+    return this.routingState.table?.configuration.limits;
+  }
+
   /** Whether the load balancer should route requests to this daemon. */
   get isReady(): boolean {
     return this.#stopWindow === undefined && this.callContext !== undefined && !this.isResting;
