--- a/src/link/acceptedlink.ts
+++ b/src/link/acceptedlink.ts
@@ -2,7 +2,8 @@
 import { randomBytes } from 'node:crypto';
 
 import type { WebSocket } from 'ws';
-import { instanceOf } from '../kernel/index.js';
+import type { Readable } from 'node:stream';
+import { instanceOf, KIB_BYTES } from '../kernel/index.js';
 import { computeProof, equalProofs } from './frames.js';
 import { Heartbeat } from './heartbeat.js';
 import { decodeFrame, encodeFrame } from './peerlink.js';
@@ -14,6 +15,9 @@
 
 const NONCE_BYTES = 16;
 
+/** Most that a connecting daemon may send before it has proved that it knows the key, in bytes. */
+const MAX_UNPROVEN_BYTES = 8 * KIB_BYTES;
+
 /** Configuration of a listener. */
 export interface ListenerConfig {
   readonly self: Incarnation;
@@ -41,13 +45,23 @@
 
   #from: Incarnation | undefined;
 
+  #unprovenBytes = 0;
+
+  /** Counts what arrives before the proof, as a frame is passed on only when it is complete. */
+  readonly #countUnproven = (part: Buffer): void => {
+    this.#unprovenBytes += part.length;
+    if (this.#unprovenBytes > MAX_UNPROVEN_BYTES) this.#refuse();
+  };
+
   /**
    * Takes ownership of a socket and sends the challenge.
    * @param socket - accepted socket
+   * @param connection - connection that carries it
    * @param cfg - identity, fleet key and request handler
    */
   constructor(
     private readonly socket: WebSocket,
+    private readonly connection: Readable,
     private readonly cfg: ListenerConfig,
   ) {
     this.#heartbeat = new Heartbeat({
@@ -61,6 +75,7 @@
     });
     socket.on('error', () => socket.terminate());
     socket.on('close', () => this.#heartbeat.stop());
+    connection.on('data', this.#countUnproven);
     this.#send({ kind: 'challenge', nonce: this.#nonce });
   }
 
@@ -70,21 +85,29 @@
 
   async #receive(frame: Frame | undefined): Promise<void> {
     this.#heartbeat.noteReceived();
-    if (!frame) {
-      this.cfg.recorder.record('messageRejected', { peer: this.#from ?? 'unknown' });
+    if (!frame) this.cfg.recorder.record('messageRejected', { peer: this.#from ?? 'unknown' });
+    if (frame?.kind === 'hello') {
+      await this.#authenticate(frame.from, frame.nonce, frame.proof);
       return;
     }
-    if (frame.kind === 'hello') await this.#authenticate(frame.from, frame.nonce, frame.proof);
-    if (frame.kind !== 'request') return;
     if (!this.#from) {
-      this.socket.terminate();
+      this.#refuse();
       return;
     }
+    if (frame?.kind !== 'request') return;
     this.cfg.clock.observe(frame.stamp);
     const body = await this.cfg.handleRequest(frame.body, this.#from);
     if (body) this.#send({ kind: 'reply', id: frame.id, stamp: this.cfg.clock.next(), body });
   }
 
+  /** Closes the link of a peer that sends something else than its proof. */
+  #refuse(): void {
+    this.connection.off('data', this.#countUnproven);
+    const detail = `sent no proof within its first ${MAX_UNPROVEN_BYTES} bytes`;
+    this.cfg.recorder.record('linkRefused', { peer: 'unknown', detail });
+    this.socket.terminate();
+  }
+
   async #authenticate(from: Incarnation, nonce: string, proof: string): Promise<void> {
     const isProofValid = equalProofs(proof, computeProof(this.cfg.fleetKey, this.#nonce, from));
     if (!isProofValid || !(await this.cfg.isListed(instanceOf(from)))) {
@@ -94,6 +117,7 @@
       return;
     }
     this.#from = from;
+    this.connection.off('data', this.#countUnproven);
     const ownProof = computeProof(this.cfg.fleetKey, nonce, this.cfg.self);
     this.#send({ kind: 'welcome', from: this.cfg.self, proof: ownProof });
   }
--- a/src/link/peerlistener.ts
+++ b/src/link/peerlistener.ts
@@ -29,8 +29,8 @@
       const detail = `listen.peers: ${String(err)}; if the other daemons do not reach this one, start it again`;
       cfg.recorder.record('listenerFailed', { detail });
     });
-    this.#server.on('connection', (socket) => {
-      this.#links.add(new AcceptedLink(socket, cfg));
+    this.#server.on('connection', (socket, req) => {
+      this.#links.add(new AcceptedLink(socket, req.socket, cfg));
     });
   }
 
