--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -196,6 +196,7 @@
         void caller.finished.then(() => req.destroy());
       });
     }
+    const endReading = connection.reads(arrival.at, () => room.revoke());
     try {
       body = await readBody({
         source: req,
@@ -210,6 +211,8 @@
       // The caller disconnected before its request was complete.
       this.runtime.recorder.record('callEnded', { request: head.id, detail: String(err) });
       return undefined;
+    } finally {
+      endReading();
     }
     if (caller.isBegun) return undefined;
     if (body.isRefused || body.isTooLarge) {
--- a/src/gateway/runtime.ts
+++ b/src/gateway/runtime.ts
@@ -170,7 +170,7 @@
     this.recorder = makeRecorder({ instance, dataCentre, logLevel });
     this.#loopDelay = new LoopDelay(this.clock, this.recorder, this.metrics);
     const limitBytes = memoryLimitBytes(settings.memoryMb);
-    this.#maxConnections = connectionLimit(limitBytes);
+    this.#maxConnections = connectionLimit(limitBytes, this.#maxRequests * REFUSED_SHARE);
     this.bodyGate = new BodyGate(limitBytes, this.clock, garbageCollector());
     this.#memoryWatch = new MemoryWatch(
       limitBytes,
--- a/src/ingress/callerconnection.ts
+++ b/src/ingress/callerconnection.ts
@@ -47,6 +47,9 @@
 
   #discardingSince = 0;
 
+  /** The only open request while its body is being read. */
+  #reading: { readonly since: number; readonly giveUp: () => void } | undefined;
+
   /** Number of bytes received up to the last request, or up to the end of its body. */
   #requestBytes = 0;
 
@@ -90,6 +93,7 @@
 
   /** What the connection is used for. */
   get use(): ConnectionUse {
+    if (this.#reading && this.#unanswered === 1) return 'reading';
     if (this.#unanswered > this.#discarding) return 'busy';
     if (this.#discarding > 0) return 'discarding';
     return this.#requests === 0 ? 'unused' : 'idle';
@@ -97,6 +101,7 @@
 
   /** Time since which it is used for that, in milliseconds; not known for a busy one. */
   get useSince(): number {
+    if (this.#reading) return this.#reading.since;
     if (this.#discarding > 0) return this.#discardingSince;
     return this.#requests === 0 ? this.acceptedAt : this.#idleSince;
   }
@@ -114,9 +119,24 @@
     };
   }
 
-  /** Closes the connection at once, for a new one. */
+  /**
+   * Records that the body of the last request is being read from now on.
+   * @param now - current time, in milliseconds
+   * @param giveUp - refuses the request
+   * @returns function that records the end of that
+   */
+  reads(now: number, giveUp: () => void): () => void {
+    const reading = { since: now, giveUp };
+    this.#reading = reading;
+    return () => {
+      if (this.#reading === reading) this.#reading = undefined;
+    };
+  }
+
+  /** Closes the connection for a new one; a request whose body is being read is refused before. */
   giveWay(): void {
-    this.socket.destroy();
+    this.#reading?.giveUp();
+    setImmediate(() => this.socket.destroy());
   }
 
   /** Records that the last request was read completely. */
--- a/src/ingress/connectionlimit.ts
+++ b/src/ingress/connectionlimit.ts
@@ -19,17 +19,21 @@
 /** Time for which a caller that has its answer may be sending the next request, in milliseconds. */
 const NEXT_REQUEST_MS = 200;
 
+/** Time after which the body of a request has had its time to arrive, in milliseconds. */
+const READING_MS = 1_000;
+
 /**
  * What a connection is used for: the rest of a body is discarded on it, no request has arrived yet, all requests were
- * answered, or a request is open.
+ * answered, the body of the only open one is being read, or a request is open.
  */
-export type ConnectionUse = 'discarding' | 'unused' | 'idle' | 'busy';
+export type ConnectionUse = 'discarding' | 'unused' | 'idle' | 'reading' | 'busy';
 
 /** Uses in the order in which their connections are closed, and the time after which they are, in milliseconds. */
 const CLOSED_AFTER_MS: Readonly<Record<Exclude<ConnectionUse, 'busy'>, number>> = {
   discarding: 0,
   unused: UNUSED_MS,
   idle: NEXT_REQUEST_MS,
+  reading: READING_MS,
 };
 
 const CLOSING_ORDER = Object.keys(CLOSED_AFTER_MS) as readonly (keyof typeof CLOSED_AFTER_MS)[];
@@ -44,16 +48,19 @@
 /**
  * Returns how many connections of callers an instance holds.
  * @param limitBytes - memory that the process may use, in bytes
+ * @param maxRequests - number of requests that are taken: more connections with one request each would keep new ones
+ * from being read
  * @returns number of connections
  */
-export function connectionLimit(limitBytes: number): number {
-  const connections = (limitBytes * CONNECTIONS_SHARE) / CONNECTION_BYTES;
-  return Math.max(MIN_CONNECTIONS, Math.floor(connections));
+export function connectionLimit(limitBytes: number, maxRequests: number): number {
+  const idle = (limitBytes * CONNECTIONS_SHARE) / CONNECTION_BYTES;
+  return Math.floor(Math.min(maxRequests, Math.max(MIN_CONNECTIONS, idle)));
 }
 
 /**
  * Chooses the connection that is closed for a new one: one whose caller has its refusal and still sends, one that was
- * never used, or an idle one, in this order; of these the one for which that has been so for longest.
+ * never used, an idle one, or one whose body arrives slowly, in this order; of these the one for which that has been so
+ * for longest.
  * @param connections - open connections
  * @param now - current time, in milliseconds
  * @returns the connection; undefined if all are in use
--- a/src/ingress/tests/connectionlimit.test.ts
+++ b/src/ingress/tests/connectionlimit.test.ts
@@ -8,12 +8,15 @@
 const NOW = 10_000;
 
 [
-  { limitMb: 10, expected: 200 },
-  { limitMb: 88, expected: 596 },
-  { limitMb: 200, expected: 1_356 },
-].forEach(({ limitMb, expected }) => {
-  test(`an instance of ${limitMb} MB holds ${expected} connections`, (t) => {
-    t.is(connectionLimit(limitMb * MEGABYTE_BYTES), expected);
+  { limitMb: 10, maxRequests: 1_400, expected: 200 },
+  { limitMb: 88, maxRequests: 1_400, expected: 596 },
+  { limitMb: 120, maxRequests: 1_400, expected: 813 },
+  { limitMb: 200, maxRequests: 1_400, expected: 1_356 },
+  { limitMb: 200, maxRequests: 1_170.5, expected: 1_170 },
+  { limitMb: 10, maxRequests: 100, expected: 100 },
+].forEach(({ limitMb, maxRequests, expected }) => {
+  test(`an instance of ${limitMb} MB that takes ${maxRequests} requests holds ${expected} connections`, (t) => {
+    t.is(connectionLimit(limitMb * MEGABYTE_BYTES, maxRequests), expected);
   });
 });
 
@@ -57,6 +60,28 @@
     connections: [{ use: 'idle', useSince: NOW - 199 }],
     expected: undefined,
   },
+  {
+    title: 'an idle one goes before one whose body arrives slowly',
+    connections: [
+      { use: 'reading', useSince: 0 },
+      { use: 'idle', useSince: NOW - 200 },
+    ],
+    expected: 1,
+  },
+  {
+    title: 'a body has its time to arrive',
+    connections: [{ use: 'reading', useSince: NOW - 999 }],
+    expected: undefined,
+  },
+  {
+    title: 'the one whose body has been arriving for longest',
+    connections: [
+      { use: 'reading', useSince: 200 },
+      { use: 'reading', useSince: 100 },
+      { use: 'busy', useSince: 0 },
+    ],
+    expected: 1,
+  },
   {
     title: 'the one that has been idle for longest',
     connections: [
