--- a/src/ingress/connectionlimit.ts
+++ b/src/ingress/connectionlimit.ts
@@ -2,7 +2,7 @@
  * Bounds the connections of callers by the memory that they take, and decides which one is closed for a new one. Has no
  * clock and no sockets.
  */
-import { KIB_BYTES } from '../kernel/index.js';
+import { KIB_BYTES, MEGABYTE_BYTES } from '../kernel/index.js';
 
 /** Share of the memory limit for connections. */
 const CONNECTIONS_SHARE = 1 / 6;
@@ -10,6 +10,15 @@
 /** Memory of a connection that waits for its next request, in bytes. */
 const CONNECTION_BYTES = 24 * KIB_BYTES;
 
+/** Memory of a process that has no callers, in bytes. */
+const PROCESS_BYTES = 64 * MEGABYTE_BYTES;
+
+/** Share of what the limit leaves beside that for connections with open requests. */
+const BUSY_SHARE = 3 / 4;
+
+/** Memory of a connection with an open request, without its body, in bytes. */
+const BUSY_CONNECTION_BYTES = 48 * KIB_BYTES;
+
 /** Least number of connections, in an instance of any size. */
 const MIN_CONNECTIONS = 200;
 
@@ -54,7 +63,8 @@
  */
 export function connectionLimit(limitBytes: number, maxRequests: number): number {
   const idle = (limitBytes * CONNECTIONS_SHARE) / CONNECTION_BYTES;
-  return Math.floor(Math.min(maxRequests, Math.max(MIN_CONNECTIONS, idle)));
+  const busy = ((limitBytes - PROCESS_BYTES) * BUSY_SHARE) / BUSY_CONNECTION_BYTES;
+  return Math.floor(Math.min(maxRequests, Math.max(MIN_CONNECTIONS, Math.min(idle, busy))));
 }
 
 /**
--- a/src/ingress/tests/connectionlimit.test.ts
+++ b/src/ingress/tests/connectionlimit.test.ts
@@ -9,7 +9,7 @@
 
 [
   { limitMb: 10, maxRequests: 1_400, expected: 200 },
-  { limitMb: 88, maxRequests: 1_400, expected: 596 },
+  { limitMb: 88, maxRequests: 1_400, expected: 366 },
   { limitMb: 120, maxRequests: 1_400, expected: 813 },
   { limitMb: 200, maxRequests: 1_400, expected: 1_356 },
   { limitMb: 200, maxRequests: 1_170.5, expected: 1_170 },
