--- a/.ci/verdict.js
+++ b/.ci/verdict.js
@@ -1,4 +1,7 @@
-/** Reads TAP from standard input; passes over the failures that KNOWN-RED.txt lists. */
+/**
+ * Reads TAP from standard input, of as many runs as the argument says (default one); passes over the failures that
+ * KNOWN-RED.txt lists.
+ */
 import { readFile } from 'node:fs/promises';
 import { createInterface } from 'node:readline';
 
@@ -9,13 +12,18 @@
   .map((line) => line.slice('test: '.length).trim());
 const say = (line) => process.stdout.write(`${line}\n`);
 const results = [];
-let planned;
+const runs = Number(process.argv[2] ?? 1);
+let plans = 0;
+let planned = 0;
 for await (const line of createInterface({ input: process.stdin })) {
   say(line);
   const found = /^(not ok|ok) \d+ - (.*)$/.exec(line);
   if (found) results.push({ passed: found[1] === 'ok', title: found[2].trim() });
   const plan = /^1\.\.(\d+)$/.exec(line);
-  if (plan) planned = Number(plan[1]);
+  if (plan) {
+    plans += 1;
+    planned += Number(plan[1]);
+  }
 }
 const failed = results.filter(({ passed }) => !passed);
 const isKnown = ({ title }) => known.some((red) => title.endsWith(red));
@@ -25,7 +33,11 @@
   .forEach((red) => say(`no longer red, take it off KNOWN-RED.txt: ${red}`));
 const unknown = failed.filter((result) => !isKnown(result));
 const passed = results.length - failed.length;
-const complete = planned === results.length && passed > 0;
-if (!complete) say(`incomplete: ${results.length} results for a plan of ${planned}`);
+const complete = plans === runs && planned === results.length && passed > 0;
+if (!complete) {
+  say(
+    `incomplete: ${results.length} results of ${planned} planned, ${plans} of ${runs} runs planned`,
+  );
+}
 say(`${passed} passed, ${unknown.length} failed`);
 process.exitCode = unknown.length > 0 || !complete ? 1 : 0;
