--- a/src/gateway/ingress.controller.ts
+++ b/src/gateway/ingress.controller.ts
@@ -1,6 +1,8 @@
 /** Handles all requests of callers, whatever their method, path or content type. */
 import { All, Controller, Inject, Req, Res } from '@nestjs/common';
 
+import { setImmediate as nextTurn } from 'node:timers/promises';
+
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import type { FastifyReply, FastifyRequest } from 'fastify';
@@ -183,6 +185,8 @@
       const isTooLarge = (lengthBytes ?? 0) > this.#bodyLimit;
       const refusal = 'code' in found ? found : isTooLarge && failure('body-too-large', target);
       if (refusal) {
+        // Requests behind this one that have arrived are counted first: its answer may announce the close.
+        await nextTurn();
         await this.#refuseUnread(req, head, exchange, refusal);
         return undefined;
       }
