--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -132,7 +132,11 @@
   plansUnconfirmed: { number: 4505, level: 'warn', text: 'plans cannot be confirmed' },
   linkOpened: { number: 5001, level: 'info', text: 'peer link opened' },
   linkClosed: { number: 5002, level: 'info', text: 'peer link closed' },
-  linkRefused: { number: 5003, level: 'warn', text: 'peer refused: unknown instance, or no proof of the key' },
+  linkRefused: {
+    number: 5003,
+    level: 'warn',
+    text: 'peer refused: unknown instance, or no proof of the key',
+  },
   linkSilent: { number: 5004, level: 'warn', text: 'peer link timed out; it is replaced' },
   messageRejected: { number: 5005, level: 'warn', text: 'peer message rejected by its schema' },
   daemonUnreadable: {
