Test of a timer that is cleared when it is due: both of its timers are due at once

Cause: the test creates two timers of 1 ms and expects the second to clear the first before it calls back. If the process waits between the two, the first is due in an earlier turn of the event loop and rightly calls back.

Now the process waits for 3 ms after both were created, so both are due when the event loop looks at its timers; the check is the same.

--- a/src/kernel/tests/polledtimer.test.ts
+++ b/src/kernel/tests/polledtimer.test.ts
@@ -5,7 +5,7 @@
 import test from 'ava';
 
 import { listenOnFreePort } from '../../../testbed/listening.js';
-import { stall } from '../../../testbed/stall.js';
+import { block, stall } from '../../../testbed/stall.js';
 import { PolledTimer, timeLimitSignal, waitAtMost } from '../polledtimer.js';
 
 /** Time of the timers, in milliseconds. */
@@ -92,6 +92,8 @@
       timer.clear();
       resolve();
     }, 1);
+    // Both are due when the event loop looks at its timers, also if the first was created a millisecond before.
+    block(3);
   });
   await stall(1);
 });
