--- a/src/ingress/connectionlimit.ts
+++ b/src/ingress/connectionlimit.ts
@@ -17,7 +17,7 @@
 const BUSY_SHARE = 3 / 4;
 
 /** Memory of a connection with an open request, without its body, in bytes. */
-const BUSY_CONNECTION_BYTES = 48 * KIB_BYTES;
+const BUSY_CONNECTION_BYTES = 56 * KIB_BYTES;
 
 /** Least number of connections, in an instance of any size. */
 const MIN_CONNECTIONS = 200;
